--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -9,8 +9,8 @@
 	"io"
 	"os"
 
-	"lilacstall/internal/wire"
-	"lilacstall/logic"
+	"granitewing/internal/wire"
+	"granitewing/logic"
 )
 
 func main() {
--- a/internal/wire/reply.go
+++ b/internal/wire/reply.go
@@ -4,7 +4,7 @@
 	"encoding/binary"
 	"math"
 
-	"lilacstall/logic"
+	"granitewing/logic"
 )
 
 // Reply builds the answer to one batch; its buffer is reused. Add covers the actions that the decisions use;
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"strings"
 
-	"lilacstall/logic"
+	"granitewing/logic"
 )
 
 // maxListed bounds the lists that settings may announce, so that a claimed count allocates nothing.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"lilacstall/logic"
+	"granitewing/logic"
 )
 
 func unhex(t *testing.T, s string) []byte {
--- a/logic/example_test.go
+++ b/logic/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"lilacstall/logic"
+	"granitewing/logic"
 )
 
 // An operator's scheduler carries out the actions of each call in their order; here they are printed.
