--- /dev/null
+++ b/internal/driver/driver.go
@@ -0,0 +1,288 @@
+// Package driver reads and writes the sockets of a dispatcher and keeps its timers. One goroutine, in Run,
+// owns the core and all state here; readers, writers, dials and timers post events to it.
+package driver
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"granitewing/internal/memory"
+	"granitewing/internal/wire/platform"
+	"granitewing/logic"
+)
+
+// Figures that no setting gives.
+const (
+	eventsMost    = 256                     // events on their way; those who post wait beyond it
+	pipelineMost  = 4                       // messages that one client may send ahead of their answers
+	writeLimit    = 5 * time.Second         // a peer that takes no bytes for so long is given up
+	messageLimit  = 10 * time.Second        // a message that has begun must be whole by then
+	northIdle     = 5 * time.Minute         // idle connections of clients are kept so long
+	drainLimit    = time.Second             // a host must close an answer that it has ended by then
+	expireAfter   = 20 * time.Millisecond   // past a deadline; within the slack that the rules allow
+	inventoryWait = 5 * time.Second         // discovery writes a line at least every 2 s
+	dialInventory = 2 * time.Second         // discovery serves calls in turn
+	readyWait     = 1500 * time.Millisecond // for the first list, before the cached one has to do
+	arriveStill   = 500 * time.Millisecond  // after SIGTERM connections arrive for up to 0.4 s
+	lingerIdle    = 450 * time.Millisecond  // and clients use those they have; idle ones are closed then
+	quitPoll      = 50 * time.Millisecond
+)
+
+// Driver serves one dispatcher.
+type Driver struct {
+	cfg   *platform.Config
+	core  *memory.Core
+	clock Clock
+	log   func(format string, args ...any)
+	ln    net.Listener
+
+	events chan func()
+	later  []func() // what commands bring about at once, after all commands of a call
+	done   chan struct{}
+
+	lanes   map[string]platform.Lane
+	norths  map[*north]struct{}
+	open    map[memory.ID]*north
+	relays  map[memory.RelayID]*relay
+	pool    pool
+	watch   *watch
+	wake    *time.Timer
+	ready   bool
+	listed  int64 // revision of the inventory
+	limits  limits
+	stopped time.Time // SIGTERM; zero while serving
+	arrived time.Time // the last connection
+}
+
+// limits shares out the descriptors.
+type limits struct{ north, spare, south, perHost int }
+
+// limitsFor leaves room for discovery, the listener, a log and what the runtime holds.
+func limitsFor(sockets int) limits {
+	usable := max(sockets-32, 16)
+	l := limits{north: usable * 5 / 10, spare: usable / 10, south: usable * 4 / 10}
+	l.perHost = max(l.south/4, 4)
+	return l
+}
+
+// New makes a driver that serves on a listener.
+func New(cfg *platform.Config, ln net.Listener, log func(string, ...any)) (*Driver, error) {
+	core, err := memory.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return &Driver{
+		cfg: cfg, core: core, clock: NewClock(), log: log, ln: ln, lanes: cfg.Lanes(),
+		events: make(chan func(), eventsMost), done: make(chan struct{}),
+		norths: map[*north]struct{}{}, open: map[memory.ID]*north{}, relays: map[memory.RelayID]*relay{},
+		pool: pool{hosts: map[string]*hostConns{}}, limits: limitsFor(cfg.Sockets),
+	}, nil
+}
+
+// Run serves until stop is closed and nothing is held any more.
+func (d *Driver) Run(stop <-chan struct{}) {
+	defer close(d.done)
+	go d.accept()
+	d.do(d.core.Inventory(d.now(), logic.ListCached, d.cfg.Known.Hosts))
+	d.listed = d.cfg.Known.Revision
+	d.after(readyWait, func() { d.ready = true })
+	for {
+		for len(d.later) > 0 {
+			f := d.later[0]
+			d.later = d.later[1:]
+			f()
+		}
+		if !d.stopped.IsZero() && d.quiet() {
+			d.leave()
+			return
+		}
+		select {
+		case f := <-d.events:
+			f()
+		case <-stop:
+			stop = nil
+			d.stop()
+		}
+	}
+}
+
+// post hands an event to the owner; it waits while too many are on their way.
+func (d *Driver) post(f func()) {
+	select {
+	case d.events <- f:
+	case <-d.done:
+	}
+}
+
+// after posts an event when a wait is over.
+func (d *Driver) after(wait time.Duration, f func()) *time.Timer {
+	return time.AfterFunc(max(wait, 0), func() { d.post(f) })
+}
+
+func (d *Driver) now() int64 { return d.clock.Now() }
+
+// do carries out the commands of one call of the core. None of them calls the core before all are done.
+func (d *Driver) do(cmds []memory.Command) {
+	for _, c := range cmds {
+		switch c.Kind {
+		case memory.Send:
+			d.send(c)
+		case memory.Drop:
+			d.drop(c.Relay)
+		case memory.Answer:
+			if n := d.open[c.Relay.Message]; n != nil {
+				delete(d.open, c.Relay.Message)
+				n.answer(c)
+			}
+		case memory.Wake:
+			d.wakeAt(c.At)
+		case memory.Watch:
+			d.openWatch()
+		case memory.Leave:
+			d.pool.leave(c.Addr)
+		}
+	}
+}
+
+// wakeAt keeps the one wake-up that the decisions wait for: they ask anew only for an earlier one or when it
+// is over.
+func (d *Driver) wakeAt(at int64) {
+	if d.wake != nil {
+		d.wake.Stop()
+	}
+	d.wake = d.after(time.Duration(at-d.now())*time.Microsecond, func() {
+		now := d.now()
+		if now < at {
+			d.wakeAt(at) // woken early, the decisions would neither act nor ask again
+			return
+		}
+		d.do(d.core.Wake(now))
+	})
+}
+
+// ---- Sockets ----
+
+// conn is one connection with its reader and its writer.
+type conn struct {
+	d      *Driver
+	c      net.Conn
+	out    chan []byte
+	more   chan struct{}
+	closed chan struct{}
+	gone   bool // closed here; only the owner reads and writes it
+}
+
+// newConn starts the reader and the writer. read runs on the owner for each piece that comes, or for the
+// error that ends it; what it is given is valid until it returns, and false keeps the reader waiting for
+// resume. wrote runs on the owner after each write.
+func (d *Driver) newConn(c net.Conn, queue int, read func(b []byte, at int64, err error) bool, wrote func(n int, err error)) *conn {
+	k := &conn{d: d, c: c, out: make(chan []byte, queue), more: make(chan struct{}, 1), closed: make(chan struct{})}
+	go k.reading(read)
+	go k.writing(wrote)
+	return k
+}
+
+func (k *conn) reading(read func([]byte, int64, error) bool) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := k.c.Read(buf)
+		at := k.d.now()
+		k.d.post(func() {
+			// What comes late from a connection that was closed here concerns nobody.
+			if !k.gone && read(buf[:n], at, err) {
+				k.resume()
+			}
+		})
+		if err != nil {
+			return
+		}
+		select {
+		case <-k.more:
+		case <-k.closed:
+			return
+		case <-k.d.done:
+			return
+		}
+	}
+}
+
+func (k *conn) writing(wrote func(int, error)) {
+	for {
+		select {
+		case b := <-k.out:
+			k.c.SetWriteDeadline(time.Now().Add(writeLimit))
+			n, err := k.c.Write(b)
+			k.d.post(func() { wrote(n, err) })
+			if err != nil {
+				return
+			}
+		case <-k.closed:
+			return
+		case <-k.d.done:
+			return
+		}
+	}
+}
+
+// resume lets the reader read on.
+func (k *conn) resume() {
+	select {
+	case k.more <- struct{}{}:
+	default:
+	}
+}
+
+// write queues bytes; false if the peer takes them so slowly that the queue is full.
+func (k *conn) write(b []byte) bool {
+	select {
+	case k.out <- b:
+		return true
+	default:
+		return false
+	}
+}
+
+func (k *conn) close() {
+	if !k.gone {
+		k.gone = true
+		close(k.closed)
+		k.c.Close()
+	}
+}
+
+// ended tells whether a read error is the peer's orderly end.
+func ended(err error) bool { return err == io.EOF }
+
+// accept takes connections until the listener is closed.
+func (d *Driver) accept() {
+	for {
+		c, err := d.ln.Accept()
+		if err != nil {
+			select {
+			case <-d.done:
+				return
+			default:
+			}
+			if ne, ok := err.(net.Error); ok && !ne.Timeout() {
+				// Out of descriptors, most likely: those already taken must be served on.
+				time.Sleep(10 * time.Millisecond)
+			}
+			if isClosed(err) {
+				return
+			}
+			continue
+		}
+		taken := make(chan struct{})
+		d.post(func() {
+			d.take(c)
+			close(taken)
+		})
+		select {
+		case <-taken:
+		case <-d.done:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/driver/south.go
@@ -0,0 +1,278 @@
+package driver
+
+import (
+	"net"
+	"time"
+
+	"granitewing/internal/memory"
+	"granitewing/internal/wire/platform"
+	"granitewing/logic"
+)
+
+// relay is one attempt on its way.
+type relay struct {
+	id    memory.RelayID
+	msg   *platform.Message
+	addr  string
+	until int64
+	on    *south // nil while its connection is being made
+	timer *time.Timer
+}
+
+// south is a connection to a south side host; it carries one relay at a time.
+type south struct {
+	*conn
+	d       *Driver
+	addr    string
+	parser  *platform.Relay
+	relay   *relay
+	pending bool // the request is not wholly written
+	broken  bool // the connection failed before the writer told how far it came
+	waiting bool // the outcome is known, the end of the answer is not
+	timer   *time.Timer
+}
+
+// pool counts the connections to hosts and keeps the idle ones, the latest used last.
+type pool struct {
+	hosts map[string]*hostConns
+	count int
+}
+
+type hostConns struct {
+	count int
+	idle  []*south
+}
+
+func (p *pool) host(addr string) *hostConns {
+	h := p.hosts[addr]
+	if h == nil {
+		h = &hostConns{}
+		p.hosts[addr] = h
+	}
+	return h
+}
+
+// add books a connection that is up or being made.
+func (p *pool) add(addr string, by int) {
+	h := p.host(addr)
+	h.count += by
+	p.count += by
+	if h.count == 0 {
+		delete(p.hosts, addr)
+	}
+}
+
+// leave closes the idle connections to a host.
+func (p *pool) leave(addr string) {
+	if h := p.hosts[addr]; h != nil {
+		for len(h.idle) > 0 {
+			h.idle[0].end()
+		}
+	}
+}
+
+// evict closes an idle connection to make room, and tells whether it could.
+func (p *pool) evict() bool {
+	for _, h := range p.hosts {
+		if len(h.idle) > 0 {
+			h.idle[0].end()
+			return true
+		}
+	}
+	return false
+}
+
+// send starts a relay on the connection to its host that was used last, or on a new one.
+func (d *Driver) send(c memory.Command) {
+	n := d.open[c.Relay.Message]
+	if n == nil || len(n.queue) == 0 {
+		return
+	}
+	r := &relay{id: c.Relay, msg: n.queue[0].Message, addr: c.Addr, until: d.now() + c.Timeout}
+	d.relays[r.id] = r
+	r.timer = d.after(time.Duration(c.Timeout)*time.Microsecond, func() { d.ended(r, logic.TimedOut, nil) })
+	h := d.pool.host(r.addr)
+	if k := len(h.idle); k > 0 {
+		s := h.idle[k-1]
+		h.idle = h.idle[:k-1]
+		s.begin(r)
+		return
+	}
+	if h.count >= d.limits.perHost || d.pool.count >= d.limits.south && !d.pool.evict() {
+		d.later = append(d.later, func() { d.ended(r, logic.Moot, nil) })
+		return
+	}
+	d.pool.add(r.addr, 1)
+	go func() {
+		c, err := net.DialTimeout("tcp", r.addr, time.Duration(d.cfg.Settings.ConnectTimeout)*time.Microsecond)
+		d.post(func() { d.dialled(r, c, err) })
+	}()
+}
+
+// dialled goes on with a relay whose connection is up or has failed. One that was dropped meanwhile leaves
+// its connection to the next.
+func (d *Driver) dialled(r *relay, c net.Conn, err error) {
+	if err != nil {
+		d.pool.add(r.addr, -1)
+		d.ended(r, logic.ConnectFailed, nil)
+		return
+	}
+	s := &south{d: d, addr: r.addr}
+	s.parser = platform.NewRelay(s.note)
+	s.conn = d.newConn(c, 1, s.read, s.wrote)
+	if d.relays[r.id] != r {
+		s.rest()
+		return
+	}
+	s.begin(r)
+}
+
+// begin writes a relay's request.
+func (s *south) begin(r *relay) {
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+	r.on, s.relay, s.pending = s, r, true
+	s.parser.Begin(r.msg.Txn)
+	left := time.Duration(r.until-s.d.now()) * time.Microsecond
+	s.write(platform.AppendRelay(nil, r.addr, r.msg, max(left, 0)))
+}
+
+// rest keeps the connection for the next relay, and closes it before the host would.
+func (s *south) rest() {
+	h := s.d.pool.host(s.addr)
+	h.idle = append(h.idle, s)
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+	limit := time.Duration(s.d.cfg.Settings.ConnIdle) * time.Microsecond
+	s.timer = s.d.after(limit*4/5, func() {
+		if s.relay == nil && !s.waiting {
+			s.end()
+		}
+	})
+}
+
+// end closes the connection and takes it off the books.
+func (s *south) end() {
+	if s.gone {
+		return
+	}
+	s.close()
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+	h := s.d.pool.host(s.addr)
+	for i, o := range h.idle {
+		if o == s {
+			h.idle = append(h.idle[:i], h.idle[i+1:]...)
+			break
+		}
+	}
+	s.d.pool.add(s.addr, -1)
+}
+
+// read takes bytes from a host, or the end of them.
+func (s *south) read(b []byte, _ int64, err error) bool {
+	if err == nil {
+		err = s.parser.Feed(b)
+	}
+	if err != nil {
+		s.fail()
+		return false
+	}
+	return !s.gone
+}
+
+// fail ends a connection that broke or spoke garbage. Whether its relay may have run depends on whether the
+// whole request was written, which only the writer knows.
+func (s *south) fail() {
+	r := s.relay
+	if r != nil && s.pending {
+		s.broken = true
+		s.c.Close()
+		return
+	}
+	s.end()
+	if r != nil {
+		s.d.ended(r, logic.Broken, nil)
+	}
+}
+
+// wrote follows the write of a request.
+func (s *south) wrote(_ int, err error) {
+	s.pending = false
+	if s.gone || err == nil && !s.broken {
+		return
+	}
+	r := s.relay
+	s.end()
+	if r == nil {
+		return
+	}
+	if err != nil {
+		// Its last byte was never written, so it can't have started.
+		s.d.ended(r, logic.ConnectFailed, nil)
+		return
+	}
+	s.d.ended(r, logic.Broken, nil)
+}
+
+// note takes what the host says of the relay.
+func (s *south) note(n platform.Note) {
+	r, d := s.relay, s.d
+	switch n.Kind {
+	case platform.NoteStarted:
+		if r != nil {
+			d.do(d.core.Started(d.now(), r.id))
+		}
+	case platform.NoteProgress:
+		if r != nil {
+			d.do(d.core.Progress(d.now(), r.id, n.Share))
+		}
+	case platform.NoteEnded:
+		s.relay, s.waiting = nil, true
+		s.timer = d.after(drainLimit, func() {
+			if s.waiting {
+				s.end()
+			}
+		})
+		if r != nil {
+			r.on = nil
+			d.ended(r, n.Result, n.Content)
+		}
+	case platform.NoteFree:
+		s.waiting = false
+		if n.Keep && !s.pending && !s.gone {
+			s.rest()
+		} else {
+			s.end()
+		}
+	}
+}
+
+// ended books the end of a relay and tells the core; a connection that it still holds is closed first, so
+// that no other attempt starts while this one is out.
+func (d *Driver) ended(r *relay, result logic.Result, content []byte) {
+	if d.relays[r.id] != r {
+		return
+	}
+	d.release(r)
+	d.do(d.core.Ended(d.now(), r.id, result, content))
+}
+
+// drop stops a relay that the decisions called off.
+func (d *Driver) drop(id memory.RelayID) {
+	if r := d.relays[id]; r != nil {
+		d.release(r)
+	}
+}
+
+func (d *Driver) release(r *relay) {
+	delete(d.relays, r.id)
+	r.timer.Stop()
+	if r.on != nil {
+		r.on.relay = nil
+		r.on.end()
+	}
+}
--- /dev/null
+++ b/internal/lifecycle/lifecycle.go
@@ -0,0 +1,73 @@
+// Package lifecycle starts and stops a dispatcher.
+package lifecycle
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"granitewing/internal/driver"
+	"granitewing/internal/wire/platform"
+)
+
+// Run serves until SIGTERM or an interrupt, then until nothing is held.
+func Run(env func(string) string, log func(format string, args ...any)) error {
+	cfg, err := load(env)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(max(int(cfg.Cores), 1))
+	// Past three quarters of the limit the collector works harder; the rest is for stacks, sockets and $TMPDIR.
+	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
+	stop := make(chan struct{})
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	d, err := driver.New(cfg, ln, log)
+	if err != nil {
+		return err
+	}
+	go func() {
+		<-signals
+		signal.Stop(signals)
+		close(stop)
+	}()
+	d.Run(stop)
+	return nil
+}
+
+// load reads the configuration; what the environment states goes before it.
+func load(env func(string) string) (*platform.Config, error) {
+	path := env("ROUTER_CONFIG")
+	if path == "" {
+		return nil, fmt.Errorf("ROUTER_CONFIG: not set; it names the configuration file")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
+	}
+	cfg, err := platform.ReadConfig(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	for name, field := range map[string]*string{
+		"ROUTER_NAME": &cfg.Name, "ROUTER_LISTEN": &cfg.Listen, "ROUTER_DISCOVERY": &cfg.Discovery,
+	} {
+		if v := env(name); v != "" {
+			*field = v
+		}
+	}
+	for _, a := range []struct{ key, value string }{{"listen", cfg.Listen}, {"discovery", cfg.Discovery}} {
+		if _, _, err := net.SplitHostPort(a.value); err != nil {
+			return nil, fmt.Errorf("%s: %w", a.key, err)
+		}
+	}
+	return cfg, nil
+}
--- /dev/null
+++ b/internal/memory/core.go
@@ -0,0 +1,352 @@
+// Package memory holds what a dispatcher keeps: the open messages with their relays, and the south side
+// hosts. Its Core turns what happens into calls of the decision module, and what that decides into commands.
+// It knows no protocol and no socket, so that every front goes through the same decisions and rules.
+package memory
+
+import (
+	"granitewing/logic"
+)
+
+// ID names an open message.
+type ID = logic.JobID
+
+// RelayID names one relay of a message; it is never used again while anything late may still speak of it.
+type RelayID struct {
+	Message ID
+	Attempt int
+}
+
+// Message is a request as the decisions see it.
+type Message struct {
+	Class    int
+	Subject  uint64  // what it concerns; 0 = nothing named
+	Hint     int64   // expected work in microseconds; 0 = unknown
+	Slots    float64 // slots it takes
+	Memory   float64 // units of memory it takes
+	Repeated bool    // the client has tried before
+}
+
+// Host is a south side host as the inventory names it.
+type Host struct {
+	Name    string // the same at every dispatcher
+	Addr    string
+	Zone    int
+	Kind    int
+	Cell    int
+	Weight  float64
+	UpSince int64 // microseconds; 0 = long ago
+	Phase   logic.Phase
+}
+
+// CommandKind is what a front or driver shall do.
+type CommandKind uint8
+
+// The kinds of command and the fields of Command that each uses.
+const (
+	Send   CommandKind = iota // Relay, Addr, Timeout: relay the message to the host at Addr
+	Drop                      // Relay: stop the relay; it must be gone before the next command
+	Answer                    // Relay.Message, Verdict, After, Content: the final answer
+	Wake                      // At: call Core.Wake then
+	Watch                     // open the watch on the inventory
+	Leave                     // Addr: idle connections to it are of no more use
+)
+
+// Verdict is the kind of a final answer.
+type Verdict uint8
+
+// The kinds of final answers.
+const (
+	Served  Verdict = iota // Content is what a host gave for this message
+	Refused                // trying again is harmless
+	Failed                 // nothing is promised
+)
+
+// Command is something to be done, in order.
+type Command struct {
+	Kind    CommandKind
+	Relay   RelayID
+	Addr    string
+	Timeout int64
+	Verdict Verdict
+	After   int64
+	Content []byte
+	At      int64
+}
+
+// message is an open message.
+type message struct {
+	relays   []relay
+	out      int  // relays without an end
+	answered bool // it has its final answer, or nobody waits for one
+}
+
+// relay is one attempt.
+type relay struct {
+	worker logic.WorkerID
+	sent   int64
+	out    bool
+}
+
+// host is a known south side host.
+type host struct {
+	Host
+	id logic.WorkerID
+}
+
+// Core owns the decisions of one dispatcher. It must not be used by two goroutines at once.
+type Core struct {
+	cfg      logic.Config
+	sched    *logic.Scheduler
+	last     ID
+	messages map[ID]*message
+	hosts    map[logic.WorkerID]*host
+	numbers  map[string]logic.WorkerID
+	acts     []logic.Action
+	out      []Command
+}
+
+// New makes a core.
+func New(cfg logic.Config, seed uint64) (*Core, error) {
+	s, err := logic.New(cfg, seed)
+	if err != nil {
+		return nil, err
+	}
+	return &Core{cfg: cfg, sched: s, messages: map[ID]*message{}, hosts: map[logic.WorkerID]*host{},
+		numbers: map[string]logic.WorkerID{}}, nil
+}
+
+// Open is how many messages are kept.
+func (c *Core) Open() int { return len(c.messages) }
+
+// The calls below take what happened at a time in microseconds and return the commands that follow, valid
+// until the next call.
+
+// Arrive takes a message whose client waits until deadline; 0 means as long as its class says.
+func (c *Core) Arrive(now int64, m Message, deadline int64) (ID, []Command) {
+	c.begin()
+	c.last++
+	for c.messages[c.last] != nil {
+		c.last++
+	}
+	id := c.last
+	if c.cfg.MaxOpen > 0 && len(c.messages) >= c.cfg.MaxOpen {
+		c.do(Command{Kind: Answer, Relay: RelayID{Message: id}, Verdict: Refused})
+		return id, c.out
+	}
+	c.messages[id] = &message{}
+	c.acts = c.sched.Arrive(now, logic.Job{
+		ID: id, Key: m.Subject, Class: m.Class, Hint: m.Hint, Slots: m.Slots, Memory: m.Memory,
+		Deadline: deadline, Repeated: m.Repeated,
+	}, c.acts)
+	return id, c.finish(now)
+}
+
+// Inventory takes what discovery told, or that it could not be asked.
+func (c *Core) Inventory(now int64, how logic.ListKind, hosts []Host) []Command {
+	c.begin()
+	if how == logic.ListFull || how == logic.ListCached {
+		listed := map[string]bool{}
+		for _, h := range hosts {
+			listed[h.Name] = true
+		}
+		for _, h := range c.hosts {
+			if !listed[h.Name] {
+				c.remove(h)
+			}
+		}
+	}
+	list := make([]logic.WorkerInfo, 0, len(hosts))
+	for _, h := range hosts {
+		list = append(list, logic.WorkerInfo{
+			ID: c.take(h), Zone: h.Zone, Kind: h.Kind, Cell: h.Cell, Weight: h.Weight, UpSince: h.UpSince, Phase: h.Phase,
+		})
+	}
+	c.acts = c.sched.Workers(now, how, list, c.acts)
+	return c.finish(now)
+}
+
+// take keeps one entry of the inventory and gives the host's number.
+func (c *Core) take(e Host) logic.WorkerID {
+	id, known := c.numbers[e.Name]
+	if !known {
+		// The number comes from the name alone, since the decisions of dispatchers that share nothing agree
+		// through it; only two names that collide may differ between dispatchers.
+		for id = numberOf(e.Name); c.hosts[id] != nil; {
+			id++
+		}
+	}
+	old := c.hosts[id]
+	if old != nil && old.Addr != e.Addr {
+		c.do(Command{Kind: Leave, Addr: old.Addr})
+	}
+	if e.Phase == logic.Gone {
+		if old != nil {
+			c.remove(old)
+		}
+		return id
+	}
+	c.numbers[e.Name] = id
+	c.hosts[id] = &host{Host: e, id: id}
+	return id
+}
+
+func (c *Core) remove(h *host) {
+	c.do(Command{Kind: Leave, Addr: h.Addr})
+	delete(c.hosts, h.id)
+	delete(c.numbers, h.Name)
+}
+
+// Started takes the news that a relay's host has begun to run it.
+func (c *Core) Started(now int64, r RelayID) []Command {
+	c.begin()
+	if c.find(r) != nil {
+		c.acts = c.sched.Started(now, r.Message, r.Attempt, c.acts)
+	}
+	return c.finish(now)
+}
+
+// Progress takes the share of a relay's work that is done.
+func (c *Core) Progress(now int64, r RelayID, share float64) []Command {
+	c.begin()
+	if c.find(r) != nil {
+		c.acts = c.sched.Progress(now, r.Message, r.Attempt, share, c.acts)
+	}
+	return c.finish(now)
+}
+
+// Ended takes the end of a relay; content is the result where it was served.
+func (c *Core) Ended(now int64, r RelayID, result logic.Result, content []byte) []Command {
+	c.begin()
+	if c.find(r) != nil {
+		c.end(now, r, result, content)
+	}
+	return c.finish(now)
+}
+
+// HangUp takes the news that a message's client has left.
+func (c *Core) HangUp(now int64, id ID) []Command {
+	c.begin()
+	if m := c.messages[id]; m != nil && !m.answered {
+		m.answered = true
+		c.acts = c.sched.HangUp(now, id, c.acts)
+	}
+	return c.finishMessage(now, id)
+}
+
+// Expire gives up a message whose time is over. The decisions answer before that; this guards the client
+// against waiting for ever should they not.
+func (c *Core) Expire(now int64, id ID) []Command {
+	c.begin()
+	if m := c.messages[id]; m != nil && !m.answered {
+		c.answer(id, m, Command{Verdict: Failed})
+		c.acts = c.sched.HangUp(now, id, c.acts)
+	}
+	return c.finishMessage(now, id)
+}
+
+// Wake takes a time that a Wake command asked for.
+func (c *Core) Wake(now int64) []Command {
+	c.begin()
+	c.acts = c.sched.Wake(now, 0, c.acts)
+	return c.finish(now)
+}
+
+func (c *Core) begin() { c.acts, c.out = c.acts[:0], c.out[:0] }
+
+func (c *Core) do(cmd Command) { c.out = append(c.out, cmd) }
+
+// find gives a relay that has no end yet.
+func (c *Core) find(r RelayID) *relay {
+	m := c.messages[r.Message]
+	if m == nil || r.Attempt < 0 || r.Attempt >= len(m.relays) || !m.relays[r.Attempt].out {
+		return nil
+	}
+	return &m.relays[r.Attempt]
+}
+
+// finish turns actions into commands; an action may bring an outcome at once, which may bring more actions.
+func (c *Core) finish(now int64) []Command {
+	for i := 0; i < len(c.acts); i++ {
+		switch a := c.acts[i]; a.Kind {
+		case logic.ActSend:
+			c.send(now, a)
+		case logic.ActCancel:
+			r := RelayID{a.Job, a.Attempt}
+			if c.find(r) != nil {
+				c.do(Command{Kind: Drop, Relay: r})
+				c.end(now, r, logic.Cancelled, nil)
+			}
+		case logic.ActRefuse, logic.ActFail:
+			if m := c.messages[a.Job]; m != nil && !m.answered {
+				verdict := Failed
+				if a.Kind == logic.ActRefuse {
+					verdict = Refused
+				}
+				c.answer(a.Job, m, Command{Verdict: verdict, After: a.After})
+				c.forget(a.Job, m)
+			}
+		case logic.ActWake:
+			c.do(Command{Kind: Wake, At: a.At})
+		case logic.ActSubscribe:
+			c.do(Command{Kind: Watch})
+		}
+	}
+	return c.out
+}
+
+func (c *Core) finishMessage(now int64, id ID) []Command {
+	out := c.finish(now)
+	if m := c.messages[id]; m != nil {
+		c.forget(id, m)
+	}
+	return out
+}
+
+// send starts a relay. What the rules forbid is not sent whatever was decided: it ends as one that never was.
+func (c *Core) send(now int64, a logic.Action) {
+	m, h := c.messages[a.Job], c.hosts[a.Worker]
+	if m == nil {
+		return
+	}
+	r := RelayID{a.Job, len(m.relays)}
+	m.relays = append(m.relays, relay{worker: a.Worker, sent: now, out: true})
+	m.out++
+	switch {
+	case m.answered, // a message that has its answer needs no more work
+		h == nil || h.Phase != logic.Ready,        // nothing new to a host that drains or is gone
+		len(m.relays) > max(c.cfg.MaxAttempts, 1), // no more attempts than the site allows
+		m.out > 1 && !c.cfg.MayCopy:               // one attempt out at a time
+		c.end(now, r, logic.Moot, nil)
+		return
+	}
+	c.do(Command{Kind: Send, Relay: r, Addr: h.Addr, Timeout: a.Timeout})
+}
+
+// end closes the books on a relay and tells the decisions.
+func (c *Core) end(now int64, r RelayID, result logic.Result, content []byte) {
+	m := c.messages[r.Message]
+	a := &m.relays[r.Attempt]
+	a.out = false
+	m.out--
+	if result == logic.Served && !m.answered {
+		c.answer(r.Message, m, Command{Verdict: Served, Content: content})
+	}
+	c.acts = c.sched.Outcome(now, logic.Outcome{
+		Job: r.Message, Attempt: r.Attempt, Worker: a.worker, Result: result, Elapsed: now - a.sent, Settled: m.answered,
+	}, c.acts)
+	c.forget(r.Message, m)
+}
+
+// answer gives the one final answer.
+func (c *Core) answer(id ID, m *message, cmd Command) {
+	m.answered = true
+	cmd.Kind, cmd.Relay = Answer, RelayID{Message: id}
+	c.do(cmd)
+}
+
+// forget lets go of a message that is answered and has nothing out.
+func (c *Core) forget(id ID, m *message) {
+	if m.answered && m.out == 0 {
+		delete(c.messages, id)
+	}
+}
--- /dev/null
+++ b/internal/wire/platform/config.go
@@ -0,0 +1,132 @@
+package platform
+
+import (
+	"fmt"
+	"hash/fnv"
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fastjson"
+
+	"granitewing/internal/wire"
+	"granitewing/logic"
+)
+
+// Config is what a dispatcher is told at its start.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	Cores     float64
+	MemoryMB  int
+	Sockets   int
+	Known     List
+	Settings  logic.Config
+}
+
+// Names gives the indices of zones and kinds.
+func (c *Config) Names() Names {
+	return Names{Zones: c.Settings.ZoneNames, Kinds: c.Settings.KindNames}
+}
+
+// Lanes gives the classes by name.
+func (c *Config) Lanes() map[string]Lane {
+	lanes := map[string]Lane{}
+	for i, k := range c.Settings.Classes {
+		lanes[k.Name] = Lane{Class: i, Keyed: k.Repeat == logic.RepeatKeyed}
+	}
+	return lanes
+}
+
+// ReadConfig decodes the configuration; an error names the key at fault.
+func ReadConfig(text []byte) (*Config, error) {
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return nil, fmt.Errorf("configuration is not JSON: %w", err)
+	}
+	c := &Config{
+		Name:      string(v.GetStringBytes("name")),
+		Listen:    string(v.GetStringBytes("listen")),
+		Discovery: string(v.GetStringBytes("discovery")),
+		Cores:     v.GetFloat64("limits", "cores"),
+		MemoryMB:  v.GetInt("limits", "memory_mb"),
+		Sockets:   v.GetInt("limits", "sockets"),
+	}
+	for key, value := range map[string]float64{
+		"limits.cores": c.Cores, "limits.memory_mb": float64(c.MemoryMB), "limits.sockets": float64(c.Sockets),
+	} {
+		if value <= 0 {
+			return nil, fmt.Errorf("%s: want a number above 0", key)
+		}
+	}
+	seed := string(v.GetStringBytes("seed"))
+	if c.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
+		h := fnv.New64a()
+		h.Write([]byte(seed))
+		c.Seed = h.Sum64()
+	}
+	settings := v.Get("settings")
+	if settings == nil || settings.Type() != fastjson.TypeObject {
+		return nil, fmt.Errorf("settings: want an object")
+	}
+	var flat strings.Builder
+	flatten(&flat, "", settings)
+	if c.Settings, err = wire.ParseSettings([]byte(flat.String())); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	for i, k := range c.Settings.Classes {
+		if k.Name == "" {
+			return nil, fmt.Errorf("settings: Classes.%d.Name: want a name", i)
+		}
+	}
+	if known := v.Get("known"); known != nil && known.Type() != fastjson.TypeNull {
+		if c.Known, err = c.Names().ReadList(known); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	return c, nil
+}
+
+// flatten writes nested settings as the path=value lines that the simulator's wire carries, so that both
+// fronts read them with the same code.
+func flatten(out *strings.Builder, path string, v *fastjson.Value) {
+	switch v.Type() {
+	case fastjson.TypeObject:
+		v.GetObject().Visit(func(key []byte, item *fastjson.Value) {
+			flatten(out, join(path, string(key)), item)
+		})
+	case fastjson.TypeArray:
+		items := v.GetArray()
+		if len(items) > 0 && items[0].Type() == fastjson.TypeObject {
+			fmt.Fprintf(out, "%s.count=%d\n", path, len(items))
+			for i, item := range items {
+				flatten(out, join(path, strconv.Itoa(i)), item)
+			}
+			return
+		}
+		plain := make([]string, len(items))
+		for i, item := range items {
+			plain[i] = scalar(item)
+		}
+		fmt.Fprintf(out, "%s=%s\n", path, strings.Join(plain, ","))
+	default:
+		fmt.Fprintf(out, "%s=%s\n", path, scalar(v))
+	}
+}
+
+func join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
+
+// scalar writes a plain value; spaces and commas within it would be read as the form's own.
+func scalar(v *fastjson.Value) string {
+	text := string(v.MarshalTo(nil))
+	if v.Type() == fastjson.TypeString {
+		text = string(v.GetStringBytes())
+	}
+	return strings.NewReplacer(" ", "_", ",", "_", "\n", "_").Replace(text)
+}
--- /dev/null
+++ b/internal/wire/platform/http.go
@@ -0,0 +1,296 @@
+// Package platform speaks the platform's HTTP/1.1 without a socket: state machines that are fed bytes and
+// give back messages, relay notes and inventory lists, and builders of what is sent.
+package platform
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"net/textproto"
+	"strconv"
+	"strings"
+)
+
+const (
+	maxHead = 16 << 10 // bytes of a head; what the platform sends takes a few hundred
+	maxBody = 64 << 10 // bytes of a body, by the protocol
+)
+
+// head buffers bytes up to the blank line that ends a head.
+type head struct{ buf []byte }
+
+// feed takes bytes until the head is whole and tells how many it used.
+func (h *head) feed(b []byte) (used int, whole bool, err error) {
+	had := len(h.buf)
+	if had == 0 {
+		// Blank lines ahead of a head are passed over: some senders end a body with one more than they count.
+		used = len(b) - len(bytes.TrimLeft(b, "\r\n"))
+		b = b[used:]
+	}
+	h.buf = append(h.buf, b[:min(len(b), maxHead+1-had)]...)
+	for i := max(had-3, 0); i < len(h.buf); i++ {
+		if h.buf[i] != '\n' {
+			continue
+		}
+		rest := h.buf[i+1:]
+		end := 0
+		switch {
+		case len(rest) > 0 && rest[0] == '\n':
+			end = i + 2
+		case len(rest) > 1 && rest[0] == '\r' && rest[1] == '\n':
+			end = i + 3
+		default:
+			continue
+		}
+		h.buf = h.buf[:end]
+		return used + end - had, true, nil
+	}
+	if len(h.buf) > maxHead {
+		return used, false, errors.New("head is too long")
+	}
+	return used + len(b), false, nil
+}
+
+// parse splits a whole head into its first line and fields.
+func (h *head) parse() (string, textproto.MIMEHeader, error) {
+	r := textproto.NewReader(bufio.NewReader(bytes.NewReader(h.buf)))
+	first, err := r.ReadLine()
+	if err != nil {
+		return "", nil, err
+	}
+	fields, err := r.ReadMIMEHeader()
+	if err != nil {
+		return "", nil, err
+	}
+	return first, fields, nil
+}
+
+// The ways in which the end of a body is told.
+type framing uint8
+
+const (
+	byLength framing = iota
+	byChunks
+	toEnd // of the connection
+)
+
+// The places within a chunked body.
+type place uint8
+
+const (
+	atSize place = iota
+	inData
+	afterData
+	inTrailer
+)
+
+// body walks the bytes of one body.
+type body struct {
+	how  framing
+	left int64 // of the body, or of the present chunk
+	at   place
+	line []byte // a chunk's size line or a trailer line, as far as it has come
+}
+
+var (
+	errFraming  = errors.New("the body's length is told in more than one way or not as a number")
+	errTransfer = errors.New("transfer coding is not chunked")
+	errChunk    = errors.New("malformed chunk")
+)
+
+// bodyOf reads from the fields how a body ends; absent says what holds where they are silent.
+func bodyOf(f textproto.MIMEHeader, absent framing) (body, error) {
+	lengths, codings := f["Content-Length"], f["Transfer-Encoding"]
+	switch {
+	case len(codings) > 0 && len(lengths) > 0, len(lengths) > 1, len(codings) > 1:
+		// Two readings of where a body ends are how one request is smuggled inside another.
+		return body{}, errFraming
+	case len(codings) == 1:
+		if !strings.EqualFold(codings[0], "chunked") {
+			return body{}, errTransfer
+		}
+		return body{how: byChunks}, nil
+	case len(lengths) == 1:
+		n, err := strconv.ParseUint(lengths[0], 10, 62)
+		if err != nil {
+			return body{}, errFraming
+		}
+		return body{how: byLength, left: int64(n)}, nil
+	}
+	return body{how: absent}, nil
+}
+
+// feed hands the body's own bytes to sink and tells how many of b it used and whether the body is whole.
+func (d *body) feed(b []byte, sink func([]byte) error) (used int, whole bool, err error) {
+	for {
+		switch {
+		case d.how == toEnd:
+			return len(b), false, sink(b)
+		case d.how == byLength || d.at == inData:
+			n := int(min(d.left, int64(len(b)-used)))
+			if n > 0 {
+				if err := sink(b[used : used+n]); err != nil {
+					return used, false, err
+				}
+			}
+			used += n
+			d.left -= int64(n)
+			if d.left > 0 {
+				return used, false, nil
+			}
+			if d.how == byLength {
+				return used, true, nil
+			}
+			d.at = afterData
+		default:
+			n := bytes.IndexByte(b[used:], '\n')
+			if n < 0 {
+				d.line = append(d.line, b[used:]...)
+				if len(d.line) > 256 {
+					return used, false, errChunk
+				}
+				return len(b), false, nil
+			}
+			d.line = append(d.line, b[used:used+n]...)
+			used += n + 1
+			text := strings.TrimSuffix(string(d.line), "\r")
+			d.line = d.line[:0]
+			if whole, err := d.step(text); whole || err != nil {
+				return used, whole, err
+			}
+		}
+	}
+}
+
+// step takes one line of a chunked body's framing.
+func (d *body) step(text string) (whole bool, err error) {
+	switch d.at {
+	case afterData:
+		if text != "" {
+			return false, errChunk
+		}
+		d.at = atSize
+	case inTrailer:
+		return text == "", nil
+	default:
+		size, _, _ := strings.Cut(text, ";")
+		n, err := strconv.ParseUint(strings.TrimSpace(size), 16, 31)
+		if err != nil {
+			return false, errChunk
+		}
+		d.left, d.at = int64(n), inData
+		if n == 0 {
+			d.at = inTrailer
+		}
+	}
+	return false, nil
+}
+
+// closes tells whether a message ends its connection.
+func closes(version string, f textproto.MIMEHeader) bool {
+	wants := version == "HTTP/1.0"
+	for _, line := range f["Connection"] {
+		for token := range strings.SplitSeq(line, ",") {
+			switch strings.ToLower(strings.TrimSpace(token)) {
+			case "close":
+				return true
+			case "keep-alive":
+				wants = false
+			}
+		}
+	}
+	return wants
+}
+
+// response walks one answer whose body is read line by line.
+type response struct {
+	head   head
+	inBody bool
+	body   body
+	status int
+	fields textproto.MIMEHeader
+	close  bool
+	line   []byte
+	most   int // bytes of a line
+}
+
+// feed calls onHead once and onLine for each line, and tells how many bytes it used and whether the answer
+// is whole.
+func (r *response) feed(b []byte, onHead func(), onLine func([]byte) error) (used int, whole bool, err error) {
+	for !r.inBody {
+		n, done, err := r.head.feed(b[used:])
+		used += n
+		if err != nil || !done {
+			return used, false, err
+		}
+		if err := r.begin(); err != nil {
+			return used, false, err
+		}
+		if r.inBody {
+			onHead()
+		}
+	}
+	n, whole, err := r.body.feed(b[used:], func(data []byte) error { return r.split(data, onLine) })
+	used += n
+	if err == nil && whole && len(r.line) > 0 {
+		err = onLine(r.line)
+		r.line = r.line[:0]
+	}
+	return used, whole, err
+}
+
+// begin reads a whole head; one that only announces another is passed over.
+func (r *response) begin() error {
+	first, fields, err := r.head.parse()
+	if err != nil {
+		return err
+	}
+	r.head.buf = r.head.buf[:0]
+	version, rest, _ := strings.Cut(first, " ")
+	code, _, _ := strings.Cut(rest, " ")
+	if r.status, err = strconv.Atoi(code); err != nil || len(code) != 3 || !strings.HasPrefix(version, "HTTP/1.") {
+		return fmt.Errorf("malformed status line %.40q", first)
+	}
+	if r.status < 200 {
+		return nil
+	}
+	r.inBody, r.fields, r.close = true, fields, closes(version, fields)
+	absent := toEnd
+	if r.status == 204 || r.status == 304 {
+		absent = byLength
+	}
+	r.body, err = bodyOf(fields, absent)
+	if r.body.how == toEnd {
+		r.close = true
+	}
+	return err
+}
+
+// split cuts the body into lines.
+func (r *response) split(data []byte, onLine func([]byte) error) error {
+	for {
+		n := bytes.IndexByte(data, '\n')
+		if n < 0 {
+			n = len(data)
+		}
+		if len(r.line)+n > r.most {
+			return errors.New("line is too long")
+		}
+		r.line = append(r.line, data[:n]...)
+		if n == len(data) {
+			return nil
+		}
+		data = data[n+1:]
+		err := onLine(bytes.TrimSuffix(r.line, []byte("\r")))
+		r.line = r.line[:0]
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// reset makes ready for the next answer on the connection; buffers are kept.
+func (r *response) reset() {
+	*r = response{head: head{buf: r.head.buf[:0]}, line: r.line[:0], most: r.most}
+}
--- /dev/null
+++ b/internal/wire/platform/inventory.go
@@ -0,0 +1,115 @@
+package platform
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+
+	"github.com/valyala/fastjson"
+
+	"granitewing/internal/memory"
+	"granitewing/logic"
+)
+
+// maxList bounds one list of the inventory.
+const maxList = 4 << 20
+
+// Names gives the indices that the settings know zones and kinds by.
+type Names struct {
+	Zones []string
+	Kinds []string
+}
+
+// List is what discovery tells at once.
+type List struct {
+	Revision int64
+	Complete bool // all hosts; else those that changed
+	Hosts    []memory.Host
+}
+
+// ReadList decodes one list; it keeps nothing of the value.
+func (n Names) ReadList(v *fastjson.Value) (List, error) {
+	members := v.Get("members")
+	if members == nil || members.Type() != fastjson.TypeArray {
+		return List{}, errors.New("list has no members")
+	}
+	l := List{Revision: v.GetInt64("revision"), Complete: v.GetBool("complete")}
+	for _, m := range members.GetArray() {
+		h := memory.Host{
+			Name:    string(m.GetStringBytes("id")),
+			Addr:    string(m.GetStringBytes("host_port")),
+			Zone:    slices.Index(n.Zones, string(m.GetStringBytes("locality"))),
+			Kind:    slices.Index(n.Kinds, string(m.GetStringBytes("flavor"))),
+			Cell:    m.GetInt("cell"),
+			Weight:  m.GetFloat64("size"),
+			UpSince: m.GetInt64("up_since_ms") * 1000,
+			Phase:   logic.Draining, // a phase that is not known is not sent to
+		}
+		switch string(m.GetStringBytes("phase")) {
+		case "ready":
+			h.Phase = logic.Ready
+		case "gone":
+			h.Phase = logic.Gone
+		}
+		if h.Name == "" || h.Addr == "" && h.Phase != logic.Gone {
+			return List{}, errors.New("list has a member without id or address")
+		}
+		l.Hosts = append(l.Hosts, h)
+	}
+	return l, nil
+}
+
+// Watch reads the watch on the inventory.
+type Watch struct {
+	names Names
+	resp  response
+	json  fastjson.Parser
+	on    func(List)
+	bad   error
+}
+
+// NewWatch makes a reader that hands each list to on.
+func NewWatch(names Names, on func(List)) *Watch {
+	return &Watch{names: names, resp: response{most: maxList}, on: on}
+}
+
+// AppendWatch appends the request that opens the watch after a revision.
+func AppendWatch(b []byte, host string, revision int64) []byte {
+	b = append(b, "GET /v1/servers?stream=1&index="...)
+	b = strconv.AppendInt(b, revision, 10)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, host...)
+	return append(b, "\r\n\r\n"...)
+}
+
+// Feed takes bytes as they come; an error ends the watch.
+func (w *Watch) Feed(b []byte) error {
+	_, whole, err := w.resp.feed(b, func() {
+		if w.resp.status != 200 {
+			w.bad = fmt.Errorf("discovery answered %d", w.resp.status)
+		}
+	}, w.line)
+	switch {
+	case w.bad != nil:
+		return w.bad
+	case err == nil && whole:
+		return errors.New("discovery ended the watch")
+	}
+	return err
+}
+
+func (w *Watch) line(text []byte) error {
+	if w.bad != nil || len(text) == 0 {
+		return w.bad
+	}
+	v, err := w.json.ParseBytes(text)
+	if err != nil {
+		return fmt.Errorf("malformed list: %w", err)
+	}
+	l, err := w.names.ReadList(v)
+	if err == nil {
+		w.on(l)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/wire/platform/north.go
@@ -0,0 +1,254 @@
+package platform
+
+import (
+	"errors"
+	"hash/fnv"
+	"math"
+	"net/textproto"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"granitewing/internal/memory"
+)
+
+// Fault is why a message is not taken, with the status that says so.
+type Fault struct {
+	Status int
+	Why    string
+}
+
+// Lane is what the wire needs to know of a class.
+type Lane struct {
+	Class int
+	Keyed bool // its messages carry an Idempotency-Key
+}
+
+// Message is a whole request from the north side. One that carries a Fault is answered with it and goes no
+// further; the connection stays good, since its end is known.
+type Message struct {
+	memory.Message
+	Fault     *Fault
+	Health    bool // asks whether this dispatcher is ready
+	Method    string
+	Target    string // path with query, as it came
+	Txn       string
+	Lane      string
+	Key       string // Idempotency-Key
+	Remaining time.Duration
+	Body      []byte
+	Close     bool // the client wants the connection closed afterwards
+	Continue  bool // the client waits for 100 Continue before it sends the body
+}
+
+// North reads the messages of one connection from the north side.
+type North struct {
+	lanes map[string]Lane
+	head  head
+	body  body
+	msg   *Message // whose body is being read
+}
+
+// NewNorth makes a reader for the lanes that the settings name.
+func NewNorth(lanes map[string]Lane) *North { return &North{lanes: lanes} }
+
+// Partial tells whether a message has begun and is not whole.
+func (n *North) Partial() bool { return n.msg != nil || len(n.head.buf) > 0 }
+
+// Awaited tells whether the client waits for 100 Continue, once.
+func (n *North) Awaited() bool {
+	if n.msg == nil || !n.msg.Continue {
+		return false
+	}
+	n.msg.Continue = false
+	return true
+}
+
+// Feed takes bytes up to the end of one message. A Fault here leaves the end of the message unknown: it is
+// to be answered and the connection closed.
+func (n *North) Feed(b []byte) (used int, m *Message, fault *Fault) {
+	if n.msg == nil {
+		k, whole, err := n.head.feed(b)
+		used = k
+		if err != nil {
+			return used, nil, &Fault{431, err.Error()}
+		}
+		if !whole {
+			return used, nil, nil
+		}
+		if fault := n.begin(); fault != nil {
+			return used, nil, fault
+		}
+	}
+	m = n.msg
+	k, whole, err := n.body.feed(b[used:], func(data []byte) error {
+		if len(m.Body)+len(data) > maxBody {
+			return errLarge
+		}
+		m.Body = append(m.Body, data...)
+		return nil
+	})
+	used += k
+	switch {
+	case errors.Is(err, errLarge):
+		return used, nil, &Fault{413, err.Error()}
+	case err != nil:
+		return used, nil, &Fault{400, err.Error()}
+	case !whole:
+		return used, nil, nil
+	}
+	n.msg = nil
+	return used, m, nil
+}
+
+var errLarge = errors.New("body is over 64 KiB")
+
+// begin reads a whole head.
+func (n *North) begin() *Fault {
+	first, f, err := n.head.parse()
+	n.head.buf = n.head.buf[:0]
+	if err != nil {
+		return &Fault{400, "malformed head"}
+	}
+	parts := strings.Split(first, " ")
+	if len(parts) != 3 || parts[0] == "" || !strings.HasPrefix(parts[1], "/") || strings.ContainsFunc(parts[1], control) {
+		return &Fault{400, "malformed request line"}
+	}
+	if parts[2] != "HTTP/1.1" && parts[2] != "HTTP/1.0" {
+		return &Fault{505, "only HTTP/1.1 is spoken here"}
+	}
+	if parts[2] == "HTTP/1.1" && len(f["Host"]) != 1 {
+		return &Fault{400, "want one Host"}
+	}
+	if n.body, err = bodyOf(f, byLength); errors.Is(err, errTransfer) {
+		return &Fault{501, err.Error()}
+	} else if err != nil {
+		return &Fault{400, err.Error()}
+	}
+	if n.body.how == byLength && n.body.left > maxBody {
+		return &Fault{413, errLarge.Error()}
+	}
+	m := &Message{Method: parts[0], Target: parts[1], Close: closes(parts[2], f)}
+	m.Continue = strings.EqualFold(f.Get("Expect"), "100-continue")
+	if f.Get("Expect") != "" && !m.Continue {
+		return &Fault{417, "unknown expectation"}
+	}
+	m.Fault = n.read(m, f)
+	n.msg = m
+	return nil
+}
+
+func control(r rune) bool { return r <= ' ' || r == 0x7f }
+
+// read fills a message from its head.
+func (n *North) read(m *Message, f textproto.MIMEHeader) *Fault {
+	path, query, _ := strings.Cut(m.Target, "?")
+	if path == "/healthz" {
+		m.Health = m.Method == "GET"
+		if !m.Health {
+			return &Fault{405, "only GET is answered here"}
+		}
+		return nil
+	}
+	first, _, _ := strings.Cut(path[1:], "/")
+	lane, known := n.lanes[first]
+	if !known {
+		return &Fault{404, "unknown class in the path"}
+	}
+	if m.Method != "POST" {
+		return &Fault{405, "a job arrives by POST"}
+	}
+	for _, name := range []string{"X-Txn", "X-Lane", "X-Remaining", "Idempotency-Key"} {
+		if len(f[name]) > 1 {
+			return &Fault{400, "doubled " + name}
+		}
+	}
+	m.Txn, m.Lane, m.Key = f.Get("X-Txn"), f.Get("X-Lane"), f.Get("Idempotency-Key")
+	switch {
+	case m.Txn == "":
+		return &Fault{400, "missing X-Txn"}
+	case m.Lane != "" && m.Lane != first:
+		return &Fault{400, "X-Lane is not the class in the path"}
+	case lane.Keyed && m.Key == "":
+		// Without its key a repeat could not be told from a new job.
+		return &Fault{400, "missing Idempotency-Key"}
+	}
+	m.Lane, m.Class = first, lane.Class
+	if text := f.Get("X-Remaining"); text != "" {
+		s, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(s >= 0) || s > maxRemaining {
+			return &Fault{400, "X-Remaining is not a time in seconds"}
+		}
+		m.Remaining = time.Duration(s * float64(time.Second))
+	} else {
+		m.Remaining = -1
+	}
+	m.Repeated = f.Get("X-Resent") == "1"
+	// What follows only guides the choice of a host, so what can't be read counts as absent.
+	if v, err := strconv.ParseFloat(f.Get("X-Estimate"), 64); err == nil && v > 0 && v < 1e12 {
+		m.Hint = int64(v)
+	}
+	for pair := range strings.SplitSeq(f.Get("X-Labels"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+			continue
+		}
+		switch name {
+		case "slots":
+			m.Slots = v
+		case "memory":
+			m.Memory = v
+		}
+	}
+	if q, err := url.ParseQuery(query); err == nil {
+		m.Subject = number(q.Get("user"))
+	}
+	return nil
+}
+
+// maxRemaining is the longest wait believed, in seconds; beyond it a deadline is a slip of units.
+const maxRemaining = 86400
+
+// number turns a name into a number that every dispatcher finds alike, 0 for the empty name.
+func number(name string) uint64 {
+	if name == "" {
+		return 0
+	}
+	if v, err := strconv.ParseUint(name, 16, 64); err == nil {
+		return v
+	}
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return h.Sum64()
+}
+
+var reasons = map[int]string{
+	100: "Continue", 200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+	408: "Request Timeout", 413: "Content Too Large", 417: "Expectation Failed",
+	431: "Request Header Fields Too Large", 501: "Not Implemented", 502: "Bad Gateway",
+	503: "Service Unavailable", 505: "HTTP Version Not Supported",
+}
+
+// AppendContinue appends the go-ahead for a body.
+func AppendContinue(b []byte) []byte { return append(b, "HTTP/1.1 100 Continue\r\n\r\n"...) }
+
+// AppendAnswer appends a whole answer to a message. A refusal's after tells the client when to come back.
+func AppendAnswer(b []byte, status int, content []byte, after time.Duration, last bool) []byte {
+	b = append(b, "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(status), 10)
+	b = append(b, ' ')
+	b = append(b, reasons[status]...)
+	if after > 0 {
+		b = append(b, "\r\nRetry-After: "...)
+		b = strconv.AppendFloat(b, after.Seconds(), 'f', 3, 64)
+	}
+	if last {
+		b = append(b, "\r\nConnection: close"...)
+	}
+	b = append(b, "\r\nContent-Length: "...)
+	b = strconv.AppendInt(b, int64(len(content)), 10)
+	b = append(b, "\r\n\r\n"...)
+	return append(b, content...)
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -50,6 +50,12 @@
 		FallMultiple:  s.float("Rules.FallMultiple", 0),
 
 		PriceCross: s.float("Charges.CrossZone", 0),
+
+		ZoneNames:      s.list("Zones"),
+		KindNames:      s.list("Skus"),
+		ConnectTimeout: s.micros("Limits.ConnectTimeout", 0),
+		ConnIdle:       s.micros("Limits.ConnIdle", 0),
+		MaxOpen:        s.count("Limits.MaxOpen", 0),
 	}
 	if !s.flag("Limits.RetryAfter") {
 		c.MaxRetryAfter = 0
@@ -82,7 +88,8 @@
 	for i := range out {
 		p := "Classes." + strconv.Itoa(i) + "."
 		out[i] = logic.Class{
-			Aim: s.micros(p+"Aim", 0), Deadline: s.micros(p+"Deadline", 0),
+			Name: s[p+"Name"],
+			Aim:  s.micros(p+"Aim", 0), Deadline: s.micros(p+"Deadline", 0),
 			Stretch: s.float(p+"AimStretch", 0), Worth: s.float(p+"Gain", 1),
 			LateWorth: s.float(p+"LateValue", 0), Window: s.micros(p+"RepeatWindow", 0),
 			Streamed: s.flag(p + "Streamed"), WorkerKind: -1,
--- a/logic/api.go
+++ b/logic/api.go
@@ -37,6 +37,7 @@
 
 // Class describes one class of jobs. Durations are microseconds.
 type Class struct {
+	Name       string  // what the callers of this deployment call it; no decision looks at it
 	Aim        int64   // answers within Aim + Stretch x work earn the full worth
 	Stretch    float64 // growth of the aim with the job's own work
 	Deadline   int64   // the longest a client waits; used where a job states none
@@ -98,6 +99,13 @@
 	FallMultiple  float64 // it falls over beyond this multiple of its present capacity; default 1
 
 	PriceCross float64 // points of worth lost for an attempt that leaves the zone
+
+	// No decision looks at what follows; it is for those who carry the decisions out.
+	ZoneNames      []string
+	KindNames      []string
+	ConnectTimeout int64 // a connection that is not up by then counts as failed
+	ConnIdle       int64 // workers close a connection that stood idle for so long
+	MaxOpen        int   // jobs held at once; 0 = no limit
 }
 
 // Phase is what the list says of a worker.
