Answer a job at once when every worker that may run it was tried

Seen: in a test of the core with two hosts, a job that both turned away was held in 40 ms looks until its deadline. choose() leaves out every worker that was tried, but repeatable() counted them.

repeatable() now counts untried workers only. Such a job gets its final answer at once.

--- a/logic/failures_test.go
+++ b/logic/failures_test.go
@@ -389,3 +389,17 @@
 		t.Errorf("a backlog of %.2f s seen 20 s ago still counts as %.2f s", fresh, old)
 	}
 }
+
+// A worker that was tried is never tried again, so once all were there is nothing to wait for.
+func TestJobThatEveryWorkerTurnedAwayIsAnsweredAtOnce(t *testing.T) {
+	s := mustNew(t, testConfig())
+	s.Workers(t0, ListFull, readyWorkers(2), nil)
+	first := sends(arrive(s, t0+1, 1))
+	second := sends(s.Outcome(t0+1000, Outcome{Job: 1, Worker: first[0], Result: Refused}, nil))
+	if len(second) != 1 || second[0] == first[0] {
+		t.Fatalf("sent to %v after %v, want the other worker", second, first)
+	}
+	if got := s.Outcome(t0+2000, Outcome{Job: 1, Attempt: 1, Worker: second[0], Result: Refused}, nil); !has(got, ActRefuse) {
+		t.Errorf("actions %v, want a refusal", got)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -586,10 +586,8 @@
 	if !s.mayRun(j, w) || !s.mayRepeat(j, w) || !s.coldAllows(w, j.work*j.slots) {
 		return
 	}
-	for k := range j.n {
-		if j.att[k].w == i {
-			return
-		}
+	if j.tried(i) {
+		return
 	}
 	total, late, harm := s.cost(j, w)
 	u := s.backlog(w)
@@ -842,10 +840,11 @@
 	return min(max((s.crowd-crowdFrom)/(crowdFull-crowdFrom), 0), 1)
 }
 
-// repeatable tells whether any worker at all could be sent the job again.
+// repeatable tells whether any worker that was not tried could be sent the job. It guards against holding a
+// job until its deadline for a worker that only a change of the list could bring.
 func (s *Scheduler) repeatable(j *job) bool {
 	for _, i := range s.ready {
-		if s.mayRepeat(j, &s.workers[i]) {
+		if s.mayRepeat(j, &s.workers[i]) && !j.tried(i) {
 			return true
 		}
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -30,6 +30,16 @@
 	att                      [maxTries]attempt
 }
 
+// tried tells whether a worker was sent the job already.
+func (j *job) tried(i int32) bool {
+	for k := range j.n {
+		if j.att[k].w == i {
+			return true
+		}
+	}
+	return false
+}
+
 // worker is what is known of one worker.
 type worker struct {
 	info           WorkerInfo
