Bound what the driver keeps, read one message at a time, and test it all by exchanges

Checked by reading: the reader could read into a buffer that the owner still held when a resume came twice; a client sending ahead could make queues of bodies (512 connections x 4 x 64 KiB); accept had no upper bound; a connection idle after the one look at 0.45 s kept a stopping program alive for up to 5 minutes; a zero connect time-out would wait for ever. Each is closed; a client is now read one message at a time.

Tests: recorded exchanges for the parsers (whole and byte by byte), scripts for the core, and exchanges played over loopback against the built binary, among them SIGTERM, a stale and a spoiled idle connection, a lost client, a silent host, a broken watch and bad configurations.

--- /dev/null
+++ b/cmd/granitewing/main_test.go
@@ -0,0 +1,265 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/textproto"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"granitewing/internal/exchange"
+)
+
+// patience is how long a test waits for what must come; it only ends tests that have failed.
+const patience = 20 * time.Second
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "granitewing")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "granitewing")
+	if out, err := exec.Command("go", "build", "-race", "-o", binary, ".").CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("%v\n%s", err, out))
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+const config = `{"name":"n1","listen":"127.0.0.1:0","discovery":"DISCOVERY","seed":"1f",
+ "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"revision":41,"complete":true,"members":[MEMBERS]},
+ "settings":{"Zones":["dakar"],"Skus":["m1"],"Resolution":2000,"FamilyInfo":{"TellsStart":true},
+  "Classes":[{"Name":"readings","Aim":750000,"Deadline":6000000,"Semantics":"read_like"},
+   {"Name":"ingest","Aim":750000,"Deadline":6000000,"Semantics":"idempotency_key","Group":"cell","RepeatWindow":40000000},
+   {"Name":"alert","Aim":750000,"Deadline":6000000,"Semantics":"non_idempotent"}],
+  "Limits":{"MaxAttempts":3,"Cancelling":true,"ConnectTimeout":5000000,"ConnIdle":30000000}}}`
+
+// world is one running program and those who speak with it.
+type world struct {
+	t         *testing.T
+	cmd       *exec.Cmd
+	lines     chan string // of its log
+	listeners map[string]net.Listener
+	peers     map[string]*peer
+	addrs     *strings.Replacer
+	listen    string
+}
+
+type peer struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+// start starts the program; the hosts in its cached list are those that the script names.
+func start(t *testing.T, script []string) *world {
+	w := &world{t: t, lines: make(chan string, 100), listeners: map[string]net.Listener{}, peers: map[string]*peer{}}
+	var members, names []string
+	for _, name := range append([]string{"discovery"}, script...) {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { ln.Close() })
+		w.listeners[name] = ln
+		names = append(names, ln.Addr().String(), "{"+name+"}")
+		if name != "discovery" {
+			members = append(members, fmt.Sprintf(`{"id":"s-0%s","host_port":"%s","locality":"dakar","flavor":"m1","phase":"ready"}`,
+				name, ln.Addr()))
+		}
+	}
+	w.addrs = strings.NewReplacer(names...)
+	text := strings.NewReplacer("DISCOVERY", w.listeners["discovery"].Addr().String(), "MEMBERS", strings.Join(members, ",")).Replace(config)
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	w.cmd = exec.Command(binary)
+	w.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+path)
+	log, err := w.cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := w.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { w.cmd.Process.Kill() })
+	go func() {
+		for s := bufio.NewScanner(log); s.Scan(); {
+			w.lines <- s.Text()
+		}
+		close(w.lines)
+	}()
+	_, w.listen, _ = strings.Cut(w.await("listening on "), "listening on ")
+	return w
+}
+
+// await waits for a line of the log.
+func (w *world) await(part string) string {
+	w.t.Helper()
+	limit := time.After(patience)
+	for {
+		select {
+		case line, ok := <-w.lines:
+			if !ok {
+				w.t.Fatalf("the program ended before it logged %q", part)
+			}
+			if strings.Contains(line, part) {
+				return line
+			}
+		case <-limit:
+			w.t.Fatalf("no %q in the log", part)
+		}
+	}
+}
+
+// peer gives the connection of that name, made or accepted when it is first named.
+func (w *world) peer(name string) *peer {
+	w.t.Helper()
+	if p := w.peers[name]; p != nil {
+		return p
+	}
+	who, _, _ := strings.Cut(name, "/")
+	var c net.Conn
+	var err error
+	if ln := w.listeners[who]; ln != nil {
+		ln.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
+		c, err = ln.Accept()
+	} else {
+		c, err = net.Dial("tcp", w.listen)
+	}
+	if err != nil {
+		w.t.Fatalf("%s: %v", name, err)
+	}
+	w.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	w.peers[name] = &peer{c, bufio.NewReader(c)}
+	return w.peers[name]
+}
+
+var varies = regexp.MustCompile(`(X-Remaining|Retry-After): [0-9.]+`)
+
+// message reads one whole message as it came, but for addresses and times.
+func (p *peer) message() (string, error) {
+	var raw bytes.Buffer
+	tee := textproto.NewReader(bufio.NewReaderSize(io.TeeReader(oneByte{p.r}, &raw), 16))
+	if _, err := tee.ReadLine(); err != nil {
+		return raw.String(), err
+	}
+	fields, err := tee.ReadMIMEHeader()
+	if err != nil {
+		return raw.String(), err
+	}
+	n, _ := strconv.Atoi(fields.Get("Content-Length"))
+	_, err = io.CopyN(&raw, p.r, int64(n))
+	return raw.String(), err
+}
+
+// oneByte keeps a buffered reader on top from reading past the head.
+type oneByte struct{ io.Reader }
+
+func (o oneByte) Read(b []byte) (int, error) { return o.Reader.Read(b[:min(len(b), 1)]) }
+
+// step plays one section.
+func (w *world) step(title string, data []byte) {
+	w.t.Helper()
+	who, what, _ := strings.Cut(title, " ")
+	switch what {
+	case "sends":
+		if _, err := w.peer(who).Write(exchange.Bytes(data)); err != nil {
+			w.t.Fatalf("%s: %v", title, err)
+		}
+	case "gets":
+		got, err := w.peer(who).message()
+		if err != nil {
+			w.t.Fatalf("%s: %v after %q", title, err, got)
+		}
+		got = varies.ReplaceAllString(w.addrs.Replace(got), "$1: *")
+		if diff := cmp.Diff(string(exchange.Bytes(data)), got); diff != "" {
+			w.t.Fatalf("%s (-want +got):\n%s", title, diff)
+		}
+	case "closes":
+		w.peer(who).Close()
+	case "ends its sending":
+		w.peer(who).Conn.(*net.TCPConn).CloseWrite()
+	case "resets":
+		w.peer(who).Conn.(*net.TCPConn).SetLinger(0)
+		w.peer(who).Close()
+	case "sees the end":
+		if b, err := w.peer(who).r.ReadByte(); err == nil || os.IsTimeout(err) {
+			w.t.Fatalf("%s: byte %q, error %v", title, b, err)
+		}
+	case "gets SIGTERM":
+		w.cmd.Process.Signal(syscall.SIGTERM)
+		w.await("stopping")
+	case "ends well":
+		if err := w.cmd.Wait(); err != nil {
+			w.t.Fatalf("%s: %v", title, err)
+		}
+	case "listens no more":
+		w.listeners[who].Close()
+	default:
+		w.t.Fatalf("unknown step %q", title)
+	}
+}
+
+// TestExchanges plays recorded exchanges against the running program. The comment of each file names its
+// hosts in the first line.
+func TestExchanges(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txtar")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no exchanges: %v", err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			t.Parallel()
+			ar := exchange.Load(t, file)
+			first, _, _ := strings.Cut(string(ar.Comment), "\n")
+			w := start(t, strings.Fields(strings.TrimPrefix(first, "hosts")))
+			for _, f := range ar.Files {
+				w.step(f.Name, f.Data)
+			}
+		})
+	}
+}
+
+// A configuration that can't be used ends the program at once and names what is wrong.
+func TestBadConfiguration(t *testing.T) {
+	good := strings.NewReplacer("DISCOVERY", "127.0.0.1:1", "MEMBERS", "").Replace(config)
+	for _, c := range []struct{ old, now, say string }{
+		{`"settings":{`, `"settings":{}, "old":{`, "Classes.count"},
+		{`127.0.0.1:0`, `nowhere`, "listen"},
+		{`"sockets":1024`, `"sockets":0`, "limits.sockets"},
+		{config[:8], ``, "not JSON"},
+	} {
+		path := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(path, []byte(strings.Replace(good, c.old, c.now, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cmd := exec.Command(binary)
+		cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+path)
+		out, err := cmd.CombinedOutput()
+		if err == nil || !strings.Contains(string(out), c.say) {
+			t.Errorf("error %v, output %q; want one that names %s", err, out, c.say)
+		}
+	}
+	cmd := exec.Command(binary)
+	cmd.Env = append(os.Environ(), "ROUTER_CONFIG=")
+	if out, err := cmd.CombinedOutput(); err == nil || !strings.Contains(string(out), "ROUTER_CONFIG") {
+		t.Errorf("error %v, output %q; want one that names ROUTER_CONFIG", err, out)
+	}
+}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -3,8 +3,8 @@
 package driver
 
 import (
+	"errors"
 	"fmt"
-	"io"
 	"net"
 	"time"
 
@@ -16,18 +16,20 @@
 // Figures that no setting gives.
 const (
 	eventsMost    = 256                     // events on their way; those who post wait beyond it
-	pipelineMost  = 4                       // messages that one client may send ahead of their answers
-	writeLimit    = 5 * time.Second         // a peer that takes no bytes for so long is given up
+	messageMemory = 160 << 10               // bytes that a client's connection may hold: a body, its copy to a host, the frames
+	writeLimit    = 30 * time.Second        // a peer that takes no bytes for so long is given up
 	messageLimit  = 10 * time.Second        // a message that has begun must be whole by then
 	northIdle     = 5 * time.Minute         // idle connections of clients are kept so long
-	drainLimit    = time.Second             // a host must close an answer that it has ended by then
+	goodbyeLimit  = time.Second             // a peer must end what both sides know to be over by then
 	expireAfter   = 20 * time.Millisecond   // past a deadline; within the slack that the rules allow
 	inventoryWait = 5 * time.Second         // discovery writes a line at least every 2 s
 	dialInventory = 2 * time.Second         // discovery serves calls in turn
+	dialDefault   = time.Second             // for hosts, where the settings give no time-out
+	idleDefault   = 10 * time.Second        // for connections to hosts, where the settings give no limit
 	readyWait     = 1500 * time.Millisecond // for the first list, before the cached one has to do
-	arriveStill   = 500 * time.Millisecond  // after SIGTERM connections arrive for up to 0.4 s
-	lingerIdle    = 450 * time.Millisecond  // and clients use those they have; idle ones are closed then
-	quitPoll      = 50 * time.Millisecond
+	lingerIdle    = 450 * time.Millisecond  // after SIGTERM connections arrive, and are used, for up to 0.4 s
+	quietCheck    = 50 * time.Millisecond   // between looks whether all is quiet by then
+	acceptRetry   = 10 * time.Millisecond   // between tries to accept while that fails
 )
 
 // Driver serves one dispatcher.
@@ -52,19 +54,25 @@
 	ready   bool
 	listed  int64 // revision of the inventory
 	limits  limits
-	stopped time.Time // SIGTERM; zero while serving
-	arrived time.Time // the last connection
+	full    chan struct{} // closed once another connection may be accepted
+	stopped time.Time     // SIGTERM; zero while serving
+	arrived time.Time     // the last connection
 }
 
-// limits shares out the descriptors.
-type limits struct{ north, spare, south, perHost int }
+// limits shares out descriptors and memory.
+type limits struct {
+	north   int // connections of clients; beyond them new messages are refused at once
+	most    int // beyond them none is accepted
+	south   int // connections to hosts
+	perHost int
+}
 
 // limitsFor leaves room for discovery, the listener, a log and what the runtime holds.
-func limitsFor(sockets int) limits {
+func limitsFor(sockets, memoryMB int) limits {
 	usable := max(sockets-32, 16)
-	l := limits{north: usable * 5 / 10, spare: usable / 10, south: usable * 4 / 10}
-	l.perHost = max(l.south/4, 4)
-	return l
+	north := max(min(usable/2, memoryMB<<20/2/messageMemory), 4)
+	south := usable * 4 / 10
+	return limits{north: north, most: north + usable/10, south: south, perHost: max(south/4, 4)}
 }
 
 // New makes a driver that serves on a listener.
@@ -77,7 +85,7 @@
 		cfg: cfg, core: core, clock: NewClock(), log: log, ln: ln, lanes: cfg.Lanes(),
 		events: make(chan func(), eventsMost), done: make(chan struct{}),
 		norths: map[*north]struct{}{}, open: map[memory.ID]*north{}, relays: map[memory.RelayID]*relay{},
-		pool: pool{hosts: map[string]*hostConns{}}, limits: limitsFor(cfg.Sockets),
+		pool: pool{hosts: map[string]*hostConns{}}, limits: limitsFor(cfg.Sockets, cfg.MemoryMB),
 	}, nil
 }
 
@@ -171,7 +179,8 @@
 	out    chan []byte
 	more   chan struct{}
 	closed chan struct{}
-	gone   bool // closed here; only the owner reads and writes it
+	gone   bool // closed here; like what follows, for the owner alone
+	paused bool // the reader waits for resume
 }
 
 // newConn starts the reader and the writer. read runs on the owner for each piece that comes, or for the
@@ -191,7 +200,11 @@
 		at := k.d.now()
 		k.d.post(func() {
 			// What comes late from a connection that was closed here concerns nobody.
-			if !k.gone && read(buf[:n], at, err) {
+			if k.gone {
+				return
+			}
+			k.paused = true
+			if read(buf[:n], at, err) {
 				k.resume()
 			}
 		})
@@ -226,11 +239,12 @@
 	}
 }
 
-// resume lets the reader read on.
+// resume lets the reader read on. It does so only for one that waits: the reader's buffer is the owner's
+// until then.
 func (k *conn) resume() {
-	select {
-	case k.more <- struct{}{}:
-	default:
+	if k.paused {
+		k.paused = false
+		k.more <- struct{}{}
 	}
 }
 
@@ -252,37 +266,43 @@
 	}
 }
 
-// ended tells whether a read error is the peer's orderly end.
-func ended(err error) bool { return err == io.EOF }
-
-// accept takes connections until the listener is closed.
+// accept takes connections until the listener is closed. While as many are open as may be, the others wait
+// in the listener's queue.
 func (d *Driver) accept() {
 	for {
 		c, err := d.ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
 		if err != nil {
+			// Out of descriptors, most likely: those already taken must be served on.
+			d.log("accept: %v", err)
+			retry := time.NewTimer(acceptRetry)
 			select {
+			case <-retry.C:
 			case <-d.done:
 				return
-			default:
-			}
-			if ne, ok := err.(net.Error); ok && !ne.Timeout() {
-				// Out of descriptors, most likely: those already taken must be served on.
-				time.Sleep(10 * time.Millisecond)
-			}
-			if isClosed(err) {
-				return
 			}
 			continue
 		}
-		taken := make(chan struct{})
+		next := make(chan struct{})
 		d.post(func() {
 			d.take(c)
-			close(taken)
+			d.full = next
+			d.room()
 		})
 		select {
-		case <-taken:
+		case <-next:
 		case <-d.done:
 			return
 		}
 	}
 }
+
+// room lets the next connection in if there is room for it.
+func (d *Driver) room() {
+	if d.full != nil && len(d.norths) < d.limits.most {
+		close(d.full)
+		d.full = nil
+	}
+}
--- a/internal/driver/south.go
+++ b/internal/driver/south.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"time"
 
 	"granitewing/internal/memory"
@@ -29,6 +30,7 @@
 	pending bool // the request is not wholly written
 	broken  bool // the connection failed before the writer told how far it came
 	waiting bool // the outcome is known, the end of the answer is not
+	uses    int  // relays begun
 	timer   *time.Timer
 }
 
@@ -43,18 +45,13 @@
 	idle  []*south
 }
 
-func (p *pool) host(addr string) *hostConns {
+// add books a connection that is up or being made, or one that is no more.
+func (p *pool) add(addr string, by int) {
 	h := p.hosts[addr]
 	if h == nil {
 		h = &hostConns{}
 		p.hosts[addr] = h
 	}
-	return h
-}
-
-// add books a connection that is up or being made.
-func (p *pool) add(addr string, by int) {
-	h := p.host(addr)
 	h.count += by
 	p.count += by
 	if h.count == 0 {
@@ -62,6 +59,26 @@
 	}
 }
 
+// open counts the connections to a host.
+func (p *pool) open(addr string) int {
+	if h := p.hosts[addr]; h != nil {
+		return h.count
+	}
+	return 0
+}
+
+// latest takes out the idle connection to a host that was used last, nil if there is none.
+func (p *pool) latest(addr string) *south {
+	h := p.hosts[addr]
+	if h == nil || len(h.idle) == 0 {
+		return nil
+	}
+	k := len(h.idle) - 1
+	s := h.idle[k]
+	h.idle = h.idle[:k]
+	return s
+}
+
 // leave closes the idle connections to a host.
 func (p *pool) leave(addr string) {
 	if h := p.hosts[addr]; h != nil {
@@ -85,26 +102,25 @@
 // send starts a relay on the connection to its host that was used last, or on a new one.
 func (d *Driver) send(c memory.Command) {
 	n := d.open[c.Relay.Message]
-	if n == nil || len(n.queue) == 0 {
-		return
+	if n == nil {
+		return // the client has just left; the core is told next and drops the relay
 	}
-	r := &relay{id: c.Relay, msg: n.queue[0].Message, addr: c.Addr, until: d.now() + c.Timeout}
+	r := &relay{id: c.Relay, msg: n.msg, addr: c.Addr, until: d.now() + c.Timeout}
 	d.relays[r.id] = r
 	r.timer = d.after(time.Duration(c.Timeout)*time.Microsecond, func() { d.ended(r, logic.TimedOut, nil) })
-	h := d.pool.host(r.addr)
-	if k := len(h.idle); k > 0 {
-		s := h.idle[k-1]
-		h.idle = h.idle[:k-1]
+	if s := d.pool.latest(r.addr); s != nil {
 		s.begin(r)
 		return
 	}
-	if h.count >= d.limits.perHost || d.pool.count >= d.limits.south && !d.pool.evict() {
+	if d.pool.open(r.addr) >= d.limits.perHost || d.pool.count >= d.limits.south && !d.pool.evict() {
+		// Nothing is wrong with the host, so it must not look like one that can't be reached.
 		d.later = append(d.later, func() { d.ended(r, logic.Moot, nil) })
 		return
 	}
 	d.pool.add(r.addr, 1)
+	limit := micros(d.cfg.Settings.ConnectTimeout, dialDefault)
 	go func() {
-		c, err := net.DialTimeout("tcp", r.addr, time.Duration(d.cfg.Settings.ConnectTimeout)*time.Microsecond)
+		c, err := net.DialTimeout("tcp", r.addr, limit)
 		d.post(func() { d.dialled(r, c, err) })
 	}()
 }
@@ -132,6 +148,7 @@
 	if s.timer != nil {
 		s.timer.Stop()
 	}
+	s.uses++
 	r.on, s.relay, s.pending = s, r, true
 	s.parser.Begin(r.msg.Txn)
 	left := time.Duration(r.until-s.d.now()) * time.Microsecond
@@ -140,14 +157,15 @@
 
 // rest keeps the connection for the next relay, and closes it before the host would.
 func (s *south) rest() {
-	h := s.d.pool.host(s.addr)
+	h := s.d.pool.hosts[s.addr]
 	h.idle = append(h.idle, s)
 	if s.timer != nil {
 		s.timer.Stop()
 	}
-	limit := time.Duration(s.d.cfg.Settings.ConnIdle) * time.Microsecond
-	s.timer = s.d.after(limit*4/5, func() {
-		if s.relay == nil && !s.waiting {
+	uses := s.uses
+	s.timer = s.d.after(micros(s.d.cfg.Settings.ConnIdle, idleDefault)*4/5, func() {
+		// One that was taken up while the timer's event was on its way is left alone.
+		if s.uses == uses {
 			s.end()
 		}
 	})
@@ -162,12 +180,9 @@
 	if s.timer != nil {
 		s.timer.Stop()
 	}
-	h := s.d.pool.host(s.addr)
-	for i, o := range h.idle {
-		if o == s {
-			h.idle = append(h.idle[:i], h.idle[i+1:]...)
-			break
-		}
+	h := s.d.pool.hosts[s.addr]
+	if i := slices.Index(h.idle, s); i >= 0 {
+		h.idle = slices.Delete(h.idle, i, i+1)
 	}
 	s.d.pool.add(s.addr, -1)
 }
@@ -232,7 +247,7 @@
 		}
 	case platform.NoteEnded:
 		s.relay, s.waiting = nil, true
-		s.timer = d.after(drainLimit, func() {
+		s.timer = d.after(goodbyeLimit, func() {
 			if s.waiting {
 				s.end()
 			}
@@ -276,3 +291,11 @@
 		r.on.end()
 	}
 }
+
+// micros is a setting in microseconds as a duration, or what stands in for one that is not set.
+func micros(v int64, otherwise time.Duration) time.Duration {
+	if v <= 0 {
+		return otherwise
+	}
+	return time.Duration(v) * time.Microsecond
+}
--- a/internal/driver/stop.go
+++ b/internal/driver/stop.go
@@ -6,24 +6,25 @@
 // and idle ones are closed once clients have had time to stop using them.
 func (d *Driver) stop() {
 	d.stopped = time.Now()
-	d.log("stopping; %d messages open", len(d.open))
-	d.after(lingerIdle, func() {
-		for n := range d.norths {
-			if n.idle() {
-				n.end()
-			}
-		}
-	})
-	d.tick()
+	d.log("stopping; %d messages open", d.core.Open())
+	d.check()
 }
 
-// tick makes Run look again whether all is quiet.
-func (d *Driver) tick() { d.after(quitPoll, d.tick) }
+// check closes the connections that have stood idle long enough, and makes Run look again whether all is
+// quiet.
+func (d *Driver) check() {
+	for n := range d.norths {
+		if n.idle() && time.Since(d.stopped) > lingerIdle && time.Since(n.since) > lingerIdle {
+			n.end()
+		}
+	}
+	d.after(quietCheck, d.check)
+}
 
-// quiet tells whether nothing arrives and nothing is held any more.
+// quiet tells whether nothing arrives and nothing is held any more. A connection that the machine accepted
+// must not be left in the listener's queue, so some time has to pass after the latest.
 func (d *Driver) quiet() bool {
-	now := time.Now()
-	return now.Sub(d.stopped) > arriveStill+lingerIdle && now.Sub(d.arrived) > arriveStill &&
+	return time.Since(d.stopped) > lingerIdle && time.Since(d.arrived) > lingerIdle &&
 		len(d.norths) == 0 && d.core.Open() == 0
 }
 
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -39,6 +39,7 @@
 		signal.Stop(signals)
 		close(stop)
 	}()
+	log("%s: listening on %s", cfg.Name, ln.Addr())
 	d.Run(stop)
 	return nil
 }
--- a/internal/memory/core.go
+++ b/internal/memory/core.go
@@ -7,6 +7,9 @@
 	"granitewing/logic"
 )
 
+// hostsMost bounds the hosts kept, should an inventory name ever new ones.
+const hostsMost = 4096
+
 // ID names an open message.
 type ID = logic.JobID
 
@@ -157,6 +160,9 @@
 	}
 	list := make([]logic.WorkerInfo, 0, len(hosts))
 	for _, h := range hosts {
+		if _, known := c.numbers[h.Name]; !known && len(c.hosts) >= hostsMost {
+			continue
+		}
 		list = append(list, logic.WorkerInfo{
 			ID: c.take(h), Zone: h.Zone, Kind: h.Kind, Cell: h.Cell, Weight: h.Weight, UpSince: h.UpSince, Phase: h.Phase,
 		})
--- /dev/null
+++ b/internal/memory/core_test.go
@@ -0,0 +1,166 @@
+package memory
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"granitewing/internal/exchange"
+	"granitewing/logic"
+)
+
+func testConfig() logic.Config {
+	class := func(r logic.Repeat) logic.Class {
+		return logic.Class{Aim: 500_000, Deadline: 3_000_000, Worth: 1, Repeat: r, Window: 40_000_000, WorkerKind: -1}
+	}
+	return logic.Config{
+		Classes:    []logic.Class{class(logic.RepeatSafe), class(logic.RepeatKeyed), class(logic.RepeatUnsafe)},
+		Resolution: 1000, MaxAttempts: 3, MayCancel: true, TellsStart: true, MustAsk: true, MaxOpen: 2,
+	}
+}
+
+var (
+	classes = []string{"safe", "keyed", "unsafe"}
+	results = []string{"served", "failed", "refused", "timedout", "connectfailed", "broken"}
+	lists   = []string{"cached", "asking-failed", "full", "delta"}
+	phases  = []string{"gone", "ready", "draining"}
+	answers = []string{"served", "refused", "failed"}
+)
+
+// player runs the events of a script against a core; time moves by a millisecond with each.
+type player struct {
+	c   *Core
+	now int64
+	out strings.Builder
+}
+
+func (p *player) play(t *testing.T, line string) {
+	p.now += 1000
+	fmt.Fprintf(&p.out, "> %s\n", line)
+	f := strings.Fields(line)
+	var r RelayID
+	if len(f) > 1 {
+		fmt.Sscanf(f[1], "%d/%d", &r.Message, &r.Attempt)
+	}
+	var cmds []Command
+	switch f[0] {
+	case "inventory": // kind, then name[=phase[@address]]
+		var hosts []Host
+		for _, e := range f[2:] {
+			e, addr, moved := strings.Cut(e, "@")
+			name, phase, _ := strings.Cut(e, "=")
+			if !moved {
+				addr = name
+			}
+			hosts = append(hosts, Host{Name: name, Addr: addr, Cell: int(name[2]), Phase: logic.Phase(max(slices.Index(phases, phase), 0))})
+			if phase == "" {
+				hosts[len(hosts)-1].Phase = logic.Ready
+			}
+		}
+		cmds = p.c.Inventory(p.now, logic.ListKind(slices.Index(lists, f[1])), hosts)
+	case "arrive":
+		_, cmds = p.c.Arrive(p.now, Message{Class: slices.Index(classes, f[1])}, p.now+2_000_000)
+	case "started":
+		cmds = p.c.Started(p.now, r)
+	case "progress":
+		cmds = p.c.Progress(p.now, r, 0.5)
+	case "ended":
+		cmds = p.c.Ended(p.now, r, logic.Result(slices.Index(results, f[2])), []byte("swell"))
+	case "hangup":
+		cmds = p.c.HangUp(p.now, r.Message)
+	case "expire":
+		cmds = p.c.Expire(p.now, r.Message)
+	case "wait":
+		p.now += 2_000_000
+		cmds = p.c.Wake(p.now)
+	default:
+		t.Fatalf("unknown event %q", line)
+	}
+	p.show(cmds)
+	fmt.Fprintf(&p.out, "%d open\n", p.c.Open())
+}
+
+func (p *player) show(cmds []Command) {
+	for _, c := range cmds {
+		switch c.Kind {
+		case Send:
+			fmt.Fprintf(&p.out, "send %d/%d to %s\n", c.Relay.Message, c.Relay.Attempt, c.Addr)
+		case Drop:
+			fmt.Fprintf(&p.out, "drop %d/%d\n", c.Relay.Message, c.Relay.Attempt)
+		case Answer:
+			fmt.Fprintf(&p.out, "answer %d %s %s\n", c.Relay.Message, answers[c.Verdict], c.Content)
+		case Watch:
+			p.out.WriteString("watch\n")
+		case Leave:
+			fmt.Fprintf(&p.out, "leave %s\n", c.Addr)
+		}
+	}
+}
+
+func TestScripts(t *testing.T) {
+	for _, s := range exchange.Load(t, "testdata/core.txtar").Files {
+		t.Run(s.Name, func(t *testing.T) {
+			c, err := New(testConfig(), 7)
+			if err != nil {
+				t.Fatal(err)
+			}
+			p := &player{c: c, now: 1_000_000_000}
+			for line := range strings.Lines(string(s.Data)) {
+				if event, ok := strings.CutPrefix(line, "> "); ok {
+					p.play(t, strings.TrimSpace(event))
+				}
+			}
+			if diff := cmp.Diff(string(s.Data), p.out.String()); diff != "" {
+				t.Errorf("(-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Whatever is decided, what the rules forbid is not sent.
+func TestForbiddenSendsAreNotMade(t *testing.T) {
+	for name, spoil := range map[string]func(*Core, *message){
+		"to a host that drains":   func(c *Core, _ *message) { c.hosts[0xb].Phase = logic.Draining },
+		"to a host that is gone":  func(c *Core, _ *message) { delete(c.hosts, 0xb) },
+		"while another is out":    func(_ *Core, m *message) { m.relays[0].out, m.out = true, 1 },
+		"after the answer":        func(_ *Core, m *message) { m.answered = true },
+		"beyond the attempts":     func(c *Core, _ *message) { c.cfg.MaxAttempts = 1 },
+		"none of these, for once": func(*Core, *message) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, err := New(testConfig(), 7)
+			if err != nil {
+				t.Fatal(err)
+			}
+			now := int64(1_000_000_000)
+			c.Inventory(now, logic.ListFull, []Host{{Name: "s-a", Addr: "a", Phase: logic.Ready}, {Name: "s-b", Addr: "b", Phase: logic.Ready}})
+			id, _ := c.Arrive(now, Message{}, now+2_000_000)
+			m := c.messages[id]
+			m.relays[0].out, m.out = false, 0
+			spoil(c, m)
+			c.begin()
+			c.acts = append(c.acts, logic.Action{Kind: logic.ActSend, Job: id, Worker: 0xb, Timeout: 1000})
+			sent := slices.ContainsFunc(c.finish(now), func(k Command) bool { return k.Kind == Send })
+			if want := strings.HasPrefix(name, "none"); sent != want {
+				t.Errorf("sent %t, want %t", sent, want)
+			}
+		})
+	}
+}
+
+// Dispatchers that share nothing agree on hosts by their numbers.
+func TestNumbers(t *testing.T) {
+	for name, want := range map[string]logic.WorkerID{"s-5be2a07c": 0x5be2a07c, "s-0a": 10, "buoy": 0x6542249c} {
+		if got := numberOf(name); got != want {
+			t.Errorf("%s: %#x, want %#x", name, got, want)
+		}
+	}
+	c, _ := New(testConfig(), 7)
+	c.Inventory(1, logic.ListFull, []Host{{Name: "s-0a", Phase: logic.Ready}, {Name: "s-a", Phase: logic.Ready}})
+	if got := []logic.WorkerID{c.numbers["s-0a"], c.numbers["s-a"]}; !cmp.Equal(got, []logic.WorkerID{10, 11}) {
+		t.Errorf("numbers of two names that collide: %v, want 10 and 11", got)
+	}
+}
--- a/internal/wire/platform/config.go
+++ b/internal/wire/platform/config.go
@@ -75,6 +75,8 @@
 	if c.Settings, err = wire.ParseSettings([]byte(flat.String())); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	// On sockets the list always comes only to those who ask, whatever the simulator does.
+	c.Settings.MustAsk = true
 	for i, k := range c.Settings.Classes {
 		if k.Name == "" {
 			return nil, fmt.Errorf("settings: Classes.%d.Name: want a name", i)
@@ -124,6 +126,9 @@
 
 // scalar writes a plain value; spaces and commas within it would be read as the form's own.
 func scalar(v *fastjson.Value) string {
+	if v == nil {
+		return ""
+	}
 	text := string(v.MarshalTo(nil))
 	if v.Type() == fastjson.TypeString {
 		text = string(v.GetStringBytes())
--- a/internal/wire/platform/inventory.go
+++ b/internal/wire/platform/inventory.go
@@ -15,7 +15,8 @@
 // maxList bounds one list of the inventory.
 const maxList = 4 << 20
 
-// Names gives the indices that the settings know zones and kinds by.
+// Names gives the indices that the settings know zones and kinds by: a locality and a flavor are names in
+// those lists, a cell is a number already.
 type Names struct {
 	Zones []string
 	Kinds []string
@@ -39,8 +40,8 @@
 		h := memory.Host{
 			Name:    string(m.GetStringBytes("id")),
 			Addr:    string(m.GetStringBytes("host_port")),
-			Zone:    slices.Index(n.Zones, string(m.GetStringBytes("locality"))),
-			Kind:    slices.Index(n.Kinds, string(m.GetStringBytes("flavor"))),
+			Zone:    slices.Index(n.Zones, scalar(m.Get("locality"))),
+			Kind:    slices.Index(n.Kinds, scalar(m.Get("flavor"))),
 			Cell:    m.GetInt("cell"),
 			Weight:  m.GetFloat64("size"),
 			UpSince: m.GetInt64("up_since_ms") * 1000,
--- /dev/null
+++ b/internal/wire/platform/platform_test.go
@@ -0,0 +1,203 @@
+package platform
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"granitewing/internal/exchange"
+	"granitewing/internal/memory"
+	"granitewing/logic"
+)
+
+var testLanes = map[string]Lane{"readings": {Class: 0}, "ingest": {Class: 1, Keyed: true}}
+
+// playNorth reads messages until the bytes or the connection's use ends.
+func playNorth(pieces [][]byte) string {
+	var out strings.Builder
+	n := NewNorth(testLanes)
+	for _, b := range pieces {
+		for len(b) > 0 {
+			used, m, fault := n.Feed(b)
+			b = b[used:]
+			if fault != nil {
+				fmt.Fprintf(&out, "ends with %d %s\n", fault.Status, fault.Why)
+				return out.String()
+			}
+			if n.Awaited() {
+				out.WriteString("awaits the go-ahead\n")
+			}
+			if m != nil {
+				out.WriteString(describe(m))
+			}
+		}
+	}
+	if n.Partial() {
+		out.WriteString("not whole\n")
+	}
+	return out.String()
+}
+
+func describe(m *Message) string {
+	switch {
+	case m.Fault != nil:
+		return fmt.Sprintf("answer %d %s\n", m.Fault.Status, m.Fault.Why)
+	case m.Health:
+		return "health\n"
+	}
+	text := fmt.Sprintf("%s %s txn=%s lane=%s class=%d key=%q subject=%x hint=%d slots=%g memory=%g repeated=%t remaining=%v close=%t body=",
+		m.Method, m.Target, m.Txn, m.Lane, m.Class, m.Key, m.Subject, m.Hint, m.Slots, m.Memory, m.Repeated, m.Remaining, m.Close)
+	if len(m.Body) > 40 {
+		return text + fmt.Sprintf("%d bytes\n", len(m.Body))
+	}
+	return text + fmt.Sprintf("%q\n", m.Body)
+}
+
+func playRelay(pieces [][]byte) string {
+	var out strings.Builder
+	results := [...]string{"served", "failed", "refused", "timed out", "connect failed", "broken"}
+	r := NewRelay(func(n Note) {
+		switch n.Kind {
+		case NoteStarted:
+			out.WriteString("started\n")
+		case NoteProgress:
+			fmt.Fprintf(&out, "progress %g\n", n.Share)
+		case NoteEnded:
+			fmt.Fprintf(&out, "ended %s %q\n", results[n.Result], n.Content)
+		case NoteFree:
+			fmt.Fprintf(&out, "free, keep %t\n", n.Keep)
+		}
+	})
+	r.Begin("t1")
+	for _, b := range pieces {
+		if err := r.Feed(b); err != nil {
+			fmt.Fprintf(&out, "error %v\n", err)
+			break
+		}
+	}
+	return out.String()
+}
+
+func playWatch(pieces [][]byte) string {
+	var out strings.Builder
+	w := NewWatch(Names{Zones: []string{"dakar", "saint_louis"}, Kinds: []string{"m1", "m2"}}, func(l List) {
+		fmt.Fprintf(&out, "revision %d complete %t\n", l.Revision, l.Complete)
+		for _, h := range l.Hosts {
+			fmt.Fprintf(&out, "%s at %q zone %d kind %d cell %d size %g since %d phase %d\n",
+				h.Name, h.Addr, h.Zone, h.Kind, h.Cell, h.Weight, h.UpSince, h.Phase)
+		}
+	})
+	for _, b := range pieces {
+		if err := w.Feed(b); err != nil {
+			fmt.Fprintf(&out, "error %v\n", err)
+			break
+		}
+	}
+	return out.String()
+}
+
+// Each recorded exchange is played whole and byte by byte, which must come to the same; only whether bytes
+// came behind an answer can't be seen before they do.
+func TestRecorded(t *testing.T) {
+	for file, play := range map[string]func([][]byte) string{"north": playNorth, "relay": playRelay, "watch": playWatch} {
+		ar := exchange.Load(t, "testdata/"+file+".txtar")
+		for i := 0; i+1 < len(ar.Files); i += 2 {
+			in, want := exchange.Bytes(ar.Files[i].Data), string(ar.Files[i+1].Data)
+			t.Run(file+"/"+ar.Files[i].Name, func(t *testing.T) {
+				if diff := cmp.Diff(strings.Replace(want, " (stray)", "", 1), play([][]byte{in})); diff != "" {
+					t.Errorf("whole (-want +got):\n%s", diff)
+				}
+				single := make([][]byte, len(in))
+				for i := range in {
+					single[i] = in[i : i+1]
+				}
+				want = strings.Replace(want, "free, keep false (stray)", "free, keep true\nerror "+errStray.Error(), 1)
+				if diff := cmp.Diff(want, play(single)); diff != "" {
+					t.Errorf("byte by byte (-want +got):\n%s", diff)
+				}
+			})
+		}
+	}
+}
+
+func TestRelayRequestPassesOnByteForByte(t *testing.T) {
+	m := &Message{Method: "POST", Target: "/ingest/a%20b?user=7&x=%2F", Txn: "t 1", Lane: "ingest", Key: "k,1", Body: []byte("\x00\r\n\xff")}
+	got := string(AppendRelay(nil, "127.0.0.9:9000", m, 1_250_000_000))
+	want := "POST /ingest/a%20b?user=7&x=%2F HTTP/1.1\r\nHost: 127.0.0.9:9000\r\nX-Txn: t 1\r\nX-Lane: ingest\r\n" +
+		"X-Remaining: 1.250000\r\nIdempotency-Key: k,1\r\nContent-Length: 4\r\n\r\n\x00\r\n\xff"
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestAnswers(t *testing.T) {
+	for _, c := range []struct{ got, want string }{
+		{string(AppendAnswer(nil, 200, []byte("x"), 0, false)), "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"},
+		{string(AppendAnswer(nil, 503, nil, 250_000_000, true)),
+			"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.250\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"},
+	} {
+		if diff := cmp.Diff(c.want, c.got); diff != "" {
+			t.Error(diff)
+		}
+	}
+}
+
+const goodConfig = `{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f",
+ "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+ "known":{"revision":4,"complete":true,"members":[
+  {"id":"s-0a","host_port":"127.0.0.1:2","locality":"saint louis","flavor":"m2","cell":3,"phase":"ready","size":1.5,"up_since_ms":7}]},
+ "settings":{"Discovery":"automatic","Zones":["dakar","saint louis"],"Skus":["m1","m2"],
+  "Classes":[{"Name":"readings","Aim":1,"Semantics":"read_like"},{"Name":"ingest","Semantics":"idempotency_key","Group":"cell"}],
+  "FamilyInfo":{"ClassStretch":[2.5,2.0]},"Limits":{"MaxAttempts":3,"ConnectTimeout":150000,"ConnIdle":30000000,"MaxOpen":9}}}`
+
+func TestConfig(t *testing.T) {
+	got, err := ReadConfig([]byte(goodConfig))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := &Config{
+		Name: "n1", Listen: "127.0.0.1:0", Discovery: "127.0.0.1:1", Seed: 0x1f, Cores: 1, MemoryMB: 192, Sockets: 1024,
+		Known: List{Revision: 4, Complete: true, Hosts: []memory.Host{{Name: "s-0a", Addr: "127.0.0.1:2", Zone: 1, Kind: 1,
+			Cell: 3, Weight: 1.5, UpSince: 7000, Phase: logic.Ready}}},
+		Settings: logic.Config{
+			Schedulers: 1, Zones: 2, MustAsk: true, OverShare: 1, MaxAttempts: 3, ConnectTimeout: 150000, ConnIdle: 30000000,
+			MaxOpen: 9, ZoneNames: []string{"dakar", "saint_louis"}, KindNames: []string{"m1", "m2"},
+			Classes: []logic.Class{
+				{Name: "readings", Aim: 1, Stretch: 2.5, Worth: 1, Repeat: logic.RepeatSafe, WorkerKind: -1},
+				{Name: "ingest", Stretch: 2, Worth: 1, Repeat: logic.RepeatKeyed, WorkerKind: -1}},
+		},
+	}
+	if diff := cmp.Diff(want, got, cmpopts.EquateEmpty()); diff != "" {
+		t.Error(diff)
+	}
+	for _, c := range []struct{ old, now, say string }{
+		{`{"name"`, `{{"name"`, "not JSON"},
+		{`"memory_mb":192`, `"memory_mb":0`, "limits.memory_mb"},
+		{`"sockets":1024`, `"sockets":"many"`, "limits.sockets"},
+		{`"settings":{`, `"settings":7,"other":{`, "settings"},
+		{`"Classes":[`, `"Klasses":[`, "Classes.count"},
+		{`"Name":"ingest"`, `"Named":"ingest"`, "Classes.1.Name"},
+		{`"id":"s-0a"`, `"id":""`, "known"},
+	} {
+		if _, err := ReadConfig([]byte(strings.Replace(goodConfig, c.old, c.now, 1))); err == nil || !strings.Contains(err.Error(), c.say) {
+			t.Errorf("with %s: error %v, want one that names %s", c.now, err, c.say)
+		}
+	}
+}
+
+// Bytes from outside, however wrong, must neither stop the state machines nor make them keep more than they may.
+func FuzzFeed(f *testing.F) {
+	for _, file := range []string{"north", "relay", "watch"} {
+		for _, s := range exchange.Load(f, "testdata/"+file+".txtar").Files {
+			f.Add(exchange.Bytes(s.Data))
+		}
+	}
+	f.Fuzz(func(t *testing.T, in []byte) {
+		playNorth([][]byte{in})
+		playRelay([][]byte{in})
+		playWatch([][]byte{in})
+	})
+}
