Tell refused clients when to come back

On sockets the header is always allowed, and a client that is refused at once has no other way to know. The advice is the mean wait seen before a start, at least 40 ms, at most Limits.MaxRetryAfter.

--- a/cmd/granitewing/main_test.go
+++ b/cmd/granitewing/main_test.go
@@ -47,7 +47,7 @@
   "Classes":[{"Name":"readings","Aim":750000,"Deadline":6000000,"Semantics":"read_like"},
    {"Name":"ingest","Aim":750000,"Deadline":6000000,"Semantics":"idempotency_key","Group":"cell","RepeatWindow":40000000},
    {"Name":"alert","Aim":750000,"Deadline":6000000,"Semantics":"non_idempotent"}],
-  "Limits":{"MaxAttempts":3,"Cancelling":true,"ConnectTimeout":5000000,"ConnIdle":30000000}}}`
+  "Limits":{"MaxAttempts":3,"MaxRetryAfter":2000000,"Cancelling":true,"ConnectTimeout":5000000,"ConnIdle":30000000}}}`
 
 // world is one running program and those who speak with it.
 type world struct {
--- a/internal/memory/core.go
+++ b/internal/memory/core.go
@@ -10,6 +10,9 @@
 // hostsMost bounds the hosts kept, should an inventory name ever new ones.
 const hostsMost = 4096
 
+// fullAfter is when a client may come back who found as many messages open as may be, in microseconds.
+const fullAfter = 1_000_000
+
 // ID names an open message.
 type ID = logic.JobID
 
@@ -133,7 +136,7 @@
 	}
 	id := c.last
 	if c.cfg.MaxOpen > 0 && len(c.messages) >= c.cfg.MaxOpen {
-		c.do(Command{Kind: Answer, Relay: RelayID{Message: id}, Verdict: Refused})
+		c.do(Command{Kind: Answer, Relay: RelayID{Message: id}, Verdict: Refused, After: fullAfter})
 		return id, c.out
 	}
 	c.messages[id] = &message{}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -57,9 +57,6 @@
 		ConnIdle:       s.micros("Limits.ConnIdle", 0),
 		MaxOpen:        s.count("Limits.MaxOpen", 0),
 	}
-	if !s.flag("Limits.RetryAfter") {
-		c.MaxRetryAfter = 0
-	}
 	for _, name := range s.list("Report.Names") {
 		c.Reports = append(c.Reports, fields[name])
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -694,8 +694,10 @@
 	}
 }
 
+// retryAfter tells a client that was refused when to come back: after the wait that jobs see before they
+// start, which is about how long it takes for a place to become free.
 func (s *Scheduler) retryAfter() int64 {
-	return min(int64(s.waits*1e6), s.cfg.MaxRetryAfter)
+	return min(max(int64(s.waits*1e6), holdGap), s.cfg.MaxRetryAfter)
 }
 
 // settle marks a job as answered and calls off its attempts.
