--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -38,7 +38,7 @@
 type Driver struct {
 	cfg   *platform.Config
 	core  *memory.Core
-	clock Clock
+	clock clock
 	log   func(format string, args ...any)
 	ln    net.Listener
 
@@ -84,7 +84,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	return &Driver{
-		cfg: cfg, core: core, clock: NewClock(), log: log, ln: ln, lanes: cfg.Lanes(),
+		cfg: cfg, core: core, clock: newClock(), log: log, ln: ln, lanes: cfg.Lanes(),
 		events: make(chan func(), eventsMost), done: make(chan struct{}),
 		norths: map[*north]struct{}{}, open: map[memory.ID]*north{}, relays: map[memory.RelayID]*relay{},
 		pool: pool{hosts: map[string]*hostConns{}}, limits: limitsFor(cfg.Sockets, cfg.MemoryMB),
@@ -131,7 +131,7 @@
 	return time.AfterFunc(max(wait, 0), func() { d.post(f) })
 }
 
-func (d *Driver) now() int64 { return d.clock.Now() }
+func (d *Driver) now() int64 { return d.clock.now() }
 
 // do carries out the commands of one call of the core. None of them calls the core before all are done.
 func (d *Driver) do(cmds []memory.Command) {
--- a/internal/driver/north.go
+++ b/internal/driver/north.go
@@ -12,7 +12,6 @@
 // answer waits unread but for one piece, so that nothing here grows.
 type north struct {
 	*conn
-	d       *Driver
 	parser  *platform.North
 	rest    []byte            // read behind the message
 	at      int64             // when the latest piece came
@@ -30,7 +29,7 @@
 // take keeps a new connection from a client.
 func (d *Driver) take(c net.Conn) {
 	d.arrived = time.Now()
-	n := &north{d: d, parser: platform.NewNorth(d.lanes), since: d.arrived}
+	n := &north{parser: platform.NewNorth(d.lanes), since: d.arrived}
 	n.conn = d.newConn(c, 3, n.read, n.wrote) // at most a go-ahead and an answer wait for the writer
 	d.norths[n] = struct{}{}
 	n.await()
--- a/internal/driver/south.go
+++ b/internal/driver/south.go
@@ -23,7 +23,6 @@
 // south is a connection to a south side host; it carries one relay at a time.
 type south struct {
 	*conn
-	d       *Driver
 	addr    string
 	parser  *platform.Relay
 	relay   *relay
@@ -133,7 +132,7 @@
 		d.ended(r, logic.ConnectFailed, nil)
 		return
 	}
-	s := &south{d: d, addr: r.addr}
+	s := &south{addr: r.addr}
 	s.parser = platform.NewRelay(s.note)
 	s.conn = d.newConn(c, 1, s.read, s.wrote)
 	if d.relays[r.id] != r {
--- a/internal/wire/platform/platform_test.go
+++ b/internal/wire/platform/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"strings"
 	"testing"
 
@@ -188,6 +189,20 @@
 	}
 }
 
+func TestExampleConfigIsUsable(t *testing.T) {
+	text, err := os.ReadFile("../../../deploy/example.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := ReadConfig(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(c.Known.Hosts) != 1 || c.Known.Hosts[0].Zone != 0 || c.Known.Hosts[0].Kind != 0 || len(c.Lanes()) != 3 {
+		t.Errorf("hosts %+v, lanes %v", c.Known.Hosts, c.Lanes())
+	}
+}
+
 // Bytes from outside, however wrong, must neither stop the state machines nor make them keep more than they may.
 func FuzzFeed(f *testing.F) {
 	for _, file := range []string{"north", "relay", "watch"} {
