--- /dev/null
+++ b/internal/driver/south_test.go
@@ -0,0 +1,91 @@
+package driver
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"granitewing/internal/memory"
+	"granitewing/internal/wire/platform"
+	"granitewing/logic"
+)
+
+// pump runs the owner's work on the test's goroutine until done says so.
+func pump(t *testing.T, d *Driver, done func() bool) {
+	t.Helper()
+	limit := time.After(20 * time.Second)
+	for !done() {
+		if len(d.later) > 0 {
+			f := d.later[0]
+			d.later = d.later[1:]
+			f()
+			continue
+		}
+		select {
+		case f := <-d.events:
+			f()
+		case <-limit:
+			t.Fatal("nothing more happened")
+		}
+	}
+}
+
+// A job that must not run twice may be tried again, or refused, only while its last byte was not written. A pipe
+// takes no byte before it is read, so the test decides how far the write comes.
+func TestBreakBeforeAndAfterTheLastByte(t *testing.T) {
+	msg := &platform.Message{Method: "POST", Target: "/alert", Txn: "t1", Lane: "alert", Body: []byte("rough"), Close: true}
+	whole := len(platform.AppendRelay(nil, "a", msg, time.Second))
+	for _, c := range []struct {
+		name   string
+		takes  int
+		answer string
+	}{
+		{"before", whole - 1, "HTTP/1.1 503 Service Unavailable\r\n"},
+		{"after", whole, "HTTP/1.1 502 Bad Gateway\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d, err := New(&platform.Config{Sockets: 1024, MemoryMB: 192, Settings: logic.Config{
+				Classes: []logic.Class{{Name: "alert", Deadline: 60_000_000, WorkerKind: -1}}, MaxAttempts: 3, MayCancel: true,
+			}}, nil, t.Logf)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer close(d.done)
+			client, near := net.Pipe()
+			host, far := net.Pipe()
+			n := &north{parser: platform.NewNorth(nil), msg: msg, held: true, expiry: time.NewTimer(time.Hour)}
+			n.conn = d.newConn(near, 3, n.read, n.wrote)
+			d.core.Inventory(d.now(), logic.ListFull, []memory.Host{{Name: "s-a", Addr: "a", Phase: logic.Ready}})
+			n.id, _ = d.core.Arrive(d.now(), msg.Message, 0)
+			d.open[n.id] = n
+
+			r := &relay{id: memory.RelayID{Message: n.id}, msg: msg, addr: "a", until: d.now() + 1_000_000, timer: time.NewTimer(time.Hour)}
+			d.relays[r.id] = r
+			d.pool.add("a", 1)
+			s := &south{addr: "a"}
+			s.parser = platform.NewRelay(s.note)
+			s.conn = d.newConn(far, 1, s.read, s.wrote)
+			s.begin(r)
+			go func() {
+				io.ReadFull(host, make([]byte, c.takes))
+				host.Close()
+			}()
+			got := make(chan string, 1)
+			go func() {
+				line, _ := bufio.NewReader(client).ReadString('\n')
+				got <- line
+				io.Copy(&bytes.Buffer{}, client)
+			}()
+			pump(t, d, func() bool { return d.relays[r.id] == nil && d.open[n.id] == nil })
+			if line := <-got; line != c.answer {
+				t.Errorf("answer %q, want %q", line, c.answer)
+			}
+			if d.pool.count != 0 || !s.gone {
+				t.Errorf("the broken connection is still on the books: %d, gone %t", d.pool.count, s.gone)
+			}
+		})
+	}
+}
