--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -31,7 +31,7 @@
 	arriveLimit   = time.Second             // and open new ones for so long; late ones on a busy machine included
 	fullAfter     = time.Second             // a client refused for want of descriptors may come back then
 	quietCheck    = 50 * time.Millisecond   // between looks whether all is quiet by then
-	acceptRetry   = 10 * time.Millisecond   // between tries to accept while that fails
+	acceptRetry   = 100 * time.Millisecond  // between tries to accept while that fails
 )
 
 // Driver serves one dispatcher.
@@ -53,7 +53,7 @@
 	pool    pool
 	watch   *watch
 	wake    *time.Timer
-	ready   bool
+	ready   bool  // the inventory was heard, or waited for long enough
 	listed  int64 // revision of the inventory
 	limits  limits
 	full    chan struct{} // closed once another connection may be accepted
@@ -95,8 +95,8 @@
 func (d *Driver) Run(stop <-chan struct{}) {
 	defer close(d.done)
 	go d.accept()
-	d.do(d.core.Inventory(d.now(), logic.ListCached, d.cfg.Known.Hosts))
 	d.listed = d.cfg.Known.Revision
+	d.do(d.core.Inventory(d.now(), logic.ListCached, d.cfg.Known.Hosts))
 	d.after(readyWait, func() { d.ready = true })
 	for {
 		for len(d.later) > 0 {
@@ -188,7 +188,7 @@
 // newConn starts the reader and the writer. read runs on the owner for each piece that comes, or for the
 // error that ends it; what it is given is valid until it returns, and false keeps the reader waiting for
 // resume. wrote runs on the owner after each write.
-func (d *Driver) newConn(c net.Conn, queue int, read func(b []byte, at int64, err error) bool, wrote func(n int, err error)) *conn {
+func (d *Driver) newConn(c net.Conn, queue int, read func(b []byte, at int64, err error) bool, wrote func(error)) *conn {
 	k := &conn{d: d, c: c, out: make(chan []byte, queue), more: make(chan struct{}, 1), closed: make(chan struct{})}
 	go k.reading(read)
 	go k.writing(wrote)
@@ -223,13 +223,13 @@
 	}
 }
 
-func (k *conn) writing(wrote func(int, error)) {
+func (k *conn) writing(wrote func(error)) {
 	for {
 		select {
 		case b := <-k.out:
 			k.c.SetWriteDeadline(time.Now().Add(writeLimit))
-			n, err := k.c.Write(b)
-			k.d.post(func() { wrote(n, err) })
+			_, err := k.c.Write(b) // an error means that less than all was written
+			k.d.post(func() { wrote(err) })
 			if err != nil {
 				return
 			}
--- a/internal/driver/inventory.go
+++ b/internal/driver/inventory.go
@@ -64,7 +64,7 @@
 		}
 		still()
 		return true
-	}, func(_ int, err error) {
+	}, func(err error) {
 		if err != nil {
 			d.lost(w, err)
 		}
--- a/internal/driver/north.go
+++ b/internal/driver/north.go
@@ -119,7 +119,7 @@
 	switch {
 	case m.Fault != nil:
 		n.reply(m.Fault.Status, []byte(m.Fault.Why), 0)
-	case m.Health && d.ready && d.stopped.IsZero():
+	case m.Health && d.ready && d.core.Ready() && d.stopped.IsZero():
 		n.reply(200, nil, 0)
 	case m.Health:
 		n.reply(503, nil, 0)
@@ -197,7 +197,7 @@
 }
 
 // wrote follows each write.
-func (n *north) wrote(_ int, err error) {
+func (n *north) wrote(err error) {
 	n.writes--
 	switch {
 	case n.gone:
--- a/internal/driver/south.go
+++ b/internal/driver/south.go
@@ -106,7 +106,7 @@
 	}
 	r := &relay{id: c.Relay, msg: n.msg, addr: c.Addr, until: d.now() + c.Timeout}
 	d.relays[r.id] = r
-	r.timer = d.after(time.Duration(c.Timeout)*time.Microsecond, func() { d.ended(r, logic.TimedOut, nil) })
+	r.timer = d.after(time.Duration(c.Timeout)*time.Microsecond, func() { d.timedOut(r) })
 	if s := d.pool.latest(r.addr); s != nil {
 		s.begin(r)
 		return
@@ -214,7 +214,7 @@
 }
 
 // wrote follows the write of a request.
-func (s *south) wrote(_ int, err error) {
+func (s *south) wrote(err error) {
 	s.pending = false
 	if s.gone || err == nil && !s.broken {
 		return
@@ -275,6 +275,15 @@
 	d.do(d.core.Ended(d.now(), r.id, result, content))
 }
 
+// timedOut ends a relay whose time is over. One whose connection is not up was never sent.
+func (d *Driver) timedOut(r *relay) {
+	if r.on == nil {
+		d.ended(r, logic.Moot, nil)
+		return
+	}
+	d.ended(r, logic.TimedOut, nil)
+}
+
 // drop stops a relay that the decisions called off.
 func (d *Driver) drop(id memory.RelayID) {
 	if r := d.relays[id]; r != nil {
--- a/internal/memory/core.go
+++ b/internal/memory/core.go
@@ -124,6 +124,16 @@
 // Open is how many messages are kept.
 func (c *Core) Open() int { return len(c.messages) }
 
+// Ready tells whether any host may be relayed to.
+func (c *Core) Ready() bool {
+	for _, h := range c.hosts {
+		if h.Phase == logic.Ready {
+			return true
+		}
+	}
+	return false
+}
+
 // The calls below take what happened at a time in microseconds and return the commands that follow, valid
 // until the next call.
 
--- a/internal/wire/platform/north.go
+++ b/internal/wire/platform/north.go
@@ -118,6 +118,10 @@
 	if parts[2] != "HTTP/1.1" && parts[2] != "HTTP/1.0" {
 		return &Fault{505, "only HTTP/1.1 is spoken here"}
 	}
+	if parts[0] == "HEAD" {
+		// Its answer has no body whatever its length says, so nothing may follow on the connection.
+		return &Fault{405, "HEAD is not answered here"}
+	}
 	if parts[2] == "HTTP/1.1" && len(f["Host"]) != 1 {
 		return &Fault{400, "want one Host"}
 	}
--- a/internal/wire/platform/relay.go
+++ b/internal/wire/platform/relay.go
@@ -59,13 +59,12 @@
 
 // Relay reads the answers on one connection to a south side host, one relay at a time.
 type Relay struct {
-	resp   response
-	json   fastjson.Parser
-	id     string
-	out    bool // a request is out and its answer is not whole
-	ended  bool // the outcome is known
-	result logic.Result
-	on     func(Note)
+	resp  response
+	json  fastjson.Parser
+	id    string
+	out   bool // a request is out and its answer is not whole
+	ended bool // the outcome is known
+	on    func(Note)
 }
 
 var (
