--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -57,6 +57,8 @@
 		ConnIdle:       s.micros("Limits.ConnIdle", 0),
 		MaxOpen:        s.count("Limits.MaxOpen", 0),
 	}
+	// Limits.RetryAfter tells whether the simulator's clients get the advice; it drops it where they do not. On
+	// sockets the header is always allowed, so the advice is always given.
 	for _, name := range s.list("Report.Names") {
 		c.Reports = append(c.Reports, fields[name])
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -177,6 +177,14 @@
 	}
 }
 
+// A client that is refused at once knows when to come back only if it is told, whatever the simulator's clients get.
+func TestAdviceToRefusedClientsIsKept(t *testing.T) {
+	c, err := ParseSettings([]byte("Classes.count=1\nLimits.RetryAfter=false\nLimits.MaxRetryAfter=2000000\n"))
+	if err != nil || c.MaxRetryAfter != 2_000_000 {
+		t.Errorf("longest wait %d, error %v; want 2000000", c.MaxRetryAfter, err)
+	}
+}
+
 func TestSettingsWithoutClasses(t *testing.T) {
 	for _, text := range []string{"", "Classes.count=0", "Classes.count=many", "Classes.count=999999999"} {
 		if _, err := ParseSettings([]byte(text)); err == nil || !strings.Contains(err.Error(), "Classes.count") {
