--- a/cmd/granitewing/main_test.go
+++ b/cmd/granitewing/main_test.go
@@ -60,6 +60,8 @@
 	peers     map[string]*peer
 	addrs     *strings.Replacer
 	listen    string
+	path      string // of the configuration
+	text      string // what it held at the start, with names for addresses
 }
 
 type peer struct {
@@ -86,14 +88,11 @@
 		}
 	}
 	w.addrs = strings.NewReplacer(names...)
-	changes = append(changes, "DISCOVERY", w.listeners["discovery"].Addr().String(), "MEMBERS", strings.Join(members, ","))
-	text := strings.NewReplacer(changes...).Replace(config)
-	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	w.text = strings.NewReplacer(append(changes, "MEMBERS", strings.Join(members, ","))...).Replace(config)
+	w.path = filepath.Join(t.TempDir(), "config.json")
+	w.configure("DISCOVERY", "discovery")
 	w.cmd = exec.Command(binary)
-	w.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+path)
+	w.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+w.path, "ROUTER_DISCOVERY="+w.listeners["discovery"].Addr().String())
 	log, err := w.cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -112,6 +111,17 @@
 	return w
 }
 
+// configure writes the configuration with something changed in it, to the address of a listener where it is one's.
+func (w *world) configure(old, now string) {
+	w.t.Helper()
+	if ln := w.listeners[now]; ln != nil {
+		now = ln.Addr().String()
+	}
+	if err := os.WriteFile(w.path, []byte(strings.ReplaceAll(w.text, old, now)), 0o600); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
 // await waits for a line of the log.
 func (w *world) await(part string) string {
 	w.t.Helper()
@@ -214,6 +224,11 @@
 		if err := w.cmd.Wait(); err != nil {
 			w.t.Fatalf("%s: %v", title, err)
 		}
+	case "gets SIGHUP": // with a configuration in which one thing is changed, and the line that it shall log
+		f := strings.Fields(string(data))
+		w.configure(f[0], f[1])
+		w.cmd.Process.Signal(syscall.SIGHUP)
+		w.await("reload: " + strings.Replace(strings.Join(f[2:], " "), "CONFIG", w.path, 1))
 	case "listens no more":
 		w.listeners[who].Close()
 	default:
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -34,6 +34,9 @@
 	acceptRetry   = 100 * time.Millisecond  // between tries to accept while that fails
 )
 
+// unlisted stands for a revision where discovery was not heard: its whole list has to be asked for.
+const unlisted = -1
+
 // Driver serves one dispatcher.
 type Driver struct {
 	cfg   *platform.Config
@@ -54,7 +57,7 @@
 	watch   *watch
 	wake    *time.Timer
 	ready   bool  // the inventory was heard, or waited for long enough
-	listed  int64 // revision of the inventory
+	listed  int64 // revision of the inventory, or unlisted
 	limits  limits
 	full    chan struct{} // closed once another connection may be accepted
 	stopped time.Time     // SIGTERM; zero while serving
--- a/internal/driver/inventory.go
+++ b/internal/driver/inventory.go
@@ -16,15 +16,33 @@
 	over  bool
 }
 
-// openWatch opens the watch on the inventory anew.
-func (d *Driver) openWatch() {
+// Reload takes the address that discovery has from now on. It may be called from any goroutine.
+func (d *Driver) Reload(discovery string) { d.post(func() { d.reload(discovery) }) }
+
+// reload leaves the old address at once and asks the new one for its whole list, since its revisions need not
+// be the old one's. The list known so far holds until the answer.
+func (d *Driver) reload(discovery string) {
+	if discovery == d.cfg.Discovery {
+		return
+	}
+	d.cfg.Discovery, d.listed = discovery, unlisted
 	if d.watch != nil {
 		d.watch.end()
 	}
+	d.openWatch()
+}
+
+// openWatch opens the watch on the inventory, unless one is open: a wait of the decisions' that was begun
+// before a reload may end after it.
+func (d *Driver) openWatch() {
+	if d.watch != nil && !d.watch.over {
+		return
+	}
 	w := &watch{}
 	d.watch = w
+	address := d.cfg.Discovery
 	go func() {
-		c, err := net.DialTimeout("tcp", d.cfg.Discovery, dialInventory)
+		c, err := net.DialTimeout("tcp", address, dialInventory)
 		d.post(func() {
 			if err != nil || w.over {
 				if err == nil {
@@ -39,7 +57,7 @@
 }
 
 func (d *Driver) watching(w *watch, c net.Conn) {
-	parser := platform.NewWatch(d.cfg.Names(), func(l platform.List) {
+	parser := platform.NewWatch(d.cfg.Names(), d.listed == unlisted, func(l platform.List) {
 		how := logic.ListDelta
 		if l.Complete {
 			how = logic.ListFull
@@ -55,13 +73,17 @@
 		w.timer = d.after(inventoryWait, func() { d.lost(w, errors.New("discovery has gone silent")) })
 	}
 	w.conn = d.newConn(c, 1, func(b []byte, _ int64, err error) bool {
+		listed := false
 		if err == nil {
-			err = parser.Feed(b)
+			listed, err = parser.Feed(b)
 		}
 		if err != nil {
 			d.lost(w, err)
 			return false
 		}
+		if listed {
+			w.write(platform.AppendWatch(nil, d.cfg.Discovery, d.listed))
+		}
 		still()
 		return true
 	}, func(err error) {
@@ -70,6 +92,10 @@
 		}
 	})
 	still()
+	if d.listed == unlisted {
+		w.write(platform.AppendWhole(nil, d.cfg.Discovery))
+		return
+	}
 	w.write(platform.AppendWatch(nil, d.cfg.Discovery, d.listed))
 }
 
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -14,8 +14,11 @@
 	"granitewing/internal/wire/platform"
 )
 
-// Run serves until SIGTERM or an interrupt, then until nothing is held.
+// Run serves until SIGTERM or an interrupt, then until nothing is held. SIGHUP has the configuration read anew.
 func Run(env func(string) string, log func(format string, args ...any)) error {
+	// Caught before anything else: one that comes early must not end the program.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	cfg, err := load(env)
 	if err != nil {
 		return err
@@ -39,11 +42,37 @@
 		signal.Stop(signals)
 		close(stop)
 	}()
+	go func() {
+		for range hangups {
+			address, err := reload(env)
+			if err != nil {
+				log("reload: %v; the old settings hold", err)
+				continue
+			}
+			log("reload: discovery is at %s", address)
+			d.Reload(address)
+		}
+	}()
 	log("%s: listening on %s", cfg.Name, ln.Addr())
 	d.Run(stop)
 	return nil
 }
 
+// reload reads the configuration again and gives discovery's address, the one setting that can change while the
+// program runs. It is the file that was replaced, so it goes before the environment here.
+func reload(env func(string) string) (string, error) {
+	cfg, err := load(func(name string) string {
+		if name == "ROUTER_DISCOVERY" {
+			return ""
+		}
+		return env(name)
+	})
+	if err != nil {
+		return "", err
+	}
+	return cfg.Discovery, nil
+}
+
 // load reads the configuration; what the environment states goes before it.
 func load(env func(string) string) (*platform.Config, error) {
 	path := env("ROUTER_CONFIG")
--- a/internal/wire/platform/inventory.go
+++ b/internal/wire/platform/inventory.go
@@ -61,18 +61,26 @@
 	return l, nil
 }
 
-// Watch reads the watch on the inventory.
+// Watch reads the inventory: the whole list, where that was asked for first, then the watch on changes.
 type Watch struct {
 	names Names
 	resp  response
 	json  fastjson.Parser
 	on    func(List)
+	whole bool // the answer being read is the whole list, and another follows
 	bad   error
 }
 
-// NewWatch makes a reader that hands each list to on.
-func NewWatch(names Names, on func(List)) *Watch {
-	return &Watch{names: names, resp: response{most: maxList}, on: on}
+// NewWatch makes a reader that hands each list to on; whole says that AppendWhole goes ahead of AppendWatch.
+func NewWatch(names Names, whole bool, on func(List)) *Watch {
+	return &Watch{names: names, resp: response{most: maxList}, whole: whole, on: on}
+}
+
+// AppendWhole appends the request for the whole list.
+func AppendWhole(b []byte, host string) []byte {
+	b = append(b, "GET /v1/servers HTTP/1.1\r\nHost: "...)
+	b = append(b, host...)
+	return append(b, "\r\n\r\n"...)
 }
 
 // AppendWatch appends the request that opens the watch after a revision.
@@ -84,20 +92,27 @@
 	return append(b, "\r\n\r\n"...)
 }
 
-// Feed takes bytes as they come; an error ends the watch.
-func (w *Watch) Feed(b []byte) error {
-	_, whole, err := w.resp.feed(b, func() {
+// Feed takes bytes as they come; an error ends the watch. listed says that the whole list has come, after
+// which the watch is to be asked for.
+func (w *Watch) Feed(b []byte) (listed bool, err error) {
+	used, over, err := w.resp.feed(b, func() {
 		if w.resp.status != 200 {
 			w.bad = fmt.Errorf("discovery answered %d", w.resp.status)
 		}
 	}, w.line)
 	switch {
 	case w.bad != nil:
-		return w.bad
-	case err == nil && whole:
-		return errors.New("discovery ended the watch")
+		return false, w.bad
+	case err != nil || !over:
+		return false, err
+	case !w.whole || w.resp.close:
+		return false, errors.New("discovery ended the watch")
+	case used < len(b):
+		return false, errStray
 	}
-	return err
+	w.whole = false
+	w.resp.reset()
+	return true, nil
 }
 
 func (w *Watch) line(text []byte) error {
@@ -109,6 +124,9 @@
 		return fmt.Errorf("malformed list: %w", err)
 	}
 	l, err := w.names.ReadList(v)
+	if err == nil && w.whole && !l.Complete {
+		return errors.New("the whole list was asked for and is not complete")
+	}
 	if err == nil {
 		w.on(l)
 	}
--- a/internal/wire/platform/platform_test.go
+++ b/internal/wire/platform/platform_test.go
@@ -82,9 +82,13 @@
 	return out.String()
 }
 
-func playWatch(pieces [][]byte) string {
+func playWatch(pieces [][]byte) string { return playInventory(pieces, false) }
+
+func playWhole(pieces [][]byte) string { return playInventory(pieces, true) }
+
+func playInventory(pieces [][]byte, whole bool) string {
 	var out strings.Builder
-	w := NewWatch(Names{Zones: []string{"dakar", "saint_louis"}, Kinds: []string{"m1", "m2"}}, func(l List) {
+	w := NewWatch(Names{Zones: []string{"dakar", "saint_louis"}, Kinds: []string{"m1", "m2"}}, whole, func(l List) {
 		fmt.Fprintf(&out, "revision %d complete %t\n", l.Revision, l.Complete)
 		for _, h := range l.Hosts {
 			fmt.Fprintf(&out, "%s at %q zone %d kind %d cell %d size %g since %d phase %d\n",
@@ -92,10 +96,14 @@
 		}
 	})
 	for _, b := range pieces {
-		if err := w.Feed(b); err != nil {
+		listed, err := w.Feed(b)
+		if err != nil {
 			fmt.Fprintf(&out, "error %v\n", err)
 			break
 		}
+		if listed {
+			out.WriteString("asks for the watch\n")
+		}
 	}
 	return out.String()
 }
@@ -103,7 +111,7 @@
 // Each recorded exchange is played whole and byte by byte, which must come to the same; only whether bytes
 // came behind an answer can't be seen before they do.
 func TestRecorded(t *testing.T) {
-	for file, play := range map[string]func([][]byte) string{"north": playNorth, "relay": playRelay, "watch": playWatch} {
+	for file, play := range map[string]func([][]byte) string{"north": playNorth, "relay": playRelay, "watch": playWatch, "whole": playWhole} {
 		ar := exchange.Load(t, "testdata/"+file+".txtar")
 		for i := 0; i+1 < len(ar.Files); i += 2 {
 			in, want := exchange.Bytes(ar.Files[i].Data), string(ar.Files[i+1].Data)
@@ -205,7 +213,7 @@
 
 // Bytes from outside, however wrong, must neither stop the state machines nor make them keep more than they may.
 func FuzzFeed(f *testing.F) {
-	for _, file := range []string{"north", "relay", "watch"} {
+	for _, file := range []string{"north", "relay", "watch", "whole"} {
 		for _, s := range exchange.Load(f, "testdata/"+file+".txtar").Files {
 			f.Add(exchange.Bytes(s.Data))
 		}
@@ -214,5 +222,6 @@
 		playNorth([][]byte{in})
 		playRelay([][]byte{in})
 		playWatch([][]byte{in})
+		playWhole([][]byte{in})
 	})
 }
