--- a/cmd/granitewing/main_test.go
+++ b/cmd/granitewing/main_test.go
@@ -206,6 +206,13 @@
 		if diff := cmp.Diff(string(exchange.Bytes(data)), got); diff != "" {
 			w.t.Fatalf("%s (-want +got):\n%s", title, diff)
 		}
+	case "connects":
+		w.peer(who)
+	case "floods": // with so many bytes, and waits until all are taken
+		n, _ := strconv.Atoi(strings.TrimSpace(string(data)))
+		if _, err := w.peer(who).Write(make([]byte, n)); err != nil {
+			w.t.Fatalf("%s: %v", title, err)
+		}
 	case "closes":
 		w.peer(who).Close()
 	case "ends its sending":
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"time"
 
@@ -16,11 +17,11 @@
 // Figures that no setting gives.
 const (
 	eventsMost    = 256                     // events on their way; those who post wait beyond it
-	messageMemory = 160 << 10               // bytes that a client's connection may hold: a body, its copy to a host, the frames
 	writeLimit    = 30 * time.Second        // a peer that takes no bytes for so long is given up
-	messageLimit  = 10 * time.Second        // a message that has begun must be whole by then
-	northIdle     = 5 * time.Minute         // idle connections of clients are kept so long
+	messageLimit  = 2 * time.Second         // a message that has begun must be whole by then; a new connection's first at once
+	northIdle     = 5 * time.Minute         // idle connections that have carried a message are kept so long
 	goodbyeLimit  = time.Second             // a peer must end what both sides know to be over by then
+	drainLimit    = 4 * time.Second         // so long a client that is turned away may go on sending before it is cut off
 	expireAfter   = 20 * time.Millisecond   // past a deadline; within the slack that the rules allow
 	inventoryWait = 5 * time.Second         // discovery writes a line at least every 2 s
 	dialInventory = 2 * time.Second         // discovery serves calls in turn
@@ -59,6 +60,7 @@
 	ready   bool  // the inventory was heard, or waited for long enough
 	listed  int64 // revision of the inventory, or unlisted
 	limits  limits
+	bytes   int           // of messages that clients have sent
 	full    chan struct{} // closed once another connection may be accepted
 	stopped time.Time     // SIGTERM; zero while serving
 	arrived time.Time     // the last connection
@@ -66,18 +68,19 @@
 
 // limits shares out descriptors and memory.
 type limits struct {
-	north   int // connections of clients; beyond them new messages are refused at once
-	most    int // beyond them none is accepted
+	north   int // messages open at once; beyond them new ones are refused
+	most    int // connections of clients; beyond them one that is missed least makes room
+	bytes   int // of messages that clients have sent; beyond them a client is turned away
 	south   int // connections to hosts
 	perHost int
 }
 
-// limitsFor leaves room for discovery, the listener, a log and what the runtime holds.
+// limitsFor leaves room for discovery, the listener, a log and what the runtime holds. Of the memory a quarter is
+// for what clients have sent: each body may have a copy on its way to a host, and the collector needs as much again.
 func limitsFor(sockets, memoryMB int) limits {
 	usable := max(sockets-32, 16)
-	north := max(min(usable/2, memoryMB<<20/2/messageMemory), 4)
 	south := usable * 4 / 10
-	return limits{north: north, most: north + usable/10, south: south, perHost: max(south/4, 4)}
+	return limits{north: usable / 2, most: usable * 6 / 10, bytes: memoryMB << 20 / 4, south: south, perHost: max(south/4, 4)}
 }
 
 // New makes a driver that serves on a listener.
@@ -182,17 +185,18 @@
 	d      *Driver
 	c      net.Conn
 	out    chan []byte
-	more   chan struct{}
+	more   chan bool // whether what comes still matters
 	closed chan struct{}
 	gone   bool // closed here; like what follows, for the owner alone
 	paused bool // the reader waits for resume
+	drains bool // what comes matters no more, only its end does
 }
 
 // newConn starts the reader and the writer. read runs on the owner for each piece that comes, or for the
 // error that ends it; what it is given is valid until it returns, and false keeps the reader waiting for
 // resume. wrote runs on the owner after each write.
 func (d *Driver) newConn(c net.Conn, queue int, read func(b []byte, at int64, err error) bool, wrote func(error)) *conn {
-	k := &conn{d: d, c: c, out: make(chan []byte, queue), more: make(chan struct{}, 1), closed: make(chan struct{})}
+	k := &conn{d: d, c: c, out: make(chan []byte, queue), more: make(chan bool, 1), closed: make(chan struct{})}
 	go k.reading(read)
 	go k.writing(wrote)
 	return k
@@ -200,8 +204,7 @@
 
 func (k *conn) reading(read func([]byte, int64, error) bool) {
 	buf := make([]byte, 4096)
-	for {
-		n, err := k.c.Read(buf)
+	tell := func(n int, err error) {
 		at := k.d.now()
 		k.d.post(func() {
 			// What comes late from a connection that was closed here concerns nobody.
@@ -213,11 +216,21 @@
 				k.resume()
 			}
 		})
+	}
+	for {
+		n, err := k.c.Read(buf)
+		tell(n, err)
 		if err != nil {
 			return
 		}
 		select {
-		case <-k.more:
+		case matters := <-k.more:
+			if !matters {
+				// However much it is, the owner has no work with it.
+				io.Copy(io.Discard, k.c)
+				tell(0, io.EOF)
+				return
+			}
 		case <-k.closed:
 			return
 		case <-k.d.done:
@@ -249,10 +262,17 @@
 func (k *conn) resume() {
 	if k.paused {
 		k.paused = false
-		k.more <- struct{}{}
+		k.more <- !k.drains
 	}
 }
 
+// drain lets go of what still comes: a connection that is closed with bytes unread is reset, and the peer may
+// lose what was written to it.
+func (k *conn) drain() {
+	k.drains = true
+	k.resume()
+}
+
 // write queues bytes; false if the peer takes them so slowly that the queue is full.
 func (k *conn) write(b []byte) bool {
 	select {
@@ -271,8 +291,8 @@
 	}
 }
 
-// accept takes connections until the listener is closed. While as many are open as may be, the others wait
-// in the listener's queue.
+// accept takes connections until the listener is closed. Only while as many as may be open are all owed
+// something do the others wait in the listener's queue.
 func (d *Driver) accept() {
 	for {
 		c, err := d.ln.Accept()
--- a/internal/driver/north.go
+++ b/internal/driver/north.go
@@ -18,10 +18,14 @@
 	msg     *platform.Message // not yet answered
 	id      memory.ID         // of the message, while the core has it
 	held    bool              // the core has the message
-	used    bool              // it has carried a message
+	used    bool              // it has carried a message, though perhaps one that can't be taken
+	proven  bool              // the core has taken a message from it
 	closing bool              // nothing more is taken; closed once the answer is written
+	faulty  bool              // the end of what the client sends is not known, so it may still be sending
 	writes  int               // writes on their way
+	bytes   int               // that it holds of the driver's
 	since   time.Time         // of the latest answer, or of the connection
+	begun   time.Time         // of the message awaited, the first one's is the connection's; zero for none
 	timer   *time.Timer       // for what is awaited from the client
 	expiry  *time.Timer       // backs up the decisions' own deadline
 }
@@ -29,29 +33,49 @@
 // take keeps a new connection from a client.
 func (d *Driver) take(c net.Conn) {
 	d.arrived = time.Now()
-	n := &north{parser: platform.NewNorth(d.lanes), since: d.arrived}
+	n := &north{parser: platform.NewNorth(d.lanes), since: d.arrived, begun: d.arrived}
 	n.conn = d.newConn(c, 3, n.read, n.wrote) // at most a go-ahead and an answer wait for the writer
 	d.norths[n] = struct{}{}
 	n.await()
-	if len(d.norths) > d.limits.north {
+	if len(d.norths) >= d.limits.most {
 		d.evictNorth()
 	}
 }
 
-// evictNorth closes the client connection that has stood idle longest, if any does. One that has carried
-// nothing yet was opened for a message that is on its way, so it stays.
+// evictNorth closes the client connection that is missed least, the oldest of its kind: one from which no
+// message was ever taken, as those have that flood; one that only waits for its end; one that stands idle. One
+// that was opened for a message on its way is the youngest of the first kind.
 func (d *Driver) evictNorth() {
-	var oldest *north
+	var least *north
 	for n := range d.norths {
-		if n.idle() && n.used && (oldest == nil || n.since.Before(oldest.since)) {
-			oldest = n
+		if n.missed() < owed && (least == nil || n.missed() < least.missed() ||
+			n.missed() == least.missed() && n.since.Before(least.since)) {
+			least = n
 		}
 	}
-	if oldest != nil {
-		oldest.end()
+	if least != nil {
+		least.end()
 	}
 }
 
+// owed is how much those are missed that must stay.
+const owed = 3
+
+// missed tells how much a connection would be missed.
+func (n *north) missed() int {
+	switch {
+	case n.msg != nil || n.writes > 0:
+		return owed
+	case !n.proven:
+		return 0
+	case n.closing:
+		return 1
+	case n.idle():
+		return 2
+	}
+	return owed
+}
+
 // idle tells whether nothing has begun and nothing is owed.
 func (n *north) idle() bool { return n.msg == nil && n.writes == 0 && !n.parser.Partial() }
 
@@ -61,13 +85,9 @@
 		n.timer.Stop()
 	}
 	switch {
-	case n.gone || n.msg != nil:
-	case n.parser.Partial():
-		n.timer = n.d.after(messageLimit, func() {
-			if !n.gone && n.msg == nil && n.parser.Partial() {
-				n.fault(&platform.Fault{Status: 408, Why: "message not whole in time"})
-			}
-		})
+	case n.gone || n.closing || n.msg != nil:
+	case !n.begun.IsZero():
+		n.timer = n.d.after(messageLimit-time.Since(n.begun), n.late)
 	default:
 		n.timer = n.d.after(northIdle, func() {
 			if n.idle() {
@@ -77,6 +97,18 @@
 	}
 }
 
+// late ends the wait for a message: with an answer where some of it has come. It runs from the message's
+// beginning, and no byte that comes prolongs it.
+func (n *north) late() {
+	switch {
+	case n.gone || n.closing || n.msg != nil || n.begun.IsZero() || time.Since(n.begun) < messageLimit:
+	case n.parser.Partial():
+		n.fault(&platform.Fault{Status: 408, Why: "message not whole in time"})
+	default:
+		n.end()
+	}
+}
+
 // read takes bytes from a client, or the end of them.
 func (n *north) read(b []byte, at int64, err error) bool {
 	if err != nil {
@@ -90,7 +122,6 @@
 
 // parse takes the next message out of what was read; false while bytes are left that have to wait.
 func (n *north) parse() bool {
-	begun := n.parser.Partial()
 	for n.msg == nil && len(n.rest) > 0 && !n.closing && !n.gone {
 		used, m, fault := n.parser.Feed(n.rest)
 		n.rest = n.rest[:copy(n.rest, n.rest[used:])]
@@ -107,12 +138,33 @@
 	if n.closing {
 		n.rest = nil
 	}
-	if n.parser.Partial() != begun || n.msg != nil {
+	n.weigh()
+	if n.begun.IsZero() && n.parser.Partial() {
+		n.begun = time.Now()
 		n.await()
 	}
 	return len(n.rest) == 0
 }
 
+// weigh books the bytes that the client has sent of a message and turns it away if all hold too many.
+func (n *north) weigh() {
+	bytes := 0
+	switch {
+	case n.gone || n.closing:
+	case n.msg != nil:
+		bytes = len(n.msg.Body)
+	default:
+		bytes = n.parser.Size()
+	}
+	more := bytes > n.bytes
+	n.d.bytes += bytes - n.bytes
+	n.bytes = bytes
+	if more && n.d.bytes > n.d.limits.bytes && n.msg == nil {
+		n.fault(&platform.Fault{Status: 503, Why: "too much is being sent"})
+		n.weigh()
+	}
+}
+
 // handle answers a message here or hands it to the core.
 func (n *north) handle() {
 	d, m := n.d, n.msg
@@ -123,9 +175,8 @@
 		n.reply(200, nil, 0)
 	case m.Health:
 		n.reply(503, nil, 0)
-	case len(d.norths) > d.limits.north:
-		// The descriptors run out: new work is refused while what was taken is served.
-		n.closing = true
+	case len(d.open) >= d.limits.north:
+		// Room runs out: new work is refused while what was taken is served.
 		n.reply(503, nil, fullAfter)
 	default:
 		n.arrive()
@@ -141,7 +192,7 @@
 	}
 	deadline := n.at + wait.Microseconds()
 	id, cmds := d.core.Arrive(d.now(), m.Message, deadline)
-	n.id, n.held = id, true
+	n.id, n.held, n.proven = id, true, true
 	d.open[id] = n
 	n.expiry = d.after(time.Duration(deadline-d.now())*time.Microsecond+expireAfter, func() {
 		if d.open[id] == n {
@@ -160,6 +211,8 @@
 		n.reply(200, c.Content, 0)
 	case memory.Refused:
 		n.reply(503, nil, time.Duration(c.After)*time.Microsecond)
+	case memory.Duplicate:
+		n.reply(409, []byte("a message with this X-Txn is open"), 0)
 	default:
 		n.reply(502, nil, 0)
 	}
@@ -174,14 +227,14 @@
 // reply answers the message.
 func (n *north) reply(status int, content []byte, after time.Duration) {
 	n.closing = n.closing || n.msg.Close || !n.d.stopped.IsZero()
-	n.msg, n.used, n.since = nil, true, time.Now()
+	n.msg, n.used, n.since, n.begun = nil, true, time.Now(), time.Time{}
 	n.put(platform.AppendAnswer(nil, status, content, after, n.closing))
 	n.await()
 }
 
 // fault answers what leaves no way to find the next message.
 func (n *north) fault(f *platform.Fault) {
-	n.msg = &platform.Message{Close: true}
+	n.msg, n.faulty = &platform.Message{Close: true}, true
 	n.reply(f.Status, []byte(f.Why), 0)
 }
 
@@ -214,8 +267,12 @@
 	if t, ok := n.c.(*net.TCPConn); ok {
 		t.CloseWrite()
 	}
-	n.resume()
-	n.d.after(goodbyeLimit, n.end)
+	n.drain()
+	limit := goodbyeLimit
+	if n.faulty {
+		limit = drainLimit
+	}
+	n.timer = n.d.after(limit, n.end)
 }
 
 // end closes the connection; a client with an open message has left.
@@ -225,6 +282,7 @@
 	}
 	d := n.d
 	n.close()
+	n.weigh()
 	delete(d.norths, n)
 	d.room()
 	if n.timer != nil {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -23,21 +23,29 @@
 	return txtar.Parse(text)
 }
 
-var repeated = regexp.MustCompile(`\{(\d+)\*(.)\}`)
+var (
+	repeated = regexp.MustCompile(`\{(\d+)\*(.)\}`)
+	single   = regexp.MustCompile(`\{x[0-9a-f]{2}\}`)
+)
 
 // Bytes gives the bytes that a section stands for. A line ends in CR LF, or in nothing where it ends in a
-// backslash; a line after "+" is sent as one chunk with its LF; {N*c} is N times c.
+// backslash; a line after "+" is sent as one chunk with its LF; {N*c} is N times c, {x0a} the byte
+// of that number.
 func Bytes(section []byte) []byte {
 	var out bytes.Buffer
 	for line := range strings.Lines(string(section)) {
-		line = strings.TrimSuffix(line, "\n")
+		line, chunk := strings.CutPrefix(strings.TrimSuffix(line, "\n"), "+")
 		line = repeated.ReplaceAllStringFunc(line, func(s string) string {
 			m := repeated.FindStringSubmatch(s)
 			n, _ := strconv.Atoi(m[1])
 			return strings.Repeat(m[2], n)
 		})
-		if data, ok := strings.CutPrefix(line, "+"); ok {
-			data = strings.TrimPrefix(data, " ")
+		line = single.ReplaceAllStringFunc(line, func(s string) string {
+			n, _ := strconv.ParseUint(s[2:4], 16, 8)
+			return string([]byte{byte(n)})
+		})
+		if chunk {
+			data := strings.TrimPrefix(line, " ")
 			fmt.Fprintf(&out, "%x\r\n%s\n\r\n", len(data)+1, data)
 		} else if part, ok := strings.CutSuffix(line, `\`); ok {
 			out.WriteString(part)
--- a/internal/memory/core.go
+++ b/internal/memory/core.go
@@ -24,6 +24,7 @@
 
 // Message is a request as the decisions see it.
 type Message struct {
+	Name     string // the client's own for it; no two open messages have the same
 	Class    int
 	Subject  uint64  // what it concerns; 0 = nothing named
 	Hint     int64   // expected work in microseconds; 0 = unknown
@@ -62,9 +63,10 @@
 
 // The kinds of final answers.
 const (
-	Served  Verdict = iota // Content is what a host gave for this message
-	Refused                // trying again is harmless
-	Failed                 // nothing is promised
+	Served    Verdict = iota // Content is what a host gave for this message
+	Refused                  // trying again is harmless
+	Failed                   // nothing is promised
+	Duplicate                // another open message has its name
 )
 
 // Command is something to be done, in order.
@@ -81,6 +83,7 @@
 
 // message is an open message.
 type message struct {
+	name     string
 	relays   []relay
 	out      int  // relays without an end
 	answered bool // it has its final answer, or nobody waits for one
@@ -105,6 +108,7 @@
 	sched    *logic.Scheduler
 	last     ID
 	messages map[ID]*message
+	names    map[string]ID // of messages that have one
 	hosts    map[logic.WorkerID]*host
 	numbers  map[string]logic.WorkerID
 	acts     []logic.Action
@@ -117,7 +121,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Core{cfg: cfg, sched: s, messages: map[ID]*message{}, hosts: map[logic.WorkerID]*host{},
+	return &Core{cfg: cfg, sched: s, messages: map[ID]*message{}, names: map[string]ID{}, hosts: map[logic.WorkerID]*host{},
 		numbers: map[string]logic.WorkerID{}}, nil
 }
 
@@ -145,11 +149,19 @@
 		c.last++
 	}
 	id := c.last
+	if _, open := c.names[m.Name]; open {
+		// Hosts know a job by its name, so to them this would be a second copy of the one that is open.
+		c.do(Command{Kind: Answer, Relay: RelayID{Message: id}, Verdict: Duplicate})
+		return id, c.out
+	}
 	if c.cfg.MaxOpen > 0 && len(c.messages) >= c.cfg.MaxOpen {
 		c.do(Command{Kind: Answer, Relay: RelayID{Message: id}, Verdict: Refused, After: fullAfter})
 		return id, c.out
 	}
-	c.messages[id] = &message{}
+	c.messages[id] = &message{name: m.Name}
+	if m.Name != "" {
+		c.names[m.Name] = id
+	}
 	c.acts = c.sched.Arrive(now, logic.Job{
 		ID: id, Key: m.Subject, Class: m.Class, Hint: m.Hint, Slots: m.Slots, Memory: m.Memory,
 		Deadline: deadline, Repeated: m.Repeated,
@@ -369,5 +381,6 @@
 func (c *Core) forget(id ID, m *message) {
 	if m.answered && m.out == 0 {
 		delete(c.messages, id)
+		delete(c.names, m.name)
 	}
 }
--- a/internal/memory/core_test.go
+++ b/internal/memory/core_test.go
@@ -27,7 +27,7 @@
 	results = []string{"served", "failed", "refused", "timedout", "connectfailed", "broken"}
 	lists   = []string{"cached", "asking-failed", "full", "delta"}
 	phases  = []string{"gone", "ready", "draining"}
-	answers = []string{"served", "refused", "failed"}
+	answers = []string{"served", "refused", "failed", "duplicate"}
 )
 
 // player runs the events of a script against a core; time moves by a millisecond with each.
@@ -61,8 +61,12 @@
 			}
 		}
 		cmds = p.c.Inventory(p.now, logic.ListKind(slices.Index(lists, f[1])), hosts)
-	case "arrive":
-		_, cmds = p.c.Arrive(p.now, Message{Class: slices.Index(classes, f[1])}, p.now+2_000_000)
+	case "arrive": // class, then the client's name for it
+		m := Message{Class: slices.Index(classes, f[1])}
+		if len(f) > 2 {
+			m.Name = f[2]
+		}
+		_, cmds = p.c.Arrive(p.now, m, p.now+2_000_000)
 	case "started":
 		cmds = p.c.Started(p.now, r)
 	case "progress":
--- a/internal/wire/platform/http.go
+++ b/internal/wire/platform/http.go
@@ -52,6 +52,31 @@
 	return used + len(b), false, nil
 }
 
+var errHead = errors.New("malformed head")
+
+// strict refuses what readers of a head take in different ways: line ends that are not CR LF, lines that go on in
+// the next, names that are no tokens, control bytes. One that took it otherwise than a host or a client would find
+// another message in the same bytes.
+func (h *head) strict() error {
+	for line := range bytes.Lines(h.buf) {
+		line, crlf := bytes.CutSuffix(line, []byte("\r\n"))
+		if !crlf || bytes.ContainsFunc(line, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }) {
+			return errHead
+		}
+		if len(line) > 0 && (line[0] == ' ' || line[0] == '\t') {
+			return errHead
+		}
+	}
+	_, fields, _ := bytes.Cut(h.buf, []byte("\n"))
+	for line := range bytes.Lines(fields) {
+		name, _, found := bytes.Cut(line, []byte(":"))
+		if found && (len(name) == 0 || bytes.ContainsAny(name, " \t\"(),/;<=>?@[\\]{}")) {
+			return errHead
+		}
+	}
+	return nil
+}
+
 // parse splits a whole head into its first line and fields.
 func (h *head) parse() (string, textproto.MIMEHeader, error) {
 	r := textproto.NewReader(bufio.NewReader(bytes.NewReader(h.buf)))
@@ -91,6 +116,8 @@
 	left int64 // of the body, or of the present chunk
 	at   place
 	line []byte // a chunk's size line or a trailer line, as far as it has come
+
+	strict bool // lines end in CR LF, and a size is nothing but digits
 }
 
 var (
@@ -154,8 +181,11 @@
 			}
 			d.line = append(d.line, b[used:used+n]...)
 			used += n + 1
-			text := strings.TrimSuffix(string(d.line), "\r")
+			text, crlf := strings.CutSuffix(string(d.line), "\r")
 			d.line = d.line[:0]
+			if d.strict && (!crlf || strings.Contains(text, "\r")) {
+				return used, false, errChunk
+			}
 			if whole, err := d.step(text); whole || err != nil {
 				return used, whole, err
 			}
@@ -175,7 +205,10 @@
 		return text == "", nil
 	default:
 		size, _, _ := strings.Cut(text, ";")
-		n, err := strconv.ParseUint(strings.TrimSpace(size), 16, 31)
+		if !d.strict {
+			size = strings.TrimSpace(size)
+		}
+		n, err := strconv.ParseUint(size, 16, 31)
 		if err != nil {
 			return false, errChunk
 		}
--- a/internal/wire/platform/north.go
+++ b/internal/wire/platform/north.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"hash/fnv"
-	"math"
 	"net/textproto"
 	"net/url"
 	"strconv"
@@ -56,6 +55,14 @@
 // Partial tells whether a message has begun and is not whole.
 func (n *North) Partial() bool { return n.msg != nil || len(n.head.buf) > 0 }
 
+// Size is how many bytes are kept of a message that has begun and is not whole.
+func (n *North) Size() int {
+	if n.msg != nil {
+		return len(n.msg.Body)
+	}
+	return len(n.head.buf)
+}
+
 // Awaited tells whether the client waits for 100 Continue, once.
 func (n *North) Awaited() bool {
 	if n.msg == nil || !n.msg.Continue {
@@ -106,13 +113,18 @@
 
 // begin reads a whole head.
 func (n *North) begin() *Fault {
-	first, f, err := n.head.parse()
+	err := n.head.strict()
+	var first string
+	var f textproto.MIMEHeader
+	if err == nil {
+		first, f, err = n.head.parse()
+	}
 	n.head.buf = n.head.buf[:0]
 	if err != nil {
 		return &Fault{400, "malformed head"}
 	}
 	parts := strings.Split(first, " ")
-	if len(parts) != 3 || parts[0] == "" || !strings.HasPrefix(parts[1], "/") || strings.ContainsFunc(parts[1], control) {
+	if len(parts) != 3 || parts[0] == "" || !strings.HasPrefix(parts[1], "/") || !visible(parts[1]) {
 		return &Fault{400, "malformed request line"}
 	}
 	if parts[2] != "HTTP/1.1" && parts[2] != "HTTP/1.0" {
@@ -130,6 +142,11 @@
 	} else if err != nil {
 		return &Fault{400, err.Error()}
 	}
+	if n.body.how == byChunks && parts[2] == "HTTP/1.0" {
+		// That version knows no chunks, so another reader would look for the body's end elsewhere.
+		return &Fault{400, errFraming.Error()}
+	}
+	n.body.strict = true
 	if n.body.how == byLength && n.body.left > maxBody {
 		return &Fault{413, errLarge.Error()}
 	}
@@ -143,7 +160,10 @@
 	return nil
 }
 
-func control(r rune) bool { return r <= ' ' || r == 0x7f }
+// visible tells whether a text holds visible ASCII alone: all that may be passed on to a host within a line.
+func visible(text string) bool {
+	return !strings.ContainsFunc(text, func(r rune) bool { return r <= ' ' || r >= 0x7f })
+}
 
 // read fills a message from its head.
 func (n *North) read(m *Message, f textproto.MIMEHeader) *Fault {
@@ -172,16 +192,18 @@
 	switch {
 	case m.Txn == "":
 		return &Fault{400, "missing X-Txn"}
+	case !visible(m.Txn) || !visible(m.Key):
+		return &Fault{400, "X-Txn or Idempotency-Key can't be passed on"}
 	case m.Lane != "" && m.Lane != first:
 		return &Fault{400, "X-Lane is not the class in the path"}
 	case lane.Keyed && m.Key == "":
 		// Without its key a repeat could not be told from a new job.
 		return &Fault{400, "missing Idempotency-Key"}
 	}
-	m.Lane, m.Class = first, lane.Class
+	m.Lane, m.Class, m.Name = first, lane.Class, m.Txn
 	if text := f.Get("X-Remaining"); text != "" {
-		s, err := strconv.ParseFloat(text, 64)
-		if err != nil || !(s >= 0) || s > maxRemaining {
+		s, err := decimal(text)
+		if err != nil || s > maxRemaining {
 			return &Fault{400, "X-Remaining is not a time in seconds"}
 		}
 		m.Remaining = time.Duration(s * float64(time.Second))
@@ -190,13 +212,13 @@
 	}
 	m.Repeated = f.Get("X-Resent") == "1"
 	// What follows only guides the choice of a host, so what can't be read counts as absent.
-	if v, err := strconv.ParseFloat(f.Get("X-Estimate"), 64); err == nil && v > 0 && v < 1e12 {
+	if v, err := decimal(f.Get("X-Estimate")); err == nil && v < 1e12 {
 		m.Hint = int64(v)
 	}
 	for pair := range strings.SplitSeq(f.Get("X-Labels"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
-		v, err := strconv.ParseFloat(value, 64)
-		if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+		v, err := decimal(value)
+		if err != nil {
 			continue
 		}
 		switch name {
@@ -212,6 +234,15 @@
 	return nil
 }
 
+// decimal reads digits with or without a decimal point. Signs, exponents, hexadecimal and words for numbers, which
+// some readers take and others don't, are none.
+func decimal(text string) (float64, error) {
+	if len(text) > 32 || strings.Trim(text, "0123456789.") != "" {
+		return 0, strconv.ErrSyntax
+	}
+	return strconv.ParseFloat(text, 64)
+}
+
 // maxRemaining is the longest wait believed, in seconds; beyond it a deadline is a slip of units.
 const maxRemaining = 86400
 
@@ -230,7 +261,7 @@
 
 var reasons = map[int]string{
 	100: "Continue", 200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-	408: "Request Timeout", 413: "Content Too Large", 417: "Expectation Failed",
+	408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 417: "Expectation Failed",
 	431: "Request Header Fields Too Large", 501: "Not Implemented", 502: "Bad Gateway",
 	503: "Service Unavailable", 505: "HTTP Version Not Supported",
 }
--- a/logic/failures_test.go
+++ b/logic/failures_test.go
@@ -403,3 +403,15 @@
 		t.Errorf("actions %v, want a refusal", got)
 	}
 }
+
+// A dispatcher whose list is still empty may be reached by clients that have known it longer.
+func TestJobBeforeAnyWorkerIsHeld(t *testing.T) {
+	s := mustNew(t, testConfig())
+	if acts := arrive(s, t0, 1); len(sends(acts)) != 0 || has(acts, ActRefuse) {
+		t.Errorf("acted on %v", acts)
+	}
+	s.Workers(t0+1000, ListFull, readyWorkers(1), nil)
+	if acts := s.Wake(t0+holdGap, 0, nil); len(sends(acts)) != 1 {
+		t.Errorf("not sent once there is a worker: %v", acts)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -559,7 +559,7 @@
 		}
 	} else {
 		for _, i := range s.recent {
-			if s.workers[i].live {
+			if int(i) < len(s.workers) && s.workers[i].live {
 				s.consider(j, i, &best)
 			}
 		}
