--- a/internal/wire/platform/platform_test.go
+++ b/internal/wire/platform/platform_test.go
@@ -160,7 +160,7 @@
   {"id":"s-0a","host_port":"127.0.0.1:2","locality":"saint louis","flavor":"m2","cell":3,"phase":"ready","size":1.5,"up_since_ms":7}]},
  "settings":{"Discovery":"automatic","Zones":["dakar","saint louis"],"Skus":["m1","m2"],
   "Classes":[{"Name":"readings","Aim":1,"Semantics":"read_like"},{"Name":"ingest","Semantics":"idempotency_key","Group":"cell"}],
-  "FamilyInfo":{"ClassStretch":[2.5,2.0]},"Limits":{"MaxAttempts":3,"ConnectTimeout":150000,"ConnIdle":30000000,"MaxOpen":9}}}`
+  "FamilyInfo":{"ClassStretch":[2.5,2.0],"Progress":2000000},"Limits":{"MaxAttempts":3,"ConnectTimeout":150000,"ConnIdle":30000000,"MaxOpen":9}}}`
 
 func TestConfig(t *testing.T) {
 	got, err := ReadConfig([]byte(goodConfig))
@@ -172,7 +172,7 @@
 		Known: List{Revision: 4, Complete: true, Hosts: []memory.Host{{Name: "s-0a", Addr: "127.0.0.1:2", Zone: 1, Kind: 1,
 			Cell: 3, Weight: 1.5, UpSince: 7000, Phase: logic.Ready}}},
 		Settings: logic.Config{
-			Schedulers: 1, Zones: 2, MustAsk: true, OverShare: 1, MaxAttempts: 3, ConnectTimeout: 150000, ConnIdle: 30000000,
+			Schedulers: 1, Zones: 2, MustAsk: true, OverShare: 1, Progress: 2_000_000, MaxAttempts: 3, ConnectTimeout: 150000, ConnIdle: 30000000,
 			MaxOpen: 9, ZoneNames: []string{"dakar", "saint_louis"}, KindNames: []string{"m1", "m2"},
 			Classes: []logic.Class{
 				{Name: "readings", Aim: 1, Stretch: 2.5, Worth: 1, Repeat: logic.RepeatSafe, WorkerKind: -1},
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -34,6 +34,7 @@
 		WorthByWork: s["WorthBy"] == "work",
 		OverShare:   s.float("OverShareWorth", 1),
 		TellsStart:  s.flag("FamilyInfo.TellsStart"),
+		Progress:    s.micros("FamilyInfo.Progress", 0),
 		Resolution:  s.micros("Resolution", 0),
 
 		MayCancel: s.flag("Limits.Cancelling"),
--- a/logic/api.go
+++ b/logic/api.go
@@ -83,6 +83,7 @@
 	WorthByWork bool    // worth is counted for each unit of work
 	OverShare   float64 // worth of a job beyond its tenant's share, as a fraction
 	TellsStart  bool    // workers tell when a job starts
+	Progress    int64   // and how far a running one is, as often as this; 0 = never
 	Resolution  int64   // events come no more often than this; default 1000
 
 	MayCancel bool // attempts may be called off
--- a/logic/failures_test.go
+++ b/logic/failures_test.go
@@ -435,3 +435,87 @@
 		}
 	}
 }
+
+// progressConfig is of workers that tell of progress every 2 s, where no second copy may be out.
+func progressConfig() Config {
+	c := testConfig()
+	c.MayCopy, c.MaxAttempts, c.Progress = false, 3, 2_000_000
+	c.Classes[0].Aim, c.Classes[0].Deadline = 1_000_000, 60_000_000
+	return c
+}
+
+// A job that has started and of which nothing more is heard is stuck, and is called off if another worker may run it.
+func TestStuckJobIsCalledOff(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		repeat Repeat
+		note   int64 // time of a note of progress
+		want   bool
+	}{
+		{"silent", RepeatSafe, 0, true},
+		{"told of progress in between", RepeatSafe, 6_000_000, false},
+		{"must not run twice", RepeatUnsafe, 0, false},
+	} {
+		cfg := progressConfig()
+		cfg.Classes[0].Repeat = c.repeat
+		s := mustNew(t, cfg)
+		s.Workers(t0, ListFull, readyWorkers(2), nil)
+		s.Arrive(t0, Job{ID: 1, Hint: 20_000_000, Deadline: t0 + 60_000_000}, nil)
+		s.Started(t0+1000, 1, 0, nil)
+		if c.note > 0 {
+			s.Progress(t0+c.note, 1, 0, 0.2, nil)
+		}
+		overdue := t0 + 1000 + int64(2_500_000+stallFetch*s.fetch*1e6)
+		at := overdue
+		if c.note > 0 {
+			at = t0 + c.note + 2_400_000
+		}
+		if got := has(s.Wake(at, 0, nil), ActCancel); got != c.want {
+			t.Errorf("%s: called off %t, want %t", c.name, got, c.want)
+		}
+	}
+}
+
+// What is done between two notes tells the pace without the fetch before the first, and so tells a slow worker early.
+func TestSlowWorkerShowsInItsProgress(t *testing.T) {
+	s := mustNew(t, progressConfig())
+	s.Workers(t0, ListFull, readyWorkers(2), nil)
+	s.Arrive(t0, Job{ID: 1, Key: 5, Hint: 2_000_000, Deadline: t0 + 60_000_000}, nil)
+	w := &s.workers[s.jobs[0].att[0].w]
+	s.Started(t0+1000, 1, 0, nil)
+	s.Progress(t0+3_000_000, 1, 0, 0.1, nil)
+	before := s.paceOf(w)
+	s.Progress(t0+5_000_000, 1, 0, 0.3, nil) // 0.4 s of work in 2 s
+	after := s.paceOf(w)
+	if after < before*1.3 {
+		t.Errorf("pace went from %.2f to %.2f at a worker that takes 5 s for a second of work", before, after)
+	}
+	s.now += 60_000_000
+	s.derive(w)
+	if late := s.paceOf(w); late > after*0.9 {
+		t.Errorf("a minute later the pace is still %.2f, was %.2f", late, after)
+	}
+}
+
+// A job that waits where it will be late is taken elsewhere, one attempt at a time.
+func TestWaitingJobIsTakenElsewhere(t *testing.T) {
+	s := mustNew(t, progressConfig())
+	s.Workers(t0, ListFull, readyWorkers(1), nil)
+	for id := JobID(1); id < 12; id++ {
+		s.Arrive(t0+int64(id), Job{ID: id, Hint: 2_000_000, Deadline: t0 + 60_000_000}, nil)
+	}
+	s.Workers(t0+100, ListFull, readyWorkers(2), nil)
+	acts := s.Wake(t0+200_000, 0, nil)
+	if !has(acts, ActCancel) || len(sends(acts)) != 0 {
+		t.Fatalf("want jobs called off and none sent meanwhile: %v", acts)
+	}
+	for _, a := range acts {
+		if a.Kind == ActCancel {
+			to := sends(s.Outcome(t0+201_000, Outcome{Job: a.Job, Attempt: a.Attempt, Worker: 1, Result: Cancelled}, nil))
+			if len(to) != 1 || to[0] != 2 {
+				t.Errorf("job %d went to %v, want the idle worker 2", a.Job, to)
+			}
+			return
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -2,12 +2,9 @@
 
 // All decisions of the library; the interface (types, events, actions) is in logic/api.go.
 //
-// Reading order: constants, value function, state, start, worker list, placement cost, choice, sending and
-// the four rules, arrival and review, notes and outcomes, learning, health, timers.
-//
-// Units inside this file: clock times are microseconds (int64); work and durations are seconds (float64).
-// "Work" is time on a standard core; a worker's pace is running time for each second of work; its drain
-// time d is pace x mean work / slots, the time in which it gets through one mean slot-job when full.
+// Units inside this file: clock times are microseconds (int64); work and durations are seconds (float64). "Work" is
+// time on a standard core; a worker's pace is running time for each second of work; its drain time d is pace x mean
+// work / slots, the time in which it gets through one mean slot-job when full.
 
 import (
 	"errors"
@@ -46,21 +43,23 @@
 	hitOwn       = 0.95      // chance that a data set sent to a worker lately is still there
 	homeFade     = 0.3       // fall of that chance for each rank beyond the homes that the demand fills
 	homeFill     = 0.6       // share of a worker that is taken to be filled before the next rank is used
-	missPrice    = 0.6       // mean jobs that a fetch costs beyond its time: it pushes out a set that is asked for again
+	paceSpan     = 10.0      // seconds in which a worker's own runs fade: one that was slow must get its chance again
+	slowMost     = 2.0       // times its kind's pace at which a run still counts for the kind: a slow worker is no rule
+	stallFetch   = 3.0       // times the usual fetch for which a job may run without a first word of its progress
+	missPrice    = 1.0       // mean jobs that a fetch costs beyond its time: it pushes out a set that is asked for again
 	hitElse      = 0.05      // the same where nothing speaks for it
 	hopeless     = 0.97      // chance of being late beyond which a job is not worth its work
 	crowdGain    = 0.05      // weight of one attempt in that share
 	crowdFrom    = 0.5       // share of attempts that find no free slot from which harm begins to count
 	crowdFull    = 0.9       // and from which it counts in full
 	sightSpan    = 2.5       // running times over which a sighting fades: a queue outlives the jobs in it
-	recentMost   = 8         // workers last seen that are always compared: what is known beats a blind sample
 	crossCaution = 2.0       // times the price that a crossing must promise: the best of guesses flatters
 	seenGain     = 0.1       // weight of one sighting in the mean backlog of a kind or zone
 	seenFirst    = 0.3       // that mean before any sighting, in running times: somewhat over half busy
 	hangMisses   = 2         // start notes missing in a row, with no sign of life, that make a worker suspect
 	hearSpan     = 3_000_000 // us for which a sign of life vouches for a worker
 	downGain     = 0.2       // weight of one failed or good connection in a zone's chance of being down
-	moveGain     = 0.02      // least fall in expected loss, in mean jobs, that a second copy must promise
+	moveGain     = 0.1       // least fall in expected loss, in mean jobs, for which a waiting job is taken elsewhere
 )
 
 // ---- Value function ----
@@ -69,10 +68,10 @@
 //
 //	v(u)-v(tau) = G(q) - G'(s) q   for q > 0,   -G'(s) q   for q <= 0,
 //
-// where G(q) = sum over k<m of (e^-z Σ z^j/j! - 1), z = rho (k-q), depends on rho and q alone. The sum
-// alternates and cancels for large rho q; the delay equation that it solves, G' = rho (1 + G(q) - G(q-1)),
-// G = 0 for q <= 0, has no growing mode for rho < 1, so stepping it forward is stable. G'(s) equals
-// rho/(1-rho) P(W <= tau), which makes v'(0) = 0. The stepping is in logic/table.go.
+// where G(q) = sum over k<m of (e^-z Σ z^j/j! - 1), z = rho (k-q), depends on rho and q alone. The sum alternates and
+// cancels for large rho q; the delay equation that it solves, G' = rho (1 + G(q) - G(q-1)), G = 0 for q <= 0, has no
+// growing mode for rho < 1, so stepping it forward is stable. G'(s) equals rho/(1-rho) P(W <= tau), which makes v'(0) =
+// 0. The stepping is in logic/table.go.
 
 // tableFor gives the table nearest to a utilisation.
 func tableFor(rho float64) *valueTable {
@@ -182,8 +181,8 @@
 	s.begin(now, out)
 	switch how {
 	case ListFailed:
-		// The old list holds; the call is repeated, ever less often, so that a list service that is down
-		// or overrun is not kept down by its callers.
+		// The old list holds; the call is repeated, ever less often, so that a list service that is down or overrun is
+		// not kept down by its callers.
 		gap := min(int64(askGap)<<min(s.askTry, 4), askMost)
 		s.askTry++
 		s.timer(s.now+gap/2+int64(s.uniform()*float64(gap)), timerAsk, 0, 0)
@@ -228,7 +227,6 @@
 		}
 		i = s.newWorker()
 		s.byID[e.ID] = i
-		s.workers[i].self = i
 	}
 	w := &s.workers[i]
 	if w.info.UpSince != e.UpSince {
@@ -283,11 +281,11 @@
 	return max(1-math.Exp(-seconds(s.now-s.started)/rateSpan), 0.02)
 }
 
-// update renews the estimates that all workers share: the mix of classes, the utilisation that the
-// load-equalising split gives every worker, and with it the table of the value function.
+// update renews the estimates that all workers share: the mix of classes, the utilisation that the load-equalising
+// split gives every worker, and with it the table of the value function.
 //
-// Departure from the design page: lambda is the fleet's (own rate x schedulers), because u includes an
-// estimate of what the others have sent; own lambda with the whole queue would not be one queue's law.
+// Departure from the design page: lambda is the fleet's (own rate x schedulers), because u includes an estimate of what
+// the others have sent; own lambda with the whole queue would not be one queue's law.
 func (s *Scheduler) update() {
 	if s.refreshed != 0 && s.now-s.refreshed < refresh {
 		return
@@ -327,13 +325,18 @@
 	return s.cfg.Classes[class].Worth
 }
 
-// paceOf is a worker's running time for a second of work: its own runs, on a prior of its kind's, on a
-// prior of all workers'.
+// paceOf is a worker's running time for a second of work: its own runs, on a prior of its kind's, on a prior of all
+// workers'.
 func (s *Scheduler) paceOf(w *worker) float64 {
-	k, p := &s.kinds[w.info.Kind], priorJobs*max(s.meanWork, 1e-3)
+	p := priorJobs * max(s.meanWork, 1e-3)
+	return (w.run + p*s.kindPace(&s.kinds[w.info.Kind])) / (w.work + p)
+}
+
+// kindPace is the same for a worker of a kind of which nothing of its own is known.
+func (s *Scheduler) kindPace(k *kind) float64 {
+	p := priorJobs * max(s.meanWork, 1e-3)
 	fleet := (s.all.run + p) / (s.all.work + p)
-	kindPace := (k.run + p*fleet) / (k.work + p)
-	return (w.run + p*kindPace) / (w.work + p)
+	return (k.run + p*fleet) / (k.work + p)
 }
 
 func (s *Scheduler) slotsOf(w *worker) float64 {
@@ -350,6 +353,7 @@
 		return
 	}
 	w.derivedAt = s.now
+	s.fadePace(w)
 	w.pace = s.paceOf(w)
 	slots := s.slotsOf(w)
 	w.drain = w.pace / slots
@@ -368,14 +372,14 @@
 	return max(w.slots-slots, 0) / w.slots * tailRoom * w.pace * meanWork
 }
 
-// bearable is the paper's tau for a job: its aim bounds the sojourn, so the running time on this worker and
-// the way there come off; the slots that must fill up before anything waits go on top.
+// bearable is the paper's tau for a job: its aim bounds the sojourn, so the running time on this worker and the way
+// there come off; the slots that must fill up before anything waits go on top.
 func (s *Scheduler) bearable(w *worker, c *Class, work, base float64) float64 {
 	return seconds(c.Aim) + c.Stretch*work - base*1.5 - w.pace*work + w.slack
 }
 
-// backlog is u: own outstanding work and an estimate of the others', which returns from what was last seen
-// to the mean as jobs turn over.
+// backlog is u: own outstanding work and an estimate of the others', which returns from what was last seen to the mean
+// as jobs turn over.
 func (s *Scheduler) backlog(w *worker) float64 {
 	own := w.own * w.drain
 	n := float64(s.cfg.Schedulers)
@@ -392,8 +396,8 @@
 	return own + mean + (w.bg-mean)/(1+t+t*t/2)
 }
 
-// lateChance is the paper's 1(u >= tau) averaged over the error of the estimated backlog, taken as a gamma
-// law of shape 2 around it.
+// lateChance is the paper's 1(u >= tau) averaged over the error of the estimated backlog, taken as a gamma law of shape
+// 2 around it.
 func lateChance(tau, u float64) float64 {
 	if tau <= 0 {
 		return 1
@@ -402,9 +406,6 @@
 		return 0
 	}
 	z := 2 * tau / u
-	if z > 20 {
-		return 0
-	}
 	return (1 + z) * math.Exp(-z)
 }
 
@@ -430,15 +431,15 @@
 	case s.now < w.ejected || w.trial:
 		total += ejectCost * j.worth
 	case s.now-w.heard > hearSpan:
-		// Nothing heard from it of late: it is as likely to be down as its zone. Guards against finding out
-		// the death of a whole site one worker at a time.
+		// Nothing heard from it of late: it is as likely to be down as its zone. Guards against finding out the death
+		// of a whole site one worker at a time.
 		total += s.zones[w.info.Zone].down * j.worth
 	}
 	return total, late, harm
 }
 
-// crossing is the price of sending to a worker of another zone, in mean jobs. What draws a job with a data
-// set over is that set; what draws another is a guess at queues, and the best of many guesses flatters.
+// crossing is the price of sending to a worker of another zone, in mean jobs. What draws a job with a data set over is
+// that set; what draws another is a guess at queues, and the best of many guesses flatters.
 func (s *Scheduler) crossing(j *job, w *worker) float64 {
 	switch {
 	case w.info.Zone == s.cfg.Zone:
@@ -449,8 +450,8 @@
 	return crossCaution * s.cfg.PriceCross
 }
 
-// missChance is the chance that a worker must fetch a job's data set. It makes the job's running time there
-// longer, which is how affinity enters the cost. Schedulers that cannot talk agree on homes by hash.
+// missChance is the chance that a worker must fetch a job's data set. It makes the job's running time there longer,
+// which is how affinity enters the cost. Schedulers that cannot talk agree on homes by hash.
 func (s *Scheduler) missChance(j *job, w *worker) float64 {
 	if j.key == 0 {
 		return 0
@@ -470,8 +471,8 @@
 	return 1 - hitElse
 }
 
-// homesOf ranks the first workers of a data set by a hash weighted by size, which all schedulers that hold
-// the same list do alike; a list that differs by a worker moves that worker's data sets only.
+// homesOf ranks the first workers of a data set by a hash weighted by size, which all schedulers that hold the same
+// list do alike; a list that differs by a worker moves that worker's data sets only.
 func (s *Scheduler) homesOf(key uint64) *homes {
 	h := s.homes[key]
 	if h == nil {
@@ -505,8 +506,8 @@
 	return h
 }
 
-// homesWanted is how many workers the demand for a data set fills: the hotter it is, the further down the
-// common ranking it is found. Guards against a hot one that overflows to other workers at each scheduler.
+// homesWanted is how many workers the demand for a data set fills: the hotter it is, the further down the common
+// ranking it is found. Guards against a hot one that overflows to other workers at each scheduler.
 func (s *Scheduler) homesWanted(h *homes) float64 {
 	n := float64(s.cfg.Schedulers)
 	return 1 + h.load/s.warmup()*n/max(homeFill*s.perWorker, 1e-3)
@@ -541,41 +542,28 @@
 	total, late, harm, load float64
 }
 
-// choose finds the worker of lowest cost that the job may go to; w is -1 if there is none. Where many
-// schedulers each see a part, all of them comparing all workers would pick the same few, so a scheduler
-// compares a sample drawn from the load-equalising split.
+// choose finds the worker of lowest cost that the job may go to; w is -1 if there is none. Where many schedulers each
+// see a part, all of them comparing all workers would pick the same few, so a scheduler compares a sample drawn from
+// the load-equalising split.
 func (s *Scheduler) choose(j *job) choice {
 	s.update()
 	best := choice{w: -1}
-	n := len(s.ready)
-	scan := scanMost
-	if s.cfg.Schedulers <= fewSeers {
-		scan = n
-	}
-	if j.key != 0 {
+	n := uint64(len(s.ready))
+	all := s.cfg.Schedulers <= fewSeers || n <= scanMost
+	if !all && j.key != 0 {
 		for _, i := range s.homesOf(j.key).ids {
 			if i >= 0 {
 				s.consider(j, i, &best)
 			}
 		}
-	} else {
-		for _, i := range s.recent {
-			if int(i) < len(s.workers) && s.workers[i].live {
-				s.consider(j, i, &best)
-			}
-		}
 	}
-	if scan >= n {
-		for _, i := range s.ready {
+	for _, i := range s.ready {
+		if all || s.random()%n < scanMost {
 			s.consider(j, i, &best)
 		}
-		return best
-	}
-	for range scan {
-		s.consider(j, s.ready[s.random()%uint64(n)], &best)
 	}
-	if best.w < 0 {
-		for _, i := range s.ready {
+	for _, i := range s.ready {
+		if best.w < 0 && !all {
 			s.consider(j, i, &best)
 		}
 	}
@@ -584,10 +572,8 @@
 
 func (s *Scheduler) consider(j *job, i int32, best *choice) {
 	w := &s.workers[i]
-	if !s.mayRun(j, w) || !s.mayRepeat(j, w) || !s.coldAllows(w, j.work*j.slots) {
-		return
-	}
-	if j.tried(i) {
+	k := s.cfg.Classes[j.class].WorkerKind // the only kind that can run it, if any
+	if k >= 0 && k != w.info.Kind || !s.mayRepeat(j, w) || !s.coldAllows(w, j.work*j.slots) || j.tried(i) {
 		return
 	}
 	total, late, harm := s.cost(j, w)
@@ -597,12 +583,6 @@
 	}
 }
 
-// mayRun tells whether a worker is of the kind that a job's class needs.
-func (s *Scheduler) mayRun(j *job, w *worker) bool {
-	k := s.cfg.Classes[j.class].WorkerKind
-	return k < 0 || k == w.info.Kind
-}
-
 // ---- The four rules ----
 
 // mayRepeat guards against a second effect: every attempt, first or further, passes it.
@@ -633,13 +613,7 @@
 }
 
 func sameGroup(g Group, a *attempt, w *worker) bool {
-	switch g {
-	case GroupAll:
-		return true
-	case GroupZone:
-		return a.zone == w.info.Zone
-	}
-	return a.zone == w.info.Zone && a.cell == w.info.Cell
+	return g == GroupAll || a.zone == w.info.Zone && (g == GroupZone || a.cell == w.info.Cell)
 }
 
 // mayRefuse tells whether 'trying again is harmless' is true of a job.
@@ -656,9 +630,9 @@
 	return true
 }
 
-// coldAllows keeps a worker that has just started from being pushed over, with no agreement needed: the
-// work that it can take in a window is dealt in whole jobs to schedulers that a hash of worker and slot
-// picks, so that all together stay within the budget. Drains are kept by choosing among live workers only.
+// coldAllows keeps a worker that has just started from being pushed over, with no agreement needed: the work that it
+// can take in a window is dealt in whole jobs to schedulers that a hash of worker and slot picks, so that all together
+// stay within the budget. Drains are kept by choosing among live workers only.
 func (s *Scheduler) coldAllows(w *worker, work float64) bool {
 	if s.cfg.Cold <= 0 || w.info.UpSince <= 0 {
 		return true
@@ -683,20 +657,19 @@
 }
 
 // finish gives the final answer that the rules permit and calls off what is still out.
-func (s *Scheduler) finish(j *job) {
-	if j.done {
-		return
-	}
+func (s *Scheduler) finish(i int32) {
+	j := &s.jobs[i]
 	s.settle(j)
 	if s.mayRefuse(j) {
 		s.do(Action{Kind: ActRefuse, Job: j.id, After: s.retryAfter()})
 	} else {
 		s.do(Action{Kind: ActFail, Job: j.id})
 	}
+	s.release(i)
 }
 
-// retryAfter tells a client that was refused when to come back: after the wait that jobs see before they
-// start, which is about how long it takes for a place to become free.
+// retryAfter tells a client that was refused when to come back: after the wait that jobs see before they start, which
+// is about how long it takes for a place to become free.
 func (s *Scheduler) retryAfter() int64 {
 	return min(max(int64(s.waits*1e6), holdGap), s.cfg.MaxRetryAfter)
 }
@@ -786,8 +759,8 @@
 	return s.end()
 }
 
-// share is the fraction of its worth that a tenant's next job earns: full within this scheduler's part of
-// the quota, the configured rest beyond it.
+// share is the fraction of its worth that a tenant's next job earns: full within this scheduler's part of the quota,
+// the configured rest beyond it.
 func (s *Scheduler) share(t int) float64 {
 	if t < 0 || t >= len(s.tokens) || s.cfg.Tenants[t].Quota <= 0 {
 		return 1
@@ -808,20 +781,18 @@
 	return s.cfg.OverShare
 }
 
-// place sends a job to the worker of lowest cost, holds it while there is none, or refuses it when its
-// admission would cost more than it can earn.
+// place sends a job to the worker of lowest cost, holds it while there is none, or refuses it when its admission would
+// cost more than it can earn.
 func (s *Scheduler) place(i int32) {
 	j := &s.jobs[i]
 	if s.now >= s.lastCall(j) {
-		s.finish(j)
-		s.release(i)
+		s.finish(i)
 		return
 	}
 	b := s.choose(j)
 	if b.w < 0 {
 		if j.n >= s.cfg.MaxAttempts || j.n > 0 && !s.repeatable(j) {
-			s.finish(j)
-			s.release(i)
+			s.finish(i)
 			return
 		}
 		s.reviewAt(i, s.now+holdGap)
@@ -829,22 +800,21 @@
 	}
 	c := &s.cfg.Classes[j.class]
 	if b.harm*s.crowding() > j.worth*(1-b.late*(1-c.LateWorth)) && s.mayRefuse(j) {
-		s.finish(j)
-		s.release(i)
+		s.finish(i)
 		return
 	}
 	s.send(j, b.w)
 	s.reviewAt(i, s.now+s.checkAfter(b.w))
 }
 
-// crowding is the part of the harm to later jobs that counts in a refusal: none while most attempts start at
-// once, all of it when hardly any does. It guards against refusing on a calm day for an error in utilisation.
+// crowding is the part of the harm to later jobs that counts in a refusal: none while most attempts start at once, all
+// of it when hardly any does. It guards against refusing on a calm day for an error in utilisation.
 func (s *Scheduler) crowding() float64 {
 	return min(max((s.crowd-crowdFrom)/(crowdFull-crowdFrom), 0), 1)
 }
 
-// repeatable tells whether any worker that was not tried could be sent the job. It guards against holding a
-// job until its deadline for a worker that only a change of the list could bring.
+// repeatable tells whether any worker that was not tried could be sent the job. It guards against holding a job until
+// its deadline for a worker that only a change of the list could bring.
 func (s *Scheduler) repeatable(j *job) bool {
 	for _, i := range s.ready {
 		if s.mayRepeat(j, &s.workers[i]) && !j.tried(i) {
@@ -876,8 +846,7 @@
 		return
 	}
 	if s.now >= s.lastCall(j) {
-		s.finish(j)
-		s.release(i)
+		s.finish(i)
 		return
 	}
 	if j.live == 0 {
@@ -887,20 +856,40 @@
 	last := &j.att[j.n-1]
 	if s.cfg.TellsStart && !s.anyStarted(j) {
 		s.noStart(j)
-		if s.copyHelps(i) {
+		if s.elsewhereHelps(i) {
 			return
 		}
 		if s.hopelessNow(j) {
-			s.finish(j)
-			s.release(i)
+			s.finish(i)
 			return
 		}
 		s.reviewAt(i, s.now+s.checkAfter(last.w))
 		return
 	}
+	if last.started != 0 && last.out && !last.cancelled && s.now >= s.stallAt(last) {
+		// Workers that run a job say so; this one stands still, or the connection to it has fallen silent.
+		if s.cfg.MayCancel && s.elsewhere(j).w >= 0 {
+			s.callOff(j, j.n-1)
+		}
+		if w := &s.workers[last.w]; s.now-w.heard > hearSpan {
+			s.eject(w)
+		}
+	}
 	s.reviewAt(i, s.lastCall(j))
 }
 
+// stallAt is when a running job that says nothing is taken to be stuck. It is silent while it fetches its data set.
+func (s *Scheduler) stallAt(a *attempt) int64 {
+	if s.cfg.Progress <= 0 {
+		return math.MaxInt64
+	}
+	at := a.noted + s.cfg.Progress + s.cfg.Progress/4
+	if a.share == 0 {
+		at += int64(stallFetch * s.fetch * 1e6)
+	}
+	return at
+}
+
 func (s *Scheduler) anyStarted(j *job) bool {
 	for k := range j.n {
 		if a := &j.att[k]; a.out && !a.cancelled && a.started != 0 {
@@ -922,53 +911,68 @@
 		w := &s.workers[a.w]
 		s.derive(w)
 		s.seeOthers(w, w.slack+w.d+s.waits)
-		// One that takes jobs and starts none looks like a free one: its queue is never heard of. Where the
-		// whole fleet is slow to start, that is crowding and nobody is ejected for it.
+		// One that takes jobs and starts none looks like a free one: its queue is never heard of. Where the whole fleet
+		// is slow to start, that is crowding and nobody is ejected for it.
 		if w.misses++; w.misses >= hangMisses && s.now-w.heard > hearSpan && s.crowd < crowdFrom {
 			s.eject(w)
 		}
 	}
 }
 
-// copyHelps sends a second copy of a job that waits unstarted, to the worker that is now cheapest, where the
-// loss expected there is lower by moveGain. Exception to send-and-forget: it acts only where workers tell of
-// starts, attempts can be called off and the class may be repeated; the first copy to start wins, the others
-// are called off, so no work is done twice but for the time a note travels.
-func (s *Scheduler) copyHelps(i int32) bool {
+// elsewhereHelps takes a job that waits unstarted to the worker that is now cheapest, where the loss expected there is
+// lower by moveGain. Exception to send-and-forget: it acts only where workers tell of starts, attempts can be called
+// off and the class may be repeated. Where copies are allowed the first one to start wins; else the job is called off
+// first, and is placed anew once that is known to be over. So no work is done twice but for the time a note travels.
+func (s *Scheduler) elsewhereHelps(i int32) bool {
 	j := &s.jobs[i]
-	if !s.cfg.MayCopy || !s.cfg.MayCancel || j.n+1 >= s.cfg.MaxAttempts {
+	last := &j.att[j.n-1]
+	if !s.cfg.MayCancel || j.n >= s.cfg.MaxAttempts || last.cancelled ||
+		!s.cfg.MayCopy && s.cfg.Classes[j.class].Repeat != RepeatSafe {
 		return false
 	}
-	stay := 1.0
-	for k := range j.n {
-		if a := &j.att[k]; a.out && !a.cancelled {
-			_, late, _ := s.cost(j, &s.workers[a.w])
-			stay = min(stay, late)
-		}
+	b := s.elsewhere(j)
+	if b.w < 0 || j.worth*(s.lateWhereItIs(j)-b.late) < moveGain+s.crossing(j, &s.workers[b.w]) {
+		return false
 	}
-	b := s.choose(j)
-	if b.w >= 0 && j.worth*(stay-b.late) >= moveGain+s.crossing(j, &s.workers[b.w]) {
+	if s.cfg.MayCopy {
 		s.send(j, b.w)
 		s.reviewAt(i, s.now+s.checkAfter(b.w))
-		return true
+	} else {
+		s.callOff(j, j.n-1)
+		s.reviewAt(i, s.lastCall(j))
 	}
-	return false
+	return true
 }
 
-// hopelessNow tells whether a job that still waits is surely late everywhere it was sent and its late answer
-// is worth nothing: it only keeps others waiting.
+// elsewhere is the best worker for a job once its latest attempt is over, or for a copy of it.
+func (s *Scheduler) elsewhere(j *job) choice {
+	last := &j.att[j.n-1]
+	out := last.out
+	last.out = out && s.cfg.MayCopy
+	b := s.choose(j)
+	last.out = out
+	return b
+}
+
+// hopelessNow tells whether a job that still waits is surely late everywhere it was sent and its late answer is worth
+// nothing: it only keeps others waiting.
 func (s *Scheduler) hopelessNow(j *job) bool {
 	if s.cfg.Classes[j.class].LateWorth > 0 || !s.cfg.MayCancel || !s.mayRefuse(j) {
 		return false
 	}
+	return s.lateWhereItIs(j) >= hopeless
+}
+
+// lateWhereItIs is the least chance of being late over the workers that a job waits at.
+func (s *Scheduler) lateWhereItIs(j *job) float64 {
+	least := 1.0
 	for k := range j.n {
 		if a := &j.att[k]; a.out && !a.cancelled {
-			if _, late, _ := s.cost(j, &s.workers[a.w]); late < hopeless {
-				return false
-			}
+			_, late, _ := s.cost(j, &s.workers[a.w])
+			least = min(least, late)
 		}
 	}
-	return true
+	return least
 }
 
 // HangUp takes the news that a client has left.
@@ -1002,7 +1006,7 @@
 	if a == nil || a.started != 0 || a.cancelled {
 		return s.end()
 	}
-	a.started = s.now
+	a.started, a.noted = s.now, s.now
 	if !a.stale {
 		s.crowd -= s.crowd * crowdGain
 	}
@@ -1021,13 +1025,13 @@
 				s.callOff(j, o)
 			}
 		}
-		s.reviewAt(i, s.lastCall(j))
+		s.reviewAt(i, s.stallAt(a))
 	}
 	return s.end()
 }
 
-// learnStart learns from the time between sending and start: the way there when it was short, and the
-// worker's backlog when it was not.
+// learnStart learns from the time between sending and start: the way there when it was short, and the worker's backlog
+// when it was not.
 func (s *Scheduler) learnStart(w *worker, delay float64) {
 	b := &s.base[w.info.Zone]
 	if delay < *b {
@@ -1046,13 +1050,11 @@
 
 // seeOthers notes a backlog seen at a worker; what is this scheduler's own is taken off.
 //
-// The means by kind and by zone are what a worker not lately seen is taken to hold. They guard against a
-// herd: schedulers that each see a part all know the fast kind, and would all choose it were its queue not
-// expected to be longer for that very reason.
+// The means by kind and by zone are what a worker not lately seen is taken to hold. They guard against a herd:
+// schedulers that each see a part all know the fast kind, and would all choose it were its queue not expected to be
+// longer for that very reason.
 func (s *Scheduler) seeOthers(w *worker, u float64) {
 	w.bg, w.bgAt = max(u-w.own*w.drain, 0), s.now
-	s.recent[s.nextRecent] = w.self
-	s.nextRecent = (s.nextRecent + 1) % recentMost
 	v := w.bg / max(w.pace*s.meanWork, 1e-3)
 	for _, m := range [...]*float64{&s.kinds[w.info.Kind].seen, &s.zones[w.info.Zone].seen, &s.seen} {
 		*m += (v - *m) * seenGain
@@ -1062,17 +1064,56 @@
 // Progress takes the share of a running attempt that is done.
 func (s *Scheduler) Progress(now int64, id JobID, k int, share float64, out []Action) []Action {
 	s.begin(now, out)
-	_, j, a := s.find(id, k)
-	if a == nil || a.started == 0 || !(share > 0 && share < 1) {
+	i, j, a := s.find(id, k)
+	if a == nil || a.started == 0 {
 		return s.end()
 	}
-	left := j.work * j.slots * (1 - share)
 	w := &s.workers[a.w]
-	w.own = max(w.own+min(left, a.x)-a.x, 0)
-	a.x = min(left, a.x)
+	w.heard = s.now
+	if share > a.share && share < 1 {
+		s.learnShare(j, a, w, share)
+	}
+	a.noted = s.now
+	if !j.done && !a.cancelled {
+		s.reviewAt(i, s.stallAt(a))
+	}
+	left := j.work * j.slots * (1 - a.share)
+	if a.rate > 0 {
+		left = (1 - a.share) / a.rate / w.pace * j.slots
+	}
+	w.own = max(w.own+left-a.x, 0)
+	a.x = left
 	return s.end()
 }
 
+// learnShare learns the pace from what was done since the latest note. The first stretch may hold a fetch, of which
+// nothing is known, so it tells nothing.
+func (s *Scheduler) learnShare(j *job, a *attempt, w *worker, share float64) {
+	if a.share > 0 {
+		a.rate = (share - a.share) / seconds(s.now-a.noted)
+		s.learnRun(w, seconds(s.now-a.noted), j.work*(share-a.share))
+	}
+	a.share = share
+}
+
+// learnRun learns the pace of a worker, its kind and the fleet from a stretch of running.
+func (s *Scheduler) learnRun(w *worker, run, work float64) {
+	if run > 0 && work > 0 {
+		s.fadePace(w)
+		learnPace(&w.run, &w.work, run, work, paceKeep)
+		k := &s.kinds[w.info.Kind]
+		run = min(run, slowMost*s.kindPace(k)*work)
+		learnPace(&k.run, &k.work, run, work, kindKeep)
+		learnPace(&s.all.run, &s.all.work, run, work, kindKeep)
+	}
+}
+
+// fadePace lets a worker's own runs fade to the present.
+func (s *Scheduler) fadePace(w *worker) {
+	keep := math.Exp(-seconds(s.now-w.paceAt) / paceSpan)
+	w.run, w.work, w.paceAt = w.run*keep, w.work*keep, s.now
+}
+
 // Streaming takes the note that an attempt's answer has begun; it now belongs to the client.
 func (s *Scheduler) Streaming(now int64, id JobID, k int, out []Action) []Action {
 	s.begin(now, out)
@@ -1110,9 +1151,7 @@
 	s.learnOutcome(j, a, w, &o)
 	s.readReport(w, o.Report)
 	if o.Settled || o.Result == Served {
-		if !j.done {
-			s.settle(j)
-		}
+		s.settle(j)
 	} else if !j.done && j.live == 0 {
 		s.place(i)
 	}
@@ -1137,17 +1176,16 @@
 		} else {
 			s.crowd -= s.crowd * crowdGain
 		}
+		if a.share > 0 {
+			s.learnShare(j, a, w, 1)
+			return
+		}
 		if over := run - w.pace*j.work; j.key != 0 && over > s.fetch/2 {
 			// It had to fetch, whatever was expected: a run that long says nothing of the pace.
 			s.fetch += (min(over, 4*s.fetch) - s.fetch) * 0.03
 			return
 		}
-		if run > 0 && j.work > 0 {
-			learnPace(&w.run, &w.work, run, j.work, paceKeep)
-			k := &s.kinds[w.info.Kind]
-			learnPace(&k.run, &k.work, run, j.work, kindKeep)
-			learnPace(&s.all.run, &s.all.work, run, j.work, kindKeep)
-		}
+		s.learnRun(w, run, j.work)
 	case ConnectFailed, Broken:
 		s.wellness(w, false)
 	case Refused:
@@ -1159,9 +1197,9 @@
 	}
 }
 
-// wellness is passive health. A worker that cannot be reached, or breaks off, is ejected for a time that
-// doubles with each failure: its emptied backlog would make it the cheapest of all. Ejection is a cost and
-// not a ban, so a fleet that is ejected as a whole is still used by the same argmin.
+// wellness is passive health. A worker that cannot be reached, or breaks off, is ejected for a time that doubles with
+// each failure: its emptied backlog would make it the cheapest of all. Ejection is a cost and not a ban, so a fleet
+// that is ejected as a whole is still used by the same argmin.
 func (s *Scheduler) wellness(w *worker, good bool) {
 	w.trial = false
 	z := &s.zones[w.info.Zone]
@@ -1183,25 +1221,13 @@
 
 // readReport takes a load report: slots of its kind, and the others' backlog.
 func (s *Scheduler) readReport(w *worker, values []float32) {
-	free, queue, held, service, rate := -1.0, -1.0, -1.0, -1.0, -1.0
+	told := [...]float64{FieldInflight: -1, FieldQueue: -1, FieldService: -1, FieldRate: -1, FieldFreeSlots: -1}
 	for n, v := range values {
-		f := float64(v)
-		if n >= len(s.cfg.Reports) || !(f >= 0) || f > 1e9 {
-			continue
-		}
-		switch s.cfg.Reports[n] {
-		case FieldFreeSlots:
-			free = f
-		case FieldQueue:
-			queue = f
-		case FieldInflight:
-			held = f
-		case FieldService:
-			service = f / 1000
-		case FieldRate:
-			rate = f
+		if f := float64(v); n < len(s.cfg.Reports) && f >= 0 && f <= 1e9 {
+			told[s.cfg.Reports[n]] = f
 		}
 	}
+	free, queue, held, service, rate := told[FieldFreeSlots], told[FieldQueue], told[FieldInflight], told[FieldService]/1000, told[FieldRate]
 	busy := held
 	if busy < 0 && service >= 0 && rate >= 0 {
 		busy = rate * service
--- a/logic/state.go
+++ b/logic/state.go
@@ -13,6 +13,9 @@
 	cell      int
 	sent      int64
 	started   int64
+	noted     int64   // its latest note
+	rate      float64 // share a second between its latest two notes; 0 before
+	share     float64 // of its work that is done, as that said
 	x         float64 // slot-work that it holds in its worker's backlog
 	miss      float64 // chance, as seen at sending, that the worker had to fetch its data set
 }
@@ -48,11 +51,11 @@
 	outs           int // own attempts out
 	own            float64
 	run, work      float64 // decayed sums of running times and work, for the pace
+	paceAt         int64   // when these were last faded
 	bg             float64 // others' backlog as last seen, seconds to drain
 	bgAt           int64
 	fails          int
 	ejected        int64   // not trusted before then
-	self           int32   // its own place
 	misses         int     // start notes missing since the last sign of life
 	running        float64 // slots of own jobs that have started
 	heard          int64   // last sign of life
@@ -131,8 +134,6 @@
 	tokensAt       []int64
 	zones          []zone
 	seen           float64
-	recent         [recentMost]int32 // workers last seen
-	nextRecent     int
 	crowd          float64 // share of attempts of late that found no free slot
 	fetch          float64 // time to fetch a data set, seconds
 	bearing        float64 // share of its capacity that a warm worker is seen to bear
