--- a/internal/wire/platform/north.go
+++ b/internal/wire/platform/north.go
@@ -201,8 +201,8 @@
 		return &Fault{400, "missing Idempotency-Key"}
 	}
 	m.Lane, m.Class, m.Name = first, lane.Class, m.Txn
-	if text := f.Get("X-Remaining"); text != "" {
-		s, err := decimal(text)
+	if len(f["X-Remaining"]) == 1 {
+		s, err := decimal(f.Get("X-Remaining"))
 		if err != nil || s > maxRemaining {
 			return &Fault{400, "X-Remaining is not a time in seconds"}
 		}
--- a/internal/wire/platform/platform_test.go
+++ b/internal/wire/platform/platform_test.go
@@ -59,7 +59,7 @@
 
 func playRelay(pieces [][]byte) string {
 	var out strings.Builder
-	results := [...]string{"served", "failed", "refused", "timed out", "connect failed", "broken"}
+	results := [...]string{"served", "failed", "refused", "timed out", "connect failed", "broken", "cancelled", "moot", "unusable"}
 	r := NewRelay(func(n Note) {
 		switch n.Kind {
 		case NoteStarted:
--- a/internal/wire/platform/relay.go
+++ b/internal/wire/platform/relay.go
@@ -111,6 +111,9 @@
 	case s == 200:
 	case (s == 503 || s == 504) && r.resp.fields.Get("X-Turned-Away") == "1":
 		r.end(logic.Refused, nil)
+	case s >= 400 && s < 500:
+		// The message's fault and not the host's, which must not be shunned for what a client sends.
+		r.end(logic.Unusable, nil)
 	default:
 		r.end(logic.Failed, nil)
 	}
--- a/logic/api.go
+++ b/logic/api.go
@@ -167,6 +167,7 @@
 	Broken               // the connection failed under it; it may have run
 	Cancelled            // called off; it may have run
 	Moot                 // never sent
+	Unusable             // the worker answered that the job is no good; to be safe, it may have run
 )
 
 // Outcome is the end of an attempt.
--- a/logic/failures_test.go
+++ b/logic/failures_test.go
@@ -519,3 +519,30 @@
 		}
 	}
 }
+
+// A worker that answers errors at once is never busy, so it must not draw all jobs; one that only says that jobs are no
+// good is not to blame.
+func TestErrorsInARowMakeAWorkerSuspect(t *testing.T) {
+	for _, c := range []struct {
+		results []Result
+		want    bool
+	}{
+		{[]Result{Failed, Failed}, true},
+		{[]Result{Failed, Served, Failed}, false},
+		{[]Result{Unusable, Unusable, Unusable}, false},
+	} {
+		cfg := testConfig()
+		cfg.MaxAttempts = 1
+		s := mustNew(t, cfg)
+		s.Workers(t0, ListFull, readyWorkers(1), nil)
+		at := t0
+		for k, r := range c.results {
+			at += 1000
+			arrive(s, at, JobID(k+1))
+			s.Outcome(at+500, Outcome{Job: JobID(k + 1), Worker: 1, Result: r}, nil)
+		}
+		if got := s.workers[0].ejected > at; got != c.want {
+			t.Errorf("after %v: ejected %t, want %t", c.results, got, c.want)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -57,6 +57,7 @@
 	seenGain     = 0.1       // weight of one sighting in the mean backlog of a kind or zone
 	seenFirst    = 0.3       // that mean before any sighting, in running times: somewhat over half busy
 	hangMisses   = 2         // start notes missing in a row, with no sign of life, that make a worker suspect
+	errorsMost   = 2         // errors in a row that make a worker suspect: one may be its job's fault
 	hearSpan     = 3_000_000 // us for which a sign of life vouches for a worker
 	downGain     = 0.2       // weight of one failed or good connection in a zone's chance of being down
 	moveGain     = 0.1       // least fall in expected loss, in mean jobs, for which a waiting job is taken elsewhere
@@ -402,10 +403,7 @@
 	if tau <= 0 {
 		return 1
 	}
-	if u <= 1e-6 {
-		return 0
-	}
-	z := 2 * tau / u
+	z := 2 * tau / max(u, 1e-6)
 	return (1 + z) * math.Exp(-z)
 }
 
@@ -1163,9 +1161,11 @@
 
 // learnOutcome learns pace and health from the end of an attempt.
 func (s *Scheduler) learnOutcome(j *job, a *attempt, w *worker, o *Outcome) {
+	w.trial = false
 	switch o.Result {
 	case Served:
 		s.wellness(w, true)
+		w.errors = 0
 		s.decay()
 		s.workRate += (j.work + a.miss*s.fetch/w.pace) * j.slots / rateSpan
 		run := seconds(o.Elapsed) - s.base[w.info.Zone]*1.5
@@ -1191,9 +1191,11 @@
 	case Refused:
 		s.crowd += (1 - s.crowd) * crowdGain
 		s.seeOthers(w, w.slack+2*w.d+4*s.waits)
-		w.trial = false
-	default:
-		w.trial = false
+	case Failed:
+		// One that answers errors at once is never busy, and would be the cheapest of all.
+		if w.errors++; w.errors >= errorsMost {
+			s.eject(w)
+		}
 	}
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -55,6 +55,7 @@
 	bg             float64 // others' backlog as last seen, seconds to drain
 	bgAt           int64
 	fails          int
+	errors         int     // answered in a row
 	ejected        int64   // not trusted before then
 	misses         int     // start notes missing since the last sign of life
 	running        float64 // slots of own jobs that have started
