--- a/internal/driver/south.go
+++ b/internal/driver/south.go
@@ -236,6 +236,10 @@
 func (s *south) note(n platform.Note) {
 	r, d := s.relay, s.d
 	switch n.Kind {
+	case platform.NoteTaken:
+		if r != nil {
+			d.do(d.core.Taken(d.now(), r.id))
+		}
 	case platform.NoteStarted:
 		if r != nil {
 			d.do(d.core.Started(d.now(), r.id))
--- a/internal/memory/core.go
+++ b/internal/memory/core.go
@@ -238,6 +238,9 @@
 	return c.finish(now)
 }
 
+// Taken takes the news that a relay's host has taken the message, which it may run later.
+func (c *Core) Taken(now int64, r RelayID) []Command { return c.Progress(now, r, 0) }
+
 // Progress takes the share of a relay's work that is done.
 func (c *Core) Progress(now int64, r RelayID, share float64) []Command {
 	c.begin()
--- a/internal/memory/core_test.go
+++ b/internal/memory/core_test.go
@@ -69,6 +69,8 @@
 		_, cmds = p.c.Arrive(p.now, m, p.now+2_000_000)
 	case "started":
 		cmds = p.c.Started(p.now, r)
+	case "taken":
+		cmds = p.c.Taken(p.now, r)
 	case "progress":
 		cmds = p.c.Progress(p.now, r, 0.5)
 	case "ended":
@@ -78,7 +80,11 @@
 	case "expire":
 		cmds = p.c.Expire(p.now, r.Message)
 	case "wait":
-		p.now += 2_000_000
+		wait := int64(2000) // milliseconds, or as many as are named
+		if len(f) > 1 {
+			fmt.Sscan(f[1], &wait)
+		}
+		p.now += wait * 1000
 		cmds = p.c.Wake(p.now)
 	default:
 		t.Fatalf("unknown event %q", line)
--- a/internal/wire/platform/platform_test.go
+++ b/internal/wire/platform/platform_test.go
@@ -62,6 +62,8 @@
 	results := [...]string{"served", "failed", "refused", "timed out", "connect failed", "broken", "cancelled", "moot", "unusable"}
 	r := NewRelay(func(n Note) {
 		switch n.Kind {
+		case NoteTaken:
+			out.WriteString("taken\n")
 		case NoteStarted:
 			out.WriteString("started\n")
 		case NoteProgress:
--- a/internal/wire/platform/relay.go
+++ b/internal/wire/platform/relay.go
@@ -18,10 +18,11 @@
 
 // The kinds of notes.
 const (
-	NoteStarted  NoteKind = iota
-	NoteProgress          // Share
-	NoteEnded             // Result, and Content where it was served
-	NoteFree              // the answer is whole; the connection may carry another relay if Keep
+	NoteTaken NoteKind = iota // the host has the message, and runs it now or later
+	NoteStarted
+	NoteProgress // Share
+	NoteEnded    // Result, and Content where it was served
+	NoteFree     // the answer is whole; the connection may carry another relay if Keep
 )
 
 // Note is one thing that a south side host says of a relay.
@@ -109,6 +110,7 @@
 func (r *Relay) head() {
 	switch s := r.resp.status; {
 	case s == 200:
+		r.on(Note{Kind: NoteTaken})
 	case (s == 503 || s == 504) && r.resp.fields.Get("X-Turned-Away") == "1":
 		r.end(logic.Refused, nil)
 	case s >= 400 && s < 500:
--- a/logic/failures_test.go
+++ b/logic/failures_test.go
@@ -546,3 +546,33 @@
 		}
 	}
 }
+
+// A worker that says at once when it has taken a job, and does not say so of this one, has not got it: the connection
+// or the worker swallowed it. Where no worker ever said so, its silence means nothing.
+func TestJobThatIsNotTakenIsCalledOff(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		repeat      Repeat
+		tells, took bool
+		want        bool
+	}{
+		{"not taken", RepeatSafe, true, false, true},
+		{"keyed, not taken", RepeatKeyed, true, false, true},
+		{"taken", RepeatSafe, true, true, false},
+		{"nobody tells", RepeatSafe, false, false, false},
+		{"must not run twice", RepeatUnsafe, true, false, false},
+	} {
+		cfg := progressConfig()
+		cfg.Classes[0].Repeat, cfg.Classes[0].Window = c.repeat, 40_000_000
+		s := mustNew(t, cfg)
+		s.Workers(t0, ListFull, readyWorkers(2), nil)
+		s.tellsTaken = c.tells
+		arrive(s, t0, 1)
+		if c.took {
+			s.Progress(t0+1000, 1, 0, 0, nil)
+		}
+		if got := has(s.Wake(t0+takenAfter, 0, nil), ActCancel); got != c.want {
+			t.Errorf("%s: called off %t, want %t", c.name, got, c.want)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -57,9 +57,9 @@
 	seenGain     = 0.1       // weight of one sighting in the mean backlog of a kind or zone
 	seenFirst    = 0.3       // that mean before any sighting, in running times: somewhat over half busy
 	hangMisses   = 2         // start notes missing in a row, with no sign of life, that make a worker suspect
+	takenAfter   = 500_000   // us in which workers that tell so have taken a job: ten times what was ever seen
 	errorsMost   = 2         // errors in a row that make a worker suspect: one may be its job's fault
 	hearSpan     = 3_000_000 // us for which a sign of life vouches for a worker
-	downGain     = 0.2       // weight of one failed or good connection in a zone's chance of being down
 	moveGain     = 0.1       // least fall in expected loss, in mean jobs, for which a waiting job is taken elsewhere
 )
 
@@ -425,13 +425,8 @@
 	}
 	total = j.worth*late*(1-c.LateWorth) + harm
 	total += s.crossing(j, w) + missPrice*s.missChance(j, w)
-	switch {
-	case s.now < w.ejected || w.trial:
+	if s.now < w.ejected || w.trial {
 		total += ejectCost * j.worth
-	case s.now-w.heard > hearSpan:
-		// Nothing heard from it of late: it is as likely to be down as its zone. Guards against finding out the death
-		// of a whole site one worker at a time.
-		total += s.zones[w.info.Zone].down * j.worth
 	}
 	return total, late, harm
 }
@@ -852,6 +847,15 @@
 		return
 	}
 	last := &j.att[j.n-1]
+	if last.out && !last.cancelled && s.now >= s.stallAt(last) {
+		// Its worker stands still, or the connection has fallen silent.
+		s.eject(&s.workers[last.w])
+		if s.cfg.MayCancel && s.elsewhere(j).w >= 0 {
+			s.callOff(j, j.n-1)
+		}
+		s.reviewAt(i, s.lastCall(j))
+		return
+	}
 	if s.cfg.TellsStart && !s.anyStarted(j) {
 		s.noStart(j)
 		if s.elsewhereHelps(i) {
@@ -864,21 +868,16 @@
 		s.reviewAt(i, s.now+s.checkAfter(last.w))
 		return
 	}
-	if last.started != 0 && last.out && !last.cancelled && s.now >= s.stallAt(last) {
-		// Workers that run a job say so; this one stands still, or the connection to it has fallen silent.
-		if s.cfg.MayCancel && s.elsewhere(j).w >= 0 {
-			s.callOff(j, j.n-1)
-		}
-		if w := &s.workers[last.w]; s.now-w.heard > hearSpan {
-			s.eject(w)
-		}
-	}
-	s.reviewAt(i, s.lastCall(j))
+	s.reviewAt(i, s.stallAt(last))
 }
 
-// stallAt is when a running job that says nothing is taken to be stuck. It is silent while it fetches its data set.
+// stallAt is when a job of which nothing is heard is taken to be stuck: at a worker that has not even said that it has
+// taken it, where others did, or while it runs and should tell of progress. It is silent while it fetches its data set.
 func (s *Scheduler) stallAt(a *attempt) int64 {
-	if s.cfg.Progress <= 0 {
+	switch {
+	case a.started == 0 && s.tellsTaken && !a.taken:
+		return a.sent + takenAfter
+	case a.started == 0 || s.cfg.Progress <= 0:
 		return math.MaxInt64
 	}
 	at := a.noted + s.cfg.Progress + s.cfg.Progress/4
@@ -1059,14 +1058,18 @@
 	}
 }
 
-// Progress takes the share of a running attempt that is done.
+// Progress takes the share of an attempt that is done; before its start it says only that the worker has taken it.
 func (s *Scheduler) Progress(now int64, id JobID, k int, share float64, out []Action) []Action {
 	s.begin(now, out)
 	i, j, a := s.find(id, k)
-	if a == nil || a.started == 0 {
+	if a == nil {
 		return s.end()
 	}
 	w := &s.workers[a.w]
+	if a.started == 0 {
+		a.taken, s.tellsTaken = true, true
+		return s.end()
+	}
 	w.heard = s.now
 	if share > a.share && share < 1 {
 		s.learnShare(j, a, w, share)
@@ -1204,13 +1207,10 @@
 // that is ejected as a whole is still used by the same argmin.
 func (s *Scheduler) wellness(w *worker, good bool) {
 	w.trial = false
-	z := &s.zones[w.info.Zone]
 	if good {
-		z.down -= z.down * downGain
 		w.fails, w.ejected, w.heard, w.misses = 0, 0, s.now, 0
 		return
 	}
-	z.down += (ejectCost - z.down) * downGain
 	s.eject(w)
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -13,6 +13,7 @@
 	cell      int
 	sent      int64
 	started   int64
+	taken     bool    // its worker has said so
 	noted     int64   // its latest note
 	rate      float64 // share a second between its latest two notes; 0 before
 	share     float64 // of its work that is done, as that said
@@ -82,7 +83,6 @@
 // zone is what is learned over all workers of a zone.
 type zone struct {
 	seen float64 // mean backlog of others, in running times
-	down float64 // share of its workers that failed of late
 }
 
 // homes is where a data set is kept, by rank, and how much it is asked for.
@@ -109,14 +109,15 @@
 	freeJ   []int32
 	out     []Action
 
-	homes     map[uint64]*homes // where data sets are kept
-	lists     uint32            // list events taken
-	perWorker float64           // mean capacity of a worker, slot-work a second
-	timers    timerHeap
-	armed     int64
-	askTry    int
-	asked     bool
-	started   int64
+	homes      map[uint64]*homes // where data sets are kept
+	lists      uint32            // list events taken
+	perWorker  float64           // mean capacity of a worker, slot-work a second
+	timers     timerHeap
+	armed      int64
+	tellsTaken bool // workers have said that they had taken a job
+	askTry     int
+	asked      bool
+	started    int64
 
 	rate, workRate float64 // own arrivals, and slot-work served to them, a second
 	ratesAt        int64
