--- a/logic/failures_test.go
+++ b/logic/failures_test.go
@@ -453,7 +453,7 @@
 		want   bool
 	}{
 		{"silent", RepeatSafe, 0, true},
-		{"told of progress in between", RepeatSafe, 6_000_000, false},
+		{"told of progress in between", RepeatSafe, 3_000_000, false},
 		{"must not run twice", RepeatUnsafe, 0, false},
 	} {
 		cfg := progressConfig()
@@ -465,7 +465,7 @@
 		if c.note > 0 {
 			s.Progress(t0+c.note, 1, 0, 0.2, nil)
 		}
-		overdue := t0 + 1000 + int64(2_500_000+stallFetch*s.fetch*1e6)
+		overdue := t0 + 1000 + 3_500_000
 		at := overdue
 		if c.note > 0 {
 			at = t0 + c.note + 2_400_000
@@ -576,3 +576,14 @@
 		}
 	}
 }
+
+// An attempt that is over or called off is never stuck; a review that is due at once, again and again, would not end.
+func TestWhatIsCalledOffIsNotStuck(t *testing.T) {
+	s := mustNew(t, progressConfig())
+	s.tellsTaken = true
+	for _, a := range []attempt{{}, {out: true, cancelled: true}, {started: 1, noted: 1}, {out: true, started: 1, noted: 1, cancelled: true}} {
+		if at := s.stallAt(&a); at < t0*1000 {
+			t.Errorf("%+v is stuck at %d", a, at)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,7 +45,6 @@
 	homeFill     = 0.6       // share of a worker that is taken to be filled before the next rank is used
 	paceSpan     = 10.0      // seconds in which a worker's own runs fade: one that was slow must get its chance again
 	slowMost     = 2.0       // times its kind's pace at which a run still counts for the kind: a slow worker is no rule
-	stallFetch   = 3.0       // times the usual fetch for which a job may run without a first word of its progress
 	missPrice    = 1.0       // mean jobs that a fetch costs beyond its time: it pushes out a set that is asked for again
 	hitElse      = 0.05      // the same where nothing speaks for it
 	hopeless     = 0.97      // chance of being late beyond which a job is not worth its work
@@ -847,7 +846,7 @@
 		return
 	}
 	last := &j.att[j.n-1]
-	if last.out && !last.cancelled && s.now >= s.stallAt(last) {
+	if s.now >= s.stallAt(last) {
 		// Its worker stands still, or the connection has fallen silent.
 		s.eject(&s.workers[last.w])
 		if s.cfg.MayCancel && s.elsewhere(j).w >= 0 {
@@ -872,17 +871,17 @@
 }
 
 // stallAt is when a job of which nothing is heard is taken to be stuck: at a worker that has not even said that it has
-// taken it, where others did, or while it runs and should tell of progress. It is silent while it fetches its data set.
+// taken it, where others did, or while it runs and should tell of progress. The first such note may come half an interval late.
 func (s *Scheduler) stallAt(a *attempt) int64 {
 	switch {
-	case a.started == 0 && s.tellsTaken && !a.taken:
-		return a.sent + takenAfter
-	case a.started == 0 || s.cfg.Progress <= 0:
+	case !a.out || a.cancelled || a.started == 0 && (a.taken || !s.tellsTaken) || a.started != 0 && s.cfg.Progress <= 0:
 		return math.MaxInt64
+	case a.started == 0:
+		return a.sent + takenAfter
 	}
 	at := a.noted + s.cfg.Progress + s.cfg.Progress/4
-	if a.share == 0 {
-		at += int64(stallFetch * s.fetch * 1e6)
+	if a.noted == a.started {
+		at += s.cfg.Progress / 2
 	}
 	return at
 }
