--- /dev/null
+++ b/cmd/gwlab/main_test.go
@@ -0,0 +1,319 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"granitewing/internal/lab/experiment"
+	"granitewing/internal/lab/report"
+	"granitewing/internal/settings"
+	"granitewing/lab"
+)
+
+// gwlab is the built laboratory, with the dispatcher beside it.
+var gwlab string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "gwlab-test")
+	if err != nil {
+		panic(err)
+	}
+	gwlab = filepath.Join(dir, "gwlab")
+	for _, p := range []string{".", "../granitewing"} {
+		if out, err := exec.Command("go", "build", "-o", dir+"/", p).CombinedOutput(); err != nil {
+			panic(fmt.Sprintf("%v\n%s", err, out))
+		}
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// call runs the program and gives its output and exit code.
+func call(t *testing.T, args ...string) (stdout, stderr string, code int) {
+	t.Helper()
+	cmd := exec.Command(gwlab, args...)
+	var out, log bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &log
+	err := cmd.Run()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		t.Fatal(err)
+	}
+	return out.String(), log.String(), cmd.ProcessState.ExitCode()
+}
+
+// light is a load that even a busy machine takes with ease, so that what it shows is not how busy that is.
+const light = `(experiment light (length %s) (load (rate 12)) (generator (lag 1m) (cpu 100%%) (scheduling 1m))
+  (class reading (share 0.7) (work 20ms) (aim 20s) (give-up 25s) (repeat safe))
+  (class alert (share 0.3) (work 20ms) (aim 20s) (give-up 25s) (repeat unsafe))
+  (data-sets (count 0)) (fleet (hosts 3)) %s)`
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "x.sexp")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// Two laboratories at once, each with a dispatcher that dies in the middle and comes back: the death is counted and
+// ends neither, the rules hold, the reports are whole.
+func TestTwoLaboratoriesAtOnce(t *testing.T) {
+	path := write(t, fmt.Sprintf(light, "4s", `(kill-dispatcher (at 1s) (for 1s) (dispatcher 1)) (crash (at 2s) (for 1s) (hosts h1)) (drain (at 1s) (hosts h2) (grace 1s))`))
+	type done struct {
+		out, log string
+		code     int
+		dir      string
+	}
+	results := make(chan done, 2)
+	for range 2 {
+		dir := filepath.Join(t.TempDir(), "report")
+		go func() {
+			out, log, code := call(t, "run", path, "--json", "--out", dir)
+			results <- done{out, log, code, dir}
+		}()
+	}
+	for range 2 {
+		d := <-results
+		if d.code != 0 {
+			t.Fatalf("exit %d\n%s\n%s", d.code, d.out, d.log)
+		}
+		res, err := report.Read(d.dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		o := res.Plays[0]
+		all := o.Rows[len(o.Rows)-1]
+		if all.Asked < 20 || all.InTime < all.Asked*8/10 || o.Audit.Broken() > 0 || len(o.Marks) != 6 {
+			t.Errorf("%d asked, %d in time, %d failures\n%s", all.Asked, all.InTime, len(o.Marks), o.Audit)
+		}
+		page, err := os.ReadFile(filepath.Join(d.dir, "index.html"))
+		if err != nil || !bytes.Contains(page, []byte("dispatcher 1 killed")) || bytes.Contains(page, []byte("src=\"http")) {
+			t.Errorf("the page is not whole: %v", err)
+		}
+		for _, f := range []string{"service.svg", "service.png", "latency.png", "hosts.svg"} {
+			if info, err := os.Stat(filepath.Join(d.dir, f)); err != nil || info.Size() < 1000 {
+				t.Errorf("%s: %v", f, err)
+			}
+		}
+		var printed experiment.Results
+		if err := json.Unmarshal([]byte(d.out), &printed); err != nil || printed.Plays[0].Service != o.Service {
+			t.Errorf("standard output is no result: %v", err)
+		}
+	}
+}
+
+// Ctrl-C ends a run in order: a report of what was measured until then, and no process left.
+func TestInterrupt(t *testing.T) {
+	path := write(t, fmt.Sprintf(light, "10m", ""))
+	dir := filepath.Join(t.TempDir(), "report")
+	mark := fmt.Sprintf("GWLAB_TEST=%d", time.Now().UnixNano())
+	cmd := exec.Command(gwlab, "run", path, "--out", dir, "--debug")
+	cmd.Env = append(os.Environ(), mark)
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	cmd.Stdout = &out
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	// Once its dispatchers run it has begun.
+	for limit := time.Now().Add(30 * time.Second); len(marked(mark)) < 4; time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatalf("%d processes after 30 s", len(marked(mark)))
+		}
+	}
+	time.Sleep(300 * time.Millisecond) // for some jobs; none are needed
+	cmd.Process.Signal(syscall.SIGINT)
+	go func() { new(bytes.Buffer).ReadFrom(log) }()
+	cmd.Wait()
+	if code := cmd.ProcessState.ExitCode(); code != 1 {
+		t.Errorf("exit %d\n%s", code, out.String())
+	}
+	res, err := report.Read(dir)
+	if err != nil || !res.Cut || !strings.Contains(out.String(), "CUT SHORT") {
+		t.Errorf("report %v, output\n%s", err, out.String())
+	}
+	if left := marked(mark); len(left) > 0 {
+		t.Errorf("processes left: %v", left)
+	}
+}
+
+// marked finds the processes that carry a mark in their environment.
+func marked(mark string) []string {
+	var out []string
+	files, _ := filepath.Glob("/proc/[0-9]*/environ")
+	for _, f := range files {
+		if text, err := os.ReadFile(f); err == nil && bytes.Contains(text, []byte(mark)) {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
+// What can't be played is refused before anything starts, with its place.
+func TestRefused(t *testing.T) {
+	full := filepath.Join(t.TempDir(), "file")
+	if err := os.WriteFile(full, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		args []string
+		code int
+		say  string
+	}{
+		"a host that does not exist":       {[]string{"run", write(t, "(experiment x\n  (slow (at 1s) (hosts h9)))")}, 1, `x.sexp:2:3: slow.hosts: no host "h9"; there are h0 to h8`},
+		"a report folder that is a file":   {[]string{"run", "calm", "--out", filepath.Join(full, "x")}, 1, "report folder: mkdir"},
+		"a full disk":                      {[]string{"run", "calm", "--out", "/dev/full"}, 1, "report folder: "},
+		"an experiment that does not ship": {[]string{"run", "nothing"}, 1, `no experiment "nothing" ships; there are calm,`},
+		"a dispatcher that is not there":   {[]string{"run", "calm", "--program", "/nowhere"}, 1, "no dispatcher at /nowhere"},
+		"a trace that is not there":        {[]string{"run", write(t, `(experiment x (load (stream (trace "gone.csv"))))`)}, 1, "gone.csv: no such file"},
+		"an unknown verb":                  {[]string{"dance"}, 2, "unexpected argument dance"},
+		"an unknown flag":                  {[]string{"run", "calm", "--speed", "9"}, 2, "unknown flag --speed"},
+		"a zone that does not exist":       {[]string{"load", "calm", "--target", "127.0.0.1:1@paris"}, 1, `no zone "paris"`},
+		"another policy on sockets":        {[]string{"run", write(t, `(experiment x (variant a (policy random)))`)}, 1, "plays in virtual time alone"},
+	} {
+		out, log, code := call(t, c.args...)
+		if code != c.code || !strings.Contains(log, c.say) || strings.Count(strings.TrimSpace(log), "\n") > 0 || out != "" {
+			t.Errorf("%s: exit %d, want %d; %q lacks %q, or more was said: %q", name, code, c.code, log, c.say, out)
+		}
+	}
+}
+
+// The generator's percentiles are those computed from the schedule and the stall, and a closed loop's are not.
+func TestSelfcheck(t *testing.T) {
+	out, log, code := call(t, "selfcheck", "--json")
+	if code == exitInvalid {
+		t.Skipf("this machine was too busy in all tries: %s", log)
+	}
+	if code != 0 {
+		t.Fatalf("exit %d\n%s\n%s", code, out, log)
+	}
+	var r struct {
+		Rows []struct {
+			Quantile float64 `json:"quantile"`
+			Computed float64 `json:"computed_ns"`
+			Closed   float64 `json:"closed_loop_ns"`
+		} `json:"rows"`
+	}
+	if err := json.Unmarshal([]byte(out), &r); err != nil || len(r.Rows) != 5 {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	if p99 := r.Rows[2]; p99.Computed < 400e6 || p99.Closed > p99.Computed/4 {
+		t.Errorf("p99 computed %.0f ns, of the closed loop %.0f ns; the closed loop should hide the stall", p99.Computed, p99.Closed)
+	}
+}
+
+// Every experiment that ships can be read and drawn; those in virtual time can be played by their verb.
+func TestShipped(t *testing.T) {
+	files, err := lab.Files.ReadDir(".")
+	if err != nil || len(files) < 5 {
+		t.Fatalf("%d files: %v", len(files), err)
+	}
+	for _, f := range files {
+		spec, err := readExperiment(strings.TrimSuffix(f.Name(), ".sexp"))
+		if err != nil {
+			var at *settings.Error
+			t.Errorf("%s: %v (with a place: %t)", f.Name(), err, errors.As(err, &at))
+			continue
+		}
+		if _, err := spec.Draw(spec.Seed); err != nil {
+			t.Errorf("%s: %v", f.Name(), err)
+		}
+	}
+	out, log, code := call(t, "run", "zone-cut", "--pairs", "2")
+	if code != 0 || !strings.Contains(out, "two-choices") {
+		t.Errorf("exit %d\n%s\n%s", code, out, log)
+	}
+}
+
+// A trace goes from a recording through import and scaling into an experiment.
+func TestTrace(t *testing.T) {
+	dir := t.TempDir()
+	var text strings.Builder
+	text.WriteString("time,class,work\n")
+	for i := range 40 {
+		fmt.Fprintf(&text, "%g,reading,0.02\n", 1000+float64(i)*0.05)
+	}
+	text.WriteString("1003.5,reading,0.02\n1003.5,reading,0.02\n999,reading,0.02\n")
+	raw, day, big := filepath.Join(dir, "raw.csv"), filepath.Join(dir, "day.csv"), filepath.Join(dir, "big.csv")
+	if err := os.WriteFile(raw, []byte(text.String()), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	out, log, code := call(t, "trace", "import", raw, "--gaps", "close", "--gap", "0.9", "--out", day)
+	if code != 0 || !strings.Contains(out, "43 lines, 1 unsorted, 1 steps back, 1 repeated") || !strings.Contains(out, "2 gaps over 900ms") {
+		t.Fatalf("exit %d\n%s\n%s", code, out, log)
+	}
+	if out, log, code = call(t, "trace", "scale", day, "--rate", "2", "--pace", "2", "--out", big); code != 0 || !strings.Contains(out, "after: 84 jobs") {
+		t.Fatalf("exit %d\n%s\n%s", code, out, log)
+	}
+	path := filepath.Join(dir, "x.sexp")
+	spec := strings.Replace(fmt.Sprintf(light, "1s", ""), "(load (rate 12))", `(virtual) (load (stream (trace "big.csv")))`, 1)
+	if err := os.WriteFile(path, []byte(spec), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if out, log, code = call(t, "run", path); code != 0 || !strings.Contains(out, "reading     84") || !strings.Contains(out, "trace big.csv: no gap") {
+		t.Fatalf("exit %d\n%s\n%s", code, out, log)
+	}
+}
+
+// Two generators beside an emulated fleet, merged to one report.
+func TestLoadAndEmulate(t *testing.T) {
+	dir := t.TempDir()
+	path := write(t, fmt.Sprintf(light, "2s", ""))
+	cmd := exec.Command(gwlab, "emulate", path, "--dir", filepath.Join(dir, "fleet"), "--serve")
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Wait()
+	defer cmd.Process.Signal(syscall.SIGINT)
+	var args []string
+	for range 3 {
+		var name, zone, addr string
+		if _, err := fmt.Fscanf(out, "%s zone %s target %s\n", &name, &zone, &addr); err != nil {
+			t.Fatal(err)
+		}
+		args = append(args, "--target", addr)
+	}
+	codes := make(chan int, 2)
+	for _, prefix := range []string{"a", "b"} {
+		go func() {
+			_, log, code := call(t, append([]string{"load", path, "--prefix", prefix, "--out", filepath.Join(dir, prefix)}, args...)...)
+			if code != 0 {
+				t.Errorf("exit %d: %s", code, log)
+			}
+			codes <- code
+		}()
+	}
+	<-codes
+	<-codes
+	one, err := report.Read(filepath.Join(dir, "a"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	merged, log, code := call(t, "report", filepath.Join(dir, "a"), filepath.Join(dir, "b"), "--out", filepath.Join(dir, "both"))
+	both, err := report.Read(filepath.Join(dir, "both"))
+	if err != nil || code != 0 {
+		t.Fatalf("exit %d, %v\n%s\n%s", code, err, merged, log)
+	}
+	if a, b := one.Plays[0].Rows[2], both.Plays[0].Rows[2]; a.Asked == 0 || b.Asked != 2*a.Asked || b.InTime == 0 {
+		t.Errorf("%d asked by one, %d by both", a.Asked, b.Asked)
+	}
+}
--- a/internal/lab/emulate/emulate.go
+++ b/internal/lab/emulate/emulate.go
@@ -212,6 +212,9 @@
 		}
 	case world.OpSilent:
 		e.silent = op.On
+		for _, d := range e.discovery {
+			d.wake()
+		}
 	case world.OpPart:
 		e.parted[[2]int{min(op.Host, op.Other), max(op.Host, op.Other)}] = op.On
 		for _, h := range e.hosts {
--- a/internal/lab/experiment/compare.go
+++ b/internal/lab/experiment/compare.go
@@ -40,6 +40,8 @@
 	Decision    float64 `json:"decision_us"`    // CPU for a message with all its events
 	HeapPerHost float64 `json:"heap_per_host"`  // bytes, of one dispatcher
 	Pace        float64 `json:"times_realtime"` // virtual time by wall time
+	Length      float64 `json:"length_s"`       // of virtual time that was played
+	Partial     bool    `json:"partial"`        // the budget ended the play; its service is that of jobs that ended by then
 }
 
 // Broken counts the breaches of the rules over all plays of the module; plain policies know nothing of cold hosts.
@@ -121,16 +123,21 @@
 				if label != nil {
 					label(fmt.Sprintf("%d hosts, %d dispatchers, %s", h, d, v.Name))
 				}
-				o, err := PlayVirtual(ctx, sized, v, spec.Seed, s)
+				budget, cancel := ctx, context.CancelFunc(func() {})
+				if spec.Sweep.Budget > 0 {
+					budget, cancel = context.WithTimeout(ctx, spec.Sweep.Budget)
+				}
+				o, err := PlayVirtual(budget, sized, v, spec.Seed, s)
+				cancel()
 				if err != nil {
 					return err
 				}
 				r.Plays = append(r.Plays, o)
-				if r.Cut = o.Cut; r.Cut {
+				if r.Cut = ctx.Err() != nil; r.Cut {
 					return nil
 				}
 				r.Sizes = append(r.Sizes, Size{Hosts: h, Dispatchers: d, Variant: v.Name, Jobs: o.Rows[len(o.Rows)-1].Asked, Service: o.Service,
-					Decision: o.Decision, HeapPerHost: o.Heap / float64(h), Pace: o.Length / o.Wall})
+					Decision: o.Decision, HeapPerHost: o.Heap / float64(h), Pace: o.Length / o.Wall, Length: o.Length, Partial: o.Cut})
 			}
 		}
 	}
@@ -331,11 +338,18 @@
 		return cmp.Or(cmp.Compare(a.Dispatchers, b.Dispatchers), cmp.Compare(a.Hosts, b.Hosts))
 	})
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "dispatchers\thosts\tvariant\tjobs\tservice\tCPU a message\theap a host\ttimes real time\t")
+	fmt.Fprintln(t, "dispatchers\thosts\tvariant\tplayed\tjobs\tservice\tCPU a message\theap a host\ttimes real time\t")
 	for _, s := range sizes {
-		fmt.Fprintf(t, "%d\t%d\t%s\t%d\t%.1f%%\t%.1f us\t%.0f B\t%.1f\t\n", s.Dispatchers, s.Hosts, s.Variant, s.Jobs, 100*s.Service, s.Decision, s.HeapPerHost, s.Pace)
+		service := fmt.Sprintf("%.1f%%", 100*s.Service)
+		if s.Partial {
+			service = "partial"
+		}
+		fmt.Fprintf(t, "%d\t%d\t%s\t%.1f s\t%d\t%s\t%.1f us\t%.0f B\t%.2f\t\n", s.Dispatchers, s.Hosts, s.Variant, s.Length, s.Jobs, service, s.Decision, s.HeapPerHost, s.Pace)
 	}
 	t.Flush()
+	if slices.ContainsFunc(sizes, func(s Size) bool { return s.Partial }) {
+		fmt.Fprintln(w, "partial: the wall-time budget of a play ended it; the CPU and memory are of the part that was played")
+	}
 }
 
 // Write writes a result for people.
--- a/internal/lab/report/plots.go
+++ b/internal/lab/report/plots.go
@@ -212,7 +212,12 @@
 		log               bool
 	}{
 		{"decision", "CPU of a message by size", "microseconds of CPU a message, all its events", func(s experiment.Size) float64 { return s.Decision }, true},
-		{"service", "Service by size", "worth served in time", func(s experiment.Size) float64 { return s.Service }, false},
+		{"service", "Service by size", "worth served in time", func(s experiment.Size) float64 {
+			if s.Partial {
+				return 0 // not told
+			}
+			return s.Service
+		}, false},
 		{"heap", "Memory by size", "bytes of heap a host, of one dispatcher", func(s experiment.Size) float64 { return s.HeapPerHost }, true},
 	} {
 		p := plot.New()
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -196,7 +196,7 @@
 {{range .}}<tr><td>{{.Figure}}<td>{{.Variant}}<td>{{.Against}}<td>{{.Pairs}}<td>{{printf "%.4g" .Base}}<td>{{spct .Mean}}<td>{{spct .Lo}} to {{spct .Hi}}<td>{{printf "%.3f" .Flip}}<td>{{.Verdict}}{{end}}</table>
 <p class="note">Paired by seed; Student's t on the differences (service) or on the logarithms of the ratios (times, CPU).</p>{{end}}
 {{with .R.Sizes}}<h2>Sizes</h2><table><tr><th>dispatchers<th>hosts<th>variant<th>jobs<th>service<th>CPU a message<th>heap a host<th>times real time
-{{range .}}<tr><td>{{.Dispatchers}}<td>{{.Hosts}}<td>{{.Variant}}<td>{{.Jobs}}<td>{{pct .Service}}<td>{{printf "%.1f" .Decision}} us<td>{{printf "%.0f" .HeapPerHost}} B<td>{{printf "%.1f" .Pace}}{{end}}</table>{{end}}
+{{range .}}<tr><td>{{.Dispatchers}}<td>{{.Hosts}}<td>{{.Variant}}<td>{{.Jobs}}<td>{{if .Partial}}partial{{else}}{{pct .Service}}{{end}}<td>{{printf "%.1f" .Decision}} us<td>{{printf "%.0f" .HeapPerHost}} B<td>{{printf "%.1f" .Pace}}{{end}}</table>{{end}}
 {{range .Pictures}}<h2>{{.Title}}</h2><img alt="{{.Title}}" src="{{.SVG}}">{{with .Note}}<p class="note">{{.}}</p>{{end}}{{end}}
 {{if not .R.Sizes}}{{range .R.Plays}}<h2>{{.Variant}}, seed {{.Seed}}</h2>
 <table><tr><th>class<th>asked<th>in time<th>late<th>refused<th>failed<th>no answer<th>left<th>tries<th>service<th>p50<th>p99<th>p99.9
--- a/internal/lab/trace/trace.go
+++ b/internal/lab/trace/trace.go
@@ -328,8 +328,8 @@
 	return s + "kept"
 }
 
-// Gaps treats gaps as asked. limit 0 takes thirty times the mean distance of the nearer half: far beyond what chance
-// makes of a Poisson process (one distance in e^30).
+// Gaps treats gaps as asked. limit 0 takes ten times the distance that 99 of 100 neighbours keep: chance goes so far
+// beyond it once in e^46 distances of a Poisson process, and clusters only widen it.
 func (t *Trace) Gaps(mode GapMode, limit time.Duration, rng *rand.Rand) (*Trace, GapReport) {
 	rep := GapReport{Mode: mode, Limit: limit}
 	n := len(t.Entries)
@@ -340,16 +340,19 @@
 	for i := range gaps {
 		gaps[i] = t.Entries[i+1].At - t.Entries[i].At
 	}
-	sorted := slices.Sorted(slices.Values(gaps))
-	var sum time.Duration
-	for _, g := range sorted[:(len(sorted)+1)/2] {
-		sum += g
-	}
-	// The nearer half of exponential distances has a mean of (1-ln 2) times that of all.
-	usual := max(time.Duration(float64(sum)/float64((len(sorted)+1)/2)/(1-math.Ln2)), time.Microsecond)
 	if limit == 0 {
-		rep.Limit = 30 * usual
+		sorted := slices.Sorted(slices.Values(gaps))
+		rep.Limit = max(10*sorted[(len(sorted)-1)*99/100], time.Millisecond)
+	}
+	var sum time.Duration
+	near := 0
+	for _, g := range gaps {
+		if g <= rep.Limit {
+			sum += g
+			near++
+		}
 	}
+	usual := max(sum/time.Duration(max(near, 1)), time.Microsecond)
 	out := &Trace{Found: t.Found}
 	var shift time.Duration
 	for i, e := range t.Entries {
@@ -399,7 +402,7 @@
 		if at, ok := last[e.Class]; ok {
 			next[i] = at
 		} else {
-			next[i] = e.At
+			next[i] = e.At + t.Length()/time.Duration(len(t.Entries)) // the last of its class
 		}
 		last[e.Class] = e.At
 	}
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -446,7 +446,11 @@
 			}
 		}
 	case world.OpSilent:
-		if p.quiet = op.On; op.On {
+		p.quiet = op.On
+		for _, d := range p.disp {
+			d.listen() // what it has not heard comes at once when the silence ends
+		}
+		if op.On {
 			for _, d := range p.disp {
 				p.after(5_000_000, func() {
 					if p.quiet {
--- /dev/null
+++ b/internal/lab/virtual/virtual_test.go
@@ -0,0 +1,152 @@
+package virtual
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+
+	"granitewing/internal/lab/audit"
+	"granitewing/internal/lab/world"
+)
+
+// storm is one of each failure, many at once, with a dispatcher's death in the middle and a discovery that hides
+// restarts from all.
+const storm = `
+  (slow (at 3s) (for 4s) (hosts h1) (factor 8)) (drain (at 4s) (hosts h2) (grace 2s)) (crash (at 5s) (for 4s) (hosts h3))
+  (vanish (at 6s) (for 5s) (hosts h4)) (reset (at 7s) (for 2s) (hosts h5)) (errors (at 8s) (for 2s) (hosts h6))
+  (refuse (at 9s) (for 3s) (hosts h7)) (stale (at 10s) (for 3s)) (grow (at 11s) (for 2s) (count 3)) (churn (at 12s) (hosts h8))
+  (discovery-down (at 14s) (for 2s)) (discovery-silent (at 17s) (for 7s)) (partition (at 15s) (for 2s) (zones dakar ziguinchor))
+  (kill-dispatcher (at 16s) (for 3s) (dispatcher 1)) (shrink (at 20s) (for 2s) (count 2)) (restart (at 21s) (for 1s) (hosts h0))
+  (chance crash (rate 4) (for 2s 5s)) (chance slow (rate 6) (for 1s 4s) (factor 3 8) (part 10% 20%))`
+
+// singles are failures one at a time, which dispatchers are told of within the times that the rules on leaving and on
+// cold hosts allow for.
+var singles = []string{
+	`(slow (at 3s) (for 9s) (share 25%) (factor 8))`, `(drain (at 4s) (count 3) (grace 2s))`, `(crash (at 5s) (for 6s) (hosts h3))`,
+	`(vanish (at 6s) (for 5s) (hosts h4))`, `(reset (at 7s) (for 2s) (count 2))`, `(errors (at 8s) (for 4s) (count 2))`, `(refuse (at 9s) (for 3s) (share 25%))`,
+	`(stale (at 5s) (for 3s)) (drain (at 4s) (hosts h2) (grace 2s))`, `(grow (at 3s) (for 4s) (count 9))`, `(churn (at 5s) (hosts h0))`,
+	`(discovery-down (at 5s) (for 2s)) (drain (at 4s) (hosts h5) (grace 2s))`, `(discovery-silent (at 5s) (for 4s)) (drain (at 4s) (hosts h5) (grace 2s))`,
+	`(partition (at 5s) (for 4s) (zones dakar ziguinchor))`, `(kill-dispatcher (at 5s) (for 3s) (dispatcher 1))`, `(shrink (at 5s) (for 4s) (count 4))`,
+}
+
+func playDay(t *testing.T, text string, seed uint64, v world.Variant) (*Result, *audit.Report) {
+	t.Helper()
+	spec, err := world.Parse("test", text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	day, err := spec.Draw(seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var classes []audit.Class
+	for _, c := range day.Classes {
+		classes = append(classes, audit.Class{Name: c.Name, Repeat: c.Repeat, Window: c.Window.Microseconds()})
+	}
+	log := audit.New(classes)
+	res, err := Run(context.Background(), day, Options{Variant: v, Seed: seed, Log: log})
+	if err != nil {
+		t.Fatal(err)
+	}
+	rep := log.Check()
+	rows := res.Recorder.Rows()
+	if all := rows[len(rows)-1]; int(all.Asked) != len(day.Jobs) {
+		t.Errorf("seed %d: %d of %d jobs have an end", seed, all.Asked, len(day.Jobs))
+	}
+	return res, rep
+}
+
+// Under a storm of failures every job has one end, each try one answer and no job an unsafe repeat, and the same seed
+// gives the same bytes. (That nothing reaches a host that leaves and none falls over cold can't be had of dispatchers
+// that nobody tells of it.)
+func TestStorm(t *testing.T) {
+	text := `(experiment storm (length 26s) (load (rate 14)) (clients (impatient 5%) (patience 2s))` + storm + `)`
+	for seed := range uint64(6) {
+		one, rep := playDay(t, text, seed, world.Variant{})
+		if rep.Rules[0].Broken+rep.Rules[1].Broken > 0 {
+			t.Errorf("seed %d:\n%s", seed, rep)
+		}
+		if seed > 0 {
+			continue
+		}
+		two, again := playDay(t, text, seed, world.Variant{})
+		a, _ := json.Marshal([]any{one.Recorder, rep, one.Length})
+		b, _ := json.Marshal([]any{two.Recorder, again, two.Length})
+		if string(a) != string(b) {
+			t.Errorf("seed %d: two plays differ", seed)
+		}
+		other, _ := playDay(t, text, seed+100, world.Variant{})
+		if c, _ := json.Marshal([]any{other.Recorder, rep, other.Length}); string(a) == string(c) {
+			t.Error("another seed gave the same play")
+		}
+	}
+}
+
+// All four rules hold under each failure by itself.
+func TestSingleFailures(t *testing.T) {
+	for _, f := range singles {
+		for seed := range uint64(2) {
+			if _, rep := playDay(t, `(experiment single (length 15s) (load (rate 8))`+f+`)`, seed, world.Variant{}); rep.Broken() > 0 {
+				t.Errorf("%s, seed %d:\n%s", f, seed, rep)
+			}
+		}
+	}
+}
+
+// The audit sees what a policy that knows nothing of the rules does wrong: a cold host that gets its full share falls.
+func TestAuditSeesColdHostsFall(t *testing.T) {
+	broken := 0
+	for seed := range uint64(5) {
+		_, rep := playDay(t, `(experiment cold (length 20s) (load (rate 40)) (fleet (fall-multiple 1.5)) (grow (at 5s) (for 1s) (count 4)))`, seed, world.Variant{Policy: "least"})
+		broken += rep.Rules[3].Broken
+	}
+	if broken == 0 {
+		t.Error("no cold host fell under a policy that sends it all it can")
+	}
+}
+
+// What hosts did under a failure shows in what clients met: without hosts that can be reached nothing is served, and a
+// calm light day is served nearly whole.
+func TestFailuresBite(t *testing.T) {
+	calm, _ := playDay(t, `(experiment calm (length 15s) (load (rate 5)))`, 1, world.Variant{})
+	if s := calm.Recorder.Rows()[4].Service; s < 0.8 {
+		t.Errorf("a calm day has a service of %.3f", s)
+	}
+	for _, f := range []string{"(vanish (at 0s) (share 100%))", "(refuse (at 0s) (share 100%))", "(errors (at 0s) (share 100%))", "(reset (at 0s) (share 100%))", "(crash (at 0s) (share 100%))"} {
+		res, rep := playDay(t, `(experiment dead (length 5s) (load (rate 5)) (clients (retries 0))`+f+`)`, 1, world.Variant{})
+		if rows := res.Recorder.Rows(); rows[4].InTime+rows[4].Late > 0 || rep.Broken() > 0 {
+			t.Errorf("%s: served %d in time, %d late\n%s", f, rows[4].InTime, rows[4].Late, rep)
+		}
+	}
+}
+
+// Plain policies give every job an end too.
+func TestPolicies(t *testing.T) {
+	for _, p := range world.Policies {
+		res, _ := playDay(t, `(experiment plain (length 10s) (load (rate 8)))`, 1, world.Variant{Policy: p})
+		if s := res.Recorder.Rows()[4].Service; s < 0.3 {
+			t.Errorf("%s: service %.3f on a calm day", p, s)
+		}
+	}
+}
+
+// BenchmarkPlay is how fast virtual time runs: 9 hosts, 3 dispatchers, 30 s of 14 jobs a second.
+func BenchmarkPlay(b *testing.B) {
+	spec, err := world.Parse("bench", `(experiment bench (length 30s) (load (rate 14)))`)
+	if err != nil {
+		b.Fatal(err)
+	}
+	virtual := 0.0
+	for i := range b.N {
+		day, err := spec.Draw(uint64(i))
+		if err != nil {
+			b.Fatal(err)
+		}
+		res, err := Run(context.Background(), day, Options{Seed: uint64(i)})
+		if err != nil {
+			b.Fatal(err)
+		}
+		virtual += res.Length.Seconds()
+	}
+	b.ReportMetric(virtual/b.Elapsed().Seconds(), "times-real-time")
+}
--- a/internal/lab/world/spec.go
+++ b/internal/lab/world/spec.go
@@ -197,6 +197,8 @@
 	Hosts       []int `sexp:"hosts,required" min:"1" max:"100000"`
 	Dispatchers []int `sexp:"dispatchers,required" min:"1" max:"1000"`
 	Jobs        int   `sexp:"jobs" min:"100"` // a play ends after so many arrivals at the latest; 0 = no limit
+
+	Budget time.Duration `sexp:"budget" min:"0.1"` // of wall time for a play; what it came to by then is reported as partial
 }
 
 // Sized gives the deployment with another number of hosts and dispatchers and its load scaled to the hosts.
--- /dev/null
+++ b/internal/lab/world/world_test.go
@@ -0,0 +1,136 @@
+package world
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"granitewing/internal/lab/model"
+	"granitewing/internal/wire/platform"
+	"granitewing/logic"
+)
+
+func draw(t *testing.T, text string, seed uint64) *Day {
+	t.Helper()
+	spec, err := Parse("test", text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	day, err := spec.Draw(seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return day
+}
+
+// The same seed draws the same day; a failure more leaves hosts and jobs as they are, so that variants stay comparable.
+func TestDraw(t *testing.T) {
+	const base = `(experiment a (length 20s) (load (rate 50))`
+	one, two := draw(t, base+")", 3), draw(t, base+")", 3)
+	if diff := cmp.Diff(one.Jobs, two.Jobs) + cmp.Diff(one.Machines, two.Machines); diff != "" {
+		t.Error(diff)
+	}
+	with := draw(t, base+`(chance slow (rate 20) (for 1s) (factor 2)) (drain (at 1s) (count 2)))`, 3)
+	if diff := cmp.Diff(one.Jobs, with.Jobs) + cmp.Diff(one.Machines, with.Machines); diff != "" || len(with.Ops) < 5 {
+		t.Errorf("%d operations\n%s", len(with.Ops), diff)
+	}
+	if other := draw(t, base+")", 4); cmp.Equal(one.Jobs, other.Jobs) {
+		t.Error("another seed drew the same jobs")
+	}
+	// The mix is the described one.
+	counts := make([]float64, len(one.Classes))
+	for _, j := range one.Jobs {
+		counts[j.Class] += 1 / float64(len(one.Jobs))
+	}
+	for i, c := range one.Classes {
+		if counts[i] < c.Share-0.06 || counts[i] > c.Share+0.06 {
+			t.Errorf("%s is %.2f of the jobs, want %.2f", c.Name, counts[i], c.Share)
+		}
+	}
+}
+
+// Failures become operations at their times, and end.
+func TestOps(t *testing.T) {
+	day := draw(t, `(experiment a (fleet (hosts 4)) (slow (at 1s) (for 2s) (hosts h1) (factor 3)) (shrink (at 5s) (for 2s) (count 2) (grace 1s))
+		(grow (at 9s) (count 1)) (partition (at 10s) (for 1s) (zones dakar ziguinchor)) (kill-dispatcher (at 11s) (for 1s) (dispatcher 2)) (slow (at 12s) (zone dakar)))`, 1)
+	type op struct {
+		At   time.Duration
+		Kind OpKind
+		On   bool
+	}
+	var got []op
+	hosts := map[int]int{}
+	for _, o := range day.Ops {
+		got = append(got, op{o.At / time.Second, o.Kind, o.On})
+		if o.Kind == OpDrain {
+			hosts[o.Host]++
+		}
+		if o.At == 12*time.Second && o.Kind == OpSlow && day.Machines[o.Host].Zone != 0 {
+			t.Errorf("a host of zone %d is slow with dakar", day.Machines[o.Host].Zone)
+		}
+	}
+	want := []op{{1, OpSlow, true}, {3, OpSlow, false}, {5, OpDrain, false}, {6, OpStop, false}, {6, OpDrain, false}, {7, OpStop, false}, {9, OpStart, false},
+		{10, OpPart, true}, {11, OpPart, false}, {11, OpKill, false}, {12, OpRevive, false}}
+	if diff := cmp.Diff(want, got[:len(want)]); diff != "" {
+		t.Error(diff)
+	}
+	if len(hosts) != 2 || len(day.Machines) != 5 {
+		t.Errorf("hosts that drain: %v; machines: %d", hosts, len(day.Machines))
+	}
+}
+
+// What can't be played is refused with its place and key.
+func TestRefused(t *testing.T) {
+	for text, want := range map[string]string{
+		`(slow (at 1s) (hosts h9))`:                                         `slow.hosts: no host "h9"; there are h0 to h8`,
+		`(slow (at 1s))`:                                                    `slow.hosts: wants hosts, a zone, a share or a count`,
+		`(slow (at 1s) (zone paris))`:                                       `slow.zone: no zone "paris" is described`,
+		`(partition (at 1s) (zones dakar))`:                                 `partition.zones: wants two zones that are parted`,
+		`(kill-dispatcher (at 1s) (dispatcher 3))`:                          `kill-dispatcher.dispatcher: no dispatcher 3; there are 0 to 2`,
+		`(grow (at 1s))`:                                                    `grow.count: wants how many hosts`,
+		`(load (rate 3) (programme (constant (for 1s) (rate 1))))`:          `rate and a programme or streams can't both be given`,
+		`(load (programme (burst (for 9s) (rate 1) (to 2))))`:               `a burst wants every and lasts`,
+		`(load (stream (class x) (programme (ramp (for 1s) (rate 1)))))`:    `load.stream.class: no class "x" is described`,
+		`(load (stream))`:                                                   `load.stream: wants a programme or a trace`,
+		`(variant a) (variant a)`:                                           `variant a: given twice`,
+		`(class a (share 0) (work 1s) (aim 1s) (give-up 1s) (repeat safe))`: `the shares sum to nothing`,
+		`(zones)`: `zones: want at least one`,
+	} {
+		if _, err := Parse("f", "(experiment x "+text+")"); err == nil || !strings.Contains(err.Error(), want) || !strings.HasPrefix(err.Error(), "f:1:") {
+			t.Errorf("%s:\n got %v\nwant %s", text, err, want)
+		}
+	}
+}
+
+// The dispatchers' configuration is one that the platform's reader takes, with a variant's changes in it.
+func TestConfig(t *testing.T) {
+	day := draw(t, `(experiment a)`, 1)
+	place := Place{Listen: "127.0.0.1:0", Discovery: "127.0.0.1:1", Addr: func(id string) string { return "at-" + id }, Epoch: 5_000_000}
+	text, err := day.Config(1, 7, place, []Change{{"Rules.Cold", "1000"}, {"Classes.3.Deadline", "9"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := platform.ReadConfig(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := c.Settings
+	if c.Name != "n1" || c.Seed != 7 || len(c.Known.Hosts) != 9 || c.Known.Hosts[0].Addr != "at-"+HostName(0) || s.Self != 1 || s.Zone != 1 || s.Schedulers != 3 || s.Cold != 1000 {
+		t.Errorf("%+v", c)
+	}
+	if k := s.Classes[3]; k.Name != "alert-send" || k.Repeat != logic.RepeatUnsafe || k.Deadline != 9 || k.Stretch != 2 || s.Classes[2].Repeat != logic.RepeatKeyed {
+		t.Errorf("%+v", s.Classes)
+	}
+	for _, bad := range []Change{{"Rules.Cold", "{"}, {"Nowhere.Cold", "1"}, {"Classes.9.Aim", "1"}, {"Classes", "1"}} {
+		if _, err := day.Config(0, 1, place, []Change{bad}); (err == nil) != (bad.Path == "Classes") {
+			t.Errorf("%v: %v", bad, err)
+		}
+	}
+	entry, _ := json.Marshal(day.ListEntry(day.Member(2, model.Draining, 3_000_000), "x:1", place.Epoch))
+	if got := string(entry); !strings.Contains(got, `"up_since_ms":8000`) || !strings.Contains(got, `"phase":"draining"`) {
+		t.Error(got)
+	}
+}
--- a/lab/growth.sexp
+++ b/lab/growth.sexp
@@ -4,7 +4,11 @@
   (seed 20)
   (virtual)
   (pairs 10)
-  (load (programme (constant (for 10s) (rate 12)) (ramp (for 15s) (rate 12) (to 30)) (constant (for 30s) (rate 30))))
+  (load
+    (programme
+      (constant (for 10s) (rate 12))
+      (ramp (for 15s) (rate 12) (to 30))
+      (constant (for 30s) (rate 30))))
   (grow (at 8s) (for 15s) (count 16))
   (variant module)
   (variant two-choices (policy two))
--- a/lab/scale.sexp
+++ b/lab/scale.sexp
@@ -5,5 +5,5 @@
   (virtual)
   (length 30s)
   (load (rate 14))
-  (sweep (hosts 10 100 1000 4000) (dispatchers 1 3 30) (jobs 30000))
+  (sweep (hosts 10 100 1000 4000) (dispatchers 1 3 30) (jobs 30000) (budget 12s))
   (variant module))
--- a/lab/shrink.sexp
+++ b/lab/shrink.sexp
@@ -5,7 +5,11 @@
   (virtual)
   (pairs 10)
   (fleet (hosts 25))
-  (load (programme (constant (for 10s) (rate 30)) (ramp (for 15s) (rate 30) (to 14)) (constant (for 20s) (rate 14))))
+  (load
+    (programme
+      (constant (for 10s) (rate 30))
+      (ramp (for 15s) (rate 30) (to 14))
+      (constant (for 20s) (rate 14))))
   (shrink (at 10s) (for 15s) (count 13) (grace 4s))
   (variant module)
   (variant two-choices (policy two))
