--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,97 @@
+// Package cli is the command line that all builds of the dispatcher share.
+package cli
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/alecthomas/kong"
+
+	"granitewing/internal/lifecycle"
+)
+
+// commands are the verbs.
+type commands struct {
+	Serve   serve   `cmd:"" help:"Serve until SIGTERM. Example: granitewing serve --config deploy/example.json --settings site.sexp"`
+	Check   check   `cmd:"" help:"Read configuration and settings and say what is wrong or what they mean. Example: granitewing check --config deploy/example.json"`
+	Records records `cmd:"" help:"Look at, check and tend the store of record."`
+	Version version `cmd:"" help:"Print the version and exit."`
+}
+
+// files are the flags that name what is read.
+type files struct {
+	Config   string `help:"The platform's configuration, JSON; goes before ROUTER_CONFIG." placeholder:"FILE"`
+	Settings string `help:"The product's own settings, S-expressions." placeholder:"FILE"`
+}
+
+// env is the environment with the flags before it.
+func (f files) env(name string) string {
+	if name == "ROUTER_CONFIG" {
+		return cmp.Or(f.Config, os.Getenv(name))
+	}
+	return os.Getenv(name)
+}
+
+type serve struct {
+	files
+	Log string `help:"How the log is written: auto, text or json; goes before the settings." enum:",auto,text,json" default:""`
+}
+
+func (s *serve) Run() error {
+	own, err := lifecycle.ReadSettings(s.Settings)
+	if err != nil {
+		return err
+	}
+	own.Log.Format = cmp.Or(s.Log, own.Log.Format)
+	return lifecycle.Run(s.env, own, own.Log.Logger(os.Stderr))
+}
+
+type check struct{ files }
+
+func (c *check) Run() error {
+	// Both are read whatever the other says, so that one call names the faults of both.
+	own, err := lifecycle.ReadSettings(c.Settings)
+	return errors.Join(err, lifecycle.Describe(os.Stdout, c.env, own))
+}
+
+type version struct{}
+
+func (version) Run() error {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return errors.New("the build holds no version")
+	}
+	revision := "unknown"
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			revision = s.Value
+		}
+	}
+	fmt.Printf("granitewing %s, revision %s, %s\n", info.Main.Version, revision, info.GoVersion)
+	return nil
+}
+
+// Main runs the program named by name with the verbs that all its builds have.
+func Main(name string) {
+	var err error
+	if len(os.Args) == 1 {
+		err = lifecycle.Run(os.Getenv, &lifecycle.Settings{}, lifecycle.LogSettings{}.Logger(os.Stderr))
+	} else {
+		ctx := kong.Parse(&commands{}, kong.Name(name),
+			kong.Description("A dispatcher: takes jobs from clients and sends each to the worker where it costs least."),
+			kong.Exit(func(code int) {
+				if code != 0 {
+					code = 2 // wrong usage
+				}
+				os.Exit(code)
+			}))
+		err = ctx.Run()
+	}
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
+		os.Exit(1)
+	}
+}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -63,6 +63,7 @@
 	limits  limits
 	bytes   int           // of messages that clients have sent
 	full    chan struct{} // closed once another connection may be accepted
+	journal *journal      // nil where nothing is recorded
 	stopped time.Time     // SIGTERM; zero while serving
 	arrived time.Time     // the last connection
 }
@@ -140,8 +141,18 @@
 
 func (d *Driver) now() int64 { return d.clock.now() }
 
-// do carries out the commands of one call of the core. None of them calls the core before all are done.
+// do carries out the commands of one call of the core, but those that wait for the store of record. None of them calls
+// the core before all are done.
 func (d *Driver) do(cmds []memory.Command) {
+	if d.journal == nil {
+		d.carry(cmds)
+		return
+	}
+	d.carry(d.journal.Filter(d.now(), cmds))
+	d.journal.flush()
+}
+
+func (d *Driver) carry(cmds []memory.Command) {
 	for _, c := range cmds {
 		switch c.Kind {
 		case memory.Send:
--- a/internal/driver/north.go
+++ b/internal/driver/north.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"granitewing/internal/memory"
+	"granitewing/internal/record"
 	"granitewing/internal/wire/platform"
 )
 
@@ -179,10 +180,27 @@
 		// Room runs out: new work is refused while what was taken is served.
 		n.reply(503, nil, fullAfter)
 	default:
+		if d.journal != nil && !n.recordable() {
+			return
+		}
 		n.arrive()
 	}
 }
 
+// recordable tells whether the message may be taken as far as the store of record goes; else it is answered here.
+func (n *north) recordable() bool {
+	d, m := n.d, n.msg
+	if content, known := d.journal.Repeat(d.now(), m.Class, m.Key); known {
+		n.reply(200, content, 0)
+		return false
+	}
+	if !d.journal.Admit(m.Class) {
+		n.reply(503, nil, refusedFor)
+		return false
+	}
+	return true
+}
+
 // arrive hands the message to the core.
 func (n *north) arrive() {
 	d, m := n.d, n.msg
@@ -191,7 +209,11 @@
 		wait = time.Duration(d.cfg.Settings.Classes[m.Class].Deadline) * time.Microsecond
 	}
 	deadline := n.at + wait.Microseconds()
-	id, cmds := d.core.Arrive(d.now(), m.Message, deadline)
+	now := d.now()
+	id, cmds := d.core.Arrive(now, m.Message, deadline)
+	if d.journal != nil && !(len(cmds) > 0 && cmds[0].Kind == memory.Answer && cmds[0].Verdict == memory.Duplicate) {
+		d.journal.Take(now, id, record.Message{Name: m.Txn, Key: m.Key, Class: m.Class, Deadline: deadline})
+	}
 	n.id, n.held, n.proven = id, true, true
 	d.open[id] = n
 	n.expiry = d.after(time.Duration(deadline-d.now())*time.Microsecond+expireAfter, func() {
@@ -293,6 +315,12 @@
 		n.expiry.Stop()
 		id := n.id
 		delete(d.open, id)
-		d.later = append(d.later, func() { d.do(d.core.HangUp(d.now(), id)) })
+		d.later = append(d.later, func() {
+			d.do(d.core.HangUp(d.now(), id))
+			if d.journal != nil {
+				d.journal.Left(d.now(), id)
+				d.journal.flush()
+			}
+		})
 	}
 }
--- a/internal/driver/south.go
+++ b/internal/driver/south.go
@@ -242,6 +242,9 @@
 		}
 	case platform.NoteStarted:
 		if r != nil {
+			if d.journal != nil {
+				d.journal.Started(r.id)
+			}
 			d.do(d.core.Started(d.now(), r.id))
 		}
 	case platform.NoteProgress:
@@ -276,6 +279,9 @@
 		return
 	}
 	d.release(r)
+	if d.journal != nil {
+		d.journal.Ended(d.now(), r.id, result)
+	}
 	d.do(d.core.Ended(d.now(), r.id, result, content))
 }
 
--- a/internal/driver/stop.go
+++ b/internal/driver/stop.go
@@ -25,7 +25,7 @@
 // must not be left in the listener's queue, so some time has to pass after the latest.
 func (d *Driver) quiet() bool {
 	return time.Since(d.stopped) > arriveLimit && time.Since(d.arrived) > arriveLimit/2 &&
-		len(d.events) == 0 && len(d.norths) == 0 && d.core.Open() == 0
+		len(d.events) == 0 && len(d.norths) == 0 && d.core.Open() == 0 && (d.journal == nil || d.journal.settled())
 }
 
 // leave lets go of what is left.
--- a/internal/lab/stage/stage.go
+++ b/internal/lab/stage/stage.go
@@ -37,12 +37,12 @@
 
 // Start starts program with a configuration, which is kept in dir, and waits until it listens. A dispatcher never
 // outlives the laboratory, however that ends.
-func Start(program, dir, name string, config []byte) (*Dispatcher, error) {
+func Start(program, dir, name string, config []byte, args ...string) (*Dispatcher, error) {
 	path := filepath.Join(dir, name+".json")
 	if err := os.WriteFile(path, config, 0o600); err != nil {
 		return nil, err
 	}
-	d := &Dispatcher{over: make(chan struct{}), cmd: exec.Command(program)}
+	d := &Dispatcher{over: make(chan struct{}), cmd: exec.Command(program, args...)}
 	for _, v := range os.Environ() {
 		if !strings.HasPrefix(v, "ROUTER_") {
 			d.cmd.Env = append(d.cmd.Env, v)
--- a/internal/lab/world/day.go
+++ b/internal/lab/world/day.go
@@ -158,6 +158,10 @@
 			f := Fault{Kind: c.Kind, At: time.Duration(at * float64(time.Second)), Grace: 4 * time.Second, Count: 1}
 			f.For = time.Duration(within(rng, float64(c.For.Lo), float64(c.For.Hi)))
 			f.Factor = max(within(rng, c.Factor.Lo, c.Factor.Hi), 1)
+			if c.Kind == "kill-dispatcher" {
+				f.Number = rng.IntN(d.Dispatchers)
+				f.For = max(f.For, time.Millisecond)
+			}
 			if c.Part.Hi > 0 {
 				f.Count = max(int(within(rng, c.Part.Lo, c.Part.Hi)*float64(d.Fleet.Hosts)+0.5), 1)
 			}
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -16,7 +16,7 @@
 )
 
 // Run serves until SIGTERM or an interrupt, then until nothing is held. SIGHUP has the configuration read anew.
-func Run(env func(string) string, log *slog.Logger) error {
+func Run(env func(string) string, own *Settings, log *slog.Logger) error {
 	// Caught before anything else: one that comes early must not end the program.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
@@ -31,6 +31,14 @@
 	stop := make(chan struct{})
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	var records *driver.Records
+	if own.Records != nil {
+		// Before it listens: what earlier starts left is settled before anything new is taken.
+		if records, err = openRecords(cfg, own.Records, log); err != nil {
+			return err
+		}
+		defer records.Store.Close()
+	}
 	ln, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -39,6 +47,10 @@
 	if err != nil {
 		return err
 	}
+	if records != nil {
+		d.Keep(*records)
+		go prune(own.Records, records.Store, log, stop)
+	}
 	go func() {
 		<-signals
 		signal.Stop(signals)
--- a/internal/lifecycle/log.go
+++ b/internal/lifecycle/log.go
@@ -21,7 +21,8 @@
 
 // Settings are the product's own, beside the platform's configuration.
 type Settings struct {
-	Log LogSettings `sexp:"log"`
+	Log     LogSettings     `sexp:"log"`
+	Records *RecordSettings `sexp:"record"`
 }
 
 // ReadSettings reads a file that holds one list (granitewing …); no path gives the defaults.
@@ -58,7 +59,7 @@
 }
 
 // Describe says what a configuration means, a line a matter.
-func Describe(w io.Writer, env func(string) string) error {
+func Describe(w io.Writer, env func(string) string, own *Settings) error {
 	cfg, err := Load(env)
 	if err != nil {
 		return err
@@ -74,5 +75,21 @@
 		fmt.Fprintf(w, "class %s: wanted within %v plus %g times its work, given up after %v, worth %g, %s\n",
 			c.Name, us(c.Aim), c.Stretch, us(c.Deadline), c.Worth, repeats[c.Repeat])
 	}
+	if own == nil || own.Records == nil {
+		return nil
+	}
+	classes, err := own.Records.classes(cfg)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "store of record: %s %s; a write over %v is not waited for\n", own.Records.Store.Kind, own.Records.Store.Path, own.Records.Patience)
+	meaning := []string{"not recorded", "written behind", "durable before its client is told", "durable before it is sent and before its client is told"}
+	for _, c := range classes {
+		fmt.Fprintf(w, "class %s: %s", c.Name, meaning[c.Policy])
+		if c.Window > 0 {
+			fmt.Fprintf(w, "; a repeated key is answered from the record for %v", us(c.Window))
+		}
+		fmt.Fprintln(w)
+	}
 	return nil
 }
--- /dev/null
+++ b/internal/lifecycle/records.go
@@ -0,0 +1,164 @@
+package lifecycle
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"time"
+
+	"granitewing/internal/driver"
+	"granitewing/internal/record"
+	"granitewing/internal/settings"
+	"granitewing/internal/wire/platform"
+)
+
+// RecordSettings describe a store of record.
+type RecordSettings struct {
+	Store    StoreSettings   `sexp:"store,required"`
+	Classes  []ClassSettings `sexp:"class"`
+	Patience time.Duration   `sexp:"patience" min:"0.001" max:"60"`   // a write that lasts longer is not waited for
+	Limit    time.Duration   `sexp:"write-limit" min:"0.01" max:"60"` // and one that lasts so long has failed
+	Probe    settings.Span   `sexp:"probe" min:"0.001" max:"600"`     // between probes of a store that is gone
+	Messages int             `sexp:"spool" min:"100" max:"10000000"`  // messages that may wait to be written
+	Bytes    settings.Size   `sexp:"spool-bytes"`
+	Batch    int             `sexp:"batch" min:"1" max:"100000"` // records of one write
+	Retain   time.Duration   `sexp:"retain" min:"60"`            // answered records are deleted after so long; 0 = never
+	Most     int64           `sexp:"retain-most" min:"1000"`     // and the oldest beyond so many
+}
+
+// StoreSettings name a store.
+type StoreSettings struct {
+	Kind string `sexp:",arg,required" one-of:"sqlite"`
+	Path string `sexp:",arg,required"`
+}
+
+// ClassSettings say when the records of a class must be durable.
+type ClassSettings struct {
+	Name   string        `sexp:",arg,required"`
+	Policy string        `sexp:",arg,required" one-of:"off|behind|told|before"`
+	Window time.Duration `sexp:"repeat" min:"0" max:"604800"` // a repeated key is given the recorded result for so long
+	Where  settings.Pos  `sexp:",pos"`
+}
+
+// SetDefaults implements settings.Defaulter.
+func (r *RecordSettings) SetDefaults() {
+	l := record.DefaultLimits
+	*r = RecordSettings{Patience: 250 * time.Millisecond, Limit: 5 * time.Second, Probe: settings.Span{Lo: 100 * time.Millisecond, Hi: 5 * time.Second},
+		Messages: l.Messages, Bytes: settings.Size(l.Bytes), Batch: l.Batch}
+}
+
+// classes brings the settings to the platform's classes; one that is not named is written behind.
+func (r *RecordSettings) classes(cfg *platform.Config) ([]record.Class, error) {
+	out := make([]record.Class, len(cfg.Settings.Classes))
+	for i, c := range cfg.Settings.Classes {
+		out[i] = record.Class{Name: c.Name, Policy: record.Behind}
+	}
+	seen := map[string]bool{}
+	for _, c := range r.Classes {
+		i := slices.IndexFunc(out, func(k record.Class) bool { return k.Name == c.Name })
+		if i < 0 {
+			return nil, &settings.Error{Pos: c.Where, Path: "record.class", Why: fmt.Sprintf("the configuration has no class %q", c.Name)}
+		}
+		if seen[c.Name] {
+			return nil, &settings.Error{Pos: c.Where, Path: "record.class", Why: fmt.Sprintf("class %q is given twice", c.Name)}
+		}
+		seen[c.Name] = true
+		out[i].Policy, _ = record.ParsePolicy(c.Policy)
+		out[i].Window = c.Window.Microseconds()
+		if c.Window > 0 && out[i].Policy < record.Told {
+			return nil, &settings.Error{Pos: c.Where, Path: "record.class.repeat", Why: "only what is durable before its client is told (told, before) can answer repeats"}
+		}
+	}
+	return out, nil
+}
+
+// OpenStore opens a store as the settings name it. Verbs open it to be read.
+var OpenStore = func(context.Context, StoreSettings, string, StoreUse) (record.Store, error) {
+	return nil, errors.New("this build has no store of record; bin/granitewing-store has")
+}
+
+// StoreUse is what a store is opened for.
+type StoreUse uint8
+
+// The uses of a store.
+const (
+	Serving   StoreUse = iota // a dispatcher writes to it
+	Reading                   // an operator looks at it
+	Repairing                 // an operator settles or prunes
+)
+
+// recoverLimit is how long a start may take over what earlier starts left.
+const recoverLimit = 2 * time.Minute
+
+// openRecords opens the store, settles what was left open, and gives what the driver needs.
+func openRecords(cfg *platform.Config, r *RecordSettings, log *slog.Logger) (*driver.Records, error) {
+	classes, err := r.classes(cfg)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), recoverLimit)
+	defer cancel()
+	store, err := OpenStore(ctx, r.Store, cfg.Name, Serving)
+	if err != nil {
+		return nil, err
+	}
+	limits := record.DefaultLimits
+	limits.Messages, limits.Bytes, limits.Batch = r.Messages, int(r.Bytes), r.Batch
+	breaker := record.NewBreaker(r.Patience.Microseconds(), r.Probe.Lo.Microseconds(), r.Probe.Hi.Microseconds(), cfg.Seed)
+	j := record.New(classes, store.Epoch(), limits, breaker)
+	done, err := record.Recover(ctx, store, j, classes, time.Now().UnixMicro())
+	if err != nil {
+		store.Close()
+		return nil, fmt.Errorf("recovery: %w", err)
+	}
+	log.Info("store of record", "epoch", store.Epoch(), "settled_failed", done.Failed, "settled_refused", done.Refused, "keys", done.Keys, "took", done.Took)
+	return &driver.Records{Journal: j, Store: store, Limit: r.Limit}, nil
+}
+
+const (
+	pruneEvery = time.Minute
+	pruneBatch = 2000 // records of one deletion, so that writes don't wait long behind it
+)
+
+// prune deletes what is older than the settings keep, until stop is closed.
+func prune(r *RecordSettings, store record.Store, log *slog.Logger, stop <-chan struct{}) {
+	tick := time.NewTicker(pruneEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-stop:
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), pruneEvery)
+		if err := pruneOnce(ctx, r, store); err != nil {
+			log.Warn("store of record: retention", "cause", err)
+		}
+		cancel()
+	}
+}
+
+func pruneOnce(ctx context.Context, r *RecordSettings, store record.Store) error {
+	for r.Retain > 0 {
+		n, err := store.Prune(ctx, time.Now().Add(-r.Retain).UnixMicro(), pruneBatch)
+		if err != nil {
+			return err
+		}
+		if n < pruneBatch {
+			break
+		}
+	}
+	for r.Most > 0 {
+		size, err := store.Size(ctx)
+		if err != nil || size <= r.Most {
+			return err
+		}
+		n, err := store.Prune(ctx, time.Now().UnixMicro(), int(min(size-r.Most, pruneBatch)))
+		if err != nil || n == 0 {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/memory/core.go
+++ b/internal/memory/core.go
@@ -280,6 +280,17 @@
 	return c.finishMessage(now, id)
 }
 
+// Refuse gives up a message that was never sent, since what it needs before it may be sent can't be had; its client may
+// come back after some microseconds.
+func (c *Core) Refuse(now int64, id ID, after int64) []Command {
+	c.begin()
+	if m := c.messages[id]; m != nil && !m.answered {
+		c.answer(id, m, Command{Verdict: Refused, After: after})
+		c.acts = c.sched.HangUp(now, id, c.acts)
+	}
+	return c.finishMessage(now, id)
+}
+
 // Wake takes a time that a Wake command asked for.
 func (c *Core) Wake(now int64) []Command {
 	c.begin()
--- /dev/null
+++ b/internal/record/journal_test.go
@@ -0,0 +1,629 @@
+package record
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"granitewing/internal/memory"
+	"granitewing/logic"
+)
+
+const (
+	reading = iota // behind
+	batch          // told, keyed
+	alert          // before
+	probe          // off
+)
+
+var classes = []Class{{"reading", Behind, 0}, {"batch", Told, 40_000_000}, {"alert", Before, 0}, {"probe", Off, 0}}
+
+func journal() *Journal {
+	return New(classes, 3, Limits{Messages: 5, Bytes: 10_000, Batch: 100, Hold: 250, Margin: 5, Keys: 2}, NewBreaker(100, 50, 400, 1))
+}
+
+func send(id memory.ID, attempt int) memory.Command {
+	return memory.Command{Kind: memory.Send, Relay: memory.RelayID{Message: id, Attempt: attempt}, Addr: fmt.Sprintf("h%d", attempt)}
+}
+
+func served(id memory.ID, content string) memory.Command {
+	return memory.Command{Kind: memory.Answer, Relay: memory.RelayID{Message: id}, Verdict: memory.Served, Content: []byte(content)}
+}
+
+func verdict(id memory.ID, v memory.Verdict) memory.Command {
+	return memory.Command{Kind: memory.Answer, Relay: memory.RelayID{Message: id}, Verdict: v}
+}
+
+func take(j *Journal, now int64, id memory.ID, class int, key string) {
+	j.Take(now, id, Message{Name: fmt.Sprintf("t%d", id), Key: key, Class: class, Deadline: now + 1000})
+}
+
+// names tells commands in short.
+func names(cmds []memory.Command) string {
+	var out []string
+	for _, c := range cmds {
+		s := []string{"send", "drop", "answer", "wake", "watch", "leave"}[c.Kind]
+		if c.Kind == memory.Answer {
+			s += []string{"-served", "-refused", "-failed", "-duplicate"}[c.Verdict]
+		}
+		out = append(out, fmt.Sprintf("%s %d", s, c.Relay.Message))
+	}
+	return strings.Join(out, ", ")
+}
+
+func expect(t *testing.T, what string, cmds []memory.Command, want string) {
+	t.Helper()
+	if got := names(cmds); got != want {
+		t.Errorf("%s: %q goes, want %q", what, got, want)
+	}
+}
+
+// write makes the next write as a store that keeps its promise.
+func write(t *testing.T, j *Journal, now int64, err error) ([]Record, []memory.Command) {
+	t.Helper()
+	b := j.Batch(now)
+	if b == nil {
+		t.Fatal("nothing to write")
+	}
+	out, _ := j.Wrote(now, err)
+	return b, out
+}
+
+// A job that must not run twice is written before each sending and before its answer; a keyed one before its answer; a
+// reading waits for nothing.
+func TestWhatWaits(t *testing.T) {
+	j := journal()
+	take(j, 0, 1, alert, "")
+	take(j, 0, 2, batch, "k")
+	take(j, 0, 3, reading, "")
+	take(j, 0, 4, probe, "")
+	expect(t, "sendings", j.Filter(1, []memory.Command{send(1, 0), send(2, 0), send(3, 0), send(4, 0)}), "send 2, send 3, send 4")
+	b, out := write(t, j, 2, nil)
+	expect(t, "after the write", out, "send 1")
+	if len(b) != 3 || len(b[0].Attempts) != 1 || b[0].Verdict != Open || b[0].ID>>32 != 3 {
+		t.Errorf("written: %+v", b)
+	}
+	for id := range memory.ID(5) {
+		j.Started(memory.RelayID{Message: id})
+		j.Ended(10, memory.RelayID{Message: id}, logic.Served)
+	}
+	expect(t, "answers", j.Filter(10, []memory.Command{served(1, "a"), served(2, "b"), served(3, "c"), served(4, "d")}), "answer-served 3, answer-served 4")
+	b, out = write(t, j, 11, nil)
+	expect(t, "after their write", out, "answer-served 1, answer-served 2")
+	for _, r := range b {
+		if err := r.Verify(); err != nil || r.Verdict != Served || r.Attempts[0].Result != Done {
+			t.Errorf("%v: %+v", err, r)
+		}
+	}
+	if j.Waiting() != 0 || j.bytes != 0 || len(j.open) != 0 {
+		t.Errorf("%d wait, %d bytes", j.Waiting(), j.bytes)
+	}
+	// A repeat of the key within its window is given the recorded result.
+	if got, known := j.Repeat(1000, batch, "k"); !known || string(got) != "b" {
+		t.Errorf("a repeat got %q, %t", got, known)
+	}
+	if _, known := j.Repeat(50_000_000, batch, "k"); known {
+		t.Error("a repeat beyond the window was answered")
+	}
+	if _, known := j.Repeat(1000, alert, "k"); known {
+		t.Error("a class without a window answered a repeat")
+	}
+}
+
+// A sending that is called off while it waits goes nowhere, and its record says that it never ran.
+func TestCalledOffWhileWaiting(t *testing.T) {
+	j := journal()
+	take(j, 0, 1, alert, "")
+	j.Filter(0, []memory.Command{send(1, 0)})
+	b := j.Batch(0)
+	drop := memory.Command{Kind: memory.Drop, Relay: memory.RelayID{Message: 1}}
+	expect(t, "the drop", j.Filter(1, []memory.Command{drop, send(1, 1)}), "")
+	out, _ := j.Wrote(2, nil)
+	expect(t, "the write of the first", out, "")
+	b2, out := write(t, j, 3, nil)
+	expect(t, "the write of the second", out, "send 1")
+	if b[0].Attempts[0].Result != Unknown || b2[0].Attempts[0].Result != Unsent || out[0].Addr != "h1" {
+		t.Errorf("%+v then %+v", b, b2)
+	}
+	// One that went out is stopped as ever.
+	expect(t, "a drop of what is out", j.Filter(4, []memory.Command{{Kind: memory.Drop, Relay: memory.RelayID{Message: 1, Attempt: 1}}}), "drop 1")
+}
+
+// A write whose end is an error is made again, whether or not it was done; nothing goes until one has succeeded.
+func TestWriteAgain(t *testing.T) {
+	j := journal()
+	take(j, 0, 1, alert, "")
+	j.Filter(0, []memory.Command{send(1, 0)})
+	_, out := write(t, j, 1, errors.New("reset"))
+	expect(t, "a failed write", out, "")
+	if !j.Breaker.Open() || j.Batch(1) != nil {
+		t.Error("the breaker is closed after an error, or lets the next write go at once")
+	}
+	next := j.Next()
+	if next <= 1 || next > 51 {
+		t.Errorf("the next probe is at %d", next)
+	}
+	_, out = write(t, j, next, nil)
+	expect(t, "a later write", out, "send 1")
+	if j.Breaker.Open() {
+		t.Error("a write succeeded and the breaker is open")
+	}
+}
+
+// A store that is slow: the breaker opens, what was never sent is refused, what was given up is answered at once, a result
+// waits up to its deadline and then gives way to a failure that the record tells of.
+func TestSlowStore(t *testing.T) {
+	j := journal()
+	take(j, 0, 1, alert, "")
+	take(j, 0, 2, alert, "")
+	take(j, 0, 3, alert, "")
+	j.Filter(0, []memory.Command{send(2, 0), send(3, 0)})
+	write(t, j, 0, nil)
+	j.Filter(1, []memory.Command{send(1, 0)})
+	if j.Batch(1) == nil {
+		t.Fatal("nothing to write")
+	}
+	j.Ended(2, memory.RelayID{Message: 2}, logic.Served)
+	j.Ended(2, memory.RelayID{Message: 3}, logic.Failed)
+	expect(t, "answers", j.Filter(2, []memory.Command{served(2, "x"), verdict(3, memory.Failed)}), "")
+	if next := j.Next(); next != 101 {
+		t.Errorf("the breaker's patience ends at 101, not %d", next)
+	}
+	out, refuse, changed := j.Due(101)
+	expect(t, "when patience ends", out, "answer-failed 3")
+	if !changed || !slices.Equal(refuse, []memory.ID{1}) {
+		t.Errorf("changed %t, refuse %v", changed, refuse)
+	}
+	expect(t, "the refusal", j.Filter(101, []memory.Command{{Kind: memory.Drop, Relay: memory.RelayID{Message: 1}}, verdict(1, memory.Refused)}), "answer-refused 1")
+	if j.Admit(alert) || !j.Admit(batch) || !j.Admit(reading) || !j.Admit(probe) {
+		t.Error("while the store is gone the classes that need it are refused, and no others")
+	}
+	out, _, _ = j.Due(994)
+	expect(t, "before the deadline", out, "")
+	out, _, _ = j.Due(995)
+	expect(t, "at the deadline", out, "answer-failed 2")
+	// The store was only slow: its write ends after all, and the rest is written behind.
+	j.Wrote(2000, nil)
+	b, out := write(t, j, 2000, nil)
+	expect(t, "late", out, "")
+	for _, r := range b {
+		if err := r.Verify(); err != nil {
+			t.Error(err)
+		}
+		if r.Name == "t2" && (r.Verdict != Failed || !strings.Contains(r.Note, "too slow") || !r.MayHaveRun()) || r.Name == "t1" && (r.Verdict != Refused || r.MayHaveRun()) {
+			t.Errorf("%+v", r)
+		}
+	}
+	if s := j.Stats(); s.Overtaken != 1 || s.Unrecorded != 2 || s.Refused != 1 || j.Waiting() != 0 {
+		t.Errorf("%+v, %d wait", s, j.Waiting())
+	}
+}
+
+// The spool is bounded: what is written behind is lost, the oldest first, and counted; what must be durable is refused.
+func TestSpoolOverflows(t *testing.T) {
+	j := journal()
+	take(j, 0, 1, reading, "")
+	j.Filter(0, []memory.Command{send(1, 0)})
+	j.Batch(0)
+	j.Due(100) // the breaker opens
+	for id := memory.ID(2); id < 12; id++ {
+		take(j, 100, id, reading, "")
+		j.Filter(100, []memory.Command{send(id, 0), served(id, "x")})
+	}
+	if j.Waiting() > 5 || j.Admit(batch) {
+		t.Errorf("%d wait where 5 may; a class that needs the store is taken: %t", j.Waiting(), j.Admit(batch))
+	}
+	j.Wrote(200, errors.New("gone"))
+	if s := j.Stats(); s.Lost < 6 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// A client that leaves needs no answer; its record closes.
+func TestLeft(t *testing.T) {
+	j := journal()
+	take(j, 0, 1, alert, "")
+	j.Filter(0, []memory.Command{send(1, 0)})
+	write(t, j, 0, nil)
+	j.Ended(1, memory.RelayID{Message: 1}, logic.Cancelled)
+	j.Left(1, 1)
+	b, out := write(t, j, 2, nil)
+	expect(t, "afterwards", out, "")
+	if b[0].Verdict != HungUp || b[0].Verify() != nil || j.Waiting() != 0 {
+		t.Errorf("%+v", b[0])
+	}
+}
+
+func TestSettle(t *testing.T) {
+	ran := Record{ID: 1, Step: 2, Name: "a", Class: "alert", Policy: "before", Taken: 50, Attempts: []Attempt{{Host: "h", Sent: 60}}}
+	never := Record{ID: 2, Step: 2, Name: "b", Class: "alert", Policy: "before", Taken: 50, Attempts: []Attempt{{Host: "h", Sent: 60, Ended: 61, Result: Returned}}}
+	for _, c := range []struct {
+		r    Record
+		want Verdict
+	}{{ran, Failed}, {never, Refused}, {Record{ID: 3, Step: 1, Name: "c", Class: "alert", Policy: "before", Taken: 50}, Refused}} {
+		// The clock was set back meanwhile.
+		if !c.r.Settle(10) || c.r.Verdict != c.want || c.r.Answered < c.r.Taken || c.r.Verify() != nil {
+			t.Errorf("%+v: %v", c.r, c.r.Verify())
+		}
+		again := c.r
+		if again.Settle(99) || !cmp.Equal(again, c.r) {
+			t.Error("settled twice")
+		}
+	}
+}
+
+func TestVerifyNamesTheFault(t *testing.T) {
+	good := func() Record {
+		return Record{ID: 1, Step: 3, Name: "t", Class: "alert", Policy: "before", Taken: 1, Answered: 9, Verdict: Served, Content: []byte("x"),
+			Attempts: []Attempt{{Host: "a", Sent: 2, Ended: 3, Result: Returned}, {Host: "b", Sent: 4, Started: true, Ended: 8, Result: Done}}}
+	}
+	if r := good(); r.Verify() != nil {
+		t.Fatal(r.Verify())
+	}
+	for want, spoil := range map[string]func(*Record){
+		"has no step":                        func(r *Record) { r.Step = 0 },
+		"has no class":                       func(r *Record) { r.Class = "" },
+		"is open and was answered":           func(r *Record) { r.Verdict = Open },
+		"has no time of its answer":          func(r *Record) { r.Answered = 0 },
+		"is failed and has a result":         func(r *Record) { r.Verdict = Failed },
+		"names no host":                      func(r *Record) { r.Attempts[0].Host = "" },
+		"ended before it was sent":           func(r *Record) { r.Attempts[0].Ended = 1 },
+		"has a result and no end":            func(r *Record) { r.Attempts[0].Ended = 0 },
+		"was followed by another and has no": func(r *Record) { r.Attempts[0].Result, r.Attempts[0].Ended = "", 0 },
+		"started and is said never":          func(r *Record) { r.Attempts[0].Started = true },
+		"followed one that may have run":     func(r *Record) { r.Attempts[0].Result = Errored },
+		"is served and no host":              func(r *Record) { r.Attempts = r.Attempts[:1] },
+		"was refused as if it had not run":   func(r *Record) { r.Verdict, r.Content = Refused, nil },
+		"was sent 4 times":                   func(r *Record) { r.Policy = "told"; r.Attempts = append(r.Attempts, r.Attempts...) },
+		"has 17 attempts":                    func(r *Record) { r.Attempts = make([]Attempt, 17) },
+	} {
+		r := good()
+		spoil(&r)
+		if err := r.Verify(); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("want %q, got %v", want, err)
+		}
+	}
+}
+
+// The breaker: one probe at a time, pauses that double up to their bound, a random part of each.
+func TestBreaker(t *testing.T) {
+	b := NewBreaker(100, 50, 400, 7)
+	b.Begin(1)
+	if b.Late(100) || !b.Late(101) || b.Late(500) || !b.Open() || b.MayWrite(10_000) {
+		t.Error("it opens once when a write lasts over 100, and no second write begins beside that")
+	}
+	now, last := int64(500), int64(0)
+	b.End(now, false)
+	for i := range 12 {
+		pause := b.Next() - now
+		if full := min(int64(50)<<(i+1), 400); pause < full/2 || pause > full || b.MayWrite(b.Next()-1) {
+			t.Errorf("pause %d is %d, want %d to %d", i, pause, full/2, full)
+		}
+		last = pause
+		now = b.Next()
+		b.Begin(now)
+		b.End(now, false)
+	}
+	if other := NewBreaker(100, 50, 400, 8); last == func() int64 { other.Begin(1); other.End(1, false); return other.Next() }() {
+		t.Error("two breakers probe together")
+	}
+	b.Begin(now)
+	if !b.End(now, true) || b.Open() || b.Next() != 0 || b.Opened() != 1 {
+		t.Errorf("closed by a good probe: open %t, next %d, opened %d", b.Open(), b.Next(), b.Opened())
+	}
+}
+
+// world is a journal with a store, hosts and clients round it, for searches and random plays.
+type worldState struct {
+	j      *Journal
+	store  map[uint64]Record
+	ran    map[memory.ID]bool // a host has it, or had
+	told   map[memory.ID]memory.Command
+	alone  map[memory.ID]bool // told while the store was taken for gone
+	inCore map[memory.ID]int // attempts; -1 once answered
+	flight []Record
+	now    int64
+}
+
+func newWorld(class Class) *worldState {
+	return &worldState{j: New([]Class{class}, 1, Limits{Messages: 100, Bytes: 1 << 20, Batch: 100, Hold: 250, Margin: 5, Keys: 10}, NewBreaker(100, 50, 100, 1)),
+		store: map[uint64]Record{}, ran: map[memory.ID]bool{}, told: map[memory.ID]memory.Command{}, alone: map[memory.ID]bool{}, inCore: map[memory.ID]int{}}
+}
+
+func (w *worldState) carry(cmds []memory.Command) {
+	for _, c := range cmds {
+		switch c.Kind {
+		case memory.Send:
+			w.ran[c.Relay.Message] = true
+		case memory.Answer:
+			w.told[c.Relay.Message] = c
+			w.alone[c.Relay.Message] = w.j.Breaker.Open()
+		}
+	}
+}
+
+func (w *worldState) apply() {
+	for _, r := range w.flight {
+		if r.Step > w.store[r.ID].Step {
+			w.store[r.ID] = r
+		}
+	}
+}
+
+// step does one thing; false if it can't be done now.
+func (w *worldState) step(action int) bool {
+	const id = memory.ID(1)
+	w.now += 10
+	attempts, known := w.inCore[id]
+	switch action {
+	case 0: // a message arrives and is sent
+		if known {
+			return false
+		}
+		w.j.Take(w.now, id, Message{Name: "t", Class: 0, Deadline: w.now + 100_000})
+		w.inCore[id] = 1
+		w.carry(w.j.Filter(w.now, []memory.Command{send(id, 0)}))
+	case 1: // a write begins
+		if w.flight != nil {
+			return false
+		}
+		w.flight = w.j.Batch(w.now + 1000) // beyond any pause of the breaker
+		return w.flight != nil
+	case 2, 3, 4: // it succeeds; fails; is done and its answer is lost
+		if w.flight == nil {
+			return false
+		}
+		if action != 3 {
+			w.apply()
+		}
+		w.flight = nil
+		var err error
+		if action != 2 {
+			err = errors.New("gone")
+		}
+		out, _ := w.j.Wrote(w.now, err)
+		w.carry(out)
+		more, refuse := w.j.Trouble(w.now)
+		w.carry(more)
+		for _, r := range refuse {
+			w.inCore[r] = -1
+			w.carry(w.j.Filter(w.now, []memory.Command{{Kind: memory.Drop, Relay: memory.RelayID{Message: r, Attempt: attempts - 1}}, verdict(r, memory.Refused)}))
+		}
+	case 5: // the host serves it
+		if !w.ran[id] || attempts < 1 {
+			return false
+		}
+		w.inCore[id] = -1
+		w.j.Ended(w.now, memory.RelayID{Message: id, Attempt: attempts - 1}, logic.Served)
+		w.carry(w.j.Filter(w.now, []memory.Command{served(id, "x")}))
+	case 6: // the host hands it back, and it goes to another
+		if !w.ran[id] || attempts != 1 {
+			return false
+		}
+		w.ran[id] = false
+		w.inCore[id] = 2
+		w.j.Ended(w.now, memory.RelayID{Message: id, Attempt: 0}, logic.Refused)
+		w.carry(w.j.Filter(w.now, []memory.Command{send(id, 1)}))
+	case 7: // the host's connection breaks, and the decisions give it up
+		if !w.ran[id] || attempts < 1 {
+			return false
+		}
+		w.inCore[id] = -1
+		w.j.Ended(w.now, memory.RelayID{Message: id, Attempt: attempts - 1}, logic.Broken)
+		w.carry(w.j.Filter(w.now, []memory.Command{verdict(id, memory.Failed)}))
+	}
+	return true
+}
+
+// crash kills the dispatcher here, starts it anew and names what the record then has wrong.
+func (w *worldState) crash() string {
+	var r Record
+	for _, r = range w.store {
+		if err := r.Verify(); err != nil {
+			return err.Error()
+		}
+		r.Settle(w.now + 1)
+		if err := r.Verify(); err != nil {
+			return "settled: " + err.Error()
+		}
+	}
+	for id, ran := range w.ran {
+		if ran && !r.MayHaveRun() {
+			return fmt.Sprintf("a host has %d, and the record says that none had", id)
+		}
+	}
+	for id, c := range w.told {
+		switch {
+		case c.Verdict == memory.Served && r.Verdict != Served:
+			return fmt.Sprintf("%d was served to its client, and the record says %s", id, r.Verdict)
+		case c.Verdict == memory.Refused && len(w.store) > 0 && r.Verdict != Refused && !w.alone[id]:
+			return fmt.Sprintf("%d was refused to its client, and the record says %s", id, r.Verdict)
+		case c.Verdict == memory.Failed && (r.Verdict == Served || r.Verdict == Refused):
+			return fmt.Sprintf("%d failed for its client, and the record says %s", id, r.Verdict)
+		}
+	}
+	return ""
+}
+
+// search plays every sequence of actions up to a depth against the journal itself, with a crash after each.
+func search(class Class, depth int) (played int, fault string, path []int) {
+	var extend func(prefix []int) bool
+	extend = func(prefix []int) bool {
+		w := newWorld(class)
+		for _, a := range prefix {
+			if !w.step(a) {
+				return false
+			}
+		}
+		played++
+		if fault = w.crash(); fault != "" {
+			path = slices.Clone(prefix)
+			return true
+		}
+		if len(prefix) == depth {
+			return false
+		}
+		for a := range 8 {
+			if extend(append(prefix, a)) {
+				return true
+			}
+		}
+		return false
+	}
+	extend(nil)
+	return played, fault, path
+}
+
+// With both durability points no crash anywhere leaves the record wrong; without either the search finds a crash that
+// does. Left aside is a refusal that was given at once because the store was gone: a crash then finds an older step, which
+// settles as failed, the more careful word.
+func TestEveryInterleaving(t *testing.T) {
+	played, fault, path := search(Class{"alert", Before, 0}, 18)
+	if fault != "" {
+		t.Errorf("%s after %v", fault, path)
+	}
+	if played < 500 {
+		t.Errorf("only %d sequences were played", played)
+	}
+	t.Logf("%d sequences", played)
+	for policy, want := range map[Policy]string{Told: "the record says that none had", Behind: "the record says"} {
+		if _, fault, path := search(Class{"alert", policy, 0}, 18); !strings.Contains(fault, want) {
+			t.Errorf("%s: found %q after %v; a durability point less must show", policy, fault, path)
+		}
+	}
+}
+
+// Random lives of many messages over a store that fails at random: what goes without being durable is noted, ids and
+// steps grow, and the books come out even.
+func TestJournalKeepsBooks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		j := New(classes, 1, Limits{Messages: 8, Bytes: 4000, Batch: 3, Hold: 250, Margin: 5, Keys: 4}, NewBreaker(100, 50, 400, 1))
+		store := map[uint64]Record{}
+		open := map[memory.ID]int{}
+		var ids []memory.ID
+		var flight []Record
+		sent, told := map[memory.ID]bool{}, map[memory.ID]bool{}
+		now, next := int64(1), memory.ID(0)
+		carry := func(cmds []memory.Command) {
+			for _, c := range cmds {
+				if c.Kind == memory.Answer {
+					if told[c.Relay.Message] {
+						t.Fatalf("%d was answered twice", c.Relay.Message)
+					}
+					told[c.Relay.Message] = true
+				}
+				if c.Kind == memory.Send {
+					sent[c.Relay.Message] = true
+				}
+			}
+		}
+		trouble := func(refuse []memory.ID) {
+			for _, id := range refuse {
+				if sent[id] {
+					t.Fatalf("%d was sent and is to be refused", id)
+				}
+				delete(open, id)
+				carry(j.Filter(now, []memory.Command{{Kind: memory.Drop, Relay: memory.RelayID{Message: id}}, verdict(id, memory.Refused)}))
+			}
+		}
+		finish := func(err error) {
+			if err == nil || rapid.Bool().Draw(t, "done all the same") {
+				for _, r := range flight {
+					if e := r.Verify(); e != nil {
+						t.Fatal(e)
+					}
+					if r.Step > store[r.ID].Step {
+						store[r.ID] = r
+					}
+				}
+			}
+			flight = nil
+			out, _ := j.Wrote(now, err)
+			carry(out)
+			more, refuse := j.Trouble(now)
+			carry(more)
+			trouble(refuse)
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += int64(rapid.IntRange(0, 120).Draw(t, "wait"))
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
+			case 0, 1:
+				class := rapid.IntRange(0, 3).Draw(t, "class")
+				if !j.Admit(class) {
+					continue
+				}
+				next++
+				take(j, now, next, class, "k")
+				open[next] = class
+				ids = append(ids, next)
+				carry(j.Filter(now, []memory.Command{send(next, 0)}))
+			case 2:
+				if len(ids) == 0 {
+					continue
+				}
+				id := rapid.SampledFrom(ids).Draw(t, "message")
+				if _, is := open[id]; !is || !sent[id] {
+					continue
+				}
+				delete(open, id)
+				result := rapid.SampledFrom([]logic.Result{logic.Served, logic.Failed, logic.Refused}).Draw(t, "result")
+				j.Ended(now, memory.RelayID{Message: id}, result)
+				carry(j.Filter(now, []memory.Command{map[logic.Result]memory.Command{logic.Served: served(id, "x"), logic.Failed: verdict(id, memory.Failed),
+					logic.Refused: verdict(id, memory.Refused)}[result]}))
+			case 3:
+				if len(ids) == 0 {
+					continue
+				}
+				id := rapid.SampledFrom(ids).Draw(t, "leaves")
+				if _, is := open[id]; is {
+					delete(open, id)
+					j.Left(now, id)
+					told[id] = true
+				}
+			case 4:
+				if flight == nil {
+					flight = j.Batch(now)
+				}
+			case 5:
+				if flight != nil {
+					finish(rapid.SampledFrom([]error{nil, nil, errors.New("gone")}).Draw(t, "error"))
+				}
+			case 6:
+				out, refuse, _ := j.Due(now)
+				carry(out)
+				trouble(refuse)
+			}
+			if s := j.Stats(); j.Waiting() > 8+4 && s.Lost == 0 && j.bytes > 1<<20 {
+				t.Fatalf("%d wait", j.Waiting())
+			}
+		}
+		// The store is well again: everything that is answered is written.
+		for range 100 {
+			if flight == nil {
+				now += 1000
+				if flight = j.Batch(now); flight == nil {
+					break
+				}
+			}
+			finish(nil)
+		}
+		for id := range open {
+			j.Left(now, id)
+		}
+		for range 100 {
+			now += 1000
+			if flight = j.Batch(now); flight == nil {
+				break
+			}
+			finish(nil)
+		}
+		if j.Waiting() != 0 || j.bytes != 0 || len(j.held) != 0 || len(j.waits) != 0 {
+			t.Fatalf("%d wait, %d bytes, %d held, %d answers when all is written", j.Waiting(), j.bytes, len(j.held), len(j.waits))
+		}
+	})
+}
--- /dev/null
+++ b/internal/record/sqlite/sqlite_test.go
@@ -0,0 +1,291 @@
+package sqlite
+
+import (
+	"context"
+	"database/sql"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"granitewing/internal/record"
+)
+
+var ctx = context.Background()
+
+func open(t *testing.T, path, instance string) *Store {
+	t.Helper()
+	s, err := Open(ctx, Options{Path: path, Instance: instance, Busy: 100 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Close() })
+	return s
+}
+
+func rec(s *Store, n uint64, step uint32, v record.Verdict) record.Record {
+	r := record.Record{ID: uint64(s.Epoch())<<32 | n, Step: step, Name: fmt.Sprintf("t%d", n), Class: "alert", Policy: "before", Taken: int64(n), Deadline: 99,
+		Attempts: []record.Attempt{{Host: "h", Sent: 5}}, Verdict: v}
+	if v != record.Open {
+		r.Answered = 50 + int64(n)
+	}
+	if v == record.Served {
+		r.Attempts[0].Ended, r.Attempts[0].Result, r.Content, r.Key = 9, record.Done, []byte("result"), "k"
+	}
+	return r
+}
+
+func all(t *testing.T, s *Store, q record.Query) []record.Record {
+	t.Helper()
+	var out []record.Record
+	if err := s.Query(ctx, q, func(_ string, r record.Record) error { out = append(out, r); return nil }); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// Records come back as they were written; a write again, or of an earlier step, changes nothing.
+func TestWrite(t *testing.T) {
+	s := open(t, filepath.Join(t.TempDir(), "a.db"), "n0")
+	one, two := rec(s, 1, 3, record.Served), rec(s, 2, 1, record.Open)
+	for range 2 {
+		if err := s.Write(ctx, []record.Record{one, two}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	old := rec(s, 1, 2, record.Open)
+	if err := s.Write(ctx, []record.Record{old}); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]record.Record{one, two}, all(t, s, record.Query{})); diff != "" {
+		t.Error(diff)
+	}
+	for q, want := range map[record.Query]int{{Class: "alert"}: 2, {Verdict: "open"}: 1, {Name: "t1"}: 1, {Since: 2}: 1, {Until: 2}: 1, {Limit: 1}: 1, {Instance: "x"}: 0} {
+		if got := len(all(t, s, q)); got != want {
+			t.Errorf("%+v finds %d, want %d", q, got, want)
+		}
+	}
+	n, err := s.Prune(ctx, 1000, 10)
+	if err != nil || n != 1 || len(all(t, s, record.Query{Verdict: "open"})) != 1 {
+		t.Errorf("%d pruned, %v; what is open stays", n, err)
+	}
+}
+
+// A start settles what the one before left, once, and remembers keyed results; its own ids lie above all earlier ones.
+func TestRecover(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "a.db")
+	s := open(t, path, "n0")
+	never := rec(s, 3, 1, record.Open)
+	never.Attempts = nil
+	if err := s.Write(ctx, []record.Record{rec(s, 1, 3, record.Served), rec(s, 2, 1, record.Open), never}); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	classes := []record.Class{{Name: "alert", Policy: record.Before, Window: 1000}}
+	for round, want := range []record.Recovered{{Failed: 1, Refused: 1, Keys: 1}, {Keys: 1}} {
+		s = open(t, path, "n0")
+		j := record.New(classes, s.Epoch(), record.DefaultLimits, record.NewBreaker(1, 1, 1, 1))
+		got, err := record.Recover(ctx, s, j, classes, 100)
+		got.Took = 0
+		if err != nil || got != want {
+			t.Errorf("round %d: %+v, %v", round, got, err)
+		}
+		if content, known := j.Repeat(200, 0, "k"); !known || string(content) != "result" {
+			t.Errorf("round %d: a repeat gets %q", round, content)
+		}
+		if s.Epoch() != uint32(round+2) {
+			t.Errorf("epoch %d", s.Epoch())
+		}
+		s.Close()
+	}
+	s = open(t, path, "n0")
+	for _, r := range all(t, s, record.Query{}) {
+		if err := r.Verify(); err != nil || r.Verdict == record.Open {
+			t.Errorf("%v: %+v", err, r)
+		}
+	}
+}
+
+// An older start that writes on after a newer one has begun is refused. (The file's lock keeps both from one machine;
+// what gets past it, such as a copied folder on a network disk, meets the epoch.)
+func TestFenced(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "a.db")
+	s := open(t, path, "n0")
+	if _, err := Open(ctx, Options{Path: path, Instance: "n1"}); err == nil || !strings.Contains(err.Error(), "in use by another dispatcher") {
+		t.Errorf("a second dispatcher on the file: %v", err)
+	}
+	s.unlock()
+	newer := open(t, path, "n0")
+	if err := s.Write(ctx, []record.Record{rec(s, 1, 1, record.Open)}); !errors.Is(err, record.ErrFenced) {
+		t.Errorf("the older start wrote: %v", err)
+	}
+	if err := newer.Write(ctx, []record.Record{rec(newer, 1, 1, record.Open)}); err != nil {
+		t.Error(err)
+	}
+	if got := all(t, newer, record.Query{}); len(got) != 1 {
+		t.Errorf("%d records", len(got))
+	}
+}
+
+// What can't be used is refused with a plain line.
+func TestRefused(t *testing.T) {
+	dir := t.TempDir()
+	file := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	newer := filepath.Join(dir, "newer.db")
+	open(t, newer, "n0").Close()
+	tamper(t, newer, "PRAGMA user_version = 99")
+	cut := filepath.Join(dir, "cut.db")
+	s := open(t, cut, "n0")
+	var many []record.Record
+	for i := range uint64(2000) {
+		many = append(many, rec(s, i+1, 1, record.Open))
+	}
+	if err := s.Write(ctx, many); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Checkpoint(ctx); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	info, _ := os.Stat(cut)
+	if err := os.Truncate(cut, info.Size()/2); err != nil {
+		t.Fatal(err)
+	}
+	for path, want := range map[string]string{
+		file("text", "this is no database, however long it may be"+strings.Repeat(".", 5000)): "corrupt or no store at all",
+		newer:                                 "has schema 99, this build knows 3: it is from a newer granitewing",
+		cut:                                   "corrupt",
+		filepath.Join(dir, "nowhere", "a.db"): "check that the folder is there",
+	} {
+		if _, err := Open(ctx, Options{Path: path, Instance: "n0"}); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v; want %q", path, err, want)
+		}
+	}
+	// One that another program holds a lock on.
+	held := filepath.Join(dir, "held.db")
+	s = open(t, held, "n0")
+	other, err := sql.Open("sqlite", "file:"+held)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	if _, err := other.Exec("BEGIN EXCLUSIVE"); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Write(ctx, []record.Record{rec(s, 1, 1, record.Open)}); err == nil || !strings.Contains(err.Error(), "locked by another program") {
+		t.Errorf("under another's lock: %v", err)
+	}
+}
+
+func tamper(t *testing.T, path, statement string) {
+	t.Helper()
+	db, err := sql.Open("sqlite", "file:"+path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer db.Close()
+	if _, err := db.Exec(statement); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Every earlier schema comes up to the present one with its records, and a migration that is cut off leaves the one
+// before whole.
+func TestMigrations(t *testing.T) {
+	for v := range Version {
+		path := filepath.Join(t.TempDir(), "a.db")
+		s := &Store{o: Options{Path: path}}
+		db, err := sql.Open("sqlite", "file:"+path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.db = db
+		for i := range v {
+			if err := s.migrate(ctx, i); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if v > 0 {
+			if _, err := db.Exec(`INSERT INTO records VALUES ('n0', 4294967297, 1, 't', '', 'alert', 'before', 1, 2, 'null', 'open', 0, NULL, '')`); err != nil {
+				t.Fatal(err)
+			}
+		}
+		// Cut off: the statement after the schema's own fails, as a kill before the commit would have it.
+		whole := migrations[v]
+		migrations[v] = whole + "; INSERT INTO nowhere VALUES (1)"
+		if err := s.migrate(ctx, v); err == nil {
+			t.Error("a broken migration passed")
+		}
+		migrations[v] = whole
+		var version int
+		if err := db.QueryRow("PRAGMA user_version").Scan(&version); err != nil || version != v {
+			t.Errorf("after a cut migration the schema is %d, want %d (%v)", version, v, err)
+		}
+		db.Close()
+		up := open(t, path, "n0")
+		if got := all(t, up, record.Query{}); len(got) != min(v, 1) {
+			t.Errorf("from schema %d: %d records", v, len(got))
+		}
+	}
+}
+
+// A disk that is full in the middle of a batch fails the whole batch, and the store goes on when there is room.
+func TestDiskFull(t *testing.T) {
+	s := open(t, filepath.Join(t.TempDir(), "a.db"), "n0")
+	s.db.SetMaxOpenConns(1) // the bound below is of one connection
+	if _, err := s.db.Exec("PRAGMA max_page_count = 20"); err != nil {
+		t.Fatal(err)
+	}
+	var many []record.Record
+	for i := range uint64(3000) {
+		many = append(many, rec(s, i+1, 1, record.Open))
+	}
+	if err := s.Write(ctx, many); err == nil || !strings.Contains(err.Error(), "no room left") {
+		t.Fatalf("a full disk: %v", err)
+	}
+	if n, _ := s.Size(ctx); n != 0 {
+		t.Errorf("%d records of a batch that failed", n)
+	}
+	if _, err := s.db.Exec("PRAGMA max_page_count = 100000"); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Write(ctx, many); err != nil {
+		t.Error(err)
+	}
+}
+
+// BenchmarkWrite is what group commit gives: records a second by the size of a batch.
+func BenchmarkWrite(b *testing.B) {
+	for _, size := range []int{1, 10, 100, 1000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			s, err := Open(ctx, Options{Path: filepath.Join(b.TempDir(), "a.db"), Instance: "n0"})
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer s.Close()
+			n := uint64(0)
+			for b.Loop() {
+				batch := make([]record.Record, size)
+				for i := range batch {
+					n++
+					batch[i] = rec(s, n, 1, record.Served)
+				}
+				if err := s.Write(ctx, batch); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(n)/b.Elapsed().Seconds(), "records/s")
+		})
+	}
+}
