Store of record in PostgreSQL too, with a stand-in server and its failures on command

The driver's tests found that a sending refused while it waited was recorded as one that may have run; fixed.

--- a/cmd/granitewing-store/main.go
+++ b/cmd/granitewing-store/main.go
@@ -8,6 +8,7 @@
 	"granitewing/internal/cli"
 	"granitewing/internal/lifecycle"
 	"granitewing/internal/record"
+	"granitewing/internal/record/postgres"
 	"granitewing/internal/record/sqlite"
 )
 
@@ -17,6 +18,10 @@
 }
 
 func open(ctx context.Context, s lifecycle.StoreSettings, instance string, use lifecycle.StoreUse) (record.Store, error) {
+	if s.Kind == "postgres" {
+		return postgres.Open(ctx, postgres.Options{URL: s.Path, Instance: instance, Statement: s.Statement,
+			ReadOnly: use != lifecycle.Serving, Writable: use == lifecycle.Repairing})
+	}
 	return sqlite.Open(ctx, sqlite.Options{Path: s.Path, Instance: instance,
 		ReadOnly: use != lifecycle.Serving, Writable: use == lifecycle.Repairing})
 }
--- a/cmd/gwlab/demo.go
+++ b/cmd/gwlab/demo.go
@@ -6,6 +6,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"runtime/pprof"
 	"slices"
 	"strings"
 
@@ -77,6 +78,7 @@
 	Program string  `help:"The dispatcher's build; default: granitewing beside this program." placeholder:"FILE"`
 	Seed    *uint64 `help:"Another first seed than the experiment's." placeholder:"N"`
 	JSON    bool    `help:"Results as JSON."`
+	Profile string  `help:"Write a CPU profile of the laboratory's own process, which in virtual time runs the dispatchers' decisions." placeholder:"FILE"`
 }
 
 // play plays an experiment and reports.
@@ -114,6 +116,17 @@
 		return err
 	}
 	defer clean()
+	if p.Profile != "" {
+		f, err := os.Create(p.Profile)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		if err := pprof.StartCPUProfile(f); err != nil {
+			return err
+		}
+		defer pprof.StopCPUProfile()
+	}
 	res, err := experiment.Run(ctx, spec, s, label)
 	if label != nil {
 		label("")
--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,128 @@
+package cli
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "granitewing-store")
+	if err != nil {
+		panic(err)
+	}
+	for _, p := range []string{"../../cmd/granitewing-store", "../../cmd/granitewing"} {
+		if out, err := exec.Command("go", "build", "-o", dir+"/", p).CombinedOutput(); err != nil {
+			panic(fmt.Sprintf("%v\n%s", err, out))
+		}
+	}
+	binary = filepath.Join(dir, "granitewing-store")
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func call(t *testing.T, program string, args ...string) (stdout, stderr string, code int) {
+	t.Helper()
+	cmd := exec.Command(program, args...)
+	var out, log bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &log
+	cmd.Run()
+	return out.String(), log.String(), cmd.ProcessState.ExitCode()
+}
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "own.sexp")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+const example = "../../deploy/example.json"
+
+// What check says of good and bad settings; each fault has its place.
+func TestCheck(t *testing.T) {
+	good := write(t, `(granitewing (log (format json)) (record (store sqlite "x.db") (class alert-send before) (class ingest-batch told (repeat 40s))))`)
+	out, log, code := call(t, binary, "check", "--config", example, "--settings", good)
+	for _, want := range []string{"dispatcher n0 listens on", "class alert-send: durable before it is sent", "class latest-readings: written behind",
+		"class ingest-batch: durable before its client is told; a repeated key is answered from the record for 40s"} {
+		if code != 0 || !strings.Contains(out, want) {
+			t.Fatalf("exit %d; want %q in\n%s%s", code, want, out, log)
+		}
+	}
+	for text, want := range map[string]string{
+		"(granitewing\n (record (class alert-send before)))":                                         "own.sexp:2:2: granitewing.record.store: missing",
+		`(granitewing (record (store sqlite "x") (class alert-send sometimes)))`:                     "want one of off, behind, told, before",
+		`(granitewing (record (store sqlite "x") (class nothing before)))`:                           `own.sexp:1:41: record.class: the configuration has no class "nothing"`,
+		`(granitewing (record (store sqlite "x") (class alert-send before) (class alert-send off)))`: `class "alert-send" is given twice`,
+		`(granitewing (record (store sqlite "x") (class latest-readings behind (repeat 1s))))`:       "only what is durable before its client is told",
+		`(granitewing (record (store mysql "x")))`:                                                   "want one of sqlite, postgres",
+		`(granitewing (log (format loud)))`:                                                          "want one of auto, text, json",
+	} {
+		_, log, code := call(t, binary, "check", "--config", example, "--settings", write(t, text))
+		if code != 1 || !strings.Contains(log, want) {
+			t.Errorf("%s: exit %d, %q; want %q", text, code, log, want)
+		}
+	}
+}
+
+// Wrong usage, builds without a store, stores that are not there: one line each and the right exit code.
+func TestRefused(t *testing.T) {
+	own := write(t, `(granitewing (record (store sqlite "/nowhere/x.db")))`)
+	plain := filepath.Join(filepath.Dir(binary), "granitewing")
+	for name, c := range map[string]struct {
+		program string
+		args    []string
+		code    int
+		say     string
+	}{
+		"unknown verb":       {binary, []string{"dance"}, 2, "unexpected argument dance"},
+		"unknown flag":       {plain, []string{"serve", "--fast"}, 2, "unknown flag --fast"},
+		"missing flag":       {binary, []string{"records", "list"}, 2, "missing flags: --settings"},
+		"no store":           {binary, []string{"records", "list", "--settings", write(t, "(granitewing)")}, 1, "it names no store"},
+		"store not there":    {binary, []string{"records", "verify", "--settings", own}, 1, "no such file or directory"},
+		"build without one":  {plain, []string{"serve", "--config", example, "--settings", own}, 1, "this build has no store of record; bin/granitewing-store has"},
+		"serve can't open":   {binary, []string{"serve", "--config", example, "--settings", own}, 1, "check that the folder is there and may be written"},
+		"settings not there": {binary, []string{"serve", "--config", example, "--settings", "/nowhere"}, 1, "no such file"},
+		"prune without time": {binary, []string{"records", "prune", "--settings", own, "--older", "0s"}, 1, "--older wants a time above 0"},
+	} {
+		_, log, code := call(t, c.program, c.args...)
+		if code != c.code || !strings.Contains(log, c.say) || strings.Count(strings.TrimSpace(log), "\n") > 0 {
+			t.Errorf("%s: exit %d, want %d; %q lacks %q or has more", name, code, c.code, log, c.say)
+		}
+	}
+	if out, _, code := call(t, plain, "version"); code != 0 || !strings.HasPrefix(out, "granitewing ") {
+		t.Errorf("version: exit %d, %q", code, out)
+	}
+}
+
+// The verbs over a store that a dispatcher has begun and that holds nothing.
+func TestRecordsVerbs(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "r.db")
+	own := write(t, fmt.Sprintf(`(granitewing (record (store sqlite %q)))`, path))
+	for _, c := range []struct {
+		args []string
+		code int
+		say  string
+	}{
+		{[]string{"settle", "--instance", "n9"}, 0, "0 settled as failed (may have run), 0 as refused (never ran)"},
+		{[]string{"verify"}, 0, "0 records, all good"},
+		{[]string{"list", "--class", "alert-send", "--since", "1h"}, 0, "instance"},
+		{[]string{"export"}, 0, ""},
+		{[]string{"prune", "--older", "1h"}, 0, "0 records deleted"},
+		{[]string{"show", "nothing"}, 1, "no record of nothing"},
+	} {
+		out, log, code := call(t, binary, append([]string{"records", c.args[0], "--settings", own}, c.args[1:]...)...)
+		if code != c.code || !strings.Contains(out+log, c.say) {
+			t.Errorf("%v: exit %d, want %d; %q %q", c.args, code, c.code, out, log)
+		}
+	}
+}
--- a/internal/lab/emulate/emulate.go
+++ b/internal/lab/emulate/emulate.go
@@ -87,6 +87,7 @@
 			cells[m.Cell] = model.NewCell(window)
 		}
 		h := &host{e: e, number: i, m: model.NewHost(m, cells[m.Cell], store, 0, false), streams: map[uint64]*stream{}, up: i < day.Fleet.Hosts}
+		h.m.Keep(day.Kept[i])
 		if h.up {
 			members = append(members, day.Member(i, model.Ready, 0))
 			log.Listed(0, m.Name, true)
@@ -142,7 +143,7 @@
 		Addr: func(id string) string { return addrs[id] }}
 }
 
-// Play carries out the day's operations from now on, each on a timer of its own; those on dispatchers go to the
+// Play carries out the day's operations from now on, each on a timer of its own; those on dispatchers and their store go to the
 // caller. It returns at once.
 func (e *Emulator) Play(ctx context.Context, begin time.Time, dispatcher func(world.Op)) {
 	e.mu.Lock()
@@ -153,7 +154,7 @@
 				return
 			}
 			slog.Info("fault", "at", op.At, "what", op.Label)
-			if op.Kind == world.OpKill || op.Kind == world.OpRevive {
+			if op.Kind >= world.OpKill {
 				dispatcher(op)
 				return
 			}
--- a/internal/lab/experiment/compare.go
+++ b/internal/lab/experiment/compare.go
@@ -162,13 +162,28 @@
 	Smallest float64   `json:"median"`
 }
 
-// figures are what is compared: shares by their differences, times and costs by their ratios, whose logarithms are
-// closer to a normal distribution.
-var figures = []struct {
+// figure is something that is compared.
+type figure struct {
 	name  string
 	ratio bool
 	of    func(*Outcome) float64
-}{
+}
+
+// byClass gives the service of each class that plays have.
+func byClass(plays []*Outcome) []figure {
+	var out []figure
+	if len(plays) == 0 {
+		return nil
+	}
+	for i, r := range plays[0].Rows[:len(plays[0].Rows)-1] {
+		out = append(out, figure{"service of " + r.Class, false, func(o *Outcome) float64 { return o.Rows[i].Service }})
+	}
+	return out
+}
+
+// figures are what is compared: shares by their differences, times and costs by their ratios, whose logarithms are
+// closer to a normal distribution.
+var figures = []figure{
 	{"service", false, func(o *Outcome) float64 { return o.Service }},
 	{"service of the worst class", false, func(o *Outcome) float64 {
 		worst := 1.0
@@ -198,7 +213,7 @@
 	}
 	first := r.Variants[0]
 	for _, v := range r.Variants[1:] {
-		for _, f := range figures {
+		for _, f := range append(byClass(r.Plays), figures...) {
 			var a, b []float64
 			seeds := make([]uint64, 0, len(bySeed[first]))
 			for seed := range bySeed[first] {
--- a/internal/lab/experiment/play.go
+++ b/internal/lab/experiment/play.go
@@ -24,6 +24,7 @@
 	"granitewing/internal/lab/stage"
 	"granitewing/internal/lab/virtual"
 	"granitewing/internal/lab/world"
+	"granitewing/internal/record/pgstandin"
 )
 
 // Mark is something that happened, for the time axis of plots.
@@ -82,6 +83,12 @@
 	defer fleet.Close()
 	theatre := &theatre{day: day, fleet: fleet, log: log, v: v, seed: seed, s: s}
 	defer theatre.end()
+	if day.Postgres {
+		if theatre.store, err = pgstandin.Start(filepath.Join(s.Dir, fmt.Sprintf("pg-%s-%d.db", v.Name, seed))); err != nil {
+			return nil, err
+		}
+		defer theatre.store.Close()
+	}
 	var targets []load.Target
 	for i := range day.Dispatchers {
 		addr, err := theatre.start(i, "127.0.0.1:0")
@@ -129,7 +136,7 @@
 		if err != nil {
 			return nil, err
 		}
-		o.Audit.Rules = append(o.Audit.Rules, log.CheckRecords(list))
+		o.Audit.Rules = append(o.Audit.Rules, log.CheckRecords(list), log.CheckHistory(list))
 	}
 	o.Hosts = log.HostLoads()
 	if res.Foreign > 0 {
@@ -207,6 +214,8 @@
 	cpu     []float64
 	starts  uint64
 	over    bool
+	store   *pgstandin.Server
+	faults  pgstandin.Faults
 }
 
 // start starts a dispatcher and gives its address.
@@ -238,7 +247,11 @@
 // own gives a dispatcher's own settings, which name its files by play and number.
 func (t *theatre) own(i int) string {
 	text := cmp.Or(t.v.Own, t.day.Own)
-	return strings.NewReplacer("{dir}", t.s.Dir, "{name}", fmt.Sprintf("%s-%d-n%d", t.v.Name, t.seed, i)).Replace(text)
+	url := ""
+	if t.store != nil {
+		url = t.store.URL()
+	}
+	return strings.NewReplacer("{dir}", t.s.Dir, "{postgres}", url, "{name}", fmt.Sprintf("%s-%d-n%d", t.v.Name, t.seed, i)).Replace(text)
 }
 
 func (t *theatre) settingsPath(i int) string {
@@ -248,7 +261,13 @@
 // records reads what the dispatchers have recorded, by their own verb.
 func (t *theatre) records() ([]audit.Record, error) {
 	var all []audit.Record
+	if t.store != nil {
+		t.store.Set(pgstandin.Faults{}) // it is read when all is over
+	}
 	for i := range t.day.Dispatchers {
+		if t.store != nil && i > 0 {
+			break // one database holds the records of all
+		}
 		for _, verb := range []string{"verify", "export"} {
 			out, err := exec.Command(t.s.Program, "records", verb, "--settings", t.settingsPath(i)).Output()
 			if err != nil {
@@ -281,6 +300,19 @@
 	if t.over {
 		return
 	}
+	switch op.Kind {
+	case world.OpStoreSilent:
+		t.faults.Silent = op.On
+	case world.OpStoreSlow:
+		t.faults.Delay = op.Lag
+	case world.OpStoreResets:
+		t.faults.ResetAfter, t.faults.ResetBefore = op.Host/2, op.Host-op.Host/2
+	}
+	if op.Kind > world.OpRevive {
+		t.store.Set(t.faults)
+		t.faults.ResetAfter, t.faults.ResetBefore = 0, 0
+		return
+	}
 	if op.Kind == world.OpKill {
 		if d := t.running[i]; d != nil {
 			t.dead[i] = now
--- a/internal/lab/model/host.go
+++ b/internal/lab/model/host.go
@@ -156,6 +156,13 @@
 	h.pace()
 }
 
+// Keep puts data sets there as of old, the latest last.
+func (h *Host) Keep(sets []uint64) {
+	if h.Sets > 0 {
+		h.sets = append(h.sets, sets[max(len(sets)-h.Sets, 0):]...)
+	}
+}
+
 // Held is how many jobs are in work or waiting.
 func (h *Host) Held() int { return len(h.running) + len(h.waiting) }
 
--- a/internal/lab/report/plots.go
+++ b/internal/lab/report/plots.go
@@ -7,7 +7,7 @@
 	"slices"
 
 	"gonum.org/v1/plot"
-	"gonum.org/v1/plot/palette"
+	"gonum.org/v1/plot/palette/moreland"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
@@ -45,14 +45,14 @@
 	p.Legend.Add(name, l)
 }
 
-// marks draws failures on the time axis. Labels are numbers; the page lists what they stand for.
-func marks(p *plot.Plot, list []experiment.Mark, top float64) {
+// marks draws failures on the time axis, with their labels where they are few; the page lists all.
+func marks(p *plot.Plot, list []experiment.Mark, top float64, c color.Color) {
 	for _, m := range list {
 		l, err := plotter.NewLine(plotter.XYs{{X: m.At, Y: 0}, {X: m.At, Y: top}})
 		if err != nil {
 			continue
 		}
-		l.Color = color.RGBA{R: 190, A: 255}
+		l.Color = c
 		l.Dashes = []vg.Length{vg.Points(3), vg.Points(3)}
 		p.Add(l)
 	}
@@ -67,7 +67,7 @@
 	}
 	if labels, err := plotter.NewLabels(at); err == nil {
 		for i := range labels.TextStyle {
-			labels.TextStyle[i].Color = color.RGBA{R: 150, A: 255}
+			labels.TextStyle[i].Color = c
 			labels.TextStyle[i].Font.Size = vg.Points(7)
 		}
 		p.Add(labels)
@@ -111,7 +111,7 @@
 		line(p, i, v, points)
 	}
 	if len(r.Plays) > 0 {
-		marks(p, r.Plays[0].Marks, 1)
+		marks(p, r.Plays[0].Marks, 1, color.RGBA{R: 170, A: 255})
 	}
 	note := fmt.Sprintf("Each point is the mean over %d seconds.", smooth)
 	if len(r.Plays) > len(r.Variants) {
@@ -186,7 +186,11 @@
 	if c, r := g.Dims(); c < 2 || r < 2 {
 		return namedPlot{p, "hosts", "Attempts by host", "Too little was sent to draw.", true}
 	}
-	p.Add(plotter.NewHeatMap(g, palette.Heat(24, 1)))
+	// Black is nothing, so that a host that gets no work stands out.
+	colors := moreland.BlackBody()
+	colors.SetMin(0)
+	colors.SetMax(1)
+	p.Add(plotter.NewHeatMap(g, colors.Palette(32)))
 	if len(o.Hosts) <= 40 {
 		var ticks []plot.Tick
 		for i, h := range o.Hosts {
@@ -194,7 +198,7 @@
 		}
 		p.Y.Tick.Marker = plot.ConstantTicks(ticks)
 	}
-	marks(p, o.Marks, float64(len(o.Hosts))-0.5)
+	marks(p, o.Marks, float64(len(o.Hosts))-0.5, color.RGBA{R: 120, G: 200, B: 255, A: 255})
 	most := 0
 	for _, h := range o.Hosts {
 		for _, n := range h.PerSecond {
@@ -256,6 +260,10 @@
 		if drawn == 0 {
 			continue
 		}
+		if f.log {
+			// Whole decades, so that the axis has more than one figure.
+			p.Y.Min, p.Y.Max = math.Pow(10, math.Floor(math.Log10(p.Y.Min))), math.Pow(10, math.Ceil(math.Log10(p.Y.Max)))
+		}
 		out = append(out, namedPlot{p, f.name, f.title, "", false})
 	}
 	return out
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -215,6 +215,7 @@
 		}
 		h := &host{p: p, number: i, m: model.NewHost(m, cells[m.Cell], store, 0, false), due: model.Never, up: i < p.day.Fleet.Hosts,
 			attempts: map[uint64]*attempt{}}
+		h.m.Keep(p.day.Kept[i])
 		p.hosts = append(p.hosts, h)
 		p.index[m.Name] = h
 		if h.up {
@@ -479,6 +480,7 @@
 	case world.OpRevive:
 		p.disp[op.Host].revive()
 	}
+	// Virtual time has no store of record, so that nothing can happen to it.
 }
 
 // ---- Dispatchers ----
--- a/internal/lab/world/day.go
+++ b/internal/lab/world/day.go
@@ -18,6 +18,7 @@
 type Day struct {
 	*Spec
 	Machines []model.Machine // those that come later included
+	Kept     [][]uint64      // data sets that the hosts of the day's begin have from before
 	Delays   []Delay         // one way, by zone times zones plus zone
 	Ops      []Op
 	Jobs     []Job
@@ -61,6 +62,10 @@
 	OpPart   // zones Host and Other can't reach each other, On
 	OpKill   // dispatcher Host
 	OpRevive // dispatcher Host
+
+	OpStoreSilent // the stand-in PostgreSQL server, On
+	OpStoreSlow   // Lag is the delay of its answers, On
+	OpStoreResets // the next Host commits end in resets, half of them after they were done
 )
 
 // Op is one thing that happens.
@@ -87,6 +92,7 @@
 	if err := d.drawJobs(source(3)); err != nil {
 		return nil, err
 	}
+	d.drawKept(source(4))
 	return d, nil
 }
 
@@ -143,6 +149,23 @@
 	return m
 }
 
+// drawKept gives the hosts what they would have fetched in a long day before: without it a day would begin with a storm
+// of fetches that no failure of it has caused.
+func (d *Day) drawKept(rng *rand.Rand) {
+	d.Kept = make([][]uint64, len(d.Machines))
+	if d.Sets.Count == 0 || d.Sets.Kept == 0 {
+		return
+	}
+	zipf := arrive.NewZipf(d.Sets.Count, d.Sets.Zipf)
+	for i := range d.Fleet.Hosts {
+		for tries := 0; len(d.Kept[i]) < min(d.Sets.Kept, d.Sets.Count) && tries < 1000; tries++ {
+			if set := uint64(zipf.Draw(rng)); !slices.Contains(d.Kept[i], set) {
+				d.Kept[i] = append(d.Kept[i], set)
+			}
+		}
+	}
+}
+
 // Member is discovery's entry for a host.
 func (d *Day) Member(i int, phase model.Phase, upSince int64) model.Member {
 	m := &d.Machines[i]
@@ -297,6 +320,15 @@
 		if f.For > 0 {
 			add(Op{At: f.At + f.For, Kind: OpPart, Host: a, Other: b, Label: label + " no more"})
 		}
+	case "store-silent":
+		between(OpStoreSilent, 0, "store silent")
+	case "store-slow":
+		add(Op{At: f.At, Kind: OpStoreSlow, On: true, Lag: f.Delay, Label: fmt.Sprintf("store slow by %v", f.Delay)})
+		if f.For > 0 {
+			add(Op{At: f.At + f.For, Kind: OpStoreSlow, Label: "store slow over"})
+		}
+	case "store-resets":
+		add(Op{At: f.At, Kind: OpStoreResets, Host: max(f.Count, 1), Label: fmt.Sprintf("store resets %d commits", max(f.Count, 1))})
 	case "kill-dispatcher":
 		add(Op{At: f.At, Kind: OpKill, Host: f.Number, Label: fmt.Sprintf("dispatcher %d killed", f.Number)})
 		if f.For > 0 {
--- a/internal/lab/world/spec.go
+++ b/internal/lab/world/spec.go
@@ -32,11 +32,12 @@
 	Load        Load             `sexp:"load"`
 	Clients     client.Behaviour `sexp:"clients"`
 	Discovery   Discovery        `sexp:"discovery"`
-	Faults      []Fault          `sexp:"slow|drain|crash|restart|vanish|reset|errors|refuse|stale|discovery-down|discovery-silent|grow|shrink|partition|kill-dispatcher|churn"`
+	Faults      []Fault          `sexp:"slow|drain|crash|restart|vanish|reset|errors|refuse|stale|discovery-down|discovery-silent|grow|shrink|partition|kill-dispatcher|churn|store-silent|store-slow|store-resets"`
 	Chances     []Chance         `sexp:"chance"`
 	Generator   Generator        `sexp:"generator"`
 	Variants    []Variant        `sexp:"variant"`
 	Own         string           `sexp:"settings"`      // the dispatchers' own settings; {dir} and {name} are put in; kept over their restarts
+	Postgres    bool             `sexp:"postgres"`      // a stand-in server; its URL is put in for {postgres}
 	Records     bool             `sexp:"audit-records"` // the dispatchers keep a store of record, which is audited
 	Virtual     bool             `sexp:"virtual"`
 	Margin      float64          `sexp:"margin" min:"0" max:"1"` // a difference of service within it counts as none
@@ -158,6 +159,7 @@
 	Grace  time.Duration `sexp:"grace" min:"0"` // from a drain to the end of the process
 	Zones  []string      `sexp:"zones"`         // on the two sides of a partition
 	Number int           `sexp:"dispatcher" min:"0"`
+	Delay  time.Duration `sexp:"delay" min:"0"` // of a slow store's answers
 	Where  settings.Pos  `sexp:",pos"`
 }
 
@@ -166,7 +168,7 @@
 
 // Chance draws failures of a kind from the seed.
 type Chance struct {
-	Kind   string         `sexp:",arg,required" one-of:"slow|drain|crash|restart|vanish|reset|errors|refuse|churn|kill-dispatcher"`
+	Kind   string         `sexp:",arg,required" one-of:"slow|drain|crash|restart|vanish|reset|errors|refuse|churn|kill-dispatcher|store-silent|store-slow|store-resets"`
 	Rate   float64        `sexp:"rate,required" min:"0"` // a minute, over the whole fleet
 	For    settings.Span  `sexp:"for"`
 	Factor settings.Range `sexp:"factor" min:"1"`
@@ -370,6 +372,10 @@
 				return at("dispatcher", "no dispatcher %d; there are 0 to %d", f.Number, s.Dispatchers-1)
 			}
 		case "stale", "discovery-down", "discovery-silent":
+		case "store-silent", "store-slow", "store-resets":
+			if !s.Postgres {
+				return at("at", "wants (postgres): the laboratory has no store to disturb")
+			}
 		case "grow", "shrink":
 			if f.Count < 1 {
 				return at("count", "wants how many hosts")
--- a/internal/lifecycle/log.go
+++ b/internal/lifecycle/log.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(w, "store of record: %s %s; a write over %v is not waited for\n", own.Records.Store.Kind, own.Records.Store.Path, own.Records.Patience)
+	fmt.Fprintf(w, "store of record: %s %s; a write over %v is not waited for\n", own.Records.Store.Kind, own.Records.Store.place(), own.Records.Patience)
 	meaning := []string{"not recorded", "written behind", "durable before its client is told", "durable before it is sent and before its client is told"}
 	for _, c := range classes {
 		fmt.Fprintf(w, "class %s: %s", c.Name, meaning[c.Policy])
--- a/internal/lifecycle/records.go
+++ b/internal/lifecycle/records.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net/url"
 	"slices"
 	"time"
 
@@ -30,8 +31,21 @@
 
 // StoreSettings name a store.
 type StoreSettings struct {
-	Kind string `sexp:",arg,required" one-of:"sqlite"`
-	Path string `sexp:",arg,required"`
+	Kind      string        `sexp:",arg,required" one-of:"sqlite|postgres"`
+	Path      string        `sexp:",arg,required"`                       // of the file, or the database's URL
+	Statement time.Duration `sexp:"statement-limit" min:"0.1" max:"600"` // that the server gives a statement
+}
+
+// place is where the store is, without a password.
+func (s StoreSettings) place() string {
+	if s.Kind != "postgres" {
+		return s.Path
+	}
+	u, err := url.Parse(s.Path)
+	if err != nil {
+		return "(a URL that can't be read)"
+	}
+	return u.Redacted()
 }
 
 // ClassSettings say when the records of a class must be durable.
--- a/internal/record/journal.go
+++ b/internal/record/journal.go
@@ -312,6 +312,12 @@
 		return out
 	}
 	e.over = true
+	if len(e.sends) > 0 {
+		// What still waits for its record never went out.
+		e.sends = nil
+		j.unheld(e)
+		j.end(now, e, Unsent)
+	}
 	e.rec.Answered = max(now, e.rec.Taken)
 	switch c.Verdict {
 	case memory.Served:
--- a/internal/record/journal_test.go
+++ b/internal/record/journal_test.go
@@ -325,7 +325,7 @@
 	ran    map[memory.ID]bool // a host has it, or had
 	told   map[memory.ID]memory.Command
 	alone  map[memory.ID]bool // told while the store was taken for gone
-	inCore map[memory.ID]int // attempts; -1 once answered
+	inCore map[memory.ID]int  // attempts; -1 once answered
 	flight []Record
 	now    int64
 }
--- /dev/null
+++ b/internal/record/postgres/postgres.go
@@ -0,0 +1,331 @@
+// Package postgres keeps the store of record in a PostgreSQL database, which several dispatchers may share: each writes
+// records of its own name, fenced by an epoch.
+package postgres
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgxpool"
+
+	"granitewing/internal/record"
+)
+
+// Options of a store.
+type Options struct {
+	URL       string        // postgres://user@host/database?sslmode=verify-full and so on, as libpq takes it
+	Instance  string        // the dispatcher's name
+	Statement time.Duration // the server ends a statement that lasts longer; 0 = 10 s
+	ReadOnly  bool          // for operators' verbs: no epoch is taken
+	Writable  bool          // with ReadOnly: records may be pruned
+}
+
+// Store is an open database.
+type Store struct {
+	pool  *pgxpool.Pool
+	o     Options
+	epoch uint32
+}
+
+// poolMost is one connection for writes, and some for reads and retention.
+const poolMost = 3
+
+// connectLimit is how long a connection may take to come up.
+const connectLimit = 5 * time.Second
+
+// schemaLock is the advisory lock under which schemas are brought up, so that two dispatchers that start together don't.
+const schemaLock = 7_203_771_193
+
+// migrations make each version of the schema from the one before, each in a transaction of its own. They are never changed
+// once they were in a release; a new one is added behind.
+var migrations = [][]string{
+	{
+		`CREATE TABLE granitewing_instances (name TEXT PRIMARY KEY, epoch BIGINT NOT NULL, started BIGINT NOT NULL)`,
+		`CREATE TABLE granitewing_records (instance TEXT NOT NULL, id BIGINT NOT NULL, step BIGINT NOT NULL, name TEXT NOT NULL, key TEXT NOT NULL,
+		 class TEXT NOT NULL, policy TEXT NOT NULL, taken BIGINT NOT NULL, deadline BIGINT NOT NULL, attempts TEXT NOT NULL,
+		 verdict TEXT NOT NULL, answered BIGINT NOT NULL, content BYTEA, note TEXT NOT NULL, PRIMARY KEY (instance, id))`,
+	},
+	{
+		`CREATE INDEX granitewing_records_open ON granitewing_records (instance, id) WHERE verdict = 'open'`,
+		`CREATE INDEX granitewing_records_keyed ON granitewing_records (answered) WHERE verdict = 'served' AND key <> ''`,
+	},
+	{
+		`CREATE INDEX granitewing_records_answered ON granitewing_records (answered) WHERE verdict <> 'open'`,
+		`CREATE INDEX granitewing_records_name ON granitewing_records (name)`,
+	},
+}
+
+// Version is the schema that this build writes.
+var Version = len(migrations)
+
+// Open connects and takes the next epoch of the instance.
+func Open(ctx context.Context, o Options) (*Store, error) {
+	cfg, err := pgxpool.ParseConfig(o.URL)
+	if err != nil {
+		return nil, fmt.Errorf("store: the PostgreSQL URL can't be read: %w", hide(err))
+	}
+	if o.Statement == 0 {
+		o.Statement = 10 * time.Second
+	}
+	cfg.MaxConns = poolMost
+	cfg.ConnConfig.ConnectTimeout = connectLimit
+	cfg.ConnConfig.RuntimeParams["application_name"] = "granitewing " + o.Instance
+	cfg.ConnConfig.RuntimeParams["statement_timeout"] = fmt.Sprint(o.Statement.Milliseconds())
+	pool, err := pgxpool.NewWithConfig(ctx, cfg)
+	if err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	s := &Store{pool: pool, o: o}
+	if err := s.prepare(ctx); err != nil {
+		s.Close()
+		return nil, s.fail(err)
+	}
+	return s, nil
+}
+
+// hide keeps passwords out of errors.
+func hide(err error) error {
+	var parse *pgconn.ParseConfigError
+	if errors.As(err, &parse) {
+		return errors.New("want postgres://user@host:port/database?sslmode=…")
+	}
+	return err
+}
+
+// fail words an error for operators.
+func (s *Store) fail(err error) error {
+	c := s.pool.Config().ConnConfig
+	where := fmt.Sprintf("store %s:%d/%s", c.Host, c.Port, c.Database)
+	var pg *pgconn.PgError
+	if errors.As(err, &pg) {
+		if why := map[string]string{
+			"53100": "has no room left on its disk", "53300": "has no connection left", "57P03": "is starting up", "28P01": "refused the password",
+			"28000": "refused the user", "3D000": "does not exist", "25006": "is read-only", "42501": "gives this user too few rights",
+			"40001": "had two writers at once", "57014": "took too long over a statement",
+		}[pg.Code]; why != "" {
+			return fmt.Errorf("%s %s: %w", where, why, err)
+		}
+	}
+	return fmt.Errorf("%s: %w", where, err)
+}
+
+func (s *Store) prepare(ctx context.Context) error {
+	if _, err := s.pool.Exec(ctx, "CREATE TABLE IF NOT EXISTS granitewing_schema (version BIGINT NOT NULL)"); err != nil && !s.o.ReadOnly {
+		return err
+	}
+	for {
+		done, err := s.migrate(ctx)
+		if err != nil {
+			return err
+		}
+		if done {
+			break
+		}
+	}
+	if s.o.ReadOnly {
+		return nil
+	}
+	var epoch int64
+	err := s.pool.QueryRow(ctx, `INSERT INTO granitewing_instances (name, epoch, started) VALUES ($1::text, 1, $2::bigint)
+		ON CONFLICT (name) DO UPDATE SET epoch = granitewing_instances.epoch + 1, started = excluded.started RETURNING epoch`,
+		s.o.Instance, time.Now().UnixMicro()).Scan(&epoch)
+	s.epoch = uint32(epoch)
+	return err
+}
+
+// migrate brings the schema up by one version, whole or not at all; true once it is this build's.
+func (s *Store) migrate(ctx context.Context) (done bool, err error) {
+	err = pgx.BeginFunc(ctx, s.pool, func(tx pgx.Tx) error {
+		if _, err := tx.Exec(ctx, "SELECT pg_advisory_xact_lock($1::bigint)", int64(schemaLock)); err != nil {
+			return err
+		}
+		var version int64
+		if err := tx.QueryRow(ctx, "SELECT coalesce(max(version), 0) AS version FROM granitewing_schema").Scan(&version); err != nil {
+			return err
+		}
+		switch {
+		case int(version) > Version:
+			return fmt.Errorf("schema %d, this build knows %d: it is from a newer granitewing, start that one", version, Version)
+		case int(version) == Version:
+			done = true
+			return nil
+		case s.o.ReadOnly:
+			return fmt.Errorf("schema %d, this build reads %d: start the dispatcher once, which brings it up", version, Version)
+		}
+		for _, statement := range migrations[version] {
+			if _, err := tx.Exec(ctx, statement); err != nil {
+				return fmt.Errorf("schema %d: %w", version+1, err)
+			}
+		}
+		_, err := tx.Exec(ctx, "INSERT INTO granitewing_schema (version) VALUES ($1::bigint)", version+1)
+		return err
+	})
+	return done, err
+}
+
+// Epoch implements record.Store.
+func (s *Store) Epoch() uint32 { return s.epoch }
+
+// Close implements record.Store.
+func (s *Store) Close() error {
+	s.pool.Close()
+	return nil
+}
+
+const upsert = `INSERT INTO granitewing_records (instance, id, step, name, key, class, policy, taken, deadline, attempts, verdict, answered, content, note)
+ VALUES ($1::text, $2::bigint, $3::bigint, $4::text, $5::text, $6::text, $7::text, $8::bigint, $9::bigint, $10::text, $11::text, $12::bigint, $13::bytea, $14::text)
+ ON CONFLICT (instance, id) DO UPDATE SET step = excluded.step, attempts = excluded.attempts, verdict = excluded.verdict, answered = excluded.answered,
+ content = excluded.content, note = excluded.note, deadline = excluded.deadline WHERE excluded.step > granitewing_records.step`
+
+// Write implements record.Store. The whole transaction is sent at once, and the fence is its first statement: the row of
+// the instance stays locked until the commit, so that a newer start waits for it or is seen by it.
+func (s *Store) Write(ctx context.Context, batch []record.Record) error {
+	err := pgx.BeginFunc(ctx, s.pool, func(tx pgx.Tx) error {
+		b := &pgx.Batch{}
+		fenced := true
+		if !s.o.ReadOnly {
+			b.Queue("UPDATE granitewing_instances SET epoch = epoch WHERE name = $1::text AND epoch = $2::bigint", s.o.Instance, int64(s.epoch)).Exec(func(tag pgconn.CommandTag) error {
+				fenced = tag.RowsAffected() == 0
+				return nil
+			})
+		} else {
+			fenced = false
+		}
+		for i := range batch {
+			r := &batch[i]
+			attempts, err := json.Marshal(r.Attempts)
+			if err != nil {
+				return err
+			}
+			b.Queue(upsert, s.o.Instance, int64(r.ID), int64(r.Step), r.Name, r.Key, r.Class, r.Policy, r.Taken, r.Deadline, string(attempts), r.Verdict.String(),
+				r.Answered, r.Content, r.Note)
+		}
+		if err := tx.SendBatch(ctx, b).Close(); err != nil {
+			return err
+		}
+		if fenced {
+			return record.ErrFenced
+		}
+		return nil
+	})
+	if err == nil || errors.Is(err, record.ErrFenced) {
+		return err
+	}
+	return s.fail(err)
+}
+
+const columns = "instance, id, step, name, key, class, policy, taken, deadline, attempts, verdict, answered, content, note"
+
+func (s *Store) each(ctx context.Context, f func(string, record.Record) error, query string, args ...any) error {
+	rows, err := s.pool.Query(ctx, query, args...)
+	if err != nil {
+		return s.fail(err)
+	}
+	defer rows.Close()
+	for rows.Next() {
+		var instance, attempts, verdict string
+		var id, step int64
+		var r record.Record
+		if err := rows.Scan(&instance, &id, &step, &r.Name, &r.Key, &r.Class, &r.Policy, &r.Taken, &r.Deadline, &attempts, &verdict, &r.Answered, &r.Content, &r.Note); err != nil {
+			return s.fail(err)
+		}
+		r.ID, r.Step = uint64(id), uint32(step)
+		var known bool
+		if r.Verdict, known = record.ParseVerdict(verdict); !known {
+			return fmt.Errorf("record %d of %s has the verdict %q", r.ID, instance, verdict)
+		}
+		if err := json.Unmarshal([]byte(attempts), &r.Attempts); err != nil {
+			return fmt.Errorf("record %d of %s has unreadable attempts: %w", r.ID, instance, err)
+		}
+		if err := f(instance, r); err != nil {
+			return err
+		}
+	}
+	if err := rows.Err(); err != nil {
+		return s.fail(err)
+	}
+	return nil
+}
+
+// OpenRecords implements record.Store.
+func (s *Store) OpenRecords(ctx context.Context, limit int) ([]record.Record, error) {
+	var out []record.Record
+	err := s.each(ctx, func(_ string, r record.Record) error {
+		out = append(out, r)
+		return nil
+	}, "SELECT "+columns+" FROM granitewing_records WHERE instance = $1::text AND verdict = 'open' AND id < $2::bigint ORDER BY id LIMIT $3::bigint",
+		s.o.Instance, int64(s.epoch)<<32, int64(limit))
+	return out, err
+}
+
+// Keyed implements record.Store. Repeats may come to any dispatcher, so the results of all are given.
+func (s *Store) Keyed(ctx context.Context, since int64, f func(class, key string, content []byte, answered int64)) error {
+	return s.each(ctx, func(_ string, r record.Record) error {
+		f(r.Class, r.Key, r.Content, r.Answered)
+		return nil
+	}, "SELECT "+columns+" FROM granitewing_records WHERE verdict = 'served' AND key <> '' AND answered >= $1::bigint ORDER BY answered", since)
+}
+
+// Query implements record.Store.
+func (s *Store) Query(ctx context.Context, q record.Query, f func(string, record.Record) error) error {
+	var where []string
+	var args []any
+	add := func(column, operator, kind string, value any) {
+		args = append(args, value)
+		where = append(where, fmt.Sprintf("%s %s $%d::%s", column, operator, len(args), kind))
+	}
+	for _, c := range []struct{ column, value string }{{"instance", q.Instance}, {"class", q.Class}, {"verdict", q.Verdict}, {"name", q.Name}} {
+		if c.value != "" {
+			add(c.column, "=", "text", c.value)
+		}
+	}
+	if q.Since > 0 {
+		add("taken", ">=", "bigint", q.Since)
+	}
+	if q.Until > 0 {
+		add("taken", "<", "bigint", q.Until)
+	}
+	query := "SELECT " + columns + " FROM granitewing_records"
+	if len(where) > 0 {
+		query += " WHERE " + strings.Join(where, " AND ")
+	}
+	query += " ORDER BY instance, id"
+	if q.Limit > 0 {
+		args = append(args, int64(q.Limit))
+		query += fmt.Sprintf(" LIMIT $%d::bigint", len(args))
+	}
+	return s.each(ctx, f, query, args...)
+}
+
+// Prune implements record.Store. A serving dispatcher prunes its own records alone.
+func (s *Store) Prune(ctx context.Context, before int64, limit int) (int, error) {
+	if s.o.ReadOnly && !s.o.Writable {
+		return 0, errors.New("the store was opened to be read alone")
+	}
+	own := ""
+	args := []any{before, int64(limit)}
+	if !s.o.ReadOnly {
+		own = " AND instance = $3::text"
+		args = append(args, s.o.Instance)
+	}
+	tag, err := s.pool.Exec(ctx, `DELETE FROM granitewing_records WHERE (instance, id) IN (SELECT instance, id FROM granitewing_records
+		WHERE verdict <> 'open' AND answered < $1::bigint`+own+` ORDER BY answered LIMIT $2::bigint)`, args...)
+	if err != nil {
+		return 0, s.fail(err)
+	}
+	return int(tag.RowsAffected()), nil
+}
+
+// Size implements record.Store.
+func (s *Store) Size(ctx context.Context) (n int64, err error) {
+	if err := s.pool.QueryRow(ctx, "SELECT count(*) AS n FROM granitewing_records").Scan(&n); err != nil {
+		return 0, s.fail(err)
+	}
+	return n, nil
+}
--- a/internal/record/sqlite/sqlite_test.go
+++ b/internal/record/sqlite/sqlite_test.go
@@ -11,9 +11,8 @@
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
-
 	"granitewing/internal/record"
+	"granitewing/internal/record/storetest"
 )
 
 var ctx = context.Background()
@@ -28,87 +27,12 @@
 	return s
 }
 
-func rec(s *Store, n uint64, step uint32, v record.Verdict) record.Record {
-	r := record.Record{ID: uint64(s.Epoch())<<32 | n, Step: step, Name: fmt.Sprintf("t%d", n), Class: "alert", Policy: "before", Taken: int64(n), Deadline: 99,
-		Attempts: []record.Attempt{{Host: "h", Sent: 5}}, Verdict: v}
-	if v != record.Open {
-		r.Answered = 50 + int64(n)
-	}
-	if v == record.Served {
-		r.Attempts[0].Ended, r.Attempts[0].Result, r.Content, r.Key = 9, record.Done, []byte("result"), "k"
-	}
-	return r
-}
-
-func all(t *testing.T, s *Store, q record.Query) []record.Record {
-	t.Helper()
-	var out []record.Record
-	if err := s.Query(ctx, q, func(_ string, r record.Record) error { out = append(out, r); return nil }); err != nil {
-		t.Fatal(err)
-	}
-	return out
-}
-
-// Records come back as they were written; a write again, or of an earlier step, changes nothing.
-func TestWrite(t *testing.T) {
-	s := open(t, filepath.Join(t.TempDir(), "a.db"), "n0")
-	one, two := rec(s, 1, 3, record.Served), rec(s, 2, 1, record.Open)
-	for range 2 {
-		if err := s.Write(ctx, []record.Record{one, two}); err != nil {
-			t.Fatal(err)
-		}
-	}
-	old := rec(s, 1, 2, record.Open)
-	if err := s.Write(ctx, []record.Record{old}); err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff([]record.Record{one, two}, all(t, s, record.Query{})); diff != "" {
-		t.Error(diff)
-	}
-	for q, want := range map[record.Query]int{{Class: "alert"}: 2, {Verdict: "open"}: 1, {Name: "t1"}: 1, {Since: 2}: 1, {Until: 2}: 1, {Limit: 1}: 1, {Instance: "x"}: 0} {
-		if got := len(all(t, s, q)); got != want {
-			t.Errorf("%+v finds %d, want %d", q, got, want)
-		}
-	}
-	n, err := s.Prune(ctx, 1000, 10)
-	if err != nil || n != 1 || len(all(t, s, record.Query{Verdict: "open"})) != 1 {
-		t.Errorf("%d pruned, %v; what is open stays", n, err)
-	}
-}
-
-// A start settles what the one before left, once, and remembers keyed results; its own ids lie above all earlier ones.
-func TestRecover(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "a.db")
-	s := open(t, path, "n0")
-	never := rec(s, 3, 1, record.Open)
-	never.Attempts = nil
-	if err := s.Write(ctx, []record.Record{rec(s, 1, 3, record.Served), rec(s, 2, 1, record.Open), never}); err != nil {
-		t.Fatal(err)
-	}
-	s.Close()
-	classes := []record.Class{{Name: "alert", Policy: record.Before, Window: 1000}}
-	for round, want := range []record.Recovered{{Failed: 1, Refused: 1, Keys: 1}, {Keys: 1}} {
-		s = open(t, path, "n0")
-		j := record.New(classes, s.Epoch(), record.DefaultLimits, record.NewBreaker(1, 1, 1, 1))
-		got, err := record.Recover(ctx, s, j, classes, 100)
-		got.Took = 0
-		if err != nil || got != want {
-			t.Errorf("round %d: %+v, %v", round, got, err)
-		}
-		if content, known := j.Repeat(200, 0, "k"); !known || string(content) != "result" {
-			t.Errorf("round %d: a repeat gets %q", round, content)
-		}
-		if s.Epoch() != uint32(round+2) {
-			t.Errorf("epoch %d", s.Epoch())
-		}
-		s.Close()
-	}
-	s = open(t, path, "n0")
-	for _, r := range all(t, s, record.Query{}) {
-		if err := r.Verify(); err != nil || r.Verdict == record.Open {
-			t.Errorf("%v: %+v", err, r)
-		}
-	}
+// Every store's tests.
+func TestStore(t *testing.T) {
+	storetest.Run(t, func(t *testing.T) func(string) record.Store {
+		path := filepath.Join(t.TempDir(), "a.db")
+		return func(instance string) record.Store { return open(t, path, instance) }
+	})
 }
 
 // An older start that writes on after a newer one has begun is refused. (The file's lock keeps both from one machine;
@@ -121,13 +45,13 @@
 	}
 	s.unlock()
 	newer := open(t, path, "n0")
-	if err := s.Write(ctx, []record.Record{rec(s, 1, 1, record.Open)}); !errors.Is(err, record.ErrFenced) {
+	if err := s.Write(ctx, []record.Record{storetest.Record(s, 1, 1, record.Open)}); !errors.Is(err, record.ErrFenced) {
 		t.Errorf("the older start wrote: %v", err)
 	}
-	if err := newer.Write(ctx, []record.Record{rec(newer, 1, 1, record.Open)}); err != nil {
+	if err := newer.Write(ctx, []record.Record{storetest.Record(newer, 1, 1, record.Open)}); err != nil {
 		t.Error(err)
 	}
-	if got := all(t, newer, record.Query{}); len(got) != 1 {
+	if got := storetest.All(t, newer, record.Query{}); len(got) != 1 {
 		t.Errorf("%d records", len(got))
 	}
 }
@@ -149,7 +73,7 @@
 	s := open(t, cut, "n0")
 	var many []record.Record
 	for i := range uint64(2000) {
-		many = append(many, rec(s, i+1, 1, record.Open))
+		many = append(many, storetest.Record(s, i+1, 1, record.Open))
 	}
 	if err := s.Write(ctx, many); err != nil {
 		t.Fatal(err)
@@ -183,7 +107,7 @@
 	if _, err := other.Exec("BEGIN EXCLUSIVE"); err != nil {
 		t.Fatal(err)
 	}
-	if err := s.Write(ctx, []record.Record{rec(s, 1, 1, record.Open)}); err == nil || !strings.Contains(err.Error(), "locked by another program") {
+	if err := s.Write(ctx, []record.Record{storetest.Record(s, 1, 1, record.Open)}); err == nil || !strings.Contains(err.Error(), "locked by another program") {
 		t.Errorf("under another's lock: %v", err)
 	}
 }
@@ -234,7 +158,7 @@
 		}
 		db.Close()
 		up := open(t, path, "n0")
-		if got := all(t, up, record.Query{}); len(got) != min(v, 1) {
+		if got := storetest.All(t, up, record.Query{}); len(got) != min(v, 1) {
 			t.Errorf("from schema %d: %d records", v, len(got))
 		}
 	}
@@ -249,7 +173,7 @@
 	}
 	var many []record.Record
 	for i := range uint64(3000) {
-		many = append(many, rec(s, i+1, 1, record.Open))
+		many = append(many, storetest.Record(s, i+1, 1, record.Open))
 	}
 	if err := s.Write(ctx, many); err == nil || !strings.Contains(err.Error(), "no room left") {
 		t.Fatalf("a full disk: %v", err)
@@ -279,7 +203,7 @@
 				batch := make([]record.Record, size)
 				for i := range batch {
 					n++
-					batch[i] = rec(s, n, 1, record.Served)
+					batch[i] = storetest.Record(s, n, 1, record.Served)
 				}
 				if err := s.Write(ctx, batch); err != nil {
 					b.Fatal(err)
--- /dev/null
+++ b/internal/record/storetest/storetest.go
@@ -0,0 +1,163 @@
+// Package storetest holds what every store of record must do; each back end's tests run it.
+package storetest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"granitewing/internal/record"
+)
+
+var ctx = context.Background()
+
+// Record makes the n-th record of a store's present start.
+func Record(s record.Store, n uint64, step uint32, v record.Verdict) record.Record {
+	r := record.Record{ID: uint64(s.Epoch())<<32 | n, Step: step, Name: fmt.Sprintf("t%d", n), Class: "alert", Policy: "before", Taken: int64(n), Deadline: 99,
+		Attempts: []record.Attempt{{Host: "h", Sent: 5}}, Verdict: v}
+	if v != record.Open {
+		r.Answered = 50 + int64(n)
+	}
+	if v == record.Served {
+		r.Attempts[0].Ended, r.Attempts[0].Result, r.Content, r.Key = 9, record.Done, []byte("result"), "k"
+	}
+	return r
+}
+
+// All reads the records that fit.
+func All(t *testing.T, s record.Store, q record.Query) []record.Record {
+	t.Helper()
+	var out []record.Record
+	if err := s.Query(ctx, q, func(_ string, r record.Record) error { out = append(out, r); return nil }); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// Run runs all of it. open opens the one store under test for an instance, as a new start of it.
+func Run(t *testing.T, begin func(t *testing.T) (open func(instance string) record.Store)) {
+	t.Run("write", func(t *testing.T) { testWrite(t, begin(t)) })
+	t.Run("recover", func(t *testing.T) { testRecover(t, begin(t)) })
+	t.Run("many", func(t *testing.T) { testMany(t, begin(t)) })
+	t.Run("cancelled", func(t *testing.T) { testCancelled(t, begin(t)) })
+}
+
+// Records come back as they were written; a write again, or of an earlier step, changes nothing.
+func testWrite(t *testing.T, open func(string) record.Store) {
+	s := open("n0")
+	defer s.Close()
+	one, two := Record(s, 1, 3, record.Served), Record(s, 2, 1, record.Open)
+	for range 2 {
+		if err := s.Write(ctx, []record.Record{one, two}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := s.Write(ctx, []record.Record{Record(s, 1, 2, record.Open)}); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]record.Record{one, two}, All(t, s, record.Query{})); diff != "" {
+		t.Error(diff)
+	}
+	for q, want := range map[record.Query]int{{Class: "alert"}: 2, {Verdict: "open"}: 1, {Name: "t1"}: 1, {Since: 2}: 1, {Until: 2}: 1, {Limit: 1}: 1, {Instance: "x"}: 0} {
+		if got := len(All(t, s, q)); got != want {
+			t.Errorf("%+v finds %d, want %d", q, got, want)
+		}
+	}
+	if n, err := s.Size(ctx); n != 2 || err != nil {
+		t.Errorf("size %d, %v", n, err)
+	}
+	n, err := s.Prune(ctx, 1000, 10)
+	if err != nil || n != 1 || len(All(t, s, record.Query{Verdict: "open"})) != 1 {
+		t.Errorf("%d pruned, %v; what is open stays", n, err)
+	}
+	stop := errors.New("enough")
+	if err := s.Query(ctx, record.Query{}, func(string, record.Record) error { return stop }); !errors.Is(err, stop) {
+		t.Errorf("a reader that stops got %v", err)
+	}
+}
+
+// A start settles what the one before left, once, and remembers keyed results; its ids lie above all earlier ones.
+func testRecover(t *testing.T, open func(string) record.Store) {
+	s := open("n0")
+	first := s.Epoch()
+	never := Record(s, 3, 1, record.Open)
+	never.Attempts = nil
+	if err := s.Write(ctx, []record.Record{Record(s, 1, 3, record.Served), Record(s, 2, 1, record.Open), never}); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	classes := []record.Class{{Name: "alert", Policy: record.Before, Window: 1000}}
+	for round, want := range []record.Recovered{{Failed: 1, Refused: 1, Keys: 1}, {Keys: 1}} {
+		s = open("n0")
+		j := record.New(classes, s.Epoch(), record.DefaultLimits, record.NewBreaker(1, 1, 1, 1))
+		got, err := record.Recover(ctx, s, j, classes, 100)
+		got.Took = 0
+		if err != nil || got != want {
+			t.Errorf("round %d: %+v, %v", round, got, err)
+		}
+		if content, known := j.Repeat(200, 0, "k"); !known || string(content) != "result" {
+			t.Errorf("round %d: a repeat gets %q", round, content)
+		}
+		if s.Epoch() != first+uint32(round)+1 {
+			t.Errorf("epoch %d after %d", s.Epoch(), first)
+		}
+		for _, r := range All(t, s, record.Query{}) {
+			if err := r.Verify(); err != nil || r.Verdict == record.Open {
+				t.Errorf("%v: %+v", err, r)
+			}
+		}
+		s.Close()
+	}
+}
+
+// A recovery goes over more records than one of its writes holds, and a crash within it costs nothing.
+func testMany(t *testing.T, open func(string) record.Store) {
+	s := open("n0")
+	var batch []record.Record
+	for i := range uint64(6000) {
+		batch = append(batch, Record(s, i+1, 1, record.Open))
+	}
+	if err := s.Write(ctx, batch); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	s = open("n0")
+	// What a start had settled when it was killed.
+	part, err := s.OpenRecords(ctx, 100)
+	if err != nil || len(part) != 100 {
+		t.Fatalf("%d open, %v", len(part), err)
+	}
+	for i := range part {
+		part[i].Settle(1000)
+	}
+	if err := s.Write(ctx, part); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	s = open("n0")
+	defer s.Close()
+	j := record.New(nil, s.Epoch(), record.DefaultLimits, record.NewBreaker(1, 1, 1, 1))
+	if r, err := record.Recover(ctx, s, j, nil, 2000); err != nil || r.Failed != 5900 {
+		t.Errorf("%+v, %v", r, err)
+	}
+	if n := len(All(t, s, record.Query{Verdict: "open"})); n != 0 {
+		t.Errorf("%d are open", n)
+	}
+}
+
+// A write whose time is over fails, and the store goes on.
+func testCancelled(t *testing.T, open func(string) record.Store) {
+	s := open("n0")
+	defer s.Close()
+	over, cancel := context.WithCancel(ctx)
+	cancel()
+	if err := s.Write(over, []record.Record{Record(s, 1, 1, record.Open)}); err == nil {
+		t.Error("a write whose time was over before it began succeeded")
+	}
+	if err := s.Write(ctx, []record.Record{Record(s, 1, 1, record.Open)}); err != nil {
+		t.Error(err)
+	}
+}
