--- a/cmd/gwlab/main_test.go
+++ b/cmd/gwlab/main_test.go
@@ -28,7 +28,7 @@
 		panic(err)
 	}
 	gwlab = filepath.Join(dir, "gwlab")
-	for _, p := range []string{".", "../granitewing"} {
+	for _, p := range []string{".", "../granitewing", "../granitewing-store"} {
 		if out, err := exec.Command("go", "build", "-o", dir+"/", p).CombinedOutput(); err != nil {
 			panic(fmt.Sprintf("%v\n%s", err, out))
 		}
@@ -114,6 +114,36 @@
 	}
 }
 
+// Dispatchers with a store of record are killed some ten times; the records agree with what clients received and hosts
+// got, on both back ends. (lab/store-kills.sexp and its sister kill 200 times; this is their short form.)
+func TestStoreKills(t *testing.T) {
+	for backend, more := range map[string]string{
+		`sqlite \"{dir}/{name}.db\"`: "",
+		`postgres \"{postgres}\"`:    `(postgres) (store-slow (at 1s) (for 4s) (delay 20ms)) (store-resets (at 5s) (count 6)) (store-silent (at 7s) (for 1s))`,
+	} {
+		t.Run(strings.Fields(backend)[0], func(t *testing.T) {
+			t.Parallel()
+			spec := fmt.Sprintf(light, "9s", `(audit-records) (chance kill-dispatcher (rate 70) (for 100ms 300ms)) (crash (at 3s) (for 1s) (hosts h1)) (seed 3)
+				(settings "(granitewing (record (store `+backend+`) (class alert before) (class reading told)))")`+more)
+			out, log, code := call(t, "run", write(t, strings.Replace(spec, "(rate 12)", "(rate 40)", 1)), "--program", filepath.Join(filepath.Dir(gwlab), "granitewing-store"), "--json")
+			var res experiment.Results
+			if err := json.Unmarshal([]byte(out), &res); err != nil {
+				t.Fatalf("exit %d, %v\n%s\n%s", code, err, out, log)
+			}
+			rep := res.Plays[0].Audit
+			kills := 0
+			for _, m := range res.Plays[0].Marks {
+				if strings.HasSuffix(m.Label, "killed") {
+					kills++
+				}
+			}
+			if code != 0 || len(rep.Rules) != 6 || rep.Rules[4].Checked < 200 || kills < 5 {
+				t.Errorf("exit %d, %d kills\n%s\n%s", code, kills, rep, log)
+			}
+		})
+	}
+}
+
 // Ctrl-C ends a run in order: a report of what was measured until then, and no process left.
 func TestInterrupt(t *testing.T) {
 	path := write(t, fmt.Sprintf(light, "10m", ""))
--- a/internal/lab/experiment/compare.go
+++ b/internal/lab/experiment/compare.go
@@ -169,14 +169,15 @@
 	of    func(*Outcome) float64
 }
 
-// byClass gives the service of each class that plays have.
+// byClass gives the service and the median latency of each class that plays have.
 func byClass(plays []*Outcome) []figure {
 	var out []figure
 	if len(plays) == 0 {
 		return nil
 	}
 	for i, r := range plays[0].Rows[:len(plays[0].Rows)-1] {
-		out = append(out, figure{"service of " + r.Class, false, func(o *Outcome) float64 { return o.Rows[i].Service }})
+		out = append(out, figure{"service of " + r.Class, false, func(o *Outcome) float64 { return o.Rows[i].Service }},
+			figure{"p50 of " + r.Class, true, func(o *Outcome) float64 { return o.Rows[i].P50.Seconds() }})
 	}
 	return out
 }
--- a/lab/store-kills-postgres.sexp
+++ b/lab/store-kills-postgres.sexp
@@ -1,8 +1,8 @@
 ; As store-kills, with one PostgreSQL stand-in for all dispatchers, which is slow, resets commits and is silent at times.
 (experiment store-kills-postgres
-  (about "dispatchers killed at random under load, one PostgreSQL store of record with failures of its own")
+  (about "dispatchers killed 200 times at random under load, one PostgreSQL store of record with failures of its own")
   (seed 400)
-  (length 60s)
+  (length 5m)
   (load (rate 30))
   (postgres)
   (audit-records)
@@ -13,7 +13,6 @@
   (class alert-send (share 0.25) (work 100ms) (aim 1s) (give-up 15s) (repeat unsafe))
   (data-sets (count 20) (kept 20) (fetch 20ms 50ms))
   (chance kill-dispatcher (rate 40) (for 200ms 600ms))
-  (store-slow (at 10s) (for 5s) (delay 20ms))
-  (store-resets (at 20s) (count 10))
-  (store-silent (at 30s) (for 3s))
-  (store-resets (at 45s) (count 10)))
+  (store-slow (at 10s) (for 100s) (delay 20ms))
+  (chance store-resets (rate 6))
+  (store-silent (at 130s) (for 20s)))
--- a/lab/store-kills.sexp
+++ b/lab/store-kills.sexp
@@ -1,8 +1,8 @@
 ; Dispatchers with a store of record are killed at random points; the records are held against clients and hosts.
 (experiment store-kills
-  (about "dispatchers killed at random under load, SQLite store of record")
+  (about "dispatchers killed 200 times at random under load, SQLite store of record")
   (seed 300)
-  (length 60s)
+  (length 5m)
   (load (rate 30))
   (audit-records)
   (settings "(granitewing (record (store sqlite \"{dir}/{name}.db\") (class alert-send before) (class ingest-batch told (repeat 40s)) (class sea-state told)))")
