Answer /healthz from the cached list at once, so a mass restart does not wait for discovery

Ruled out: start-up itself (listening 10 ms after the start). At fault: driver.readyWait and the d.ready flag in north.handle, which held /healthz at 503 until the first list. Now the cached list will do; without one the first list with a ready host still decides.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -17,23 +17,22 @@
 
 // Figures that no setting gives.
 const (
-	eventsMost    = 256                     // events on their way; those who post wait beyond it
-	writeLimit    = 30 * time.Second        // a peer that takes no bytes for so long is given up
-	messageLimit  = 2 * time.Second         // a message that has begun must be whole by then; a new connection's first at once
-	northIdle     = 5 * time.Minute         // idle connections that have carried a message are kept so long
-	goodbyeLimit  = time.Second             // a peer must end what both sides know to be over by then
-	drainLimit    = 4 * time.Second         // so long a client that is turned away may go on sending before it is cut off
-	expireAfter   = 20 * time.Millisecond   // past a deadline; within the slack that the rules allow
-	inventoryWait = 5 * time.Second         // discovery writes a line at least every 2 s
-	dialInventory = 2 * time.Second         // discovery serves calls in turn
-	dialDefault   = time.Second             // for hosts, where the settings give no time-out
-	idleDefault   = 10 * time.Second        // for connections to hosts, where the settings give no limit
-	readyWait     = 1500 * time.Millisecond // for the first list, before the cached one has to do
-	lingerIdle    = 450 * time.Millisecond  // after SIGTERM clients use the connections they have for up to 0.4 s
-	arriveLimit   = time.Second             // and open new ones for so long; late ones on a busy machine included
-	fullAfter     = time.Second             // a client refused for want of descriptors may come back then
-	quietCheck    = 50 * time.Millisecond   // between looks whether all is quiet by then
-	acceptRetry   = 100 * time.Millisecond  // between tries to accept while that fails
+	eventsMost    = 256                    // events on their way; those who post wait beyond it
+	writeLimit    = 30 * time.Second       // a peer that takes no bytes for so long is given up
+	messageLimit  = 2 * time.Second        // a message that has begun must be whole by then; a new connection's first at once
+	northIdle     = 5 * time.Minute        // idle connections that have carried a message are kept so long
+	goodbyeLimit  = time.Second            // a peer must end what both sides know to be over by then
+	drainLimit    = 4 * time.Second        // so long a client that is turned away may go on sending before it is cut off
+	expireAfter   = 20 * time.Millisecond  // past a deadline; within the slack that the rules allow
+	inventoryWait = 5 * time.Second        // discovery writes a line at least every 2 s
+	dialInventory = 2 * time.Second        // discovery serves calls in turn
+	dialDefault   = time.Second            // for hosts, where the settings give no time-out
+	idleDefault   = 10 * time.Second       // for connections to hosts, where the settings give no limit
+	lingerIdle    = 450 * time.Millisecond // after SIGTERM clients use the connections they have for up to 0.4 s
+	arriveLimit   = time.Second            // and open new ones for so long; late ones on a busy machine included
+	fullAfter     = time.Second            // a client refused for want of descriptors may come back then
+	quietCheck    = 50 * time.Millisecond  // between looks whether all is quiet by then
+	acceptRetry   = 100 * time.Millisecond // between tries to accept while that fails
 )
 
 // unlisted stands for a revision where discovery was not heard: its whole list has to be asked for.
@@ -58,7 +57,6 @@
 	pool    pool
 	watch   *watch
 	wake    *time.Timer
-	ready   bool  // the inventory was heard, or waited for long enough
 	listed  int64 // revision of the inventory, or unlisted
 	limits  limits
 	bytes   int           // of messages that clients have sent
@@ -105,7 +103,6 @@
 	go d.accept()
 	d.listed = d.cfg.Known.Revision
 	d.do(d.core.Inventory(d.now(), logic.ListCached, d.cfg.Known.Hosts))
-	d.after(readyWait, func() { d.ready = true })
 	for {
 		for len(d.later) > 0 {
 			f := d.later[0]
--- a/internal/driver/inventory.go
+++ b/internal/driver/inventory.go
@@ -63,7 +63,6 @@
 			how = logic.ListFull
 		}
 		d.listed = l.Revision
-		d.ready = true
 		d.do(d.core.Inventory(d.now(), how, l.Hosts))
 	})
 	still := func() {
