Count a retry's aim from its first try and refuse at once what is late everywhere

A retry's X-Remaining tells that its wanted time is over (c0: 2,913 of 3,377 had under 5 s of 6 s left), yet Arrive gave each a new aim. Ruled out: refusals by workers (47), broken connections (16), discovery (no call failed after 4 s). At fault: logic.Arrive (aimAt from now) and place, which sent what choose called surely late.

--- a/internal/memory/core_test.go
+++ b/internal/memory/core_test.go
@@ -14,7 +14,7 @@
 
 func testConfig() logic.Config {
 	class := func(r logic.Repeat) logic.Class {
-		return logic.Class{Aim: 500_000, Deadline: 3_000_000, Worth: 1, Repeat: r, Window: 40_000_000, WorkerKind: -1}
+		return logic.Class{Aim: 500_000, Stretch: 2, Deadline: 3_000_000, Worth: 1, Repeat: r, Window: 40_000_000, WorkerKind: -1}
 	}
 	return logic.Config{
 		Classes:    []logic.Class{class(logic.RepeatSafe), class(logic.RepeatKeyed), class(logic.RepeatUnsafe)},
--- a/logic/failures_test.go
+++ b/logic/failures_test.go
@@ -587,3 +587,26 @@
 		}
 	}
 }
+
+// Guards against a storm of retries: clients keep asking for what is late already, each try takes the place of a job that
+// could still be in time, and the fleet stays down long after what pushed it there is over.
+func TestRetryWhoseAimHasGoneByIsNotSent(t *testing.T) {
+	for name, test := range map[string]struct {
+		repeated bool
+		left     int64 // of the 3 s that its client waits
+		sent     bool
+	}{
+		"first try":                       {false, 3_000_000, true},
+		"first try of an impatient":       {false, 1_000_000, true},
+		"retry in time":                   {true, 2_900_000, true},
+		"retry too late":                  {true, 2_000_000, false},
+		"retry that starts its time anew": {true, 3_000_000, true},
+	} {
+		s := mustNew(t, testConfig())
+		s.Workers(t0, ListFull, readyWorkers(2), nil)
+		acts := s.Arrive(t0, Job{ID: 1, Hint: 100_000, Repeated: test.repeated, Deadline: t0 + test.left}, nil)
+		if sent := len(sends(acts)) == 1; sent != test.sent || has(acts, ActRefuse) == test.sent {
+			t.Errorf("%s: sent %v, want %v: %v", name, sent, test.sent, acts)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -737,7 +737,12 @@
 	if j.deadline <= 0 {
 		j.deadline = s.now + c.Deadline
 	}
-	j.aimAt = min(s.now+c.Aim+int64(c.Stretch*j.work*1e6), j.deadline)
+	asked := s.now
+	if in.Repeated {
+		// Its aim runs from the first try. What is left to the client tells when that was; served late it is worth nothing.
+		asked = min(asked, j.deadline-c.Deadline)
+	}
+	j.aimAt = min(asked+c.Aim+int64(c.Stretch*j.work*1e6), j.deadline)
 	s.count(j)
 	s.update()
 	s.demand(j)
@@ -788,7 +793,7 @@
 		return
 	}
 	c := &s.cfg.Classes[j.class]
-	if b.harm*s.crowding() > j.worth*(1-b.late*(1-c.LateWorth)) && s.mayRefuse(j) {
+	if s.vain(j, b.late) || b.harm*s.crowding() > j.worth*(1-b.late*(1-c.LateWorth)) && s.mayRefuse(j) {
 		s.finish(i)
 		return
 	}
@@ -857,7 +862,7 @@
 		if s.elsewhereHelps(i) {
 			return
 		}
-		if s.hopelessNow(j) {
+		if s.cfg.MayCancel && s.vain(j, s.lateWhereItIs(j)) {
 			s.finish(i)
 			return
 		}
@@ -947,13 +952,9 @@
 	return b
 }
 
-// hopelessNow tells whether a job that still waits is surely late everywhere it was sent and its late answer is worth
-// nothing: it only keeps others waiting.
-func (s *Scheduler) hopelessNow(j *job) bool {
-	if s.cfg.Classes[j.class].LateWorth > 0 || !s.cfg.MayCancel || !s.mayRefuse(j) {
-		return false
-	}
-	return s.lateWhereItIs(j) >= hopeless
+// vain tells whether a job with such a chance of being late only keeps others waiting: its late answer is worth nothing.
+func (s *Scheduler) vain(j *job, late float64) bool {
+	return late >= hopeless && s.cfg.Classes[j.class].LateWorth <= 0 && s.mayRefuse(j)
 }
 
 // lateWhereItIs is the least chance of being late over the workers that a job waits at.
