Learn from few samples: shrunk hints, own leanings, waits so far, errors at the first

The hot data set's first home had 28% of its sends, workers that start at once stood beside it. At fault: noStart (a wait tells nothing until it is over), backlog (the mean backlog of a kind, whatever this scheduler itself chose of late). - Late jobs: unsafe and keyed jobs ran after waits of up to 11 s, past their aim. At fault: hopelessNow asked mayRefuse. - Cost: placements at -4.7, since the slopes of a worker were of another table than G; the utilisation of one dispatcher jumped between 0.05 and 0.72 with single jobs. At fault: derive (cached for 1 s), update. - Pace: the same worker was believed to take 0.15 to 1.31 s for a second of work. Hints against runs over the fleet: slope 0.4 to 0.7 in logarithms, so half of a hint is noise. At fault: Arrive took hints as they come. - Refused connects: after a mass restart 1,325 of 3,856 sends went to workers long gone, list calls answered 503 for 20 s; errors: each of 80 dispatchers took two from each failing worker. At fault: wellness (1 s), errorsMost.

Changed: work is the geometric mean of hint and class mean; a wait so far counts three times as backlog; the mean backlog is scaled by the square of own recent choices against a fair share; the utilisation has a prior of ten jobs and a change of table renews what hangs on it; the share of errors and refused connects is a chance in the cost; a refused connect keeps off 8 s; what is late by now is given up wherever it waits. Cold: the budget follows the worker's age and not the measured load, and cold workers whose turn it is are always compared. Gone, since they measured as nothing: the refusal for harm to others, the single trial of an ejected worker, pace from progress notes, ejection after two errors.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -2,9 +2,8 @@
 
 // All decisions of the library; the interface (types, events, actions) is in logic/api.go.
 //
-// Units inside this file: clock times are microseconds (int64); work and durations are seconds (float64). "Work" is
-// time on a standard core; a worker's pace is running time for each second of work; its drain time d is pace x mean
-// work / slots, the time in which it gets through one mean slot-job when full.
+// Units in this file: clock times are microseconds (int64); work and durations are seconds (float64). "Work" is time on
+// a standard core; a worker's pace is running time for a second of work; its d is pace x mean work / slots.
 
 import (
 	"errors"
@@ -14,52 +13,54 @@
 
 // Constants. None is taken from a deployment; each states its unit and reason.
 const (
-	maxKinds     = 256       // kinds told apart; a list that names more has them share one estimate
-	maxTries     = 8         // attempts kept for a job; more than any retry helps
-	rhoLevels    = 50        // utilisation levels of the table: steps of 0.02 are finer than the estimate
-	rhoMax       = 0.98      // beyond this the queue's horizon is longer than any estimate holds
-	gridStep     = 1.0 / 32  // table step in units of d: error of the lerp far under that of u
-	gridSpan     = 48        // table length in units of d; beyond it G is linear to many digits
-	priorJobs    = 2.0       // mean jobs that a worker's prior pace weighs; two own runs outvote it
-	paceKeep     = 0.85      // weight kept by older runs at each new one: about six runs are remembered
-	kindKeep     = 0.98      // the same for the pace of a whole kind: about fifty runs
-	rateSpan     = 15.0      // seconds of memory of arrival rates: rides out bursts, follows a trend
-	tailRoom     = 0.5       // share of a running time that is left at a random look at it
-	firstSlots   = 4.0       // slots assumed of an unknown worker: fewer keep jobs off it, and more are then never seen
-	scanMost     = 12        // candidates compared where many schedulers each see a part: bounds CPU and herding
-	fewSeers     = 4         // schedulers up to which each sees enough of the whole to compare all workers
-	coldSafety   = 0.45      // share of a cold worker's budget used in a slot; any window meets two slots
-	ejectFirst   = 1_000_000 // us that a first ejection lasts
-	ejectMost    = 8_000_000 // us that ejections grow to: a dead worker is tried a few times a minute
-	ejectCost    = 0.95      // chance of failure booked to an ejected worker; shared by all, it cancels out
-	holdGap      = 40_000    // us between looks at a job that found no worker
-	askGap       = 500_000   // us before a failed list call is repeated at first; doubles, with jitter
-	askMost      = 4_000_000 // us that this gap grows to; below any allowed age of a list
-	refresh      = 1_000_000 // us between refreshes of the shared estimates
-	slotsFade    = 0.9995    // fade of the most free slots seen at a kind, for each report
-	keysKept     = 2         // data sets remembered for each worker: its few places are shared with the other schedulers' sets
-	keyHomes     = 12        // workers on which a data set is expected by hash, so that all schedulers agree
-	homesKept    = 1 << 14   // data sets whose homes are remembered; bounds the memory
-	hitOwn       = 0.95      // chance that a data set sent to a worker lately is still there
-	homeFade     = 0.3       // fall of that chance for each rank beyond the homes that the demand fills
-	homeFill     = 0.6       // share of a worker that is taken to be filled before the next rank is used
-	paceSpan     = 10.0      // seconds in which a worker's own runs fade: one that was slow must get its chance again
-	slowMost     = 2.0       // times its kind's pace at which a run still counts for the kind: a slow worker is no rule
-	missPrice    = 1.0       // mean jobs that a fetch costs beyond its time: it pushes out a set that is asked for again
-	hitElse      = 0.05      // the same where nothing speaks for it
-	hopeless     = 0.97      // chance of being late beyond which a job is not worth its work
-	crowdGain    = 0.05      // weight of one attempt in that share
-	crowdFrom    = 0.5       // share of attempts that find no free slot from which harm begins to count
-	crowdFull    = 0.9       // and from which it counts in full
-	sightSpan    = 2.5       // running times over which a sighting fades: a queue outlives the jobs in it
-	crossCaution = 2.0       // times the price that a crossing must promise: the best of guesses flatters
-	seenGain     = 0.1       // weight of one sighting in the mean backlog of a kind or zone
-	seenFirst    = 0.3       // that mean before any sighting, in running times: somewhat over half busy
-	hangMisses   = 2         // start notes missing in a row, with no sign of life, that make a worker suspect
-	takenAfter   = 500_000   // us in which workers that tell so have taken a job: ten times what was ever seen
-	errorsMost   = 2         // errors in a row that make a worker suspect: one may be its job's fault
-	hearSpan     = 3_000_000 // us for which a sign of life vouches for a worker
-	moveGain     = 0.1       // least fall in expected loss, in mean jobs, for which a waiting job is taken elsewhere
+	maxKinds   = 256       // kinds told apart; a list that names more has them share one estimate
+	maxTries   = 8         // attempts kept for a job; more than any retry helps
+	rhoLevels  = 50        // utilisation levels of the table: steps of 0.02 are finer than the estimate
+	rhoMax     = 0.98      // beyond this the queue's horizon is longer than any estimate holds
+	gridStep   = 1.0 / 32  // table step in units of d: error of the lerp far under that of u
+	gridSpan   = 48        // table length in units of d; beyond it G is linear to many digits
+	priorJobs  = 5.0       // mean jobs that a worker's prior pace weighs: a run's work is known to a factor of two
+	hintTrust  = 0.65      // weight of the logarithm of a hint against that of the class's mean: hints are as noisy as jobs differ
+	paceKeep   = 0.85      // weight kept by older runs at each new one: about six runs are remembered
+	kindKeep   = 0.98      // the same for the pace of a whole kind: about fifty runs
+	rhoPrior   = 10.0      // own jobs that a utilisation of a half weighs
+	rateSpan   = 15.0      // seconds of memory of arrival rates: rides out bursts, follows a trend
+	tailRoom   = 0.5       // share of a running time that is left at a random look at it
+	firstSlots = 4.0       // slots assumed of an unknown worker: fewer keep jobs off it, and more are then never seen
+	scanMost   = 12        // candidates compared where many schedulers each see a part: bounds CPU and herding
+	fewSeers   = 4         // schedulers up to which each sees enough of the whole to compare all workers
+	coldSafety = 0.3       // share of a cold worker's budget used in a slot; any window meets two slots
+	ejectFirst = 1_000_000 // us that a first ejection lasts
+	ejectMost  = 8_000_000 // us that ejections grow to: a dead worker is tried a few times a minute
+	ejectCost  = 0.95      // chance of failure booked to an ejected worker; shared by all, it cancels out
+	holdGap    = 40_000    // us between looks at a job that found no worker
+	askGap     = 500_000   // us before a failed list call is repeated at first; doubles, with jitter
+	askMost    = 4_000_000 // us that this gap grows to; below any allowed age of a list
+	refresh    = 1_000_000 // us between refreshes of the shared estimates
+	waitsOn    = 3.0       // times the wait so far of a job that has not started that the rest of it is taken for
+	slotsFade  = 0.9995    // fade of the most free slots seen at a kind, for each report
+	keysKept   = 2         // data sets remembered for each worker: its few places are shared with the other schedulers' sets
+	keyHomes   = 12        // workers on which a data set is expected by hash, so that all schedulers agree
+	homesKept  = 1 << 14   // data sets whose homes are remembered; bounds the memory
+	hitOwn     = 0.95      // chance that a data set sent to a worker lately is still there
+	homeFade   = 0.3       // fall of that chance for each rank beyond the homes that the demand fills
+	homeFill   = 0.6       // share of a worker that is taken to be filled before the next rank is used
+	paceSpan   = 10.0      // seconds in which a worker's own runs fade: one that was slow must get its chance again
+	failPrior  = 1.0       // answers that the fleet's share of errors weighs against a worker's own
+	slowMost   = 2.0       // times its kind's pace at which a run still counts for the kind: a slow worker is no rule
+	missPrice  = 1.0       // mean jobs that a fetch costs beyond its time: it pushes out a set that is asked for again
+	hitElse    = 0.05      // the same where nothing speaks for it
+	hopeless   = 0.95      // chance of being late beyond which a job is not worth its work
+	crowdGain  = 0.05      // weight of one attempt in that share
+	failGain   = 0.1       // weight of one answer in the fleet's share of errors
+	crowdFrom  = 0.5       // share of attempts that find no free slot from which slow starts are nobody's fault
+	sightSpan  = 2.5       // running times over which a sighting fades: a queue outlives the jobs in it
+	seenGain   = 0.1       // weight of one sighting in the mean backlog of a kind or zone
+	seenFirst  = 0.3       // that mean before any sighting, in running times: somewhat over half busy
+	hangMisses = 2         // start notes missing in a row, with no sign of life, that make a worker suspect
+	takenAfter = 500_000   // us in which workers that tell so have taken a job: ten times what was ever seen
+	hearSpan   = 3_000_000 // us for which a sign of life vouches for a worker
+	moveGain   = 0.1       // least fall in expected loss, in mean jobs, for which a waiting job is taken elsewhere
 )
 
 // ---- Value function ----
@@ -112,12 +113,7 @@
 	cfg.Zones = max(cfg.Zones, 1)
 	cfg.Resolution = orDefault(cfg.Resolution, 1000)
 	cfg.FallWindow = orDefault(cfg.FallWindow, 1_000_000)
-	if !(cfg.StartCapacity > 0) {
-		cfg.StartCapacity = 0.1
-	}
-	if !(cfg.FallMultiple > 0) {
-		cfg.FallMultiple = 1
-	}
+	cfg.StartCapacity, cfg.FallMultiple = orDefault(cfg.StartCapacity, 0.1), orDefault(cfg.FallMultiple, 1)
 	cfg.Classes = slices.Clone(cfg.Classes)
 	n := len(cfg.Classes)
 	s := &Scheduler{
@@ -232,8 +228,8 @@
 	w := &s.workers[i]
 	if w.info.UpSince != e.UpSince {
 		// A new process: what was held against the old one is void, as is its backlog of others.
-		w.fails, w.ejected, w.trial, w.bg, w.bgAt = 0, 0, false, 0, s.now
-		w.keys = [keysKept]uint64{}
+		w.fails, w.ejected, w.bg, w.bgAt = 0, 0, 0, s.now
+		w.keys, w.run, w.work = [keysKept]uint64{}, 0, 0
 	}
 	w.info = *e
 	w.known = true
@@ -260,8 +256,6 @@
 	s.decay()
 	s.rate += 1 / rateSpan
 	s.classRate[j.class] += 1 / rateSpan
-	c := &s.classWork[j.class]
-	*c += (j.work - *c) * 0.05
 }
 
 // decay lets the rates fade to the present.
@@ -280,8 +274,7 @@
 // update renews the estimates that all workers share: the mix of classes, the utilisation that the load-equalising
 // split gives every worker, and with it the table of the value function.
 //
-// Departure from the design page: lambda is the fleet's (own rate x schedulers), because u includes an estimate of what
-// the others have sent; own lambda with the whole queue would not be one queue's law.
+// Departure from the design page: lambda is the fleet's (own rate x schedulers), since u estimates the others' work too.
 func (s *Scheduler) update() {
 	if s.refreshed != 0 && s.now-s.refreshed < refresh {
 		return
@@ -307,11 +300,15 @@
 	}
 	own := s.workRate / s.warmup
 	if capacity > 0 {
-		s.rho = min(max(own*float64(s.cfg.Schedulers)/capacity, 0.05), rhoMax)
+		// A handful of jobs says little of the fleet's rate, and a cost that jumps with each of them is none.
+		jobs := s.rate * rateSpan
+		s.rho = (own*float64(s.cfg.Schedulers)/capacity*jobs + 0.5*rhoPrior) / (jobs + rhoPrior)
+		s.rho = min(max(s.rho, 0.05), rhoMax)
 		s.perWorker = capacity / float64(len(s.ready))
-		s.bearing = own * float64(s.cfg.Schedulers) / capacity
 	}
-	s.table = tableFor(s.rho)
+	if t := tableFor(s.rho); t != s.table {
+		s.table, s.tables = t, s.tables+1
+	}
 }
 
 func (s *Scheduler) jobWorth(class int, work float64) float64 {
@@ -345,10 +342,10 @@
 
 // derive renews what placement needs of a worker.
 func (s *Scheduler) derive(w *worker) {
-	if w.derivedAt != 0 && s.now-w.derivedAt < refresh {
+	if w.derivedAt != 0 && s.now-w.derivedAt < refresh && w.tables == s.tables {
 		return
 	}
-	w.derivedAt = s.now
+	w.derivedAt, w.tables = s.now, s.tables
 	s.fadePace(w)
 	w.pace = s.paceOf(w)
 	slots := s.slotsOf(w)
@@ -384,7 +381,7 @@
 	}
 	run := w.pace * s.meanWork
 	k, z := &s.kinds[w.info.Kind], &s.zones[w.info.Zone]
-	mean := max(k.seen+z.seen-s.seen, 0) * run
+	mean := max(k.seen+z.seen-s.seen, 0) * run * s.leaning(w)
 	if w.bgAt == 0 {
 		return own + mean
 	}
@@ -392,6 +389,18 @@
 	return own + mean + (w.bg-mean)/(1+t+t*t/2)
 }
 
+// leaning is how much longer a worker's queue is taken to be for this scheduler's own choices of late. What draws it to
+// a worker (a data set, a speed) draws the others that hold the same list, and none of them sees the others' jobs; so a
+// worker that had more of its jobs than its part of the fleet's capacity had more of theirs too.
+func (s *Scheduler) leaning(w *worker) float64 {
+	if s.cfg.Schedulers <= fewSeers || s.perWorker <= 0 {
+		return 1
+	}
+	fair := s.rate * rateSpan * s.slotsOf(w) / w.pace / (s.perWorker * float64(len(s.ready)))
+	m := (w.sent*math.Exp(-seconds(s.now-w.sentAt)/rateSpan) + 1) / (fair + 1)
+	return m * m
+}
+
 // lateChance is the paper's 1(u >= tau) averaged over the error of the estimated backlog, taken as a gamma law of shape
 // 2 around it.
 func lateChance(tau, u float64) float64 {
@@ -405,7 +414,7 @@
 // ---- Cost of a placement ----
 
 // cost is the admission cost of a job at a worker in mean jobs' worth, with the chance that the job is late.
-func (s *Scheduler) cost(j *job, w *worker) (total, late, harm float64) {
+func (s *Scheduler) cost(j *job, w *worker) (total, late float64) {
 	s.derive(w)
 	miss := s.missChance(j, w)
 	fetch := miss * s.fetch
@@ -417,26 +426,34 @@
 	x := j.slots * (j.work + fetch/w.pace) / s.meanWork
 	for i, h := range s.weight {
 		q := (w.tau[i] - u) / w.d
-		harm += h * (s.table.at(q-x) - s.table.at(q) + w.slope[i]*x)
+		total += h * (s.table.at(q-x) - s.table.at(q) + w.slope[i]*x)
 	}
-	total = j.worth*late*(1-c.LateWorth) + harm
-	total += s.crossing(j, w) + missPrice*miss
-	if s.now < w.ejected || w.trial {
+	total += j.worth*max(late*(1-c.LateWorth), s.failChance(w)) + s.crossing(w) + missPrice*miss
+	if s.now < w.ejected {
 		total += ejectCost * j.worth
 	}
-	return total, late, harm
+	return total, late
 }
 
-// crossing is the price of sending to a worker of another zone, in mean jobs. What draws a job with a data set over is
-// that set; what draws another is a guess at queues, and the best of many guesses flatters.
-func (s *Scheduler) crossing(j *job, w *worker) float64 {
-	switch {
-	case w.info.Zone == s.cfg.Zone:
+// failChance is the chance that a worker takes no job or answers with an error; of one not known yet it is the fleet's.
+// One that answers errors at once is never busy, and would be the cheapest of all.
+func (s *Scheduler) failChance(w *worker) float64 {
+	return (w.failed + failPrior*s.failing) / (w.failed + w.well + failPrior)
+}
+
+// fail notes an answer with an error, or that nobody was there to take a job.
+func (s *Scheduler) fail(w *worker) {
+	s.fadePace(w)
+	w.failed++
+	s.failing += (1 - s.failing) * failGain
+}
+
+// crossing is the price of sending to a worker of another zone, in mean jobs.
+func (s *Scheduler) crossing(w *worker) float64 {
+	if w.info.Zone == s.cfg.Zone {
 		return 0
-	case j.key != 0:
-		return s.cfg.PriceCross
 	}
-	return crossCaution * s.cfg.PriceCross
+	return s.cfg.PriceCross
 }
 
 // missChance is the chance that a worker must fetch a job's data set. It makes the job's running time there longer,
@@ -499,7 +516,7 @@
 // ranking it is found. Guards against a hot one that overflows to other workers at each scheduler.
 func (s *Scheduler) homesWanted(h *homes) float64 {
 	n := float64(s.cfg.Schedulers)
-	return 1 + h.load/s.warmup*n/max(homeFill*s.perWorker, 1e-3)
+	return max(h.load/s.warmup*s.meanWork*n/max(homeFill*s.perWorker, 1e-3), 1)
 }
 
 // demand books a job into the demand for its data set.
@@ -508,7 +525,7 @@
 		return
 	}
 	h := s.homesOf(j.key)
-	h.load = h.load*math.Exp(-seconds(s.now-h.at)/rateSpan) + j.work*j.slots/rateSpan
+	h.load = h.load*math.Exp(-seconds(s.now-h.at)/rateSpan) + j.slots/rateSpan
 	h.at = s.now
 }
 
@@ -527,13 +544,12 @@
 
 // choice is a worker with its cost.
 type choice struct {
-	w                       int32
-	total, late, harm, load float64
+	w                 int32
+	total, late, load float64
 }
 
-// choose finds the worker of lowest cost that the job may go to; w is -1 if there is none. Where many schedulers each
-// see a part, all of them comparing all workers would pick the same few, so a scheduler compares a sample drawn from
-// the load-equalising split.
+// choose finds the worker of lowest cost that the job may go to; w is -1 if there is none. Many schedulers that each see
+// a part would all pick the same few of all workers, so each compares a sample drawn from the load-equalising split.
 func (s *Scheduler) choose(j *job) choice {
 	s.update()
 	best := choice{w: -1}
@@ -547,7 +563,7 @@
 		}
 	}
 	for _, i := range s.ready {
-		if all || s.random()%n < scanMost {
+		if all || s.random()%n < scanMost || s.warmth(&s.workers[i]) < 1 {
 			s.consider(j, i, &best)
 		}
 	}
@@ -562,13 +578,13 @@
 func (s *Scheduler) consider(j *job, i int32, best *choice) {
 	w := &s.workers[i]
 	k := s.cfg.Classes[j.class].WorkerKind // the only kind that can run it, if any
-	if k >= 0 && k != w.info.Kind || !s.mayRepeat(j, w) || !s.coldAllows(w, j.work*j.slots) || j.tried(i) {
+	if k >= 0 && k != w.info.Kind || !s.mayRepeat(j, w) || !s.coldAllows(w, j.most*j.slots) || j.tried(i) {
 		return
 	}
-	total, late, harm := s.cost(j, w)
+	total, late := s.cost(j, w)
 	u := s.backlog(w)
 	if best.w < 0 || total < best.total || total == best.total && u < best.load {
-		*best = choice{w: i, total: total, late: late, harm: harm, load: u}
+		*best = choice{w: i, total: total, late: late, load: u}
 	}
 }
 
@@ -623,28 +639,33 @@
 // can take in a window is dealt in whole jobs to schedulers that a hash of worker and slot picks, so that all together
 // stay within the budget. Drains are kept by choosing among live workers only.
 func (s *Scheduler) coldAllows(w *worker, work float64) bool {
-	if s.cfg.Cold <= 0 || w.info.UpSince <= 0 {
-		return true
-	}
-	age := s.now - w.info.UpSince
-	if age >= s.cfg.Cold {
+	if s.warmth(w) >= 1 {
 		return true
 	}
 	slot := s.now / s.cfg.FallWindow
 	if w.coldSlot != slot {
 		w.coldSlot, w.coldUsed = slot, 0
 	}
-	share := s.cfg.StartCapacity + (1-s.cfg.StartCapacity)*max(seconds(age), 0)/seconds(s.cfg.Cold)
-	bearing := min(s.bearing*s.slotsOf(w)/s.paceOf(w), s.slotsOf(w)/s.paceOf(w))
-	budget := coldSafety * s.cfg.FallMultiple * share * bearing * seconds(s.cfg.FallWindow)
+	budget := coldSafety * s.cfg.FallMultiple * s.warmth(w) * s.slotsOf(w) / max(s.kindPace(&s.kinds[w.info.Kind]), 1) *
+		seconds(s.cfg.FallWindow)
 	n := uint64(s.cfg.Schedulers)
-	turns := min(max(uint64(budget/(2*s.meanWork)), 1), n)
+	turns := min(max(uint64(budget/s.meanWork), 1), n)
 	if (uint64(s.cfg.Self)+mix(uint64(w.info.ID)<<20^uint64(slot)))%n >= turns {
 		return false
 	}
 	return w.coldUsed+work <= budget/float64(turns)
 }
 
+// warmth is the share of its capacity that a worker is taken to have since its start. How it grows is not told; it lags
+// behind time, since it is work that warms a worker.
+func (s *Scheduler) warmth(w *worker) float64 {
+	if s.cfg.Cold <= 0 || w.info.UpSince <= 0 || s.now-w.info.UpSince >= s.cfg.Cold {
+		return 1
+	}
+	x := seconds(max(s.now-w.info.UpSince, 0)) / seconds(s.cfg.Cold)
+	return s.cfg.StartCapacity + (1-s.cfg.StartCapacity)*x*x
+}
+
 // finish gives the final answer that the rules permit and calls off what is still out.
 func (s *Scheduler) finish(i int32) {
 	j := &s.jobs[i]
@@ -700,10 +721,8 @@
 	j.live++
 	w.outs++
 	w.own += x
-	w.coldUsed += x
-	if w.fails > 0 {
-		w.trial = true
-	}
+	w.coldUsed += max(x, j.most*j.slots)
+	w.sent, w.sentAt = w.sent*math.Exp(-seconds(s.now-w.sentAt)/rateSpan)+1, s.now
 	s.do(Action{Kind: ActSend, Job: j.id, Worker: w.info.ID, Timeout: max(j.deadline-s.now, 1)})
 }
 
@@ -724,9 +743,12 @@
 	}
 	c := &s.cfg.Classes[class]
 	*j = job{id: in.ID, held: true, gen: j.gen + 1, class: class, tenant: in.Tenant, key: in.Key, slots: 1,
-		work: s.classWork[class], arrived: s.now, deadline: in.Deadline}
+		work: s.classWork[class], most: s.classWork[class], arrived: s.now, deadline: in.Deadline}
 	if in.Hint > 0 {
-		j.work = seconds(in.Hint)
+		hint, mean := seconds(in.Hint), &s.classWork[class]
+		j.work = math.Pow(*mean, 1-hintTrust) * math.Pow(hint, hintTrust)
+		j.most = max(j.work, hint)
+		*mean += (hint - *mean) * 0.05
 	}
 	if in.Slots > 1 && in.Slots < 1e6 {
 		j.slots = in.Slots
@@ -775,8 +797,7 @@
 	return s.cfg.OverShare
 }
 
-// place sends a job to the worker of lowest cost, holds it while there is none, or refuses it when its admission would
-// cost more than it can earn.
+// place sends a job to the worker of lowest cost, holds it while there is none, or refuses it when it is in vain.
 func (s *Scheduler) place(i int32) {
 	j := &s.jobs[i]
 	if s.now >= s.lastCall(j) {
@@ -792,8 +813,7 @@
 		s.reviewAt(i, s.now+holdGap)
 		return
 	}
-	c := &s.cfg.Classes[j.class]
-	if s.vain(j, b.late) || b.harm*s.crowding() > j.worth*(1-b.late*(1-c.LateWorth)) && s.mayRefuse(j) {
+	if s.vain(j, b.late) {
 		s.finish(i)
 		return
 	}
@@ -801,12 +821,6 @@
 	s.reviewAt(i, s.now+s.checkAfter(b.w))
 }
 
-// crowding is the part of the harm to later jobs that counts in a refusal: none while most attempts start at once, all
-// of it when hardly any does. It guards against refusing on a calm day for an error in utilisation.
-func (s *Scheduler) crowding() float64 {
-	return min(max((s.crowd-crowdFrom)/(crowdFull-crowdFrom), 0), 1)
-}
-
 // repeatable tells whether any worker that was not tried could be sent the job. It guards against holding a job until
 // its deadline for a worker that only a change of the list could bring.
 func (s *Scheduler) repeatable(j *job) bool {
@@ -901,13 +915,18 @@
 func (s *Scheduler) noStart(j *job) {
 	for k := range j.n {
 		a := &j.att[k]
-		if !a.out || a.started != 0 || a.stale {
+		if !a.out || a.started != 0 {
 			continue
 		}
-		a.stale = true
-		s.crowd += (1 - s.crowd) * crowdGain
 		w := &s.workers[a.w]
 		s.derive(w)
+		if waited := seconds(s.now - a.sent); a.stale {
+			// What has waited so long may well wait as long again; no outcome will tell before the wait is over.
+			w.bg, w.bgAt = max(w.bg, w.slack+waitsOn*waited-w.own*w.drain), s.now
+			continue
+		}
+		a.stale = true
+		s.crowd += (1 - s.crowd) * crowdGain
 		s.seeOthers(w, w.slack+w.d+s.waits)
 		// One that takes jobs and starts none looks like a free one: its queue is never heard of. Where the whole fleet
 		// is slow to start, that is crowding and nobody is ejected for it.
@@ -918,9 +937,8 @@
 }
 
 // elsewhereHelps takes a job that waits unstarted to the worker that is now cheapest, where the loss expected there is
-// lower by moveGain. Exception to send-and-forget: it acts only where workers tell of starts, attempts can be called
-// off and the class may be repeated. Where copies are allowed the first one to start wins; else the job is called off
-// first, and is placed anew once that is known to be over. So no work is done twice but for the time a note travels.
+// lower by moveGain. Exception to send-and-forget: it acts only where workers tell of starts, attempts can be called off
+// and the class may be repeated. Where copies are allowed the first to start wins; else the job is called off first.
 func (s *Scheduler) elsewhereHelps(i int32) bool {
 	j := &s.jobs[i]
 	last := &j.att[j.n-1]
@@ -929,7 +947,7 @@
 		return false
 	}
 	b := s.elsewhere(j)
-	if b.w < 0 || j.worth*(s.lateWhereItIs(j)-b.late) < moveGain+s.crossing(j, &s.workers[b.w]) {
+	if b.w < 0 || j.worth*(s.lateWhereItIs(j)-b.late) < moveGain+s.crossing(&s.workers[b.w]) {
 		return false
 	}
 	if s.cfg.MayCopy {
@@ -954,7 +972,7 @@
 
 // vain tells whether a job with such a chance of being late only keeps others waiting: its late answer is worth nothing.
 func (s *Scheduler) vain(j *job, late float64) bool {
-	return late >= hopeless && s.cfg.Classes[j.class].LateWorth <= 0 && s.mayRefuse(j)
+	return late >= hopeless && s.cfg.Classes[j.class].LateWorth <= 0
 }
 
 // lateWhereItIs is the least chance of being late over the workers that a job waits at.
@@ -962,7 +980,7 @@
 	least := 1.0
 	for k := range j.n {
 		if a := &j.att[k]; a.out && !a.cancelled {
-			_, late, _ := s.cost(j, &s.workers[a.w])
+			_, late := s.cost(j, &s.workers[a.w])
 			least = min(least, late)
 		}
 	}
@@ -1044,9 +1062,8 @@
 
 // seeOthers notes a backlog seen at a worker; what is this scheduler's own is taken off.
 //
-// The means by kind and by zone are what a worker not lately seen is taken to hold. They guard against a herd:
-// schedulers that each see a part all know the fast kind, and would all choose it were its queue not expected to be
-// longer for that very reason.
+// The means by kind and by zone are what a worker not lately seen is taken to hold. They guard against a herd: all
+// schedulers know the fast kind, and would all choose it were its queue not expected to be longer for that reason.
 func (s *Scheduler) seeOthers(w *worker, u float64) {
 	w.bg, w.bgAt = max(u-w.own*w.drain, 0), s.now
 	v := w.bg / max(w.pace*s.meanWork, 1e-3)
@@ -1068,37 +1085,27 @@
 		return s.end()
 	}
 	w.heard = s.now
-	if share > a.share && share < 1 {
-		s.learnShare(j, a, w, share)
+	if share < 1 {
+		a.share = max(a.share, share)
 	}
 	a.noted = s.now
 	if !j.done && !a.cancelled {
 		s.reviewAt(i, s.stallAt(a))
 	}
 	left := j.work * j.slots * (1 - a.share)
-	if a.rate > 0 {
-		left = (1 - a.share) / a.rate / w.pace * j.slots
-	}
 	w.own = max(w.own+left-a.x, 0)
 	a.x = left
 	return s.end()
 }
 
-// learnShare learns the pace from what was done since the latest note. The first stretch may hold a fetch, of which
-// nothing is known, so it tells nothing.
-func (s *Scheduler) learnShare(j *job, a *attempt, w *worker, share float64) {
-	if a.share > 0 {
-		a.rate = (share - a.share) / seconds(s.now-a.noted)
-		s.learnRun(w, seconds(s.now-a.noted), j.work*(share-a.share))
-	}
-	a.share = share
-}
-
-// learnRun learns the pace of a worker, its kind and the fleet from a stretch of running.
+// learnRun learns the pace of a worker, its kind and the fleet from a run.
 func (s *Scheduler) learnRun(w *worker, run, work float64) {
 	if run > 0 && work > 0 {
 		s.fadePace(w)
-		learnPace(&w.run, &w.work, run, work, paceKeep)
+		learnPace(&w.run, &w.work, run*s.warmth(w), work, paceKeep)
+		if s.warmth(w) < 1 {
+			return
+		}
 		k := &s.kinds[w.info.Kind]
 		run = min(run, slowMost*s.kindPace(k)*work)
 		learnPace(&k.run, &k.work, run, work, kindKeep)
@@ -1110,6 +1117,7 @@
 func (s *Scheduler) fadePace(w *worker) {
 	keep := math.Exp(-seconds(s.now-w.paceAt) / paceSpan)
 	w.run, w.work, w.paceAt = w.run*keep, w.work*keep, s.now
+	w.failed, w.well = w.failed*math.Sqrt(keep), w.well*math.Sqrt(keep)
 }
 
 // Streaming takes the note that an attempt's answer has begun; it now belongs to the client.
@@ -1161,11 +1169,11 @@
 
 // learnOutcome learns pace and health from the end of an attempt.
 func (s *Scheduler) learnOutcome(j *job, a *attempt, w *worker, o *Outcome) {
-	w.trial = false
 	switch o.Result {
 	case Served:
 		s.wellness(w, true)
-		w.errors = 0
+		w.well++
+		s.failing -= s.failing * failGain
 		s.decay()
 		s.workRate += (j.work + a.miss*s.fetch/w.pace) * j.slots / rateSpan
 		run := seconds(o.Elapsed) - s.base[w.info.Zone]*1.5
@@ -1176,10 +1184,6 @@
 		} else {
 			s.crowd -= s.crowd * crowdGain
 		}
-		if a.share > 0 {
-			s.learnShare(j, a, w, 1)
-			return
-		}
 		if over := run - w.pace*j.work; j.key != 0 && over > s.fetch/2 {
 			// It had to fetch, whatever was expected: a run that long says nothing of the pace.
 			s.fetch += (min(over, 4*s.fetch) - s.fetch) * 0.03
@@ -1187,15 +1191,16 @@
 		}
 		s.learnRun(w, run, j.work)
 	case ConnectFailed, Broken:
-		s.wellness(w, false)
+		if s.wellness(w, false); o.Result == ConnectFailed {
+			// Nobody is there: a list will bring it back, or another process. Asking soon again costs a job an attempt.
+			w.ejected = max(w.ejected, s.now+ejectMost)
+			s.fail(w)
+		}
 	case Refused:
 		s.crowd += (1 - s.crowd) * crowdGain
 		s.seeOthers(w, w.slack+2*w.d+4*s.waits)
 	case Failed:
-		// One that answers errors at once is never busy, and would be the cheapest of all.
-		if w.errors++; w.errors >= errorsMost {
-			s.eject(w)
-		}
+		s.fail(w)
 	}
 }
 
@@ -1203,7 +1208,6 @@
 // each failure: its emptied backlog would make it the cheapest of all. Ejection is a cost and not a ban, so a fleet
 // that is ejected as a whole is still used by the same argmin.
 func (s *Scheduler) wellness(w *worker, good bool) {
-	w.trial = false
 	if good {
 		w.fails, w.ejected, w.heard, w.misses = 0, 0, s.now, 0
 		return
@@ -1226,9 +1230,9 @@
 			told[s.cfg.Reports[n]] = f
 		}
 	}
-	free, queue, held, service, rate := told[FieldFreeSlots], told[FieldQueue], told[FieldInflight], told[FieldService]/1000, told[FieldRate]
+	free, queue, held := told[FieldFreeSlots], told[FieldQueue], told[FieldInflight]
 	busy := held
-	if busy < 0 && service >= 0 && rate >= 0 {
+	if service, rate := told[FieldService]/1000, told[FieldRate]; busy < 0 && service >= 0 && rate >= 0 {
 		busy = rate * service
 	}
 	if k := &s.kinds[w.info.Kind]; free > k.slots {
--- a/logic/state.go
+++ b/logic/state.go
@@ -15,7 +15,6 @@
 	started   int64
 	taken     bool    // its worker has said so
 	noted     int64   // its latest note
-	rate      float64 // share a second between its latest two notes; 0 before
 	share     float64 // of its work that is done, as that said
 	x         float64 // slot-work that it holds in its worker's backlog
 	miss      float64 // chance, as seen at sending, that the worker had to fetch its data set
@@ -29,6 +28,7 @@
 	done, held               bool
 	key                      uint64
 	work, slots, worth       float64
+	most                     float64 // work that it has by its hint, where that is more than what is expected
 	arrived, deadline, aimAt int64
 	review                   int64 // when it is next looked at
 	att                      [maxTries]attempt
@@ -51,17 +51,19 @@
 	known          bool
 	outs           int // own attempts out
 	own            float64
+	sent           float64 // own jobs sent to it, faded
+	sentAt         int64
+	tables         uint32  // change of the table that tau and slope are of
 	run, work      float64 // decayed sums of running times and work, for the pace
 	paceAt         int64   // when these were last faded
 	bg             float64 // others' backlog as last seen, seconds to drain
 	bgAt           int64
 	fails          int
-	errors         int     // answered in a row
 	ejected        int64   // not trusted before then
 	misses         int     // start notes missing since the last sign of life
 	running        float64 // slots of own jobs that have started
 	heard          int64   // last sign of life
-	trial          bool    // the one job that tries it is out
+	failed, well   float64 // answers with an error and with a result, faded
 	coldSlot       int64
 	coldUsed       float64
 	derivedAt      int64
@@ -130,6 +132,7 @@
 	weight         []float64 // p_c E[H_c] in mean jobs, what a late one loses
 	rho            float64
 	table          *valueTable
+	tables         uint32 // changes of it
 	refreshed      int64
 	waits          float64 // mean wait seen before a start, seconds
 	base           []float64
@@ -138,11 +141,11 @@
 	zones          []zone
 	seen           float64
 	crowd          float64 // share of attempts of late that found no free slot
+	failing        float64 // share of answers that are errors
 	fetch          float64 // time to fetch a data set, seconds
-	bearing        float64 // share of its capacity that a warm worker is seen to bear
 }
 
-func orDefault(v, d int64) int64 {
+func orDefault[T int64 | float64](v, d T) T {
 	if v > 0 {
 		return v
 	}
