--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 build:
 	mkdir -p bin
-	go build -o bin/ ./cmd/...
+	CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
 
 lint:
 	test -z "$$(gofmt -l .)"
--- a/cmd/granitewing/main_test.go
+++ b/cmd/granitewing/main_test.go
@@ -271,6 +271,11 @@
 		{`"settings":{`, `"settings":{}, "old":{`, "Classes.count"},
 		{`127.0.0.1:0`, `nowhere`, "listen"},
 		{`"sockets":1024`, `"sockets":0`, "limits.sockets"},
+		{`"settings":{`, `"settings":{"Balancers":0,`, "settings.Balancers"},
+		{`"settings":{`, `"settings":{"Balancers":"many",`, "settings.Balancers"},
+		{`"settings":{`, `"settings":{"Balancers":80,"SelfIndex":80,`, "settings.SelfIndex"},
+		{`"settings":{`, `"settings":{"SelfIndex":3,`, "below Balancers (1)"},
+		{`"settings":{`, `"settings":{"Balancers":80,"SelfIndex":-1,`, "settings.SelfIndex"},
 		{config[:8], ``, "not JSON"},
 	} {
 		path := filepath.Join(t.TempDir(), "config.json")
--- a/internal/wire/platform/config.go
+++ b/internal/wire/platform/config.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"math"
 	"strconv"
 	"strings"
 
@@ -75,6 +76,9 @@
 	if c.Settings, err = wire.ParseSettings([]byte(flat.String())); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	if err := fleet(settings, &c.Settings); err != nil {
+		return nil, err
+	}
 	// On sockets the list always comes only to those who ask, whatever the simulator does.
 	c.Settings.MustAsk = true
 	for i, k := range c.Settings.Classes {
@@ -90,6 +94,25 @@
 	return c, nil
 }
 
+// fleet checks what a dispatcher is told of its place among the others. Without Balancers it takes itself for the only
+// one. A number that does not fit is no matter for a default: dispatchers that share nothing keep within a cold host's
+// budget only by each taking its own turns.
+func fleet(settings *fastjson.Value, c *logic.Config) error {
+	for key, least := range map[string]int{"Balancers": 1, "SelfIndex": 0} {
+		v := settings.Get(key)
+		if v == nil {
+			continue
+		}
+		if n, err := v.Int(); err != nil || n < least || n > math.MaxInt32 {
+			return fmt.Errorf("settings.%s: want a whole number of at least %d, have %s", key, least, v)
+		}
+	}
+	if c.Self >= c.Schedulers {
+		return fmt.Errorf("settings.SelfIndex: want a number below Balancers (%d), have %d", c.Schedulers, c.Self)
+	}
+	return nil
+}
+
 // flatten writes nested settings as the path=value lines that the simulator's wire carries, so that both
 // fronts read them with the same code.
 func flatten(out *strings.Builder, path string, v *fastjson.Value) {
