Keep data sets where it is warm; hold the cold budget to slots that are known

Seen: with 36 of 60 workers just started, six in ten data sets had a cold first home, where the set is fetched and the job late; schedulers went there when it was their turn and elsewhere when not, so no worker kept the set. At fault: homesOf, which ranks by the listed size alone. It divides by the warmth now, from the list's own start times, so all schedulers still agree.

--- a/logic/failures_test.go
+++ b/logic/failures_test.go
@@ -778,3 +778,34 @@
 		t.Errorf("one worker got %.0f%% of the %d jobs of a hot data set, of %d workers that had some", 100*share, total, len(got))
 	}
 }
+
+// A data set whose home is cold is fetched there and then served late: most sets must stay where it is warm, and all
+// schedulers must agree on which.
+func TestColdWorkersAreSeldomHomes(t *testing.T) {
+	list := readyWorkers(60)
+	for i := range 36 {
+		list[i].UpSince = t0 - 1_000_000
+	}
+	var fleet [3]*Scheduler
+	for k := range fleet {
+		c := testConfig()
+		c.Schedulers, c.Self, c.Cold, c.StartCapacity = 80, k, 24_000_000, 0.13
+		fleet[k] = mustNew(t, c)
+		fleet[k].Workers(t0, ListFull, list, nil)
+	}
+	cold, keys := 0, uint64(1000)
+	for key := range keys {
+		h := fleet[0].homesOf(key + 1).ids
+		for _, s := range fleet[1:] {
+			if s.homesOf(key+1).ids != h {
+				t.Fatalf("data set %d has other homes at another scheduler", key+1)
+			}
+		}
+		if h[0] < 36 {
+			cold++
+		}
+	}
+	if share := float64(cold) / float64(keys); share > 0.3 {
+		t.Errorf("the first home of %.0f%% of the data sets is cold; of the workers 60%% are, of the capacity under a sixth", 100*share)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -477,8 +477,8 @@
 	return 1 - hitElse
 }
 
-// homesOf ranks the first workers of a data set by a hash weighted by size, which all schedulers that hold the same
-// list do alike; a list that differs by a worker moves that worker's data sets only.
+// homesOf ranks the first workers of a data set by a hash weighted by size and warmth, which all schedulers that hold the
+// same list do alike; a list that differs by a worker moves that worker's data sets only.
 func (s *Scheduler) homesOf(key uint64) *homes {
 	h := s.homes[key]
 	if h == nil {
@@ -498,7 +498,7 @@
 	}
 	for _, i := range s.ready {
 		w := &s.workers[i]
-		v := -math.Log((float64(mix(key^mix(uint64(w.info.ID)))>>11)+0.5)/(1<<53)) / w.info.Weight
+		v := -math.Log((float64(mix(key^mix(uint64(w.info.ID)))>>11)+0.5)/(1<<53)) / w.info.Weight / s.warmth(w)
 		if v >= best[keyHomes-1] {
 			continue
 		}
@@ -635,9 +635,8 @@
 	return true
 }
 
-// coldAllows keeps a worker that has just started from being pushed over, with no agreement needed: the work that it
-// can take in a window is dealt in whole jobs to schedulers that a hash of worker and slot picks, so that all together
-// stay within the budget. Drains are kept by choosing among live workers only.
+// coldAllows keeps a worker that has just started from being pushed over, with no agreement needed: the work that it can
+// take in a window is dealt in whole jobs to schedulers that a hash of worker and slot picks.
 func (s *Scheduler) coldAllows(w *worker, work float64) bool {
 	if s.warmth(w) >= 1 {
 		return true
@@ -646,8 +645,9 @@
 	if w.coldSlot != slot {
 		w.coldSlot, w.coldUsed = slot, 0
 	}
-	budget := coldSafety * s.cfg.FallMultiple * s.warmth(w) * s.slotsOf(w) / max(s.kindPace(&s.kinds[w.info.Kind]), 1) *
-		seconds(s.cfg.FallWindow)
+	k := &s.kinds[w.info.Kind]
+	capacity := min(s.slotsOf(w), max(k.slots, firstSlots)) / max(s.kindPace(k), 1)
+	budget := coldSafety * s.cfg.FallMultiple * s.warmth(w) * capacity * seconds(s.cfg.FallWindow)
 	n := uint64(s.cfg.Schedulers)
 	turns := min(max(uint64(budget/s.meanWork), 1), n)
 	if (uint64(s.cfg.Self)+mix(uint64(w.info.ID)<<20^uint64(slot)))%n >= turns {
