--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,13 +46,13 @@
 	homeFade   = 0.3       // fall of that chance for each rank beyond the homes that the demand fills
 	homeFill   = 0.6       // share of a worker that is taken to be filled before the next rank is used
 	paceSpan   = 10.0      // seconds in which a worker's own runs fade: one that was slow must get its chance again
-	failPrior  = 1.0       // answers that the fleet's share of errors weighs against a worker's own
+	failPrior  = 1.0       // answers that the zone's share of errors weighs against a worker's own
 	slowMost   = 2.0       // times its kind's pace at which a run still counts for the kind: a slow worker is no rule
 	missPrice  = 1.0       // mean jobs that a fetch costs beyond its time: it pushes out a set that is asked for again
 	hitElse    = 0.05      // the same where nothing speaks for it
 	hopeless   = 0.95      // chance of being late beyond which a job is not worth its work
 	crowdGain  = 0.05      // weight of one attempt in that share
-	failGain   = 0.1       // weight of one answer in the fleet's share of errors
+	failGain   = 0.2       // weight of one answer in its zone's share of errors
 	crowdFrom  = 0.5       // share of attempts that find no free slot from which slow starts are nobody's fault
 	sightSpan  = 2.5       // running times over which a sighting fades: a queue outlives the jobs in it
 	seenGain   = 0.1       // weight of one sighting in the mean backlog of a kind or zone
@@ -435,17 +435,17 @@
 	return total, late
 }
 
-// failChance is the chance that a worker takes no job or answers with an error; of one not known yet it is the fleet's.
-// One that answers errors at once is never busy, and would be the cheapest of all.
+// failChance is the chance that a worker takes no job or answers with an error; of one not known yet it is its zone's,
+// since zones fail as a whole. One that answers errors at once is never busy, and would be the cheapest of all.
 func (s *Scheduler) failChance(w *worker) float64 {
-	return (w.failed + failPrior*s.failing) / (w.failed + w.well + failPrior)
+	return (w.failed + failPrior*s.zones[w.info.Zone].failing) / (w.failed + w.well + failPrior)
 }
 
 // fail notes an answer with an error, or that nobody was there to take a job.
 func (s *Scheduler) fail(w *worker) {
 	s.fadePace(w)
 	w.failed++
-	s.failing += (1 - s.failing) * failGain
+	s.zones[w.info.Zone].failing += (1 - s.zones[w.info.Zone].failing) * failGain
 }
 
 // crossing is the price of sending to a worker of another zone, in mean jobs.
@@ -477,8 +477,8 @@
 	return 1 - hitElse
 }
 
-// homesOf ranks the first workers of a data set by a hash weighted by size and warmth, which all schedulers that hold the
-// same list do alike; a list that differs by a worker moves that worker's data sets only.
+// homesOf ranks the first workers of a data set by a hash weighted by size, which all schedulers that hold the same
+// list do alike; a list that differs by a worker moves that worker's data sets only.
 func (s *Scheduler) homesOf(key uint64) *homes {
 	h := s.homes[key]
 	if h == nil {
@@ -498,7 +498,7 @@
 	}
 	for _, i := range s.ready {
 		w := &s.workers[i]
-		v := -math.Log((float64(mix(key^mix(uint64(w.info.ID)))>>11)+0.5)/(1<<53)) / w.info.Weight / s.warmth(w)
+		v := -math.Log((float64(mix(key^mix(uint64(w.info.ID)))>>11)+0.5)/(1<<53)) / w.info.Weight
 		if v >= best[keyHomes-1] {
 			continue
 		}
@@ -1173,7 +1173,7 @@
 	case Served:
 		s.wellness(w, true)
 		w.well++
-		s.failing -= s.failing * failGain
+		s.zones[w.info.Zone].failing *= 1 - failGain
 		s.decay()
 		s.workRate += (j.work + a.miss*s.fetch/w.pace) * j.slots / rateSpan
 		run := seconds(o.Elapsed) - s.base[w.info.Zone]*1.5
--- a/logic/state.go
+++ b/logic/state.go
@@ -84,7 +84,8 @@
 
 // zone is what is learned over all workers of a zone.
 type zone struct {
-	seen float64 // mean backlog of others, in running times
+	seen    float64 // mean backlog of others, in running times
+	failing float64 // share of attempts that found nobody or ended in an error
 }
 
 // homes is where a data set is kept, by rank, and how much it is asked for.
@@ -141,7 +142,6 @@
 	zones          []zone
 	seen           float64
 	crowd          float64 // share of attempts of late that found no free slot
-	failing        float64 // share of answers that are errors
 	fetch          float64 // time to fetch a data set, seconds
 }
 
