Count work at a cold worker for warming it, so that a fleet mostly cold is used

Ruled out: the budget alone (0.45 or twice the turns for 0.3: no change) and the sample (cold workers in turn are always compared). At fault: cost, which sees a job late at a slow worker and nothing of what it warms.

--- a/logic/failures_test.go
+++ b/logic/failures_test.go
@@ -703,15 +703,16 @@
 			at   int64
 			work float64
 		}
-		cold, used := map[WorkerID][]sent{}, map[WorkerID]bool{}
+		cold, total, toCold := map[WorkerID][]sent{}, 0, 0
 		at := t0
 		for id := JobID(1); at < t0+20_000_000; id++ {
 			at += int64(r.ExpFloat64() * 1e6 / 90)
 			s, hint := fleet[r.Intn(n)], r.ExpFloat64()
-			for _, to := range sends(s.Arrive(at, Job{ID: id, Hint: int64(hint * 1e6), Deadline: at + 60_000_000}, nil)) {
+			for _, to := range sends(s.Arrive(at, Job{ID: id, Key: 1 + uint64(r.Intn(200)), Hint: int64(hint * 1e6), Deadline: at + 60_000_000}, nil)) {
+				total++
 				if to <= 36 {
 					cold[to] = append(cold[to], sent{at, hint})
-					used[to] = true
+					toCold++
 				}
 				s.Outcome(at+1, Outcome{Job: id, Worker: to, Elapsed: int64(hint * 1e6)}, nil)
 			}
@@ -730,8 +731,8 @@
 				}
 			}
 		}
-		if len(used) < 30 {
-			t.Errorf("%d schedulers used %d of 36 cold workers in 20 s", n, len(used))
+		if len(cold) < 36 || toCold*8 < total {
+			t.Errorf("%d schedulers sent %d of %d jobs to %d of 36 cold workers: they must be warmed by work", n, toCold, total, len(cold))
 		}
 	}
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,7 +29,8 @@
 	firstSlots = 4.0       // slots assumed of an unknown worker: fewer keep jobs off it, and more are then never seen
 	scanMost   = 12        // candidates compared where many schedulers each see a part: bounds CPU and herding
 	fewSeers   = 4         // schedulers up to which each sees enough of the whole to compare all workers
-	coldSafety = 0.3       // share of a cold worker's budget used in a slot; any window meets two slots
+	warmGain   = 1.0       // mean jobs that one at a cold worker earns beside its own worth: it is work that warms it
+	coldSafety = 0.4       // share of a cold worker's budget used in a slot; any window meets two slots
 	ejectFirst = 1_000_000 // us that a first ejection lasts
 	ejectMost  = 8_000_000 // us that ejections grow to: a dead worker is tried a few times a minute
 	ejectCost  = 0.95      // chance of failure booked to an ejected worker; shared by all, it cancels out
@@ -74,7 +75,7 @@
 // growing mode for rho < 1, so stepping it forward is stable. G'(s) equals rho/(1-rho) P(W <= tau), which makes v'(0) =
 // 0. The stepping is in logic/table.go.
 
-// tableFor gives the table nearest to a utilisation.
+// tableFor is the table nearest to a utilisation.
 func tableFor(rho float64) *valueTable {
 	i := int(rho/rhoMax*rhoLevels+0.5) - 1
 	return &tables[min(max(i, 0), rhoLevels-1)]
@@ -389,9 +390,8 @@
 	return own + mean + (w.bg-mean)/(1+t+t*t/2)
 }
 
-// leaning is how much longer a worker's queue is taken to be for this scheduler's own choices of late. What draws it to
-// a worker (a data set, a speed) draws the others that hold the same list, and none of them sees the others' jobs; so a
-// worker that had more of its jobs than its part of the fleet's capacity had more of theirs too.
+// leaning is how much longer a worker's queue is taken to be for this scheduler's own choices of late. What draws it to a
+// worker draws all that hold the same list; one that had more than its part of this one's jobs had more of theirs too.
 func (s *Scheduler) leaning(w *worker) float64 {
 	if s.cfg.Schedulers <= fewSeers || s.perWorker <= 0 {
 		return 1
@@ -432,6 +432,9 @@
 	if s.now < w.ejected {
 		total += ejectCost * j.worth
 	}
+	if s.warmth(w) < 1 {
+		total -= warmGain
+	}
 	return total, late
 }
 
@@ -448,7 +451,7 @@
 	s.zones[w.info.Zone].failing += (1 - s.zones[w.info.Zone].failing) * failGain
 }
 
-// crossing is the price of sending to a worker of another zone, in mean jobs.
+// crossing is the price of leaving the zone, in mean jobs.
 func (s *Scheduler) crossing(w *worker) float64 {
 	if w.info.Zone == s.cfg.Zone {
 		return 0
@@ -477,8 +480,7 @@
 	return 1 - hitElse
 }
 
-// homesOf ranks the first workers of a data set by a hash weighted by size, which all schedulers that hold the same
-// list do alike; a list that differs by a worker moves that worker's data sets only.
+// homesOf ranks the first workers of a data set by a hash weighted by size, alike at all schedulers with the same list.
 func (s *Scheduler) homesOf(key uint64) *homes {
 	h := s.homes[key]
 	if h == nil {
@@ -635,8 +637,7 @@
 	return true
 }
 
-// coldAllows keeps a worker that has just started from being pushed over, with no agreement needed: the work that it can
-// take in a window is dealt in whole jobs to schedulers that a hash of worker and slot picks.
+// coldAllows keeps a worker that has just started from being pushed over: what it can take is dealt to schedulers by hash.
 func (s *Scheduler) coldAllows(w *worker, work float64) bool {
 	if s.warmth(w) >= 1 {
 		return true
@@ -656,8 +657,7 @@
 	return w.coldUsed+work <= budget/float64(turns)
 }
 
-// warmth is the share of its capacity that a worker is taken to have since its start. How it grows is not told; it lags
-// behind time, since it is work that warms a worker.
+// warmth is the share of its capacity that a worker is taken to have. It lags behind time, since work is what warms it.
 func (s *Scheduler) warmth(w *worker) float64 {
 	if s.cfg.Cold <= 0 || w.info.UpSince <= 0 || s.now-w.info.UpSince >= s.cfg.Cold {
 		return 1
