Do not count a connect that finds nobody as an attempt; test that list calls fall out of step

The protocol counts an attempt once its last byte has arrived. At fault: mayRepeat, place, elsewhereHelps and Core.send, which counted all. Config.FreeConnects says so for the platform's sockets and stays off on the simulator's wire; eight tries end it all the same. Ruled out by a test over 80 schedulers: list calls in step (at most two fifths of them in any 100 ms, gaps that grow).

--- a/internal/memory/core.go
+++ b/internal/memory/core.go
@@ -86,6 +86,7 @@
 	name     string
 	relays   []relay
 	out      int  // relays without an end
+	free     int  // relays that never reached their host, where those do not count as attempts
 	answered bool // it has its final answer, or nobody waits for one
 }
 
@@ -360,9 +361,9 @@
 	m.out++
 	switch {
 	case m.answered, // a message that has its answer needs no more work
-		h == nil || h.Phase != logic.Ready,        // nothing new to a host that drains or is gone
-		len(m.relays) > max(c.cfg.MaxAttempts, 1), // no more attempts than the site allows
-		m.out > 1 && !c.cfg.MayCopy:               // one attempt out at a time
+		h == nil || h.Phase != logic.Ready,               // nothing new to a host that drains or is gone
+		len(m.relays)-m.free > max(c.cfg.MaxAttempts, 1), // no more attempts than the site allows
+		m.out > 1 && !c.cfg.MayCopy:                      // one attempt out at a time
 		c.end(now, r, logic.Moot, nil)
 		return
 	}
@@ -375,6 +376,9 @@
 	a := &m.relays[r.Attempt]
 	a.out = false
 	m.out--
+	if c.cfg.FreeConnects && result == logic.ConnectFailed {
+		m.free++
+	}
 	if result == logic.Served && !m.answered {
 		c.answer(r.Message, m, Command{Verdict: Served, Content: content})
 	}
--- a/internal/wire/platform/config.go
+++ b/internal/wire/platform/config.go
@@ -81,6 +81,8 @@
 	}
 	// On sockets the list always comes only to those who ask, whatever the simulator does.
 	c.Settings.MustAsk = true
+	// Here an attempt counts once its last byte has arrived, so one that found nobody is none.
+	c.Settings.FreeConnects = true
 	for i, k := range c.Settings.Classes {
 		if k.Name == "" {
 			return nil, fmt.Errorf("settings: Classes.%d.Name: want a name", i)
--- a/logic/api.go
+++ b/logic/api.go
@@ -90,6 +90,7 @@
 	MayCopy   bool // two attempts of a job may be out at once
 
 	MaxAttempts   int   // attempts for a job; default 1
+	FreeConnects  bool  // one that never reached its worker does not count as an attempt
 	MaxRetryAfter int64 // longest wait that a client follows; 0 = none is followed
 
 	AnswerSlack   int64   // how long after the client's deadline an answer still counts
--- a/logic/failures_test.go
+++ b/logic/failures_test.go
@@ -814,3 +814,92 @@
 		t.Errorf("one failure makes another worker of the zone fail with a chance of %.2f", p)
 	}
 }
+
+// A list service that fails all calls of a fleet at once must not get them all back at once, nor ever as often.
+func TestListCallsOfManySchedulersAreNotInStep(t *testing.T) {
+	const n = 80
+	calls := make([][]int64, 5) // times of each round's calls
+	for self := range n {
+		c := testConfig()
+		c.Schedulers, c.Self, c.MustAsk = n, self, true
+		s, err := New(c, uint64(self+1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Workers(t0, ListCached, readyWorkers(3), nil)
+		at := t0
+		for round := range calls {
+			acts := s.Workers(at, ListFailed, nil, nil)
+			for !has(acts, ActSubscribe) {
+				next := int64(0)
+				for _, a := range acts {
+					if a.Kind == ActWake {
+						next = a.At
+					}
+				}
+				if next <= at {
+					t.Fatalf("scheduler %d does not ask again in round %d", self, round)
+				}
+				at = next
+				acts = s.Wake(at, 0, nil)
+			}
+			calls[round] = append(calls[round], at)
+		}
+	}
+	last := t0
+	for round, times := range calls {
+		in, mean := map[int64]int{}, int64(0)
+		for _, at := range times {
+			in[at/100_000]++
+			mean += (at - t0) / n
+		}
+		for _, k := range in {
+			if k > n*2/5 {
+				t.Errorf("round %d: %d of %d calls in 100 ms", round, k, n)
+			}
+		}
+		if gap := t0 + mean - last; round > 0 && gap < int64(askGap)<<round*9/10 && gap < askMost*9/10 {
+			t.Errorf("round %d: calls come %d ms after those before", round, gap/1000)
+		}
+		last = t0 + mean
+	}
+}
+
+// Where a connect that finds nobody is no attempt, an old list must not use up a job's attempts; what ran still counts, and
+// the search has an end.
+func TestConnectsThatFindNobodyAreNoAttempts(t *testing.T) {
+	for _, free := range []bool{false, true} {
+		c := testConfig()
+		c.FreeConnects, c.MaxAttempts, c.MayCopy = free, 2, false
+		s := mustNew(t, c)
+		s.Workers(t0, ListCached, readyWorkers(20), nil)
+		play := func(id JobID, results ...Result) (made int) {
+			acts := s.Arrive(t0+int64(id)*10_000_000, Job{ID: id, Hint: 100_000, Deadline: t0 + int64(id)*10_000_000 + 3_000_000}, nil)
+			for len(sends(acts)) == 1 {
+				result := results[min(made, len(results)-1)]
+				acts = s.Outcome(s.now+1000, Outcome{Job: id, Attempt: made, Worker: sends(acts)[0], Result: result}, nil)
+				made++
+			}
+			if !has(acts, ActRefuse) && results[len(results)-1] != Served {
+				t.Errorf("free connects %v: no answer after %d attempts: %v", free, made, acts)
+			}
+			return made
+		}
+		wants := []int{2, 2, 2}
+		if free {
+			wants = []int{5, 4, maxTries}
+		}
+		for k, results := range [][]Result{
+			{ConnectFailed, ConnectFailed, ConnectFailed, ConnectFailed, Served},
+			{ConnectFailed, Refused, ConnectFailed, Refused},
+			{ConnectFailed},
+		} {
+			if !free && k == 0 {
+				results = []Result{ConnectFailed}
+			}
+			if made := play(JobID(k+1), results...); made != wants[k] {
+				t.Errorf("free connects %v, %v: %d attempts, want %d", free, results, made, wants[k])
+			}
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -179,8 +179,7 @@
 	s.begin(now, out)
 	switch how {
 	case ListFailed:
-		// The old list holds; the call is repeated, ever less often, so that a list service that is down or overrun is
-		// not kept down by its callers.
+		// The old list holds; the call is repeated ever less often, or its callers keep down a list service that is overrun.
 		gap := min(int64(askGap)<<min(s.askTry, 4), askMost)
 		s.askTry++
 		s.timer(s.now+gap/2+int64(s.uniform()*float64(gap)), timerAsk, 0, 0)
@@ -594,7 +593,7 @@
 
 // mayRepeat guards against a second effect: every attempt, first or further, passes it.
 func (s *Scheduler) mayRepeat(j *job, w *worker) bool {
-	if j.n >= s.cfg.MaxAttempts || j.done {
+	if s.spent(j) || j.done {
 		return false
 	}
 	c := &s.cfg.Classes[j.class]
@@ -623,6 +622,9 @@
 	return g == GroupAll || a.zone == w.info.Zone && (g == GroupZone || a.cell == w.info.Cell)
 }
 
+// spent tells whether a job has had all its attempts. What found nobody may not count, but has an end as well.
+func (s *Scheduler) spent(j *job) bool { return j.n-j.free >= s.cfg.MaxAttempts || j.n >= maxTries }
+
 // mayRefuse tells whether 'trying again is harmless' is true of a job.
 func (s *Scheduler) mayRefuse(j *job) bool {
 	c := &s.cfg.Classes[j.class]
@@ -806,7 +808,7 @@
 	}
 	b := s.choose(j)
 	if b.w < 0 {
-		if j.n >= s.cfg.MaxAttempts || j.n > 0 && !s.repeatable(j) {
+		if s.spent(j) || j.n > 0 && !s.repeatable(j) {
 			s.finish(i)
 			return
 		}
@@ -821,8 +823,7 @@
 	s.reviewAt(i, s.now+s.checkAfter(b.w))
 }
 
-// repeatable tells whether any worker that was not tried could be sent the job. It guards against holding a job until
-// its deadline for a worker that only a change of the list could bring.
+// repeatable tells whether a worker that was not tried could be sent the job, else it would be held until its deadline.
 func (s *Scheduler) repeatable(j *job) bool {
 	for _, i := range s.ready {
 		if s.mayRepeat(j, &s.workers[i]) && !j.tried(i) {
@@ -942,7 +943,7 @@
 func (s *Scheduler) elsewhereHelps(i int32) bool {
 	j := &s.jobs[i]
 	last := &j.att[j.n-1]
-	if !s.cfg.MayCancel || j.n >= s.cfg.MaxAttempts || last.cancelled ||
+	if !s.cfg.MayCancel || s.spent(j) || last.cancelled ||
 		!s.cfg.MayCopy && s.cfg.Classes[j.class].Repeat != RepeatSafe {
 		return false
 	}
@@ -1060,9 +1061,7 @@
 	}
 }
 
-// seeOthers notes a backlog seen at a worker; what is this scheduler's own is taken off.
-//
-// The means by kind and by zone are what a worker not lately seen is taken to hold. They guard against a herd: all
+// seeOthers notes a backlog seen at a worker; what is this scheduler's own is taken off. The means by kind and by zone are what a worker not lately seen is taken to hold. They guard against a herd: all
 // schedulers know the fast kind, and would all choose it were its queue not expected to be longer for that reason.
 func (s *Scheduler) seeOthers(w *worker, u float64) {
 	w.bg, w.bgAt = max(u-w.own*w.drain, 0), s.now
@@ -1195,6 +1194,9 @@
 			// Nobody is there: a list will bring it back, or another process. Asking soon again costs a job an attempt.
 			w.ejected = max(w.ejected, s.now+ejectMost)
 			s.fail(w)
+			if s.cfg.FreeConnects {
+				j.free++
+			}
 		}
 	case Refused:
 		s.crowd += (1 - s.crowd) * crowdGain
@@ -1204,9 +1206,8 @@
 	}
 }
 
-// wellness is passive health. A worker that cannot be reached, or breaks off, is ejected for a time that doubles with
-// each failure: its emptied backlog would make it the cheapest of all. Ejection is a cost and not a ban, so a fleet
-// that is ejected as a whole is still used by the same argmin.
+// wellness is passive health. The emptied backlog of a worker that breaks off would make it the cheapest of all. Ejection
+// is a cost and not a ban, so a fleet that is ejected as a whole is still used by the same argmin.
 func (s *Scheduler) wellness(w *worker, good bool) {
 	if good {
 		w.fails, w.ejected, w.heard, w.misses = 0, 0, s.now, 0
--- a/logic/state.go
+++ b/logic/state.go
@@ -28,6 +28,7 @@
 	done, held               bool
 	key                      uint64
 	work, slots, worth       float64
+	free                     int     // attempts that do not count, for they never reached their worker
 	most                     float64 // work that it has by its hint, where that is more than what is expected
 	arrived, deadline, aimAt int64
 	review                   int64 // when it is next looked at
