--- a/logic/logic.go
+++ b/logic/logic.go
@@ -971,9 +971,9 @@
 	return b
 }
 
-// vain tells whether a job with such a chance of being late only keeps others waiting: its late answer is worth nothing.
+// vain tells whether a job so likely late only keeps others waiting; one that can't be refused is failed where many wait.
 func (s *Scheduler) vain(j *job, late float64) bool {
-	return late >= hopeless && s.cfg.Classes[j.class].LateWorth <= 0
+	return late >= hopeless && s.cfg.Classes[j.class].LateWorth <= 0 && (s.mayRefuse(j) || s.crowd >= crowdFrom)
 }
 
 // lateWhereItIs is the least chance of being late over the workers that a job waits at.
