--- a/logic/logic.go
+++ b/logic/logic.go
@@ -543,7 +543,6 @@
 	w.keys[0] = key
 }
 
-// choice is a worker with its cost.
 type choice struct {
 	w                 int32
 	total, late, load float64
@@ -971,9 +970,10 @@
 	return b
 }
 
-// vain tells whether a job so likely late only keeps others waiting; one that can't be refused is failed where many wait.
+// vain tells whether a job so likely late only keeps others waiting. One that can't be refused is failed where most jobs
+// wait, of which each of many schedulers sees a part.
 func (s *Scheduler) vain(j *job, late float64) bool {
-	return late >= hopeless && s.cfg.Classes[j.class].LateWorth <= 0 && (s.mayRefuse(j) || s.crowd >= crowdFrom)
+	return late >= hopeless && s.cfg.Classes[j.class].LateWorth <= 0 && (s.mayRefuse(j) || s.crowd*float64(s.cfg.Schedulers) >= crowdFrom*min(fewSeers, float64(s.cfg.Schedulers)))
 }
 
 // lateWhereItIs is the least chance of being late over the workers that a job waits at.
