--- a/logic/failures_test.go
+++ b/logic/failures_test.go
@@ -25,6 +25,21 @@
 	return s
 }
 
+// newFleet makes as many schedulers as the configuration counts, which share nothing but the list.
+func newFleet(t *testing.T, c Config, list []WorkerInfo) (fleet []*Scheduler) {
+	t.Helper()
+	for self := range c.Schedulers {
+		c.Self = self
+		s, err := New(c, uint64(self+1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Workers(t0, ListFull, list, nil)
+		fleet = append(fleet, s)
+	}
+	return fleet
+}
+
 func readyWorkers(n int) []WorkerInfo {
 	out := make([]WorkerInfo, n)
 	for i := range out {
@@ -700,16 +715,7 @@
 		for i := range 36 {
 			list[i].UpSince = t0 - int64(r.Intn(2_000_000))
 		}
-		var fleet []*Scheduler
-		for self := range n {
-			c.Self = self
-			s, err := New(c, uint64(self+1))
-			if err != nil {
-				t.Fatal(err)
-			}
-			s.Workers(t0, ListFull, list, nil)
-			fleet = append(fleet, s)
-		}
+		fleet := newFleet(t, c, list)
 		type sent struct {
 			at   int64
 			work float64
@@ -754,16 +760,7 @@
 	const n = 80
 	c := testConfig()
 	c.Schedulers, c.TellsStart = n, false
-	var fleet []*Scheduler
-	for self := range n {
-		c.Self = self
-		s, err := New(c, uint64(self+1))
-		if err != nil {
-			t.Fatal(err)
-		}
-		s.Workers(t0, ListFull, readyWorkers(60), nil)
-		fleet = append(fleet, s)
-	}
+	fleet := newFleet(t, c, readyWorkers(60))
 	r := rand.New(rand.NewSource(5))
 	got, total := map[WorkerID]int{}, 0
 	at := t0
