Open a door for operators: health, counters, cordon, quiesce; share the clients' address

A cordon lives in memory.Core: the decisions are told that the host drains, whatever the inventory says, and send refuses it too. Quiesce is the end after SIGTERM without the exit. The clients' listener has SO_REUSEPORT; after SIGTERM it is closed 1.5 s on at the latest.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"granitewing/internal/memory"
@@ -17,22 +18,23 @@
 
 // Figures that no setting gives.
 const (
-	eventsMost    = 256                    // events on their way; those who post wait beyond it
-	writeLimit    = 30 * time.Second       // a peer that takes no bytes for so long is given up
-	messageLimit  = 2 * time.Second        // a message that has begun must be whole by then; a new connection's first at once
-	northIdle     = 5 * time.Minute        // idle connections that have carried a message are kept so long
-	goodbyeLimit  = time.Second            // a peer must end what both sides know to be over by then
-	drainLimit    = 4 * time.Second        // so long a client that is turned away may go on sending before it is cut off
-	expireAfter   = 20 * time.Millisecond  // past a deadline; within the slack that the rules allow
-	inventoryWait = 5 * time.Second        // discovery writes a line at least every 2 s
-	dialInventory = 2 * time.Second        // discovery serves calls in turn
-	dialDefault   = time.Second            // for hosts, where the settings give no time-out
-	idleDefault   = 10 * time.Second       // for connections to hosts, where the settings give no limit
-	lingerIdle    = 450 * time.Millisecond // after SIGTERM clients use the connections they have for up to 0.4 s
-	arriveLimit   = time.Second            // and open new ones for so long; late ones on a busy machine included
-	fullAfter     = time.Second            // a client refused for want of descriptors may come back then
-	quietCheck    = 50 * time.Millisecond  // between looks whether all is quiet by then
-	acceptRetry   = 100 * time.Millisecond // between tries to accept while that fails
+	eventsMost    = 256                     // events on their way; those who post wait beyond it
+	writeLimit    = 30 * time.Second        // a peer that takes no bytes for so long is given up
+	messageLimit  = 2 * time.Second         // a message that has begun must be whole by then; a new connection's first at once
+	northIdle     = 5 * time.Minute         // idle connections that have carried a message are kept so long
+	goodbyeLimit  = time.Second             // a peer must end what both sides know to be over by then
+	drainLimit    = 4 * time.Second         // so long a client that is turned away may go on sending before it is cut off
+	expireAfter   = 20 * time.Millisecond   // past a deadline; within the slack that the rules allow
+	inventoryWait = 5 * time.Second         // discovery writes a line at least every 2 s
+	dialInventory = 2 * time.Second         // discovery serves calls in turn
+	dialDefault   = time.Second             // for hosts, where the settings give no time-out
+	idleDefault   = 10 * time.Second        // for connections to hosts, where the settings give no limit
+	lingerIdle    = 450 * time.Millisecond  // after SIGTERM clients use the connections they have for up to 0.4 s
+	arriveLimit   = time.Second             // and open new ones for so long; late ones on a busy machine included
+	acceptMost    = 1500 * time.Millisecond // but no longer, where a next version shares the address
+	fullAfter     = time.Second             // a client refused for want of descriptors may come back then
+	quietCheck    = 50 * time.Millisecond   // between looks whether all is quiet by then
+	acceptRetry   = 100 * time.Millisecond  // between tries to accept while that fails
 )
 
 // unlisted stands for a revision where discovery was not heard: its whole list has to be asked for.
@@ -64,6 +66,13 @@
 	journal *journal      // nil where nothing is recorded
 	stopped time.Time     // SIGTERM; zero while serving
 	arrived time.Time     // the last connection
+
+	quiesced    time.Time   // the operators' drain; zero while clients are taken
+	checking    bool        // check runs, as it does while stopping or drained
+	shut        bool        // the listener is closed
+	serving     atomic.Bool // the door's health: hosts are known and clients are taken
+	figures     *figures
+	cordonsSeen time.Time // of the file of cordons, as last read or written here
 }
 
 // limits shares out descriptors and memory.
@@ -94,6 +103,7 @@
 		events: make(chan func(), eventsMost), done: make(chan struct{}),
 		norths: map[*north]struct{}{}, open: map[memory.ID]*north{}, relays: map[memory.RelayID]*relay{},
 		pool: pool{hosts: map[string]*hostConns{}}, limits: limitsFor(cfg.Sockets, cfg.MemoryMB),
+		figures: newFigures(cfg.Settings.Classes),
 	}, nil
 }
 
@@ -103,12 +113,16 @@
 	go d.accept()
 	d.listed = d.cfg.Known.Revision
 	d.do(d.core.Inventory(d.now(), logic.ListCached, d.cfg.Known.Hosts))
+	d.lookCordons()
+	d.census()
 	for {
 		for len(d.later) > 0 {
 			f := d.later[0]
 			d.later = d.later[1:]
 			f()
 		}
+		d.figures.concurrent.Store(int64(len(d.open)))
+		d.serving.Store(d.taking() && d.core.Ready())
 		if !d.stopped.IsZero() && d.quiet() {
 			d.leave()
 			return
@@ -138,6 +152,16 @@
 
 func (d *Driver) now() int64 { return d.clock.now() }
 
+// taking tells whether new clients are taken: neither SIGTERM nor the operators' drain came.
+func (d *Driver) taking() bool { return d.stopped.IsZero() && d.quiesced.IsZero() }
+
+// census tells the door how many hosts are listed and avoided; it follows the inventory and the cordons.
+func (d *Driver) census() {
+	listed, avoided := d.core.Census()
+	d.figures.targets.Store(int64(listed))
+	d.figures.disabled.Store(int64(avoided))
+}
+
 // do carries out the commands of one call of the core, but those that wait for the store of record. None of them calls
 // the core before all are done.
 func (d *Driver) do(cmds []memory.Command) {
--- a/internal/driver/inventory.go
+++ b/internal/driver/inventory.go
@@ -64,6 +64,7 @@
 		}
 		d.listed = l.Revision
 		d.do(d.core.Inventory(d.now(), how, l.Hosts))
+		d.census()
 	})
 	still := func() {
 		if w.timer != nil {
--- a/internal/driver/north.go
+++ b/internal/driver/north.go
@@ -172,7 +172,7 @@
 	switch {
 	case m.Fault != nil:
 		n.reply(m.Fault.Status, []byte(m.Fault.Why), 0)
-	case m.Health && d.core.Ready() && d.stopped.IsZero():
+	case m.Health && d.core.Ready() && d.taking():
 		// The list that the configuration holds will do: a dispatcher that came back with many others would wait for
 		// discovery as long as all of them together keep it busy, and its clients with it.
 		n.reply(200, nil, 0)
@@ -250,7 +250,10 @@
 
 // reply answers the message.
 func (n *north) reply(status int, content []byte, after time.Duration) {
-	n.closing = n.closing || n.msg.Close || !n.d.stopped.IsZero()
+	if m := n.msg; m.Fault == nil && !m.Health && !n.faulty {
+		n.d.figures.answered(m.Class, status)
+	}
+	n.closing = n.closing || n.msg.Close || !n.d.taking()
 	n.msg, n.used, n.since, n.begun = nil, true, time.Now(), time.Time{}
 	n.put(platform.AppendAnswer(nil, status, content, after, n.closing))
 	n.await()
--- a/internal/driver/south.go
+++ b/internal/driver/south.go
@@ -216,6 +216,9 @@
 // wrote follows the write of a request.
 func (s *south) wrote(err error) {
 	s.pending = false
+	if err == nil && s.relay != nil {
+		s.d.figures.dispatches.Inc()
+	}
 	if s.gone || err == nil && !s.broken {
 		return
 	}
--- a/internal/driver/stop.go
+++ b/internal/driver/stop.go
@@ -7,30 +7,76 @@
 func (d *Driver) stop() {
 	d.stopped = time.Now()
 	d.log.Info("stopping", "open", d.core.Open())
-	d.check()
+	d.startCheck()
+}
+
+// quiesce begins the operators' drain: /healthz says no, every answer closes its connection and idle ones are closed,
+// as after SIGTERM, but the dispatcher stays.
+func (d *Driver) quiesce() {
+	if d.quiesced.IsZero() {
+		d.quiesced = time.Now()
+		d.log.Info("drained by hand", "open", d.core.Open())
+	}
+	d.startCheck()
+}
+
+// resume ends the operators' drain.
+func (d *Driver) resume() {
+	if !d.quiesced.IsZero() {
+		d.log.Info("resumed by hand")
+	}
+	d.quiesced = time.Time{}
+}
+
+// draining gives when clients stopped being taken, or zero.
+func (d *Driver) draining() time.Time {
+	if !d.stopped.IsZero() {
+		return d.stopped
+	}
+	return d.quiesced
+}
+
+func (d *Driver) startCheck() {
+	if !d.checking {
+		d.checking = true
+		d.check()
+	}
 }
 
 // check closes the connections that have stood idle long enough, and makes Run look again whether all is
-// quiet.
+// quiet. It runs as long as clients are not taken.
 func (d *Driver) check() {
+	since := d.draining()
+	if since.IsZero() {
+		d.checking = false
+		return
+	}
 	for n := range d.norths {
-		if n.idle() && time.Since(d.stopped) > lingerIdle && time.Since(n.since) > lingerIdle {
+		if n.idle() && time.Since(since) > lingerIdle && time.Since(n.since) > lingerIdle {
 			n.end()
 		}
 	}
+	if !d.stopped.IsZero() && !d.shut && time.Since(d.stopped) > arriveLimit &&
+		(time.Since(d.arrived) > arriveLimit/2 || time.Since(d.stopped) > acceptMost) {
+		// A next version that shares the address may take connections for ever; what this one took has to end
+		// before the platform kills it, a deadline and a little after the signal.
+		d.shut = true
+		d.ln.Close()
+	}
 	d.after(quietCheck, d.check)
 }
 
 // quiet tells whether nothing arrives and nothing is held any more. A connection that the machine accepted
 // must not be left in the listener's queue, so some time has to pass after the latest.
 func (d *Driver) quiet() bool {
-	return time.Since(d.stopped) > arriveLimit && time.Since(d.arrived) > arriveLimit/2 &&
-		len(d.events) == 0 && len(d.norths) == 0 && d.core.Open() == 0 && (d.journal == nil || d.journal.settled())
+	return d.shut && len(d.events) == 0 && len(d.norths) == 0 && d.core.Open() == 0 && (d.journal == nil || d.journal.settled())
 }
 
 // leave lets go of what is left.
 func (d *Driver) leave() {
-	d.ln.Close()
+	if !d.shut {
+		d.ln.Close()
+	}
 	if d.watch != nil {
 		d.watch.end()
 	}
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -2,6 +2,7 @@
 package lifecycle
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"net"
@@ -11,6 +12,8 @@
 	"runtime/debug"
 	"syscall"
 
+	"golang.org/x/sys/unix"
+
 	"granitewing/internal/driver"
 	"granitewing/internal/wire/platform"
 )
@@ -39,7 +42,8 @@
 		}
 		defer records.Store.Close()
 	}
-	ln, err := net.Listen("tcp", cfg.Listen)
+	// The clients' address is shared with the next version of the program while it takes over.
+	ln, err := shared.Listen(context.Background(), "tcp", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -47,6 +51,14 @@
 	if err != nil {
 		return err
 	}
+	if cfg.Management != "" {
+		door, err := net.Listen("tcp", cfg.Management)
+		if err != nil {
+			return fmt.Errorf("management: %w", err)
+		}
+		go d.Door(door)
+		log.Info("door", "addr", door.Addr().String())
+	}
 	if records != nil {
 		d.Keep(*records)
 		go prune(own.Records, records.Store, log, stop)
@@ -103,15 +115,29 @@
 	}
 	for name, field := range map[string]*string{
 		"ROUTER_NAME": &cfg.Name, "ROUTER_LISTEN": &cfg.Listen, "ROUTER_DISCOVERY": &cfg.Discovery,
+		"ROUTER_MANAGEMENT": &cfg.Management,
 	} {
 		if v := env(name); v != "" {
 			*field = v
 		}
 	}
-	for _, a := range []struct{ key, value string }{{"listen", cfg.Listen}, {"discovery", cfg.Discovery}} {
+	for _, a := range []struct{ key, value string }{{"listen", cfg.Listen}, {"discovery", cfg.Discovery}, {"management", cfg.Management}} {
+		if a.key == "management" && a.value == "" {
+			continue
+		}
 		if _, _, err := net.SplitHostPort(a.value); err != nil {
 			return nil, fmt.Errorf("%s: %w", a.key, err)
 		}
 	}
 	return cfg, nil
 }
+
+// shared listens with SO_REUSEPORT, so that a new process of the same program can listen on the clients' address while
+// this one still serves.
+var shared = net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+	var err error
+	if cerr := c.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) }); cerr != nil {
+		return cerr
+	}
+	return err
+}}
--- a/internal/memory/core.go
+++ b/internal/memory/core.go
@@ -114,6 +114,8 @@
 	numbers  map[string]logic.WorkerID
 	acts     []logic.Action
 	out      []Command
+	cordons  map[string]bool     // hosts barred by hand, by name, listed or not
+	listed   map[string]struct{} // names that any inventory gave, for telling a cordon of an unknown host
 }
 
 // New makes a core.
@@ -123,7 +125,7 @@
 		return nil, err
 	}
 	return &Core{cfg: cfg, sched: s, messages: map[ID]*message{}, names: map[string]ID{}, hosts: map[logic.WorkerID]*host{},
-		numbers: map[string]logic.WorkerID{}}, nil
+		numbers: map[string]logic.WorkerID{}, cordons: map[string]bool{}, listed: map[string]struct{}{}}, nil
 }
 
 // Open is how many messages are kept.
@@ -132,7 +134,7 @@
 // Ready tells whether any host may be relayed to.
 func (c *Core) Ready() bool {
 	for _, h := range c.hosts {
-		if h.Phase == logic.Ready {
+		if h.Phase == logic.Ready && !c.cordons[h.Name] {
 			return true
 		}
 	}
@@ -189,17 +191,90 @@
 		if _, known := c.numbers[h.Name]; !known && len(c.hosts) >= hostsMost {
 			continue
 		}
-		list = append(list, logic.WorkerInfo{
-			ID: c.take(h), Zone: h.Zone, Kind: h.Kind, Cell: h.Cell, Weight: h.Weight, UpSince: h.UpSince, Phase: h.Phase,
-		})
+		list = append(list, c.info(c.take(h), h))
 	}
 	c.acts = c.sched.Workers(now, how, list, c.acts)
 	return c.finish(now)
 }
 
+// info is what the decisions are told of a host: one that is cordoned drains to them, whatever the inventory says.
+func (c *Core) info(id logic.WorkerID, h Host) logic.WorkerInfo {
+	phase := h.Phase
+	if phase == logic.Ready && c.cordons[h.Name] {
+		phase = logic.Draining
+	}
+	return logic.WorkerInfo{ID: id, Zone: h.Zone, Kind: h.Kind, Cell: h.Cell, Weight: h.Weight, UpSince: h.UpSince, Phase: phase}
+}
+
+// Cordon bars the host of that name by hand (on) or lets it be used again. A cordon holds whatever the inventory says
+// until it is lifted; repeating either is harmless. known is false, and nothing changes, for a name that no inventory
+// gave and that is not cordoned.
+func (c *Core) Cordon(now int64, name string, on bool) (known bool, cmds []Command) {
+	c.begin()
+	_, listed := c.listed[name]
+	if !listed && !c.cordons[name] {
+		return false, c.out
+	}
+	if on == c.cordons[name] {
+		return true, c.out
+	}
+	if on {
+		if len(c.cordons) >= hostsMost {
+			return false, c.out
+		}
+		c.cordons[name] = true
+	} else {
+		delete(c.cordons, name)
+	}
+	if id, ok := c.numbers[name]; ok {
+		h := c.hosts[id]
+		if on && h.Phase == logic.Ready {
+			c.do(Command{Kind: Leave, Addr: h.Addr})
+		}
+		c.acts = c.sched.Workers(now, logic.ListDelta, []logic.WorkerInfo{c.info(id, h.Host)}, c.acts)
+	}
+	return true, c.finish(now)
+}
+
+// Restore bars a host by hand that an earlier process of this dispatcher barred, whether it is listed or not.
+func (c *Core) Restore(now int64, name string) []Command {
+	if _, listed := c.listed[name]; !listed && !c.cordons[name] && len(c.cordons) < hostsMost {
+		c.cordons[name] = true
+	}
+	_, cmds := c.Cordon(now, name, true)
+	return cmds
+}
+
+// Cordons gives the names of the hosts barred by hand, in no order.
+func (c *Core) Cordons() []string {
+	names := make([]string, 0, len(c.cordons))
+	for name := range c.cordons {
+		names = append(names, name)
+	}
+	return names
+}
+
+// Census counts the hosts listed and those of them that are not sent new work, whether by hand or since the inventory
+// says that they drain.
+func (c *Core) Census() (listed, avoided int) {
+	for _, h := range c.hosts {
+		if h.Phase != logic.Ready || c.cordons[h.Name] {
+			avoided++
+		}
+	}
+	return len(c.hosts), avoided
+}
+
 // take keeps one entry of the inventory and gives the host's number.
 func (c *Core) take(e Host) logic.WorkerID {
 	id, known := c.numbers[e.Name]
+	if _, seen := c.listed[e.Name]; !seen {
+		if len(c.listed) >= 4*hostsMost {
+			// Names of hosts long replaced are let go together; a cordon of one of them is then refused.
+			clear(c.listed)
+		}
+		c.listed[e.Name] = struct{}{}
+	}
 	if !known {
 		// The number comes from the name alone, since the decisions of dispatchers that share nothing agree
 		// through it; only two names that collide may differ between dispatchers.
@@ -214,7 +289,7 @@
 		}
 		return id
 	}
-	if old != nil && old.Phase == logic.Ready && (e.Phase != logic.Ready || old.Addr != e.Addr) {
+	if old != nil && old.Phase == logic.Ready && !c.cordons[e.Name] && (e.Phase != logic.Ready || old.Addr != e.Addr) {
 		c.do(Command{Kind: Leave, Addr: old.Addr})
 	}
 	c.numbers[e.Name] = id
@@ -361,9 +436,9 @@
 	m.out++
 	switch {
 	case m.answered, // a message that has its answer needs no more work
-		h == nil || h.Phase != logic.Ready,               // nothing new to a host that drains or is gone
-		len(m.relays)-m.free > max(c.cfg.MaxAttempts, 1), // no more attempts than the site allows
-		m.out > 1 && !c.cfg.MayCopy:                      // one attempt out at a time
+		h == nil || h.Phase != logic.Ready || c.cordons[h.Name], // nothing new to a host that drains, is gone or cordoned
+		len(m.relays)-m.free > max(c.cfg.MaxAttempts, 1),        // no more attempts than the site allows
+		m.out > 1 && !c.cfg.MayCopy:                             // one attempt out at a time
 		c.end(now, r, logic.Moot, nil)
 		return
 	}
--- a/internal/wire/platform/config.go
+++ b/internal/wire/platform/config.go
@@ -15,15 +15,16 @@
 
 // Config is what a dispatcher is told at its start.
 type Config struct {
-	Name      string
-	Listen    string
-	Discovery string
-	Seed      uint64
-	Cores     float64
-	MemoryMB  int
-	Sockets   int
-	Known     List
-	Settings  logic.Config
+	Name       string
+	Listen     string
+	Discovery  string
+	Management string // the operators' door; empty where there is none
+	Seed       uint64
+	Cores      float64
+	MemoryMB   int
+	Sockets    int
+	Known      List
+	Settings   logic.Config
 }
 
 // Names gives the indices of zones and kinds.
@@ -47,12 +48,13 @@
 		return nil, fmt.Errorf("configuration is not JSON: %w", err)
 	}
 	c := &Config{
-		Name:      string(v.GetStringBytes("name")),
-		Listen:    string(v.GetStringBytes("listen")),
-		Discovery: string(v.GetStringBytes("discovery")),
-		Cores:     v.GetFloat64("limits", "cores"),
-		MemoryMB:  v.GetInt("limits", "memory_mb"),
-		Sockets:   v.GetInt("limits", "sockets"),
+		Name:       string(v.GetStringBytes("name")),
+		Listen:     string(v.GetStringBytes("listen")),
+		Discovery:  string(v.GetStringBytes("discovery")),
+		Management: string(v.GetStringBytes("management")),
+		Cores:      v.GetFloat64("limits", "cores"),
+		MemoryMB:   v.GetInt("limits", "memory_mb"),
+		Sockets:    v.GetInt("limits", "sockets"),
 	}
 	for key, value := range map[string]float64{
 		"limits.cores": c.Cores, "limits.memory_mb": float64(c.MemoryMB), "limits.sockets": float64(c.Sockets),
