Close the old listener at SIGTERM where a newer process of the dispatcher told of its start

The logs showed the old n0 stopping at 12.84 s with 17 jobs open; 16.39 s is that SIGTERM plus the longest deadline and 0.7 s, the platform's SIGKILL. Ruled out: the idle check (it closes only after 0.45 s and idle connections) and the listener's close (1 s on at the earliest). At fault: stop.go kept accepting while connections arrived, and with SO_REUSEPORT the kernel goes on giving the old listener half of them, so jobs were taken up to the kill.

Design: each process writes its pid and start to $TMPDIR/granitewing-NAME.start; at SIGTERM a process that finds a later start of another closes its listener at once, so each job it still holds was taken before the signal and ends by its deadline, before the kill. Without such a file SIGTERM ends as before.

--- a/internal/driver/cordons.go
+++ b/internal/driver/cordons.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"os"
-	"path/filepath"
 	"strings"
 	"time"
 )
@@ -14,15 +13,7 @@
 
 // cordonFile names the file in $TMPDIR that keeps the hosts barred by hand, so that the bans hold over an upgrade. Both
 // processes of one dispatcher have its name.
-func (d *Driver) cordonFile() string {
-	name := strings.Map(func(r rune) rune {
-		if r == '/' || r == 0 || r == '\\' {
-			return '_'
-		}
-		return r
-	}, d.cfg.Name)
-	return filepath.Join(os.TempDir(), "granitewing-"+name+".cordons")
-}
+func (d *Driver) cordonFile() string { return d.fileOf("cordons") }
 
 // keepCordons writes the cordons anew, whole or not at all; a failure is logged, and the bans hold in this process.
 func (d *Driver) keepCordons() {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -18,23 +18,22 @@
 
 // Figures that no setting gives.
 const (
-	eventsMost    = 256                     // events on their way; those who post wait beyond it
-	writeLimit    = 30 * time.Second        // a peer that takes no bytes for so long is given up
-	messageLimit  = 2 * time.Second         // a message that has begun must be whole by then; a new connection's first at once
-	northIdle     = 5 * time.Minute         // idle connections that have carried a message are kept so long
-	goodbyeLimit  = time.Second             // a peer must end what both sides know to be over by then
-	drainLimit    = 4 * time.Second         // so long a client that is turned away may go on sending before it is cut off
-	expireAfter   = 20 * time.Millisecond   // past a deadline; within the slack that the rules allow
-	inventoryWait = 5 * time.Second         // discovery writes a line at least every 2 s
-	dialInventory = 2 * time.Second         // discovery serves calls in turn
-	dialDefault   = time.Second             // for hosts, where the settings give no time-out
-	idleDefault   = 10 * time.Second        // for connections to hosts, where the settings give no limit
-	lingerIdle    = 450 * time.Millisecond  // after SIGTERM clients use the connections they have for up to 0.4 s
-	arriveLimit   = time.Second             // and open new ones for so long; late ones on a busy machine included
-	acceptMost    = 1500 * time.Millisecond // but no longer, where a next version shares the address
-	fullAfter     = time.Second             // a client refused for want of descriptors may come back then
-	quietCheck    = 50 * time.Millisecond   // between looks whether all is quiet by then
-	acceptRetry   = 100 * time.Millisecond  // between tries to accept while that fails
+	eventsMost    = 256                    // events on their way; those who post wait beyond it
+	writeLimit    = 30 * time.Second       // a peer that takes no bytes for so long is given up
+	messageLimit  = 2 * time.Second        // a message that has begun must be whole by then; a new connection's first at once
+	northIdle     = 5 * time.Minute        // idle connections that have carried a message are kept so long
+	goodbyeLimit  = time.Second            // a peer must end what both sides know to be over by then
+	drainLimit    = 4 * time.Second        // so long a client that is turned away may go on sending before it is cut off
+	expireAfter   = 20 * time.Millisecond  // past a deadline; within the slack that the rules allow
+	inventoryWait = 5 * time.Second        // discovery writes a line at least every 2 s
+	dialInventory = 2 * time.Second        // discovery serves calls in turn
+	dialDefault   = time.Second            // for hosts, where the settings give no time-out
+	idleDefault   = 10 * time.Second       // for connections to hosts, where the settings give no limit
+	lingerIdle    = 450 * time.Millisecond // after SIGTERM clients use the connections they have for up to 0.4 s
+	arriveLimit   = time.Second            // and open new ones for so long; late ones on a busy machine included
+	fullAfter     = time.Second            // a client refused for want of descriptors may come back then
+	quietCheck    = 50 * time.Millisecond  // between looks whether all is quiet by then
+	acceptRetry   = 100 * time.Millisecond // between tries to accept while that fails
 )
 
 // unlisted stands for a revision where discovery was not heard: its whole list has to be asked for.
@@ -73,6 +72,7 @@
 	serving     atomic.Bool // the door's health: hosts are known and clients are taken
 	figures     *figures
 	cordonsSeen time.Time // of the file of cordons, as last read or written here
+	started     time.Time // of this process, as told to a next one
 }
 
 // limits shares out descriptors and memory.
@@ -110,6 +110,7 @@
 // Run serves until stop is closed and nothing is held any more.
 func (d *Driver) Run(stop <-chan struct{}) {
 	defer close(d.done)
+	d.announce()
 	go d.accept()
 	d.listed = d.cfg.Known.Revision
 	d.do(d.core.Inventory(d.now(), logic.ListCached, d.cfg.Known.Hosts))
--- a/internal/driver/stop.go
+++ b/internal/driver/stop.go
@@ -6,7 +6,11 @@
 // and idle ones are closed once clients have had time to stop using them.
 func (d *Driver) stop() {
 	d.stopped = time.Now()
-	d.log.Info("stopping", "open", d.core.Open())
+	if d.succeeded() {
+		d.shut = true
+		d.ln.Close()
+	}
+	d.log.Info("stopping", "open", d.core.Open(), "successor", d.shut)
 	d.startCheck()
 }
 
@@ -56,10 +60,7 @@
 			n.end()
 		}
 	}
-	if !d.stopped.IsZero() && !d.shut && time.Since(d.stopped) > arriveLimit &&
-		(time.Since(d.arrived) > arriveLimit/2 || time.Since(d.stopped) > acceptMost) {
-		// A next version that shares the address may take connections for ever; what this one took has to end
-		// before the platform kills it, a deadline and a little after the signal.
+	if !d.stopped.IsZero() && !d.shut && time.Since(d.stopped) > arriveLimit && time.Since(d.arrived) > arriveLimit/2 {
 		d.shut = true
 		d.ln.Close()
 	}
