--- a/cmd/granitewing/main_test.go
+++ b/cmd/granitewing/main_test.go
@@ -60,6 +60,8 @@
 	peers     map[string]*peer
 	addrs     *strings.Replacer
 	listen    string
+	door      string // the operators' door, where the configuration names one
+	tmp       string // $TMPDIR of the program
 	path      string // of the configuration
 	text      string // what it held at the start, with names for addresses
 }
@@ -91,24 +93,41 @@
 	w.text = strings.NewReplacer(append(changes, "MEMBERS", strings.Join(members, ","))...).Replace(config)
 	w.path = filepath.Join(t.TempDir(), "config.json")
 	w.configure("DISCOVERY", "discovery")
-	w.cmd = exec.Command(binary)
-	w.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+w.path, "ROUTER_DISCOVERY="+w.listeners["discovery"].Addr().String())
-	log, err := w.cmd.StderrPipe()
+	w.tmp = t.TempDir()
+	w.cmd = w.launch(w.lines)
+	w.listen, w.door = w.addresses(w.lines)
+	return w
+}
+
+// launch starts the program once more with the world's configuration, $TMPDIR and what env adds; lines gets its log.
+func (w *world) launch(lines chan string, env ...string) *exec.Cmd {
+	cmd := exec.Command(binary)
+	cmd.Env = append(os.Environ(), append([]string{"ROUTER_CONFIG=" + w.path, "TMPDIR=" + w.tmp,
+		"ROUTER_DISCOVERY=" + w.listeners["discovery"].Addr().String()}, env...)...)
+	log, err := cmd.StderrPipe()
 	if err != nil {
-		t.Fatal(err)
+		w.t.Fatal(err)
 	}
-	if err := w.cmd.Start(); err != nil {
-		t.Fatal(err)
+	if err := cmd.Start(); err != nil {
+		w.t.Fatal(err)
 	}
-	t.Cleanup(func() { w.cmd.Process.Kill() })
+	w.t.Cleanup(func() { cmd.Process.Kill() })
 	go func() {
 		for s := bufio.NewScanner(log); s.Scan(); {
-			w.lines <- s.Text()
+			lines <- s.Text()
 		}
-		close(w.lines)
+		close(lines)
 	}()
-	_, w.listen, _ = strings.Cut(w.await("msg=listening"), "addr=")
-	return w
+	return cmd
+}
+
+// addresses waits for the addresses that a program logs, its door's where it has one.
+func (w *world) addresses(lines chan string) (listen, door string) {
+	if strings.Contains(w.text, `"management"`) {
+		_, door, _ = strings.Cut(w.awaitOn(lines, "msg=door"), "addr=")
+	}
+	_, listen, _ = strings.Cut(w.awaitOn(lines, "msg=listening"), "addr=")
+	return listen, door
 }
 
 // configure writes the configuration with something changed in it, to the address of a listener where it is one's.
@@ -124,11 +143,16 @@
 
 // await waits for a line of the log.
 func (w *world) await(part string) string {
+	w.t.Helper()
+	return w.awaitOn(w.lines, part)
+}
+
+func (w *world) awaitOn(lines chan string, part string) string {
 	w.t.Helper()
 	limit := time.After(patience)
 	for {
 		select {
-		case line, ok := <-w.lines:
+		case line, ok := <-lines:
 			if !ok {
 				w.t.Fatalf("the program ended before it logged %q", part)
 			}
@@ -153,6 +177,8 @@
 	if ln := w.listeners[who]; ln != nil {
 		ln.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
 		c, err = ln.Accept()
+	} else if strings.HasPrefix(who, "door") {
+		c, err = net.Dial("tcp", w.door)
 	} else {
 		c, err = net.Dial("tcp", w.listen)
 	}
@@ -193,6 +219,18 @@
 	w.t.Helper()
 	who, what, _ := strings.Cut(title, " ")
 	switch what {
+	case "asks": // a line to the door, as it stands
+		if _, err := w.peer(who).Write(data); err != nil {
+			w.t.Fatalf("%s: %v", title, err)
+		}
+	case "is answered": // all that the door writes before it closes, as it stands
+		got, err := io.ReadAll(w.peer(who).r)
+		if err != nil {
+			w.t.Fatalf("%s: %v after %q", title, err, got)
+		}
+		if diff := cmp.Diff(string(data), string(got)); diff != "" {
+			w.t.Fatalf("%s (-want +got):\n%s", title, diff)
+		}
 	case "sends":
 		if _, err := w.peer(who).Write(exchange.Bytes(data)); err != nil {
 			w.t.Fatalf("%s: %v", title, err)
@@ -295,3 +333,45 @@
 		t.Errorf("error %v, output %q; want one that names ROUTER_CONFIG", err, out)
 	}
 }
+
+// A new process of the same dispatcher takes over under load: it shares the clients' address and $TMPDIR, holds the
+// cordons of the old one, and after SIGTERM the old one takes no new connection but ends what it holds and exits.
+func TestUpgrade(t *testing.T) {
+	w := start(t, []string{"a", "b"}, []string{`"listen":"127.0.0.1:0",`, `"listen":"127.0.0.1:0","management":"127.0.0.1:0",`})
+	held := "POST /readings HTTP/1.1\nHost: api\nX-Txn: tNAME\nX-Remaining: 60\n\n"
+	for _, step := range []struct{ title, data string }{
+		{"door/1 asks", "cordon s-0a\n"},
+		{"door/1 is answered", "YES\n"},
+		{"client/1 sends", strings.Replace(held, "NAME", "1", 1)},
+		{"b/1 gets", "POST /readings HTTP/1.1\nHost: {b}\nX-Txn: t1\nX-Lane: readings\nX-Remaining: *\nContent-Length: 0\n\n"},
+	} {
+		w.step(step.title, []byte(step.data))
+	}
+	// The new process: another door, all else the same.
+	next := make(chan string, 100)
+	cmd := w.launch(next, "ROUTER_LISTEN="+w.listen, "ROUTER_MANAGEMENT=127.0.0.1:0")
+	if listen, _ := w.addresses(next); listen != w.listen {
+		t.Fatalf("the new process listens at %s, want %s", listen, w.listen)
+	}
+	w.cmd.Process.Signal(syscall.SIGTERM)
+	if line := w.await("stopping"); !strings.Contains(line, "successor=true") {
+		t.Fatalf("the old process did not see the new one: %s", line)
+	}
+	// Every connection from now on is the new process's; it holds the cordon, so b runs this one too.
+	for _, step := range []struct{ title, data string }{
+		{"client/2 sends", strings.Replace(held, "NAME", "2", 1)},
+		{"b/2 gets", "POST /readings HTTP/1.1\nHost: {b}\nX-Txn: t2\nX-Lane: readings\nX-Remaining: *\nContent-Length: 0\n\n"},
+		{"b/2 sends", "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n+ {\"id\":\"t2\",\"from\":\"s-0b\",\"state\":\"done\",\"result\":\"new\"}\n0\n\n"},
+		{"client/2 gets", "HTTP/1.1 200 OK\nContent-Length: 3\n\nnew\\"},
+		{"b/1 sends", "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n+ {\"id\":\"t1\",\"from\":\"s-0b\",\"state\":\"done\",\"result\":\"old\"}\n0\n\n"},
+		{"client/1 gets", "HTTP/1.1 200 OK\nConnection: close\nContent-Length: 3\n\nold\\"},
+		{"client/1 sees the end", ""},
+		{"program ends well", ""},
+	} {
+		w.step(step.title, []byte(step.data))
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	if err := cmd.Wait(); err != nil {
+		t.Fatalf("the new process: %v", err)
+	}
+}
--- a/internal/memory/core_test.go
+++ b/internal/memory/core_test.go
@@ -67,6 +67,17 @@
 			m.Name = f[2]
 		}
 		_, cmds = p.c.Arrive(p.now, m, p.now+2_000_000)
+	case "cordon", "uncordon": // a host's name
+		var known bool
+		known, cmds = p.c.Cordon(p.now, f[1], f[0] == "cordon")
+		if !known {
+			fmt.Fprintf(&p.out, "no %s\n", f[1])
+		}
+	case "restore": // a host's name, barred by an earlier process
+		cmds = p.c.Restore(p.now, f[1])
+	case "census":
+		listed, avoided := p.c.Census()
+		fmt.Fprintf(&p.out, "%d listed, %d avoided\n", listed, avoided)
 	case "started":
 		cmds = p.c.Started(p.now, r)
 	case "taken":
@@ -135,6 +146,7 @@
 	for name, spoil := range map[string]func(*Core, *message){
 		"to a host that drains":   func(c *Core, _ *message) { c.hosts[0xb].Phase = logic.Draining },
 		"to a host that is gone":  func(c *Core, _ *message) { delete(c.hosts, 0xb) },
+		"to a cordoned host":      func(c *Core, _ *message) { c.cordons["s-b"] = true },
 		"while another is out":    func(_ *Core, m *message) { m.relays[0].out, m.out = true, 1 },
 		"after the answer":        func(_ *Core, m *message) { m.answered = true },
 		"beyond the attempts":     func(c *Core, _ *message) { c.cfg.MaxAttempts = 1 },
