Read each dispatcher's figures at the end of a laboratory play and test them against clients; log cordons

The lab's configurations now name a door, stage.Dispatcher learns its address from the log and asks for counters, and experiment.Play keeps the sum over dispatchers in the outcome (dispatcher_figures).

The figures are parsed by a few lines in stage rather than prometheus/common/expfmt, whose parser brings protobuf and a global name scheme for four names of one shape.

Each cordon and uncordon is logged as 'cordon by hand' with the host, for on-call staff.

--- a/cmd/gwlab/main_test.go
+++ b/cmd/gwlab/main_test.go
@@ -347,3 +347,44 @@
 		t.Errorf("%d asked by one, %d by both", a.Asked, b.Asked)
 	}
 }
+
+// What the dispatchers' doors count agrees with what clients saw: each job served is one success of its class, and
+// every answer that a client read is counted once, as a success, a refusal or a failure.
+func TestFiguresAgreeWithClients(t *testing.T) {
+	path := write(t, fmt.Sprintf(light, "4s", ""))
+	dir := filepath.Join(t.TempDir(), "report")
+	if out, log, code := call(t, "run", path, "--json", "--out", dir); code != 0 {
+		t.Fatalf("exit %d\n%s\n%s", code, out, log)
+	}
+	res, err := report.Read(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := res.Plays[0]
+	if len(o.Figures) == 0 {
+		t.Fatalf("no figures; notes %q", o.Notes)
+	}
+	var answered, dispatched float64
+	for _, row := range o.Rows[:len(o.Rows)-1] {
+		label := `{type="` + row.Class + `"}`
+		success := o.Figures["router_success_total"+label]
+		if served := float64(row.InTime + row.Late); success != served || served == 0 {
+			t.Errorf("%s: %v successes counted, clients were served %v", row.Class, success, served)
+		}
+		answered += success + o.Figures["router_overload_total"+label] + o.Figures["router_error_total"+label]
+		if row.Unanswered > 0 || row.Left > 0 {
+			t.Fatalf("%s: %d unanswered, %d left; the counts may differ then", row.Class, row.Unanswered, row.Left)
+		}
+	}
+	all := o.Rows[len(o.Rows)-1]
+	if answered != float64(all.Tries) {
+		t.Errorf("%v answers counted, clients made %d tries", answered, all.Tries)
+	}
+	if dispatched = o.Figures["router_dispatches_total"]; dispatched < float64(all.InTime+all.Late) {
+		t.Errorf("%v attempts written, fewer than the %d served", dispatched, all.InTime+all.Late)
+	}
+	// Each dispatcher lists the three hosts.
+	if hosts := float64(3 * len(o.CPU)); o.Figures["router_concurrent"] != 0 || o.Figures["router_targets"] != hosts || hosts == 0 {
+		t.Errorf("at the end: %v open, %v hosts listed; want 0 and %v", o.Figures["router_concurrent"], o.Figures["router_targets"], hosts)
+	}
+}
--- a/internal/driver/door.go
+++ b/internal/driver/door.go
@@ -113,6 +113,7 @@
 		if !known {
 			return door.AppendNo(nil, "no worker "+c.ID+" was listed")
 		}
+		d.log.Info("cordon by hand", "host", c.ID, "on", c.Verb == door.Cordon)
 		d.census()
 		d.keepCordons()
 		return door.AppendYes(nil, "")
--- a/internal/lab/experiment/play.go
+++ b/internal/lab/experiment/play.go
@@ -35,27 +35,28 @@
 
 // Outcome is what one play of a day gave.
 type Outcome struct {
-	Experiment string            `json:"experiment"`
-	Variant    string            `json:"variant"`
-	Seed       uint64            `json:"seed"`
-	Policy     string            `json:"policy,omitempty"` // other than the module's
-	Virtual    bool              `json:"virtual"`
-	Cut        bool              `json:"cut_short"`
-	Service    float64           `json:"service"`
-	Rows       []measure.Row     `json:"classes"`
-	Series     []measure.Point   `json:"seconds"`
-	Verdict    measure.Verdict   `json:"generator"`
-	Audit      *audit.Report     `json:"audit"`
-	Marks      []Mark            `json:"failures"`
-	Hosts      []audit.HostLoad  `json:"hosts"`
-	Notes      []string          `json:"notes,omitempty"`
-	Resent     int               `json:"resent_by_clients"`
-	CPU        []float64         `json:"dispatcher_cpu_s,omitempty"`
-	Decision   float64           `json:"decision_us,omitempty"` // CPU of the dispatchers for a message, all its events
-	Heap       float64           `json:"heap_bytes,omitempty"`  // of one dispatcher, in virtual time
-	Wall       float64           `json:"wall_s"`
-	Length     float64           `json:"length_s"` // of the day, virtual time included
-	Recorder   *measure.Recorder `json:"recorder"`
+	Experiment string             `json:"experiment"`
+	Variant    string             `json:"variant"`
+	Seed       uint64             `json:"seed"`
+	Policy     string             `json:"policy,omitempty"` // other than the module's
+	Virtual    bool               `json:"virtual"`
+	Cut        bool               `json:"cut_short"`
+	Service    float64            `json:"service"`
+	Rows       []measure.Row      `json:"classes"`
+	Series     []measure.Point    `json:"seconds"`
+	Verdict    measure.Verdict    `json:"generator"`
+	Audit      *audit.Report      `json:"audit"`
+	Marks      []Mark             `json:"failures"`
+	Hosts      []audit.HostLoad   `json:"hosts"`
+	Notes      []string           `json:"notes,omitempty"`
+	Resent     int                `json:"resent_by_clients"`
+	CPU        []float64          `json:"dispatcher_cpu_s,omitempty"`
+	Decision   float64            `json:"decision_us,omitempty"` // CPU of the dispatchers for a message, all its events
+	Heap       float64            `json:"heap_bytes,omitempty"`  // of one dispatcher, in virtual time
+	Wall       float64            `json:"wall_s"`
+	Length     float64            `json:"length_s"` // of the day, virtual time included
+	Recorder   *measure.Recorder  `json:"recorder"`
+	Figures    map[string]float64 `json:"dispatcher_figures,omitempty"` // of the doors at the end, summed over dispatchers
 }
 
 // Setup says how to play.
@@ -119,6 +120,9 @@
 	o := newOutcome(spec, v, seed, day, res.Recorder)
 	o.Cut, o.Verdict, o.Resent, o.Wall = res.Cut, res.Verdict, res.Resent, time.Since(began).Seconds()
 	o.Length = o.Wall
+	if o.Figures, err = theatre.figures(); err != nil {
+		o.Notes = append(o.Notes, err.Error())
+	}
 	if err := theatre.end(); err != nil {
 		o.Notes = append(o.Notes, err.Error())
 	}
@@ -343,6 +347,27 @@
 	t.store.Set(f)
 }
 
+// figures sums what the doors of the running dispatchers count. Those of a dispatcher that was restarted count from its
+// start only.
+func (t *theatre) figures() (map[string]float64, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var sum map[string]float64
+	for i, d := range t.running {
+		f, err := d.Figures()
+		if err != nil {
+			return nil, fmt.Errorf("dispatcher %d: %w", i, err)
+		}
+		for name, v := range f {
+			if sum == nil {
+				sum = map[string]float64{}
+			}
+			sum[name] += v
+		}
+	}
+	return sum, nil
+}
+
 // end ends all dispatchers in order, at once, and tells what went wrong.
 func (t *theatre) end() error {
 	t.mu.Lock()
--- a/internal/lab/stage/stage.go
+++ b/internal/lab/stage/stage.go
@@ -8,10 +8,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -27,6 +29,7 @@
 // Dispatcher is a running process.
 type Dispatcher struct {
 	Addr string
+	door string // the operators' door, where the build has one; set before Addr
 	cmd  *exec.Cmd
 	over chan struct{} // closed once it has ended
 	err  error
@@ -83,6 +86,12 @@
 			d.log.WriteString(line + "\n")
 		}
 		d.mu.Unlock()
+		if strings.Contains(line, "msg=door") {
+			_, addr, _ := strings.Cut(line, "addr=")
+			d.mu.Lock()
+			d.door = strings.TrimSpace(addr)
+			d.mu.Unlock()
+		}
 		if addr, ok := address(line); ok {
 			select {
 			case listening <- addr:
@@ -190,3 +199,52 @@
 		return errors.New("dispatcher at " + d.Addr + " did not end after SIGTERM and was killed")
 	}
 }
+
+// doorLimit bounds a call of the door; the dispatcher answers within 1 s.
+const doorLimit = 2 * time.Second
+
+// Figures asks the dispatcher's door for its counters and gives them by name with labels, as
+// `router_success_total{type="alert"}`. A build without a door gives none and no error.
+func (d *Dispatcher) Figures() (map[string]float64, error) {
+	d.mu.Lock()
+	door := d.door
+	d.mu.Unlock()
+	if door == "" {
+		return nil, nil
+	}
+	c, err := net.DialTimeout("tcp", door, doorLimit)
+	if err != nil {
+		return nil, fmt.Errorf("door: %w", err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(doorLimit))
+	if _, err := c.Write([]byte("counters\n")); err != nil {
+		return nil, fmt.Errorf("door: %w", err)
+	}
+	text, err := io.ReadAll(c)
+	if err != nil {
+		return nil, fmt.Errorf("door: %w", err)
+	}
+	return parseFigures(string(text))
+}
+
+// parseFigures reads an answer of `counters`: YES, lines of a name and a value, END.
+func parseFigures(text string) (map[string]float64, error) {
+	lines := strings.Split(strings.TrimSuffix(text, "\n"), "\n")
+	if len(lines) < 2 || lines[0] != "YES" || lines[len(lines)-1] != "END" {
+		return nil, fmt.Errorf("door: counters answered %q", text)
+	}
+	figures := map[string]float64{}
+	for i, line := range lines[1 : len(lines)-1] {
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		cut := strings.LastIndexByte(line, ' ')
+		v, err := strconv.ParseFloat(line[cut+1:], 64)
+		if cut <= 0 || err != nil {
+			return nil, fmt.Errorf("door: counters line %d: %q", i+2, line)
+		}
+		figures[line[:cut]] += v
+	}
+	return figures, nil
+}
--- a/internal/lab/world/config.go
+++ b/internal/lab/world/config.go
@@ -84,9 +84,10 @@
 	}
 	return json.MarshalIndent(map[string]any{
 		"name": fmt.Sprintf("n%d", dispatcher), "listen": p.Listen, "discovery": p.Discovery,
-		"seed":   strconv.FormatUint(seed, 16),
-		"limits": map[string]any{"cores": d.Cores, "memory_mb": max(int(d.Memory>>20), 1), "sockets": d.Descriptors},
-		"known":  d.List(1, true, members, p.Addr, p.Epoch), "settings": settings,
+		"management": "127.0.0.1:0", // the operators' door, where the laboratory reads the figures
+		"seed":       strconv.FormatUint(seed, 16),
+		"limits":     map[string]any{"cores": d.Cores, "memory_mb": max(int(d.Memory>>20), 1), "sockets": d.Descriptors},
+		"known":      d.List(1, true, members, p.Addr, p.Epoch), "settings": settings,
 	}, "", " ")
 }
 
