Cordon hosts by hand in the laboratory, in virtual time and through real doors; test both

A fault (cordon (at) (for) (hosts)) becomes OpCordon: virtual time calls each dispatcher's Core.Cordon, a play on sockets has each running dispatcher's door cordon and uncordon the host (stage.Dispatcher.Call). Plain policies of virtual time have no cordons and ignore it.

TestCordonByTheDoor plays the same on sockets with three real dispatchers: nothing to the host in the second within the cordon, work outside it, every door answered yes.

--- a/cmd/gwlab/main_test.go
+++ b/cmd/gwlab/main_test.go
@@ -15,6 +15,7 @@
 
 	"granitewing/internal/lab/experiment"
 	"granitewing/internal/lab/report"
+	"granitewing/internal/lab/world"
 	"granitewing/internal/settings"
 	"granitewing/lab"
 )
@@ -388,3 +389,31 @@
 		t.Errorf("at the end: %v open, %v hosts listed; want 0 and %v", o.Figures["router_concurrent"], o.Figures["router_targets"], hosts)
 	}
 }
+
+// A cordon by the doors of real dispatchers: the host gets nothing new while it holds and work again after it.
+func TestCordonByTheDoor(t *testing.T) {
+	path := write(t, fmt.Sprintf(light, "5s", `(cordon (at 1s) (for 2s) (hosts h1))`))
+	dir := filepath.Join(t.TempDir(), "report")
+	if out, log, code := call(t, "run", path, "--json", "--out", dir); code != 0 || strings.Contains(log, "cordon was not taken") {
+		t.Fatalf("exit %d\n%s\n%s", code, out, log)
+	}
+	res, err := report.Read(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := res.Plays[0]
+	if o.Audit.Broken() > 0 {
+		t.Fatalf("%s", o.Audit)
+	}
+	for _, h := range o.Hosts {
+		if h.Host != world.HostName(1) {
+			continue
+		}
+		// Second 1 holds what was sent before the doors answered; second 2 is wholly within the cordon.
+		if len(h.PerSecond) < 4 || h.PerSecond[2] != 0 || h.PerSecond[0]+h.PerSecond[3]+h.PerSecond[4] == 0 {
+			t.Errorf("%s got %v attempts a second; want none in second 2 and some outside the cordon", h.Host, h.PerSecond)
+		}
+		return
+	}
+	t.Errorf("no load of %s among %d hosts", world.HostName(1), len(o.Hosts))
+}
--- a/internal/lab/experiment/play.go
+++ b/internal/lab/experiment/play.go
@@ -299,6 +299,10 @@
 
 // operate kills a dispatcher or starts it anew at its address.
 func (t *theatre) operate(op world.Op) {
+	if op.Kind == world.OpCordon {
+		t.cordon(op)
+		return
+	}
 	if op.Kind > world.OpRevive {
 		t.disturb(op)
 		return
@@ -329,6 +333,22 @@
 	delete(t.dead, i)
 }
 
+// cordon has each running dispatcher's door cordon a host or put it back. A dispatcher that is dead meanwhile, or one
+// that is started again, does not hear of it.
+func (t *theatre) cordon(op world.Op) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	verb := "uncordon "
+	if op.On {
+		verb = "cordon "
+	}
+	for i, d := range t.running {
+		if answer, err := d.Call(verb + t.day.Machines[op.Host].Name); err != nil || !strings.HasPrefix(answer, "YES") {
+			slog.Error("a cordon was not taken", "dispatcher", i, "answer", answer, "cause", err)
+		}
+	}
+}
+
 // disturb sets what goes wrong at the store. It has a lock of its own: a dispatcher that starts while the store is silent
 // is waited for under the other one, and the end of the silence must not wait for it.
 func (t *theatre) disturb(op world.Op) {
--- a/internal/lab/stage/stage.go
+++ b/internal/lab/stage/stage.go
@@ -206,26 +206,35 @@
 // Figures asks the dispatcher's door for its counters and gives them by name with labels, as
 // `router_success_total{type="alert"}`. A build without a door gives none and no error.
 func (d *Dispatcher) Figures() (map[string]float64, error) {
+	text, err := d.Call("counters")
+	if err != nil || text == "" {
+		return nil, err
+	}
+	return parseFigures(text)
+}
+
+// Call makes one call of the operators' door and gives the whole answer; a build without a door gives "".
+func (d *Dispatcher) Call(line string) (string, error) {
 	d.mu.Lock()
 	door := d.door
 	d.mu.Unlock()
 	if door == "" {
-		return nil, nil
+		return "", nil
 	}
 	c, err := net.DialTimeout("tcp", door, doorLimit)
 	if err != nil {
-		return nil, fmt.Errorf("door: %w", err)
+		return "", fmt.Errorf("door: %w", err)
 	}
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(doorLimit))
-	if _, err := c.Write([]byte("counters\n")); err != nil {
-		return nil, fmt.Errorf("door: %w", err)
+	if _, err := c.Write([]byte(line + "\n")); err != nil {
+		return "", fmt.Errorf("door: %w", err)
 	}
 	text, err := io.ReadAll(c)
 	if err != nil {
-		return nil, fmt.Errorf("door: %w", err)
+		return "", fmt.Errorf("door: %s: %w", line, err)
 	}
-	return parseFigures(string(text))
+	return string(text), nil
 }
 
 // parseFigures reads an answer of `counters`: YES, lines of a name and a value, END.
--- a/internal/lab/virtual/dispatcher.go
+++ b/internal/lab/virtual/dispatcher.go
@@ -60,6 +60,20 @@
 	return nil
 }
 
+// cordon bars a host by hand or puts it back, as the door does; policies other than the module's have no cordons.
+func (d *dispatcher) cordon(host string, on bool) {
+	c, ok := d.core.(interface {
+		Cordon(now int64, name string, on bool) (bool, []memory.Command)
+	})
+	if d.dead || !ok {
+		return
+	}
+	d.do(d.call(func(now int64) []memory.Command {
+		_, cmds := c.Cordon(now, host, on)
+		return cmds
+	}))
+}
+
 // call makes one call of the core and takes its time where that is asked for.
 func (d *dispatcher) call(f func(now int64) []memory.Command) []memory.Command {
 	now := d.p.now
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -475,6 +475,10 @@
 				}
 			}
 		}
+	case world.OpCordon:
+		for _, d := range p.disp {
+			d.cordon(p.day.Machines[op.Host].Name, op.On)
+		}
 	case world.OpKill:
 		p.disp[op.Host].kill()
 	case world.OpRevive:
--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -150,3 +150,46 @@
 	}
 	b.ReportMetric(virtual/b.Elapsed().Seconds(), "times-real-time")
 }
+
+// A host cordoned at every dispatcher gets nothing new from the cordon on, whatever the list says, and work again once
+// it is put back; the rules hold meanwhile.
+func TestCordon(t *testing.T) {
+	spec, err := world.Parse("test", `(experiment cordon (length 14s) (load (rate 30)) (cordon (at 3s) (for 5s) (hosts h1)))`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for seed := range uint64(3) {
+		day, err := spec.Draw(seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var classes []audit.Class
+		for _, c := range day.Classes {
+			classes = append(classes, audit.Class{Name: c.Name, Repeat: c.Repeat, Window: c.Window.Microseconds()})
+		}
+		log := audit.New(classes)
+		if _, err := Run(context.Background(), day, Options{Seed: seed, Log: log}); err != nil {
+			t.Fatal(err)
+		}
+		if rep := log.Check(); rep.Broken() > 0 {
+			t.Errorf("seed %d:\n%s", seed, rep)
+		}
+		name := day.Machines[1].Name
+		var got []int
+		for _, h := range log.HostLoads() {
+			if h.Host == name {
+				got = h.PerSecond
+			}
+		}
+		sum := func(from, to int) (n int) {
+			for s := from; s < min(to, len(got)); s++ {
+				n += got[s]
+			}
+			return n
+		}
+		// Attempts are booked by the second they were sent in; second 3 holds those just before the cordon.
+		if before, during, after := sum(0, 3), sum(4, 8), sum(8, 14); before == 0 || during != 0 || after == 0 {
+			t.Errorf("seed %d: %s got %d attempts before the cordon, %d during it, %d after; per second %v", seed, name, before, during, after, got)
+		}
+	}
+}
--- a/internal/lab/world/day.go
+++ b/internal/lab/world/day.go
@@ -66,6 +66,7 @@
 	OpStoreSilent // the stand-in PostgreSQL server, On
 	OpStoreSlow   // Lag is the delay of its answers, On
 	OpStoreResets // the next Host commits end in resets, half of them after they were done
+	OpCordon      // Host is cordoned by hand at every dispatcher, On; or put back
 )
 
 // Op is one thing that happens.
@@ -301,6 +302,8 @@
 		})
 	case "vanish":
 		hosts("vanishes", func(i int, label string) { between(OpVanish, i, label) })
+	case "cordon":
+		hosts("cordoned", func(i int, label string) { between(OpCordon, i, label) })
 	case "reset":
 		hosts("resets", func(i int, label string) { between(OpReset, i, label) })
 	case "errors":
--- a/internal/lab/world/spec.go
+++ b/internal/lab/world/spec.go
@@ -32,7 +32,7 @@
 	Load        Load             `sexp:"load"`
 	Clients     client.Behaviour `sexp:"clients"`
 	Discovery   Discovery        `sexp:"discovery"`
-	Faults      []Fault          `sexp:"slow|drain|crash|restart|vanish|reset|errors|refuse|stale|discovery-down|discovery-silent|grow|shrink|partition|kill-dispatcher|churn|store-silent|store-slow|store-resets"`
+	Faults      []Fault          `sexp:"slow|drain|crash|restart|vanish|reset|errors|refuse|stale|discovery-down|discovery-silent|grow|shrink|partition|kill-dispatcher|churn|store-silent|store-slow|store-resets|cordon"`
 	Chances     []Chance         `sexp:"chance"`
 	Generator   Generator        `sexp:"generator"`
 	Variants    []Variant        `sexp:"variant"`
