Drain a dispatcher by hand in the laboratory, in virtual time and through its door; test both

A fault (quiesce-dispatcher (at) (for) (dispatcher N)) becomes OpQuiesce: virtual time has the front send the dispatcher nothing from 0.3 s after the call (it asks /healthz every 0.1 s and sends for 0.2 s more) until it resumes; on sockets the theatre calls quiesce and resume at that dispatcher's door. virtual.Result.Reached counts the tries that reached each dispatcher by second.

TestQuiesceByTheDoor: real dispatchers, the generator's clients keep sending to the drained one, which answers all of them; no rule broken, none unanswered.

--- a/cmd/gwlab/main_test.go
+++ b/cmd/gwlab/main_test.go
@@ -417,3 +417,22 @@
 	}
 	t.Errorf("no load of %s among %d hosts", world.HostName(1), len(o.Hosts))
 }
+
+// A drain by the door of a real dispatcher: the generator's clients, which do not look at /healthz, go on sending to it;
+// it answers each of them and closes their connections, and takes clients as before once it resumes.
+func TestQuiesceByTheDoor(t *testing.T) {
+	path := write(t, fmt.Sprintf(light, "4s", `(quiesce-dispatcher (at 1s) (for 2s) (dispatcher 1))`))
+	dir := filepath.Join(t.TempDir(), "report")
+	if out, log, code := call(t, "run", path, "--json", "--out", dir); code != 0 || strings.Contains(log, "call was not taken") {
+		t.Fatalf("exit %d\n%s\n%s", code, out, log)
+	}
+	res, err := report.Read(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := res.Plays[0]
+	all := o.Rows[len(o.Rows)-1]
+	if o.Audit.Broken() > 0 || all.Unanswered > 0 || all.InTime < all.Asked*8/10 {
+		t.Errorf("%d asked, %d in time, %d unanswered\n%s", all.Asked, all.InTime, all.Unanswered, o.Audit)
+	}
+}
--- a/internal/lab/experiment/play.go
+++ b/internal/lab/experiment/play.go
@@ -299,8 +299,8 @@
 
 // operate kills a dispatcher or starts it anew at its address.
 func (t *theatre) operate(op world.Op) {
-	if op.Kind == world.OpCordon {
-		t.cordon(op)
+	if op.Kind == world.OpCordon || op.Kind == world.OpQuiesce {
+		t.call(op)
 		return
 	}
 	if op.Kind > world.OpRevive {
@@ -333,18 +333,21 @@
 	delete(t.dead, i)
 }
 
-// cordon has each running dispatcher's door cordon a host or put it back. A dispatcher that is dead meanwhile, or one
-// that is started again, does not hear of it.
-func (t *theatre) cordon(op world.Op) {
+// call makes an operators' call at the doors: each running dispatcher cordons a host or puts it back, or one dispatcher
+// drains or resumes. A dispatcher that is dead meanwhile, or one that is started again, does not hear of it.
+func (t *theatre) call(op world.Op) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	verb := "uncordon "
-	if op.On {
-		verb = "cordon "
+	line, to := map[bool]string{true: "cordon ", false: "uncordon "}[op.On]+t.day.Machines[op.Host].Name, t.running
+	if op.Kind == world.OpQuiesce {
+		line, to = map[bool]string{true: "quiesce", false: "resume"}[op.On], map[int]*stage.Dispatcher{}
+		if d := t.running[op.Host]; d != nil {
+			to[op.Host] = d
+		}
 	}
-	for i, d := range t.running {
-		if answer, err := d.Call(verb + t.day.Machines[op.Host].Name); err != nil || !strings.HasPrefix(answer, "YES") {
-			slog.Error("a cordon was not taken", "dispatcher", i, "answer", answer, "cause", err)
+	for i, d := range to {
+		if answer, err := d.Call(line); err != nil || !strings.HasPrefix(answer, "YES") {
+			slog.Error("a call was not taken", "dispatcher", i, "call", line, "answer", answer, "cause", err)
 		}
 	}
 }
--- a/internal/lab/virtual/dispatcher.go
+++ b/internal/lab/virtual/dispatcher.go
@@ -19,27 +19,32 @@
 	answerSlack = 60000 // past its time an answer still counts for so long
 	expireAfter = 20000 // the driver's back-up of the decisions' own deadline
 	frontNotice = 3_000_000
+	frontDrain  = 300_000
 )
 
 // dispatcher is one dispatcher's core with what its driver would keep.
 type dispatcher struct {
-	p        *play
-	number   int
-	zone     int
-	rng      *rand.Rand
-	core     core
-	gen      int // of its process; what an earlier one's events bring is dropped
-	dead     bool
-	deadAt   int64
-	shunned  int64 // until then the front sends nobody here
-	names    platform.Names
-	listed   int64 // revision told; -1 where the whole list must be asked for
-	watching bool
-	messages map[memory.ID]*try
-	relays   map[memory.RelayID]*attempt
-	wakeSeq  int
-	mirror   map[string]bool // hosts told to be ready
-	classes  []logic.Class
+	p       *play
+	number  int
+	zone    int
+	rng     *rand.Rand
+	core    core
+	gen     int // of its process; what an earlier one's events bring is dropped
+	dead    bool
+	deadAt  int64
+	shunned int64 // until then the front sends nobody here
+	// Drained by hand since then: /healthz says no at once, and the front, which asks every 0.1 s, sends new connections
+	// for 0.2 s more.
+	quiesced   bool
+	quiescedAt int64
+	names      platform.Names
+	listed     int64 // revision told; -1 where the whole list must be asked for
+	watching   bool
+	messages   map[memory.ID]*try
+	relays     map[memory.RelayID]*attempt
+	wakeSeq    int
+	mirror     map[string]bool // hosts told to be ready
+	classes    []logic.Class
 }
 
 // boot starts its process.
@@ -302,7 +307,7 @@
 	for _, any := range []bool{false, true} {
 		var can []*dispatcher
 		for _, d := range p.disp {
-			if (any || d.zone == j.Zone) && p.now >= d.shunned {
+			if (any || d.zone == j.Zone) && p.now >= d.shunned && !(d.quiesced && p.now >= d.quiescedAt+frontDrain) {
 				can = append(can, d)
 			}
 		}
@@ -346,6 +351,11 @@
 			return
 		}
 		p.msgs++
+		second := int(p.now / 1_000_000)
+		for len(p.reached[d.number]) <= second {
+			p.reached[d.number] = append(p.reached[d.number], 0)
+		}
+		p.reached[d.number][second]++
 		deadline := p.now + told.Microseconds()
 		gen := d.gen
 		var cmds []memory.Command
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -37,6 +37,7 @@
 type Result struct {
 	Recorder *measure.Recorder
 	Messages int           // tries that reached a dispatcher
+	Reached  [][]int       // of those, by dispatcher and second
 	CPU      time.Duration // of all calls of the cores, where it was measured
 	Heap     int64         // bytes of one dispatcher, where it was measured
 	Length   time.Duration // of virtual time
@@ -71,28 +72,29 @@
 
 // play is a day under way.
 type play struct {
-	o     Options
-	day   *world.Day
-	now   int64
-	seq   uint64
-	queue events
-	rng   *rand.Rand
-	rec   *measure.Recorder
-	hosts []*host
-	index map[string]*host
-	dir   *model.Directory
-	dirAt int64
-	disp  []*dispatcher
-	next  uint64
-	at    uint64 // attempts
-	done  int
-	sent  int
-	open  int
-	cpu   time.Duration
-	down  bool
-	quiet bool
-	parts map[[2]int]bool
-	msgs  int
+	o       Options
+	day     *world.Day
+	now     int64
+	seq     uint64
+	queue   events
+	rng     *rand.Rand
+	rec     *measure.Recorder
+	hosts   []*host
+	index   map[string]*host
+	dir     *model.Directory
+	dirAt   int64
+	disp    []*dispatcher
+	next    uint64
+	at      uint64 // attempts
+	done    int
+	sent    int
+	open    int
+	cpu     time.Duration
+	down    bool
+	quiet   bool
+	parts   map[[2]int]bool
+	msgs    int
+	reached [][]int // tries that reached each dispatcher, by second
 }
 
 type host struct {
@@ -178,7 +180,7 @@
 		p.now = e.at
 		e.do()
 	}
-	res.Messages, res.CPU, res.Length = p.msgs, p.cpu, time.Duration(p.now)*time.Microsecond
+	res.Messages, res.Reached, res.CPU, res.Length = p.msgs, p.reached, p.cpu, time.Duration(p.now)*time.Microsecond
 	if o.Measure {
 		res.Heap = p.weigh()
 	}
@@ -479,6 +481,9 @@
 		for _, d := range p.disp {
 			d.cordon(p.day.Machines[op.Host].Name, op.On)
 		}
+	case world.OpQuiesce:
+		d := p.disp[op.Host]
+		d.quiesced, d.quiescedAt = op.On, p.now
 	case world.OpKill:
 		p.disp[op.Host].kill()
 	case world.OpRevive:
@@ -490,6 +495,7 @@
 // ---- Dispatchers ----
 
 func (p *play) dispatchers() error {
+	p.reached = make([][]int, p.day.Dispatchers)
 	for i := range p.day.Dispatchers {
 		d := &dispatcher{p: p, number: i, zone: p.day.ZoneOf(i), rng: rand.New(rand.NewPCG(p.o.Seed, 100+uint64(i)))}
 		if err := d.boot(); err != nil {
--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -193,3 +193,27 @@
 		}
 	}
 }
+
+// A dispatcher drained by hand gets no new tries once the front has seen its /healthz say no, ends what it holds with
+// an answer each, and takes tries again once it resumes; the rules hold.
+func TestQuiesce(t *testing.T) {
+	text := `(experiment quiesce (length 14s) (load (rate 30)) (quiesce-dispatcher (at 3s) (for 5s) (dispatcher 1)))`
+	for seed := range uint64(3) {
+		res, rep := playDay(t, text, seed, world.Variant{})
+		if rep.Broken() > 0 {
+			t.Errorf("seed %d:\n%s", seed, rep)
+		}
+		got := res.Reached[1]
+		sum := func(from, to int) (n int) {
+			for s := from; s < min(to, len(got)); s++ {
+				n += got[s]
+			}
+			return n
+		}
+		// Second 3 holds the tries of the 0.3 s in which the front still sends.
+		if before, during, after := sum(0, 3), sum(4, 8), sum(8, 14); before == 0 || during != 0 || after == 0 {
+			t.Errorf("seed %d: dispatcher 1 was reached %d times before its drain, %d during it, %d after; per second %v",
+				seed, before, during, after, got)
+		}
+	}
+}
--- a/internal/lab/world/day.go
+++ b/internal/lab/world/day.go
@@ -67,6 +67,7 @@
 	OpStoreSlow   // Lag is the delay of its answers, On
 	OpStoreResets // the next Host commits end in resets, half of them after they were done
 	OpCordon      // Host is cordoned by hand at every dispatcher, On; or put back
+	OpQuiesce     // dispatcher Host is drained by hand, On; or resumes
 )
 
 // Op is one thing that happens.
@@ -332,6 +333,12 @@
 		}
 	case "store-resets":
 		add(Op{At: f.At, Kind: OpStoreResets, Host: max(f.Count, 1), Label: fmt.Sprintf("store resets %d commits", max(f.Count, 1))})
+	case "quiesce-dispatcher":
+		label := fmt.Sprintf("dispatcher %d drained", f.Number)
+		add(Op{At: f.At, Kind: OpQuiesce, Host: f.Number, On: true, Label: label})
+		if f.For > 0 {
+			add(Op{At: f.At + f.For, Kind: OpQuiesce, Host: f.Number, Label: label + " no more"})
+		}
 	case "kill-dispatcher":
 		add(Op{At: f.At, Kind: OpKill, Host: f.Number, Label: fmt.Sprintf("dispatcher %d killed", f.Number)})
 		if f.For > 0 {
--- a/internal/lab/world/spec.go
+++ b/internal/lab/world/spec.go
@@ -32,7 +32,7 @@
 	Load        Load             `sexp:"load"`
 	Clients     client.Behaviour `sexp:"clients"`
 	Discovery   Discovery        `sexp:"discovery"`
-	Faults      []Fault          `sexp:"slow|drain|crash|restart|vanish|reset|errors|refuse|stale|discovery-down|discovery-silent|grow|shrink|partition|kill-dispatcher|churn|store-silent|store-slow|store-resets|cordon"`
+	Faults      []Fault          `sexp:"slow|drain|crash|restart|vanish|reset|errors|refuse|stale|discovery-down|discovery-silent|grow|shrink|partition|kill-dispatcher|churn|store-silent|store-slow|store-resets|cordon|quiesce-dispatcher"`
 	Chances     []Chance         `sexp:"chance"`
 	Generator   Generator        `sexp:"generator"`
 	Variants    []Variant        `sexp:"variant"`
@@ -367,7 +367,7 @@
 			if len(f.Zones) != 2 || f.Zones[0] == f.Zones[1] {
 				return at("zones", "wants two zones that are parted")
 			}
-		case "kill-dispatcher":
+		case "kill-dispatcher", "quiesce-dispatcher":
 			if f.Number >= s.Dispatchers {
 				return at("dispatcher", "no dispatcher %d; there are 0 to %d", f.Number, s.Dispatchers-1)
 			}
