Keep the file of cordons beside the owner, which now does no disk I/O for it

The owner goroutine stat'ed $TMPDIR every 0.25 s and wrote the file at each cordon, against the rule that it waits for no I/O. A keeper goroutine now writes the latest cordons that the owner hands it over a channel of one (a newer set replaces one that waits) and looks at the file on a ticker, posting what another process wrote. At the start the file is still read before anything is sent, so a new process holds the old one's bans from its first message (TestUpgrade). make lint and the driver's, memory's and the program's tests pass.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -66,13 +66,13 @@
 	stopped time.Time     // SIGTERM; zero while serving
 	arrived time.Time     // the last connection
 
-	quiesced    time.Time   // the operators' drain; zero while clients are taken
-	checking    bool        // check runs, as it does while stopping or drained
-	shut        bool        // the listener is closed
-	serving     atomic.Bool // the door's health: hosts are known and clients are taken
-	figures     *figures
-	cordonsSeen time.Time // of the file of cordons, as last read or written here
-	started     time.Time // of this process, as told to a next one
+	quiesced   time.Time   // the operators' drain; zero while clients are taken
+	checking   bool        // check runs, as it does while stopping or drained
+	shut       bool        // the listener is closed
+	serving    atomic.Bool // the door's health: hosts are known and clients are taken
+	figures    *figures
+	cordonsOut chan []string // to the keeper of the file of cordons
+	started    time.Time     // of this process, as told to a next one
 }
 
 // limits shares out descriptors and memory.
@@ -103,7 +103,7 @@
 		events: make(chan func(), eventsMost), done: make(chan struct{}),
 		norths: map[*north]struct{}{}, open: map[memory.ID]*north{}, relays: map[memory.RelayID]*relay{},
 		pool: pool{hosts: map[string]*hostConns{}}, limits: limitsFor(cfg.Sockets, cfg.MemoryMB),
-		figures: newFigures(cfg.Settings.Classes),
+		figures: newFigures(cfg.Settings.Classes), cordonsOut: make(chan []string, 1),
 	}, nil
 }
 
@@ -114,7 +114,7 @@
 	go d.accept()
 	d.listed = d.cfg.Known.Revision
 	d.do(d.core.Inventory(d.now(), logic.ListCached, d.cfg.Known.Hosts))
-	d.lookCordons()
+	d.startCordons()
 	d.census()
 	for {
 		for len(d.later) > 0 {
