Read the start file of a successor beside the owner, when SIGTERM comes

stop() read $TMPDIR on the owner goroutine. The signal goroutine of lifecycle now calls Driver.Succeeded, which reads the file and keeps the answer in an atomic, before it closes the stop channel; stop() only loads it. The start time is set in New. TestUpgrade still sees successor=true and the hand-over.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -73,6 +73,7 @@
 	figures    *figures
 	cordonsOut chan []string // to the keeper of the file of cordons
 	started    time.Time     // of this process, as told to a next one
+	successor  atomic.Bool   // a later process of this dispatcher has started, as found at SIGTERM
 }
 
 // limits shares out descriptors and memory.
@@ -103,7 +104,7 @@
 		events: make(chan func(), eventsMost), done: make(chan struct{}),
 		norths: map[*north]struct{}{}, open: map[memory.ID]*north{}, relays: map[memory.RelayID]*relay{},
 		pool: pool{hosts: map[string]*hostConns{}}, limits: limitsFor(cfg.Sockets, cfg.MemoryMB),
-		figures: newFigures(cfg.Settings.Classes), cordonsOut: make(chan []string, 1),
+		figures: newFigures(cfg.Settings.Classes), cordonsOut: make(chan []string, 1), started: time.Now(),
 	}, nil
 }
 
--- a/internal/driver/stop.go
+++ b/internal/driver/stop.go
@@ -6,7 +6,7 @@
 // and idle ones are closed once clients have had time to stop using them.
 func (d *Driver) stop() {
 	d.stopped = time.Now()
-	if d.succeeded() {
+	if d.successor.Load() {
 		d.shut = true
 		d.ln.Close()
 	}
--- a/internal/driver/upgrade.go
+++ b/internal/driver/upgrade.go
@@ -5,7 +5,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"time"
 )
 
 // The next version of the program starts beside this one with the same configuration and shares the clients' address
@@ -27,13 +26,19 @@
 
 // announce tells of this process's start; a failure is logged, and an upgrade then ends as a plain SIGTERM does.
 func (d *Driver) announce() {
-	d.started = time.Now()
 	if err := os.WriteFile(d.fileOf("start"), fmt.Appendf(nil, "%d %d\n", os.Getpid(), d.started.UnixNano()), 0o600); err != nil {
 		d.log.Error("start not told to an older process", "cause", err)
 	}
 }
 
-// succeeded tells whether another process of this dispatcher started after this one.
+// Succeeded tells whether another process of this dispatcher started after this one, from its file in $TMPDIR. It reads
+// the file, so it is called beside the owner, when SIGTERM comes; what it found is kept for the owner's stop.
+func (d *Driver) Succeeded() bool {
+	later := d.succeeded()
+	d.successor.Store(later)
+	return later
+}
+
 func (d *Driver) succeeded() bool {
 	text, err := os.ReadFile(d.fileOf("start"))
 	if err != nil {
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -66,6 +66,8 @@
 	go func() {
 		<-signals
 		signal.Stop(signals)
+		// Read here, since the owner waits for no file: a next version that shares the address takes over.
+		d.Succeeded()
 		close(stop)
 	}()
 	go func() {
