--- a/internal/driver/door.go
+++ b/internal/driver/door.go
@@ -56,12 +56,14 @@
 		n, err := c.Read(buf)
 		if n > 0 {
 			if call, done, perr := r.Feed(buf[:n]); done {
-				c.SetWriteDeadline(time.Now().Add(doorWrite))
+				var answer []byte
 				if perr != nil {
-					c.Write(door.AppendNo(nil, perr.Error()))
+					answer = door.AppendNo(nil, perr.Error())
 				} else {
-					c.Write(d.answerCall(call))
+					answer = d.answerCall(call)
 				}
+				c.SetWriteDeadline(time.Now().Add(doorWrite))
+				c.Write(answer)
 				if t, ok := c.(*net.TCPConn); ok {
 					t.CloseWrite()
 				}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -124,7 +124,6 @@
 			f()
 		}
 		d.figures.concurrent.Store(int64(len(d.open)))
-		d.serving.Store(d.taking() && d.core.Ready())
 		if !d.stopped.IsZero() && d.quiet() {
 			d.leave()
 			return
@@ -157,11 +156,13 @@
 // taking tells whether new clients are taken: neither SIGTERM nor the operators' drain came.
 func (d *Driver) taking() bool { return d.stopped.IsZero() && d.quiesced.IsZero() }
 
-// census tells the door how many hosts are listed and avoided; it follows the inventory and the cordons.
+// census tells the door how many hosts are listed and avoided, and whether this process serves; it follows the
+// inventory, the cordons, the drain and the stop, which are all that change these.
 func (d *Driver) census() {
 	listed, avoided := d.core.Census()
 	d.figures.targets.Store(int64(listed))
 	d.figures.disabled.Store(int64(avoided))
+	d.serving.Store(d.taking() && avoided < listed)
 }
 
 // do carries out the commands of one call of the core, but those that wait for the store of record. None of them calls
--- a/internal/driver/north.go
+++ b/internal/driver/north.go
@@ -172,7 +172,7 @@
 	switch {
 	case m.Fault != nil:
 		n.reply(m.Fault.Status, []byte(m.Fault.Why), 0)
-	case m.Health && d.core.Ready() && d.taking():
+	case m.Health && d.serving.Load():
 		// The list that the configuration holds will do: a dispatcher that came back with many others would wait for
 		// discovery as long as all of them together keep it busy, and its clients with it.
 		n.reply(200, nil, 0)
--- a/internal/driver/stop.go
+++ b/internal/driver/stop.go
@@ -11,6 +11,7 @@
 		d.ln.Close()
 	}
 	d.log.Info("stopping", "open", d.core.Open(), "successor", d.shut)
+	d.census()
 	d.startCheck()
 }
 
@@ -21,6 +22,7 @@
 		d.quiesced = time.Now()
 		d.log.Info("drained by hand", "open", d.core.Open())
 	}
+	d.census()
 	d.startCheck()
 }
 
@@ -30,6 +32,7 @@
 		d.log.Info("resumed by hand")
 	}
 	d.quiesced = time.Time{}
+	d.census()
 }
 
 // draining gives when clients stopped being taken, or zero.
@@ -67,8 +70,9 @@
 	d.after(quietCheck, d.check)
 }
 
-// quiet tells whether nothing arrives and nothing is held any more. A connection that the machine accepted
-// must not be left in the listener's queue, so some time has to pass after the latest.
+// quiet tells whether the listener is closed and nothing is held any more. check closes the listener: at once where a
+// successor shares the address, else once no connection came for a while, since one that the machine accepted must not be
+// left in the listener's queue.
 func (d *Driver) quiet() bool {
 	return d.shut && len(d.events) == 0 && len(d.norths) == 0 && d.core.Open() == 0 && (d.journal == nil || d.journal.settled())
 }
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -123,10 +123,11 @@
 			*field = v
 		}
 	}
-	for _, a := range []struct{ key, value string }{{"listen", cfg.Listen}, {"discovery", cfg.Discovery}, {"management", cfg.Management}} {
-		if a.key == "management" && a.value == "" {
-			continue
-		}
+	addrs := []struct{ key, value string }{{"listen", cfg.Listen}, {"discovery", cfg.Discovery}}
+	if cfg.Management != "" {
+		addrs = append(addrs, struct{ key, value string }{"management", cfg.Management})
+	}
+	for _, a := range addrs {
 		if _, _, err := net.SplitHostPort(a.value); err != nil {
 			return nil, fmt.Errorf("%s: %w", a.key, err)
 		}
--- a/internal/memory/core.go
+++ b/internal/memory/core.go
@@ -131,16 +131,6 @@
 // Open is how many messages are kept.
 func (c *Core) Open() int { return len(c.messages) }
 
-// Ready tells whether any host may be relayed to.
-func (c *Core) Ready() bool {
-	for _, h := range c.hosts {
-		if h.Phase == logic.Ready && !c.cordons[h.Name] {
-			return true
-		}
-	}
-	return false
-}
-
 // The calls below take what happened at a time in microseconds and return the commands that follow, valid
 // until the next call.
 
@@ -219,10 +209,7 @@
 		return true, c.out
 	}
 	if on {
-		if len(c.cordons) >= hostsMost {
-			return false, c.out
-		}
-		c.cordons[name] = true
+		c.cordons[name] = true // bounded, as the names listed are, or as Restore bounds them
 	} else {
 		delete(c.cordons, name)
 	}
