Write the laboratory's door calls plainly

theatre.call chose its line by indexing maps of booleans, and figures() made its map inside the loop; a switch and a map made first say the same. The door tests of cmd/gwlab pass.

--- a/internal/lab/experiment/play.go
+++ b/internal/lab/experiment/play.go
@@ -338,9 +338,16 @@
 func (t *theatre) call(op world.Op) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	line, to := map[bool]string{true: "cordon ", false: "uncordon "}[op.On]+t.day.Machines[op.Host].Name, t.running
-	if op.Kind == world.OpQuiesce {
-		line, to = map[bool]string{true: "quiesce", false: "resume"}[op.On], map[int]*stage.Dispatcher{}
+	name := t.day.Machines[op.Host].Name
+	line, to := "uncordon "+name, t.running
+	switch {
+	case op.Kind == world.OpCordon && op.On:
+		line = "cordon " + name
+	case op.Kind == world.OpQuiesce:
+		line, to = "resume", map[int]*stage.Dispatcher{}
+		if op.On {
+			line = "quiesce"
+		}
 		if d := t.running[op.Host]; d != nil {
 			to[op.Host] = d
 		}
@@ -375,16 +382,13 @@
 func (t *theatre) figures() (map[string]float64, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var sum map[string]float64
+	sum := map[string]float64{}
 	for i, d := range t.running {
 		f, err := d.Figures()
 		if err != nil {
 			return nil, fmt.Errorf("dispatcher %d: %w", i, err)
 		}
 		for name, v := range f {
-			if sum == nil {
-				sum = map[string]float64{}
-			}
 			sum[name] += v
 		}
 	}
