--- a/internal/lab/emulate/emulate.go
+++ b/internal/lab/emulate/emulate.go
@@ -14,6 +14,7 @@
 
 	"granitewing/internal/lab/audit"
 	"granitewing/internal/lab/model"
+	"granitewing/internal/lab/spread"
 	"granitewing/internal/lab/world"
 )
 
@@ -28,6 +29,7 @@
 
 	mu        sync.Mutex // guards all below, the models included
 	hosts     []*host
+	watch     *spread.Watch
 	dir       *model.Directory
 	dirTimer  *time.Timer
 	discovery []*discovery // by dispatcher
@@ -72,7 +74,8 @@
 		return nil, fmt.Errorf("%d hosts for %d dispatchers want %d addresses; at most %d can be emulated, virtual time plays more",
 			len(day.Machines), day.Dispatchers, n, portsMost)
 	}
-	e := &Emulator{day: day, log: log, start: time.Now(), conns: map[net.Conn]struct{}{}, parted: map[[2]int]bool{}}
+	e := &Emulator{day: day, log: log, start: time.Now(), conns: map[net.Conn]struct{}{}, parted: map[[2]int]bool{},
+		watch: spread.New(day.Machines, day.End.Microseconds())}
 	cells := map[int]*model.Cell{}
 	store := &model.Store{Room: day.Sets.Store}
 	window := int64(0)
@@ -104,6 +107,7 @@
 			}
 		}
 		e.hosts = append(e.hosts, h)
+		h.look(0)
 	}
 	e.dir = model.NewDirectory(members)
 	for d := range day.Dispatchers {
@@ -254,6 +258,13 @@
 	})
 }
 
+// Spread tells how evenly the hosts have been used so far.
+func (e *Emulator) Spread() *spread.Report {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.watch.Report(e.now())
+}
+
 // Close ends all.
 func (e *Emulator) Close() {
 	e.mu.Lock()
@@ -307,6 +318,11 @@
 	}
 }
 
+// look has the figures of the fleet's use take note of it; the lock is held.
+func (h *host) look(now int64) {
+	h.e.watch.Look(now, h.number, h.m, h.up && !h.vanish && !h.refuses)
+}
+
 // listen opens or shuts a host's addresses as its state asks.
 func (h *host) listen() {
 	for _, p := range h.ports {
@@ -330,6 +346,7 @@
 		}
 	}
 	h.mute()
+	h.look(h.e.now())
 }
 
 // mute finds which ports say nothing. What was open under the silence is reset once it is over.
@@ -378,6 +395,7 @@
 	if h.timer != nil {
 		h.timer.Stop()
 	}
+	h.look(now)
 }
 
 func (p *port) accept(ln net.Listener) {
@@ -429,5 +447,6 @@
 			s.tell(n)
 		}
 	}
+	h.look(h.e.now())
 	h.arm()
 }
--- a/internal/lab/emulate/serve.go
+++ b/internal/lab/emulate/serve.go
@@ -148,6 +148,7 @@
 		if h.streams[s.attempt] != s || e.closed {
 			return // the dispatcher has given it up on the way
 		}
+		e.watch.Came(e.now(), h.number, h.m, p.dispatcher)
 		h.tell(h.m.Offer(e.now(), job))
 		if h.m.Down() && h.up {
 			e.log.Fell(e.now(), h.m.Name)
--- a/internal/lab/experiment/compare.go
+++ b/internal/lab/experiment/compare.go
@@ -14,6 +14,7 @@
 	"gonum.org/v1/gonum/stat/distuv"
 
 	"granitewing/internal/lab/measure"
+	"granitewing/internal/lab/spread"
 	"granitewing/internal/lab/world"
 )
 
@@ -198,6 +199,21 @@
 	{"p50", true, func(o *Outcome) float64 { return o.Rows[len(o.Rows)-1].P50.Seconds() }},
 	{"p99", true, func(o *Outcome) float64 { return o.Rows[len(o.Rows)-1].P99.Seconds() }},
 	{"dispatcher CPU a message", true, func(o *Outcome) float64 { return o.Decision }},
+	{"idle while work waits", false, func(o *Outcome) float64 { return o.spread().Idle }},
+	{"attempts in herds", false, func(o *Outcome) float64 { return o.spread().Herded }},
+	{"attempts a try", true, func(o *Outcome) float64 {
+		tries := float64(o.Rows[len(o.Rows)-1].Tries)
+		return float64(o.spread().Counts.Offered) / max(tries, 1)
+	}},
+	{"fetched of begun", false, func(o *Outcome) float64 { return o.spread().FetchShare }},
+}
+
+// spread gives the use of the hosts, nothing where it was not watched.
+func (o *Outcome) spread() *spread.Report {
+	if o.Spread == nil {
+		return &spread.Report{}
+	}
+	return o.Spread
 }
 
 // compare sets each variant against the first, pair by pair.
@@ -392,6 +408,9 @@
 		for _, n := range p.Notes {
 			fmt.Fprintln(w, "note:", n)
 		}
+		if p.Spread != nil {
+			fmt.Fprint(w, "use of the hosts, from their own records:\n", p.Spread)
+		}
 		if p.Audit != nil {
 			fmt.Fprint(w, "audit, from the records of hosts, clients and discovery:\n", p.Audit)
 		}
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -15,6 +15,7 @@
 	"granitewing/internal/lab/load"
 	"granitewing/internal/lab/measure"
 	"granitewing/internal/lab/model"
+	"granitewing/internal/lab/spread"
 	"granitewing/internal/lab/world"
 	"granitewing/internal/memory"
 	"granitewing/internal/wire/platform"
@@ -41,6 +42,7 @@
 	CPU      time.Duration // of all calls of the cores, where it was measured
 	Heap     int64         // bytes of one dispatcher, where it was measured
 	Length   time.Duration // of virtual time
+	Spread   *spread.Report
 	Cut      bool
 }
 
@@ -80,6 +82,7 @@
 	rng     *rand.Rand
 	rec     *measure.Recorder
 	hosts   []*host
+	watch   *spread.Watch
 	index   map[string]*host
 	dir     *model.Directory
 	dirAt   int64
@@ -181,6 +184,7 @@
 		e.do()
 	}
 	res.Messages, res.Reached, res.CPU, res.Length = p.msgs, p.reached, p.cpu, time.Duration(p.now)*time.Microsecond
+	res.Spread = p.watch.Report(p.now)
 	if o.Measure {
 		res.Heap = p.weigh()
 	}
@@ -210,6 +214,7 @@
 func (p *play) fleet() {
 	cells := map[int]*model.Cell{}
 	store := &model.Store{Room: p.day.Sets.Store}
+	p.watch = spread.New(p.day.Machines, p.day.End.Microseconds())
 	var members []model.Member
 	for i, m := range p.day.Machines {
 		if cells[m.Cell] == nil {
@@ -220,6 +225,7 @@
 		h.m.Keep(p.day.Kept[i])
 		p.hosts = append(p.hosts, h)
 		p.index[m.Name] = h
+		h.look()
 		if h.up {
 			members = append(members, p.day.Member(i, model.Ready, 0))
 			if p.o.Log != nil {
@@ -230,6 +236,9 @@
 	p.dir = model.NewDirectory(members)
 }
 
+// look has the figures of the fleet's use take note of it.
+func (h *host) look() { h.p.watch.Look(h.p.now, h.number, h.m, h.up && !h.vanish && !h.refuses) }
+
 // tell carries a host's notes to the dispatchers and makes its next event.
 func (h *host) tell(notes []model.Note) {
 	for _, n := range notes {
@@ -239,6 +248,7 @@
 		}
 		h.note(a, n)
 	}
+	h.look()
 	next := h.m.Next()
 	if next == model.Never || next >= h.due {
 		return
@@ -305,6 +315,7 @@
 func (h *host) broken() {
 	h.up = !h.m.Down() && h.up
 	h.due = model.Never
+	h.look()
 	for _, a := range sorted(h.attempts, func(id uint64) int64 { return int64(id) }) {
 		if h.p.o.Log != nil {
 			h.p.o.Log.Finish(h.p.now, a.t.name, a.handle, audit.Lost, "")
@@ -339,6 +350,7 @@
 	a.at = id
 	h.attempts[id] = a
 	j := t.job
+	p.watch.Came(p.now, h.number, h.m, a.d.number)
 	notes := h.m.Offer(p.now, model.Job{Attempt: id, Key: j.key, Work: float64(j.Work.Microseconds()), Slots: j.Slots, Memory: j.Memory, Set: uint64(j.Set)})
 	if h.m.Down() {
 		if p.o.Log != nil {
@@ -438,6 +450,7 @@
 		h.m.Errors(op.On)
 	case world.OpRefuse:
 		h.refuses = op.On
+		h.look()
 	case world.OpStale:
 		p.dir.Stale(op.On)
 		p.rearm()
--- a/internal/lab/world/spec.go
+++ b/internal/lab/world/spec.go
@@ -184,13 +184,26 @@
 
 // Variant is one side of a comparison.
 type Variant struct {
-	Name    string   `sexp:",arg,required"`
+	Name string `sexp:",arg,required"`
+	// Number of dispatchers, where it differs from the experiment's; so a fleet of many is set against one that sees all.
+	Dispatchers int `sexp:"dispatchers" min:"0" max:"1000"`
+
 	Program string   `sexp:"program"` // another build of the dispatcher
 	Set     []Change `sexp:"set"`
 	Own     string   `sexp:"settings"`                                            // in place of the experiment's
 	Policy  string   `sexp:"policy" one-of:"module|random|least|two|round-robin"` // in virtual time
 }
 
+// For gives the deployment as a variant has it.
+func (s *Spec) For(v Variant) *Spec {
+	if v.Dispatchers == 0 {
+		return s
+	}
+	c := *s
+	c.Dispatchers = v.Dispatchers
+	return &c
+}
+
 // Change is a setting of the dispatchers that differs: a path such as Rules.Cold, and JSON.
 type Change struct {
 	Path  string `sexp:",arg,required"`
