Rig of many real processes: links that fail, dispatchers killed, stopped and started anew

The emulator owned a listener for each pair of dispatcher and host (20,000 at most, and 100 by 100 at the descriptor limit), and nothing could strike one link.

Now each host has one listener bound to the loopback device, and each dispatcher is told it at an address of its own (127.1.x.y), so that the rig knows who calls. internal/lab/link carries the connections: cut one way or both, in silence or by resets, half a message then silence, late. What a dispatcher ended behind a cut counts as ended when it did so, and what was long under way counts from when it was sent. New faults: link, pause-dispatcher (SIGSTOP, SIGCONT), restart-dispatcher (SIGTERM and another of the same name), and a selection of dispatchers by names, zone, share or count. Processes start eight at a time; each play has its own TMPDIR, since dispatchers of two plays have the same names there. gwlab fleet plays it and says how to play a failure again.

--- a/cmd/gwlab/demo.go
+++ b/cmd/gwlab/demo.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io/fs"
@@ -187,3 +188,29 @@
 	}
 	return r.play(ctx, spec)
 }
+
+// fleetVerb plays real processes whatever their number; it says how to play a failure again.
+type fleetVerb struct {
+	Experiment  string `arg:"" help:"A file, or the name of an experiment that ships."`
+	Dispatchers int    `help:"Another number of dispatchers than the experiment's." placeholder:"N"`
+	Hosts       int    `help:"Another number of hosts; the load and the data sets are scaled to it." placeholder:"M"`
+	playing
+}
+
+func (f *fleetVerb) Run(ctx runContext) error {
+	spec, err := readExperiment(f.Experiment)
+	if err != nil {
+		return err
+	}
+	if spec.Virtual {
+		return fmt.Errorf("%s plays in virtual time; gwlab run plays it", f.Experiment)
+	}
+	if spec, err = spec.Resized(cmp.Or(f.Hosts, spec.Fleet.Hosts), cmp.Or(f.Dispatchers, spec.Dispatchers)); err != nil {
+		return err
+	}
+	err = f.play(ctx, spec)
+	if err != nil && ctx.Err() == nil {
+		return fmt.Errorf("%w\nplay it again: gwlab fleet %s --dispatchers %d --hosts %d --seed %d", err, f.Experiment, spec.Dispatchers, spec.Fleet.Hosts, spec.Seed)
+	}
+	return err
+}
--- a/cmd/gwlab/main.go
+++ b/cmd/gwlab/main.go
@@ -21,6 +21,7 @@
 type commands struct {
 	Demo      demo          `cmd:"" help:"Play the newcomer's day: an emulated fleet, three real dispatchers, 20 s of load. Example: gwlab demo"`
 	Run       run           `cmd:"" help:"Play an experiment, by file or by the name of one that ships, and report. Example: gwlab run growth --pairs 5 --out growth-report"`
+	Fleet     fleetVerb     `cmd:"" help:"Play an experiment with many real processes, links between them and their failures. Example: gwlab fleet spread-processes --dispatchers 60 --hosts 30 --seed 7"`
 	Load      loadVerb      `cmd:"" help:"Send an experiment's jobs to dispatchers that run already. Example: gwlab load calm --target 127.0.0.1:9000@dakar"`
 	Emulate   emulateCl     `cmd:"" help:"Play an experiment's hosts and discovery until Ctrl-C. Example: gwlab emulate calm --dir fleet --serve"`
 	Report    reportCmd     `cmd:"" help:"Write a report anew from results, merging those of several generators. Example: gwlab report --out all one two"`
--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -170,7 +170,8 @@
 	l.listed[host] = append(l.listed[host], phaseAt{at, ready})
 }
 
-// Killed books a time in which a dispatcher was dead; what it had taken is not held against it.
+// Killed books a time in which a dispatcher was dead; what it had taken is not held against it. A process that was killed
+// (from) after it had been told to end (to, before that) is excused what it took until it was told alone.
 func (l *Log) Killed(dispatcher int, from, to int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/lab/emulate/discovery.go
+++ b/internal/lab/emulate/discovery.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"granitewing/internal/lab/link"
 	"granitewing/internal/lab/model"
 )
 
@@ -21,6 +22,7 @@
 	e          *Emulator
 	dispatcher int
 	ln         net.Listener
+	link       link.Link
 	told       chan struct{} // closed when the list changes, or the watches end; guarded by the emulator's lock
 	cuts       int           // how often all were cut
 }
@@ -53,8 +55,9 @@
 			c.Close()
 			return
 		}
-		d.e.conns[c] = struct{}{}
-		d.e.wait.Go(func() { d.serve(c) })
+		linked := d.link.Wrap(c, nil)
+		d.e.conns[linked] = struct{}{}
+		d.e.wait.Go(func() { d.serve(linked) })
 		d.e.mu.Unlock()
 	}
 }
@@ -112,7 +115,7 @@
 	addr := func(id string) string {
 		for _, h := range d.e.hosts {
 			if h.m.Name == id {
-				return h.ports[d.dispatcher].addr
+				return h.addr(d.dispatcher)
 			}
 		}
 		return ""
--- a/internal/lab/emulate/emulate.go
+++ b/internal/lab/emulate/emulate.go
@@ -1,5 +1,6 @@
 // Package emulate plays a day's hosts and its discovery on loopback sockets in the platform's protocol, with the day's
-// failures. Each dispatcher reaches each host at an address of its own, so that the emulator knows who asks.
+// failures. Each dispatcher is told the hosts at loopback addresses of its own (127.1.x.y), so that the emulator knows who
+// calls and has a link of its own between any dispatcher and any host.
 package emulate
 
 import (
@@ -13,13 +14,14 @@
 	"time"
 
 	"granitewing/internal/lab/audit"
+	"granitewing/internal/lab/link"
 	"granitewing/internal/lab/model"
 	"granitewing/internal/lab/spread"
 	"granitewing/internal/lab/world"
 )
 
-// portsMost bounds the addresses of an emulation; larger fleets are for virtual time.
-const portsMost = 20_000
+// linksMost bounds the links of an emulation; larger fleets are for virtual time.
+const linksMost = 100_000
 
 // Emulator is a running fleet with its discovery.
 type Emulator struct {
@@ -49,6 +51,8 @@
 	number  int
 	m       *model.Host
 	ports   []*port // by dispatcher
+	ln      net.Listener
+	tcp     int // its port, the same at all addresses
 	streams map[uint64]*stream
 	timer   *time.Timer
 	up      bool // it has joined and not stopped
@@ -61,18 +65,16 @@
 type port struct {
 	h          *host
 	dispatcher int
-	addr       string
-	ln         net.Listener
-	conns      map[net.Conn]struct{}
+	link       link.Link
 	delay      time.Duration // one way
 	muted      bool
 }
 
 // New opens all addresses. Hosts that join later have theirs already, and refuse until then.
 func New(day *world.Day, log *audit.Log) (*Emulator, error) {
-	if n := len(day.Machines) * day.Dispatchers; n > portsMost {
-		return nil, fmt.Errorf("%d hosts for %d dispatchers want %d addresses; at most %d can be emulated, virtual time plays more",
-			len(day.Machines), day.Dispatchers, n, portsMost)
+	if n := len(day.Machines) * day.Dispatchers; n > linksMost {
+		return nil, fmt.Errorf("%d hosts for %d dispatchers want %d links; at most %d can be emulated, virtual time plays more",
+			len(day.Machines), day.Dispatchers, n, linksMost)
 	}
 	e := &Emulator{day: day, log: log, start: time.Now(), conns: map[net.Conn]struct{}{}, parted: map[[2]int]bool{},
 		watch: spread.New(day.Machines, day.End.Microseconds())}
@@ -96,15 +98,14 @@
 			log.Listed(0, m.Name, true)
 		}
 		for d := range day.Dispatchers {
-			p := &port{h: h, dispatcher: d, conns: map[net.Conn]struct{}{}, delay: e.delay(d, m.Zone)}
-			h.ports = append(h.ports, p)
-			if err := p.open(); err != nil {
-				e.Close()
-				return nil, err
-			}
-			if !h.up {
-				p.shut()
-			}
+			h.ports = append(h.ports, &port{h: h, dispatcher: d, delay: e.delay(d, m.Zone)})
+		}
+		if err := h.open(); err != nil {
+			e.Close()
+			return nil, err
+		}
+		if !h.up {
+			h.shut()
 		}
 		e.hosts = append(e.hosts, h)
 		h.look(0)
@@ -141,7 +142,7 @@
 func (e *Emulator) Place(dispatcher int, listen string) world.Place {
 	addrs := map[string]string{}
 	for _, h := range e.hosts {
-		addrs[h.m.Name] = h.ports[dispatcher].addr
+		addrs[h.m.Name] = h.addr(dispatcher)
 	}
 	return world.Place{Listen: listen, Discovery: e.discovery[dispatcher].ln.Addr().String(), Epoch: e.start.UnixMicro(),
 		Addr: func(id string) string { return addrs[id] }}
@@ -220,6 +221,8 @@
 		for _, d := range e.discovery {
 			d.wake()
 		}
+	case world.OpLink:
+		e.suffer(op)
 	case world.OpPart:
 		e.parted[[2]int{min(op.Host, op.Other), max(op.Host, op.Other)}] = op.On
 		for _, h := range e.hosts {
@@ -229,6 +232,33 @@
 	e.rearm()
 }
 
+// suffer has the links between some dispatchers and hosts, or discovery, suffer what an operation says, or makes them whole.
+func (e *Emulator) suffer(op world.Op) {
+	l := op.Link
+	var f link.Faults
+	if op.On {
+		to, from := l.Way != "from", l.Way != "to"
+		way := func(on bool) link.Way {
+			return link.Way{Cut: on && l.Manner == "silent", Half: on && l.Manner == "half", Delay: map[bool]time.Duration{true: l.Delay}[on]}
+		}
+		f = link.Faults{To: way(to), From: way(from), Refuse: l.Manner == "reset"}
+	}
+	set := func(l *link.Link) {
+		if l.Set(f); f.Refuse {
+			l.Reset()
+		}
+	}
+	for _, d := range op.Dispatchers {
+		if l.Discovery {
+			set(&e.discovery[d].link)
+			continue
+		}
+		for _, h := range op.Hosts {
+			set(&e.hosts[h].ports[d].link)
+		}
+	}
+}
+
 // rearm sets the timer of the list's next change.
 func (e *Emulator) rearm() {
 	if e.dirTimer != nil {
@@ -279,16 +309,14 @@
 		if h.timer != nil {
 			h.timer.Stop()
 		}
-		for _, p := range h.ports {
-			p.shut()
-		}
+		h.shut()
 	}
 	for _, d := range e.discovery {
 		d.ln.Close()
 		d.cut()
 	}
 	for c := range e.conns {
-		c.Close()
+		reset(c)
 	}
 	e.mu.Unlock()
 	e.wait.Wait()
@@ -296,25 +324,53 @@
 
 // ---- Hosts ----
 
-// open listens, at the address of before where there was one: discovery's list names it.
-func (p *port) open() error {
-	addr := p.addr
-	if addr == "" {
-		addr = "127.0.0.1:0"
+// loopback listens on every address of 127.0.0.0/8 at once, and on no other interface: the address that a dispatcher was
+// told tells who calls.
+var loopback = net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+	var err error
+	if cerr := c.Control(func(fd uintptr) {
+		err = syscall.SetsockoptString(int(fd), syscall.SOL_SOCKET, syscall.SO_BINDTODEVICE, "lo")
+	}); cerr != nil {
+		return cerr
+	}
+	return err
+}}
+
+// addr is where a dispatcher finds the host.
+func (h *host) addr(dispatcher int) string {
+	n := dispatcher + 1
+	return fmt.Sprintf("127.1.%d.%d:%d", n>>8, n&0xff, h.tcp)
+}
+
+// caller is the dispatcher that was told an address, nil where none was.
+func (h *host) caller(a net.Addr) *port {
+	t, ok := a.(*net.TCPAddr)
+	if !ok {
+		return nil
+	}
+	ip := t.IP.To4()
+	n := int(ip[2])<<8 + int(ip[3]) - 1
+	if ip[1] != 1 || n < 0 || n >= len(h.ports) {
+		return nil
 	}
-	ln, err := net.Listen("tcp", addr)
+	return h.ports[n]
+}
+
+// open listens, at the port of before where there was one: discovery's list names it.
+func (h *host) open() error {
+	ln, err := loopback.Listen(context.Background(), "tcp4", fmt.Sprintf("0.0.0.0:%d", h.tcp))
 	if err != nil {
-		return fmt.Errorf("host %s for dispatcher %d: %w", p.h.m.Name, p.dispatcher, err)
+		return fmt.Errorf("host %s: %w", h.m.Name, err)
 	}
-	p.ln, p.addr = ln, ln.Addr().String()
-	p.h.e.wait.Go(func() { p.accept(ln) })
+	h.ln, h.tcp = ln, ln.Addr().(*net.TCPAddr).Port
+	h.e.wait.Go(func() { h.accept(ln) })
 	return nil
 }
 
-func (p *port) shut() {
-	if p.ln != nil {
-		p.ln.Close()
-		p.ln = nil
+func (h *host) shut() {
+	if h.ln != nil {
+		h.ln.Close()
+		h.ln = nil
 	}
 }
 
@@ -323,27 +379,25 @@
 	h.e.watch.Look(now, h.number, h.m, h.up && !h.vanish && !h.refuses)
 }
 
-// listen opens or shuts a host's addresses as its state asks.
+// listen opens or shuts a host's address as its state asks.
 func (h *host) listen() {
-	for _, p := range h.ports {
-		switch want := h.up && !h.refuses; {
-		case want && p.ln == nil:
-			if err := p.open(); err != nil {
-				if errors.Is(err, syscall.EADDRINUSE) {
-					// Another program was given the address meanwhile; it may let go of it.
-					h.e.timers = append(h.e.timers, time.AfterFunc(100*time.Millisecond, func() {
-						h.e.mu.Lock()
-						defer h.e.mu.Unlock()
-						if !h.e.closed {
-							h.listen()
-						}
-					}))
-				}
-				slog.Warn("a host can't listen again", "err", err)
+	switch want := h.up && !h.refuses; {
+	case want && h.ln == nil:
+		if err := h.open(); err != nil {
+			if errors.Is(err, syscall.EADDRINUSE) {
+				// Another program was given the port meanwhile; it may let go of it.
+				h.e.timers = append(h.e.timers, time.AfterFunc(100*time.Millisecond, func() {
+					h.e.mu.Lock()
+					defer h.e.mu.Unlock()
+					if !h.e.closed {
+						h.listen()
+					}
+				}))
 			}
-		case !want:
-			p.shut()
+			slog.Warn("a host can't listen again", "err", err)
 		}
+	case !want:
+		h.shut()
 	}
 	h.mute()
 	h.look(h.e.now())
@@ -355,20 +409,17 @@
 		zone := h.e.day.ZoneOf(p.dispatcher)
 		muted := h.vanish || h.e.parted[[2]int{min(zone, h.m.Zone), max(zone, h.m.Zone)}]
 		if p.muted && !muted {
-			p.reset()
+			p.link.Reset()
 		}
 		p.muted = muted
 	}
 }
 
-// reset resets all connections of a port.
-func (p *port) reset() {
-	for c := range p.conns {
-		reset(c)
-	}
-}
-
 func reset(c net.Conn) {
+	if r, ok := c.(interface{ Reset() }); ok {
+		r.Reset()
+		return
+	}
 	if t, ok := c.(*net.TCPConn); ok {
 		t.SetLinger(0)
 	}
@@ -388,9 +439,9 @@
 		h.e.log.Finish(now, s.name, s.handle, audit.Lost, "")
 		delete(h.streams, id)
 	}
+	h.shut()
 	for _, p := range h.ports {
-		p.shut()
-		p.reset()
+		p.link.Reset()
 	}
 	if h.timer != nil {
 		h.timer.Stop()
@@ -398,7 +449,8 @@
 	h.look(now)
 }
 
-func (p *port) accept(ln net.Listener) {
+func (h *host) accept(ln net.Listener) {
+	e := h.e
 	for {
 		c, err := ln.Accept()
 		if err != nil {
@@ -408,16 +460,17 @@
 			time.Sleep(10 * time.Millisecond) // out of descriptors; those that are open must go on
 			continue
 		}
-		e := p.h.e
+		p := h.caller(c.LocalAddr())
 		e.mu.Lock()
-		if e.closed || p.ln != ln {
+		if e.closed || h.ln != ln || p == nil {
 			e.mu.Unlock()
 			reset(c)
 			continue
 		}
-		e.conns[c] = struct{}{}
-		p.conns[c] = struct{}{}
-		e.wait.Go(func() { p.serve(c) })
+		s := &server{p: p}
+		s.c = p.link.Wrap(c, s.gone)
+		e.conns[s.c] = struct{}{}
+		e.wait.Go(s.serve)
 		e.mu.Unlock()
 	}
 }
--- a/internal/lab/emulate/emulate_test.go
+++ b/internal/lab/emulate/emulate_test.go
@@ -123,7 +123,7 @@
 	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
 	e, log := fleet(t)
 	defer e.Close()
-	addr := e.hosts[0].ports[0].addr
+	addr := e.hosts[0].addr(0)
 	a := dial(t, addr)
 	for i := range 3 { // one connection carries one job after another
 		name := fmt.Sprintf("t%d", i)
@@ -194,7 +194,7 @@
 func TestSilence(t *testing.T) {
 	e, _ := fleet(t)
 	defer e.Close()
-	a := dial(t, e.hosts[1].ports[0].addr)
+	a := dial(t, e.hosts[1].addr(0))
 	a.send(t, "t", 20_000)
 	if _, err := a.r.ReadString('\n'); err != nil {
 		t.Fatal(err)
--- a/internal/lab/emulate/serve.go
+++ b/internal/lab/emulate/serve.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fastjson"
 
 	"granitewing/internal/lab/audit"
+	"granitewing/internal/lab/link"
 	"granitewing/internal/lab/model"
 )
 
@@ -72,15 +73,33 @@
 	return w
 }
 
+// server is one connection that a dispatcher has opened to a host.
+type server struct {
+	p       *port
+	c       *link.Conn
+	current *stream // the answer under way; guarded by the emulator's lock
+}
+
+// gone books that the dispatcher's end is over. By the rules an attempt is out no more then, though over a link that is cut
+// the host hears of it later and works on meanwhile.
+func (v *server) gone() {
+	e := v.p.h.e
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s := v.current; s != nil {
+		e.log.Finish(e.now(), s.name, s.handle, audit.Closed, "")
+	}
+}
+
 // serve answers the requests of one connection, one after another, until it ends.
-func (p *port) serve(c net.Conn) {
+func (v *server) serve() {
+	p, c := v.p, v.c
 	e, h := p.h.e, p.h
 	var current *stream
 	defer func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		delete(e.conns, c)
-		delete(p.conns, c)
 		c.Close()
 		if current != nil {
 			p.closed(current)
@@ -100,7 +119,7 @@
 			<-current.done // a request behind one that is not answered waits
 			current = nil
 		}
-		first := e.now()
+		first := c.Sent().Sub(e.start).Microseconds()
 		c.SetReadDeadline(time.Now().Add(readLimit))
 		req, err := http.ReadRequest(r)
 		if err != nil {
@@ -118,7 +137,7 @@
 			continue
 		}
 		s := &stream{h: h, p: p, name: name, out: make(chan line, linesMost), done: make(chan struct{})}
-		if !p.take(c, s, first, req, body) {
+		if !v.take(s, first, req, body) {
 			return
 		}
 		current = s
@@ -126,12 +145,18 @@
 }
 
 // take books an attempt and offers it to the host once it has come there; false where the connection is reset instead.
-func (p *port) take(c net.Conn, s *stream, first int64, req *http.Request, body []byte) bool {
+func (v *server) take(s *stream, first int64, req *http.Request, body []byte) bool {
+	p, c := v.p, v.c
 	e, h := p.h.e, p.h
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
-	s.handle = e.log.Came(first, now, s.name, h.m.Name, h.m.Cell, p.dispatcher)
+	// What was long on its way counts from when it was sent.
+	s.handle = e.log.Came(first, c.Sent().Sub(e.start).Microseconds(), s.name, h.m.Name, h.m.Cell, p.dispatcher)
+	v.current = s
+	if gone := c.Gone(); !gone.IsZero() {
+		e.log.Finish(gone.Sub(e.start).Microseconds(), s.name, s.handle, audit.Closed, "")
+	}
 	if h.resets || e.closed {
 		e.log.Finish(now, s.name, s.handle, audit.Lost, "")
 		reset(c)
--- a/internal/lab/experiment/play.go
+++ b/internal/lab/experiment/play.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -84,7 +85,8 @@
 		return nil, err
 	}
 	defer fleet.Close()
-	theatre := &theatre{day: day, fleet: fleet, log: log, v: v, seed: seed, s: s}
+	theatre := &theatre{day: day, fleet: fleet, log: log, v: v, seed: seed, s: s,
+		running: map[int]*stage.Dispatcher{}, addrs: map[int]string{}, dead: map[int]int64{}, paused: map[int]int64{}}
 	defer theatre.end()
 	if day.Postgres {
 		if theatre.store, err = pgstandin.Start(filepath.Join(s.Dir, fmt.Sprintf("pg-%s-%d.db", v.Name, seed))); err != nil {
@@ -93,17 +95,11 @@
 		defer theatre.store.Close()
 	}
 	var targets []load.Target
-	for i := range day.Dispatchers {
-		addr, err := theatre.start(i, "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		targets = append(targets, load.Target{Addr: addr, Zone: day.ZoneOf(i)})
+	if err := theatre.startAll(ctx); err != nil {
+		return nil, err
 	}
-	for _, d := range theatre.running {
-		if err := d.Ready(ctx); err != nil {
-			return nil, err
-		}
+	for i := range day.Dispatchers {
+		targets = append(targets, load.Target{Addr: theatre.addrs[i], Zone: day.ZoneOf(i)})
 	}
 	begin := time.Now().Add(100 * time.Millisecond)
 	fleet.Play(ctx, begin, theatre.operate)
@@ -217,6 +213,9 @@
 	running map[int]*stage.Dispatcher
 	addrs   map[int]string
 	dead    map[int]int64
+	paused  map[int]int64
+	leaving []*stage.Dispatcher // told to end; another of the name may run already
+	crashes []error
 	cpu     []float64
 	starts  uint64
 	over    bool
@@ -225,30 +224,65 @@
 	faults  pgstandin.Faults
 }
 
-// start starts a dispatcher and gives its address.
-func (t *theatre) start(i int, listen string) (string, error) {
+// start starts a dispatcher, at the address that it had before if it had one. The lock is not held: others start meanwhile.
+func (t *theatre) start(i int) error {
+	t.mu.Lock()
 	t.starts++
-	config, err := t.day.Config(i, t.seed+1000*t.starts, t.fleet.Place(i, listen), t.v.Set)
+	number, listen := t.starts, cmp.Or(t.addrs[i], "127.0.0.1:0")
+	t.mu.Unlock()
+	config, err := t.day.Config(i, t.seed+1000*number, t.fleet.Place(i, listen), t.v.Set)
 	if err != nil {
-		return "", err
+		return err
 	}
 	var args []string
 	if own := t.own(i); own != "" {
 		path := t.settingsPath(i)
 		if err := os.WriteFile(path, []byte(own), 0o600); err != nil {
-			return "", err
+			return err
 		}
 		args = []string{"serve", "--log", "text", "--settings", path}
 	}
-	d, err := stage.Start(t.s.Program, t.s.Dir, fmt.Sprintf("%s-%d-n%d-%d", t.v.Name, t.seed, i, t.starts), config, args...)
+	d, err := stage.Start(t.s.Program, t.s.Dir, fmt.Sprintf("%s-%d-n%d-%d", t.v.Name, t.seed, i, number), config, args...)
 	if err != nil {
-		return "", err
+		return err
 	}
-	if t.running == nil {
-		t.running, t.addrs, t.dead = map[int]*stage.Dispatcher{}, map[int]string{}, map[int]int64{}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.over {
+		d.Kill()
+		return nil
 	}
 	t.running[i], t.addrs[i] = d, d.Addr
-	return d.Addr, nil
+	return nil
+}
+
+// startMost bounds how many processes start at a time, so that each gets its share of the machine.
+const startMost = 8
+
+// startAll starts all dispatchers and waits until they are ready.
+func (t *theatre) startAll(ctx context.Context) error {
+	var wait sync.WaitGroup
+	room := make(chan struct{}, startMost)
+	errs := make([]error, t.day.Dispatchers)
+	for i := range t.day.Dispatchers {
+		room <- struct{}{}
+		wait.Go(func() {
+			defer func() { <-room }()
+			if errs[i] = ctx.Err(); errs[i] == nil {
+				errs[i] = t.start(i)
+			}
+		})
+	}
+	wait.Wait()
+	if err := errors.Join(errs...); err != nil {
+		return err
+	}
+	for i, d := range t.running {
+		if err := d.Ready(ctx); err != nil {
+			return fmt.Errorf("dispatcher %d: %w", i, err)
+		}
+	}
+	return nil
 }
 
 // own gives a dispatcher's own settings, which name its files by play and number.
@@ -299,40 +333,94 @@
 	return all, nil
 }
 
-// operate kills a dispatcher or starts it anew at its address.
+// operate carries out what happens to a dispatcher's process, its door or its store.
 func (t *theatre) operate(op world.Op) {
-	if op.Kind == world.OpCordon || op.Kind == world.OpQuiesce {
+	i, now := op.Host, time.Since(t.fleet.Start()).Microseconds()
+	switch op.Kind {
+	case world.OpCordon, world.OpQuiesce:
 		t.call(op)
 		return
-	}
-	if op.Kind > world.OpRevive {
+	case world.OpStoreSilent, world.OpStoreSlow, world.OpStoreResets:
 		t.disturb(op)
 		return
+	case world.OpRevive:
+		t.revive(i)
+		return
 	}
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	i, now := op.Host, time.Since(t.fleet.Start()).Microseconds()
-	if t.over {
+	d := t.running[i]
+	if t.over || d == nil {
+		t.mu.Unlock()
 		return
 	}
-	if op.Kind == world.OpKill {
-		if d := t.running[i]; d != nil {
-			t.dead[i] = now
-			d.Kill()
-			t.cpu = append(t.cpu, d.CPU().Seconds())
-			delete(t.running, i)
+	switch op.Kind {
+	case world.OpKill:
+		t.dead[i] = now
+		delete(t.running, i)
+	case world.OpEnd:
+		t.leaving = append(t.leaving, d)
+		delete(t.running, i)
+	}
+	t.mu.Unlock()
+	switch op.Kind {
+	case world.OpKill:
+		d.Kill()
+		t.ended(i, d, nil)
+	case world.OpEnd:
+		go func() {
+			err := d.Stop()
+			if errors.Is(err, stage.ErrKilled) {
+				// As a platform does it. What came before SIGTERM and would have run on is lost with it; a later one is not.
+				t.log.Killed(i, time.Since(t.fleet.Start()).Microseconds(), now)
+				err = nil
+			}
+			t.ended(i, d, err)
+		}()
+	case world.OpPause:
+		if err := d.Pause(op.On); err != nil {
+			slog.Error("a dispatcher was not stopped or continued", "dispatcher", i, "cause", err)
 		}
-		return
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if op.On {
+			t.paused[i] = now
+		} else if from, was := t.paused[i]; was {
+			delete(t.paused, i)
+			t.log.Killed(i, from, now)
+		}
+	}
+}
+
+// ended books a process that is over.
+func (t *theatre) ended(i int, d *stage.Dispatcher, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cpu = append(t.cpu, d.CPU().Seconds())
+	t.leaving = slices.DeleteFunc(t.leaving, func(o *stage.Dispatcher) bool { return o == d })
+	if err != nil {
+		slog.Error("dispatcher", "number", i, "cause", err)
+		t.crashes = append(t.crashes, err)
 	}
-	if _, killed := t.dead[i]; !killed || t.running[i] != nil {
+}
+
+// revive starts another process of a dispatcher's name at its address.
+func (t *theatre) revive(i int) {
+	t.mu.Lock()
+	known := t.addrs[i] != "" && t.running[i] == nil && !t.over
+	t.mu.Unlock()
+	if !known {
 		return
 	}
-	if _, err := t.start(i, t.addrs[i]); err != nil {
+	if err := t.start(i); err != nil {
 		slog.Error("a dispatcher did not come back", "dispatcher", i, "cause", err)
 		return
 	}
-	t.log.Killed(i, t.dead[i], time.Since(t.fleet.Start()).Microseconds())
-	delete(t.dead, i)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if from, killed := t.dead[i]; killed && !t.over {
+		t.log.Killed(i, from, time.Since(t.fleet.Start()).Microseconds())
+		delete(t.dead, i)
+	}
 }
 
 // call makes an operators' call at the doors: each running dispatcher cordons a host or puts it back, or one dispatcher
@@ -400,36 +488,49 @@
 // end ends all dispatchers in order, at once, and tells what went wrong.
 func (t *theatre) end() error {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	if t.over {
+		t.mu.Unlock()
 		return nil
 	}
-	t.over = true
 	now := time.Since(t.fleet.Start()).Microseconds()
 	for i, from := range t.dead {
 		t.log.Killed(i, from, now)
-		if !t.day.Records {
-			continue
+	}
+	for i, from := range t.paused {
+		t.log.Killed(i, from, now)
+		if d := t.running[i]; d != nil {
+			d.Pause(false) // SIGTERM waits for it
 		}
+	}
+	var again []int
+	for i := range t.dead {
+		if t.day.Records {
+			again = append(again, i)
+		}
+	}
+	t.mu.Unlock()
+	for _, i := range again {
 		// Its store has what it left open until a start settles it.
-		if _, err := t.start(i, "127.0.0.1:0"); err != nil {
+		if err := t.start(i); err != nil {
 			return fmt.Errorf("a dispatcher that was dead at the end did not start to settle its records: %w", err)
 		}
 	}
-	errs := make([]error, len(t.addrs))
+	t.mu.Lock()
+	t.over = true
+	running, leaving := t.running, slices.Clone(t.leaving)
+	t.mu.Unlock()
 	var wait sync.WaitGroup
-	for i, d := range t.running {
-		wait.Go(func() { errs[i] = d.Stop() })
+	for i, d := range running {
+		// It crashed where this gives an error: whatever it held is not excused, and the report says so.
+		wait.Go(func() { t.ended(i, d, d.Stop()) })
 	}
-	wait.Wait()
-	for i, d := range t.running {
-		t.cpu = append(t.cpu, d.CPU().Seconds())
-		if errs[i] != nil {
-			// It crashed: whatever it held is not excused, and the report says so.
-			slog.Error("dispatcher", "number", i, "cause", errs[i])
-		}
+	for _, d := range leaving {
+		wait.Go(func() { d.Kill() })
 	}
-	return errors.Join(errs...)
+	wait.Wait()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return errors.Join(t.crashes...)
 }
 
 // TempDir makes a folder for a run's configurations.
--- a/internal/lab/stage/stage.go
+++ b/internal/lab/stage/stage.go
@@ -47,11 +47,12 @@
 	}
 	d := &Dispatcher{over: make(chan struct{}), cmd: exec.Command(program, args...)}
 	for _, v := range os.Environ() {
-		if !strings.HasPrefix(v, "ROUTER_") {
+		if !strings.HasPrefix(v, "ROUTER_") && !strings.HasPrefix(v, "TMPDIR=") {
 			d.cmd.Env = append(d.cmd.Env, v)
 		}
 	}
-	d.cmd.Env = append(d.cmd.Env, "ROUTER_CONFIG="+path)
+	// What it keeps there goes by its name, which dispatchers of other plays have too.
+	d.cmd.Env = append(d.cmd.Env, "ROUTER_CONFIG="+path, "TMPDIR="+dir)
 	// A group of its own: Ctrl-C is for the laboratory, which then ends it in order.
 	d.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	out, err := d.cmd.StderrPipe()
@@ -172,7 +173,19 @@
 	<-d.over
 }
 
-// Stop ends it in order, or by force if that takes too long.
+// Pause stops the process where it stands, or lets it go on.
+func (d *Dispatcher) Pause(on bool) error {
+	sig := syscall.SIGCONT
+	if on {
+		sig = syscall.SIGSTOP
+	}
+	return d.cmd.Process.Signal(sig)
+}
+
+// ErrKilled tells that a dispatcher still had work when its time after SIGTERM was over.
+var ErrKilled = errors.New("did not end after SIGTERM and was killed")
+
+// Stop ends it in order, or by force if that takes too long: then the error is ErrKilled.
 func (d *Dispatcher) Stop() error {
 	d.mu.Lock()
 	dead := d.kill
@@ -196,7 +209,7 @@
 		return nil
 	case <-t.C:
 		d.Kill()
-		return errors.New("dispatcher at " + d.Addr + " did not end after SIGTERM and was killed")
+		return fmt.Errorf("dispatcher at %s: %w", d.Addr, ErrKilled)
 	}
 }
 
--- a/internal/lab/world/day.go
+++ b/internal/lab/world/day.go
@@ -60,6 +60,7 @@
 	OpDown   // discovery
 	OpSilent // discovery
 	OpPart   // zones Host and Other can't reach each other, On
+	OpLink   // links between Dispatchers and Hosts or discovery suffer Link, On
 	OpKill   // dispatcher Host
 	OpRevive // dispatcher Host
 
@@ -68,6 +69,8 @@
 	OpStoreResets // the next Host commits end in resets, half of them after they were done
 	OpCordon      // Host is cordoned by hand at every dispatcher, On; or put back
 	OpQuiesce     // dispatcher Host is drained by hand, On; or resumes
+	OpPause       // dispatcher Host's process is stopped, On; or continued
+	OpEnd         // dispatcher Host gets SIGTERM; OpRevive starts another of its name, whether it has ended or not
 )
 
 // Op is one thing that happens.
@@ -80,6 +83,18 @@
 	On     bool
 	Lag    time.Duration // until discovery tells of it
 	Label  string        // for reports
+
+	Dispatchers []int // of a link
+	Hosts       []int
+	Link        *LinkFault
+}
+
+// LinkFault is what a link suffers.
+type LinkFault struct {
+	Way       string // both, to, from
+	Manner    string // silent, reset, half, late
+	Discovery bool
+	Delay     time.Duration
 }
 
 // Draw draws a day.
@@ -333,18 +348,71 @@
 		}
 	case "store-resets":
 		add(Op{At: f.At, Kind: OpStoreResets, Host: max(f.Count, 1), Label: fmt.Sprintf("store resets %d commits", max(f.Count, 1))})
-	case "quiesce-dispatcher":
-		label := fmt.Sprintf("dispatcher %d drained", f.Number)
-		add(Op{At: f.At, Kind: OpQuiesce, Host: f.Number, On: true, Label: label})
-		if f.For > 0 {
-			add(Op{At: f.At + f.For, Kind: OpQuiesce, Host: f.Number, Label: label + " no more"})
+	case "link":
+		of := d.dispatchersOf(f, rng)
+		hosts := d.struck(f, rng, present)
+		if len(hosts) == 0 && !f.Source {
+			for i := range d.Machines {
+				hosts = append(hosts, i)
+			}
+		}
+		op := Op{At: f.At, Kind: OpLink, On: true, Dispatchers: of, Hosts: hosts,
+			Link: &LinkFault{Way: f.Way, Manner: f.Manner, Discovery: f.Source, Delay: f.Delay}}
+		where := fmt.Sprintf("%d hosts", len(hosts))
+		if f.Source {
+			where = "discovery"
 		}
-	case "kill-dispatcher":
-		add(Op{At: f.At, Kind: OpKill, Host: f.Number, Label: fmt.Sprintf("dispatcher %d killed", f.Number)})
+		op.Label = fmt.Sprintf("links of %d dispatchers with %s %s, %s", len(of), where, f.Manner, f.Way)
+		add(op)
 		if f.For > 0 {
-			add(Op{At: f.At + f.For, Kind: OpRevive, Host: f.Number, Label: fmt.Sprintf("dispatcher %d back", f.Number)})
+			op.At, op.On, op.Label = f.At+f.For, false, op.Label+", whole again"
+			add(op)
+		}
+	case "quiesce-dispatcher", "pause-dispatcher", "kill-dispatcher", "restart-dispatcher":
+		what := map[string]struct {
+			begin, end   OpKind
+			name, ending string
+		}{
+			"quiesce-dispatcher": {OpQuiesce, OpQuiesce, "drained", "drained no more"},
+			"pause-dispatcher":   {OpPause, OpPause, "stopped", "goes on"},
+			"kill-dispatcher":    {OpKill, OpRevive, "killed", "back"},
+			"restart-dispatcher": {OpEnd, OpRevive, "told to end", "started anew"},
+		}[f.Kind]
+		for _, i := range d.dispatchersOf(f, rng) {
+			add(Op{At: f.At, Kind: what.begin, Host: i, On: what.begin == what.end, Label: fmt.Sprintf("dispatcher %d %s", i, what.name)})
+			if f.For > 0 {
+				add(Op{At: f.At + f.For, Kind: what.end, Host: i, Label: fmt.Sprintf("dispatcher %d %s", i, what.ending)})
+			}
+		}
+	}
+}
+
+// dispatchersOf draws or finds the dispatchers that a fault strikes.
+func (d *Day) dispatchersOf(f Fault, rng *rand.Rand) []int {
+	if f.Of == nil {
+		return []int{f.Number}
+	}
+	var out []int
+	for _, n := range f.Of.Names {
+		out = append(out, d.dispatcherNumber(n))
+	}
+	if f.Of.Zone != "" {
+		zone := slices.Index(d.Zones, f.Of.Zone)
+		for i := range d.Dispatchers {
+			if d.ZoneOf(i) == zone {
+				out = append(out, i)
+			}
 		}
 	}
+	n := f.Of.Count
+	if f.Of.Share > 0 {
+		n = max(int(f.Of.Share*float64(d.Dispatchers)+0.5), 1)
+	}
+	if len(out) == 0 {
+		out = rng.Perm(d.Dispatchers)[:min(n, d.Dispatchers)]
+		slices.Sort(out)
+	}
+	return out
 }
 
 // length is how long jobs arrive, as far as the settings alone tell.
--- a/internal/lab/world/spec.go
+++ b/internal/lab/world/spec.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"granitewing/internal/lab/arrive"
@@ -32,7 +34,7 @@
 	Load        Load             `sexp:"load"`
 	Clients     client.Behaviour `sexp:"clients"`
 	Discovery   Discovery        `sexp:"discovery"`
-	Faults      []Fault          `sexp:"slow|drain|crash|restart|vanish|reset|errors|refuse|stale|discovery-down|discovery-silent|grow|shrink|partition|kill-dispatcher|churn|store-silent|store-slow|store-resets|cordon|quiesce-dispatcher"`
+	Faults      []Fault          `sexp:"slow|drain|crash|restart|vanish|reset|errors|refuse|stale|discovery-down|discovery-silent|grow|shrink|partition|kill-dispatcher|churn|store-silent|store-slow|store-resets|cordon|quiesce-dispatcher|pause-dispatcher|restart-dispatcher|link"`
 	Chances     []Chance         `sexp:"chance"`
 	Generator   Generator        `sexp:"generator"`
 	Variants    []Variant        `sexp:"variant"`
@@ -159,12 +161,26 @@
 	Grace  time.Duration `sexp:"grace" min:"0"` // from a drain to the end of the process
 	Zones  []string      `sexp:"zones"`         // on the two sides of a partition
 	Number int           `sexp:"dispatcher" min:"0"`
-	Delay  time.Duration `sexp:"delay" min:"0"` // of a slow store's answers
+	Of     *Dispatchers  `sexp:"of"`                        // in place of dispatcher
+	Way    string        `sexp:"way" one-of:"both|to|from"` // of a link: towards the host or discovery, from there, or both
+	Manner string        `sexp:"manner" one-of:"silent|reset|half|late"`
+	Source bool          `sexp:"discovery"`     // the links are those to discovery
+	Delay  time.Duration `sexp:"delay" min:"0"` // of a slow store's answers, or of a link that is late
 	Where  settings.Pos  `sexp:",pos"`
 }
 
 // SetDefaults implements settings.Defaulter.
-func (f *Fault) SetDefaults() { f.Factor, f.Grace = 5, 4*time.Second }
+func (f *Fault) SetDefaults() {
+	f.Factor, f.Grace, f.Way, f.Manner = 5, 4*time.Second, "both", "silent"
+}
+
+// Dispatchers says which dispatchers a fault strikes: some by name, all of a zone, or a share or number that is drawn.
+type Dispatchers struct {
+	Names []string `sexp:"names"`
+	Zone  string   `sexp:"zone"`
+	Share float64  `sexp:"share" min:"0" max:"1"`
+	Count int      `sexp:"count" min:"0"`
+}
 
 // Chance draws failures of a kind from the seed.
 type Chance struct {
@@ -242,6 +258,16 @@
 	return &c
 }
 
+// Resized gives the deployment with another number of hosts and dispatchers, as Sized does, and sees that what its faults
+// name is still there.
+func (s *Spec) Resized(hosts, dispatchers int) (*Spec, error) {
+	if hosts < 1 || dispatchers < 1 {
+		return nil, fmt.Errorf("%d hosts and %d dispatchers: want at least one of each", hosts, dispatchers)
+	}
+	c := s.Sized(hosts, dispatchers, 0)
+	return c, c.checkFaults()
+}
+
 // Policies are the ways of choosing a host that virtual time can play besides the module, for comparison.
 var Policies = []string{"module", "random", "least", "two", "round-robin"}
 
@@ -380,10 +406,21 @@
 			if len(f.Zones) != 2 || f.Zones[0] == f.Zones[1] {
 				return at("zones", "wants two zones that are parted")
 			}
-		case "kill-dispatcher", "quiesce-dispatcher":
+		case "kill-dispatcher", "quiesce-dispatcher", "pause-dispatcher", "restart-dispatcher", "link":
 			if f.Number >= s.Dispatchers {
 				return at("dispatcher", "no dispatcher %d; there are 0 to %d", f.Number, s.Dispatchers-1)
 			}
+			if err := s.checkOf(f.Of, at); err != nil {
+				return err
+			}
+			switch {
+			case s.Virtual && f.Kind != "kill-dispatcher" && f.Kind != "quiesce-dispatcher":
+				return at("at", "is for processes; virtual time has none")
+			case f.Kind == "pause-dispatcher" && f.For <= 0, f.Kind == "restart-dispatcher" && f.For <= 0:
+				return at("for", "wants how long, or the dispatcher never comes back")
+			case f.Kind == "link" && f.Manner == "late" && f.Delay <= 0:
+				return at("delay", "wants how late")
+			}
 		case "stale", "discovery-down", "discovery-silent":
 		case "store-silent", "store-slow", "store-resets":
 			if !s.Postgres {
@@ -402,6 +439,34 @@
 	return nil
 }
 
+// checkOf checks which dispatchers a fault names.
+func (s *Spec) checkOf(of *Dispatchers, at func(key, why string, args ...any) error) error {
+	if of == nil {
+		return nil
+	}
+	for _, n := range of.Names {
+		if s.dispatcherNumber(n) < 0 {
+			return at("of.names", "no dispatcher %q; there are n0 to n%d", n, s.Dispatchers-1)
+		}
+	}
+	if of.Zone != "" && !slices.Contains(s.Zones, of.Zone) {
+		return at("of.zone", "no zone %q is described", of.Zone)
+	}
+	if len(of.Names) == 0 && of.Zone == "" && of.Share == 0 && of.Count == 0 {
+		return at("of", "wants names, a zone, a share or a count")
+	}
+	return nil
+}
+
+// dispatcherNumber finds a dispatcher by its name; -1 if there is none.
+func (s *Spec) dispatcherNumber(name string) int {
+	i, err := strconv.Atoi(strings.TrimPrefix(name, "n"))
+	if err != nil || i < 0 || i >= s.Dispatchers || name != fmt.Sprintf("n%d", i) {
+		return -1
+	}
+	return i
+}
+
 // hostNumber finds a host by its name or as hN; -1 if there is none.
 func (s *Spec) hostNumber(name string) int {
 	var i int
--- a/internal/lab/world/world_test.go
+++ b/internal/lab/world/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -82,6 +83,45 @@
 	}
 }
 
+// A fault strikes the same dispatchers for the same seed, and those that it names.
+func TestDispatchersStruck(t *testing.T) {
+	draw := func(seed uint64, of string) (out []int) {
+		spec, err := Parse("test", "(experiment e (dispatchers 10) (kill-dispatcher (at 1s) (of "+of+")))")
+		if err != nil {
+			t.Fatal(err)
+		}
+		day, err := spec.Draw(seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, o := range day.Ops {
+			out = append(out, o.Host)
+		}
+		return out
+	}
+	for of, want := range map[string][]int{"(names n7 n2)": {7, 2}, "(zone ziguinchor)": {2, 5, 8}} {
+		if diff := cmp.Diff(want, draw(1, of)); diff != "" {
+			t.Errorf("%s: %s", of, diff)
+		}
+	}
+	for of, want := range map[string]int{"(share 30%)": 3, "(count 4)": 4, "(count 40)": 10} {
+		if got := draw(1, of); len(got) != want {
+			t.Errorf("%s struck %v", of, got)
+		}
+	}
+	seen := map[string]bool{}
+	for seed := range uint64(20) {
+		a := fmt.Sprint(draw(seed, "(share 30%)"))
+		if a != fmt.Sprint(draw(seed, "(share 30%)")) {
+			t.Errorf("seed %d gives two schedules", seed)
+		}
+		seen[a] = true
+	}
+	if len(seen) < 10 {
+		t.Errorf("20 seeds give %d schedules", len(seen))
+	}
+}
+
 // What can't be played is refused with its place and key.
 func TestRefused(t *testing.T) {
 	for text, want := range map[string]string{
@@ -90,6 +130,11 @@
 		`(slow (at 1s) (zone paris))`:                                       `slow.zone: no zone "paris" is described`,
 		`(partition (at 1s) (zones dakar))`:                                 `partition.zones: wants two zones that are parted`,
 		`(kill-dispatcher (at 1s) (dispatcher 3))`:                          `kill-dispatcher.dispatcher: no dispatcher 3; there are 0 to 2`,
+		`(kill-dispatcher (at 1s) (of (names n9)))`:                         `kill-dispatcher.of.names: no dispatcher "n9"; there are n0 to n2`,
+		`(pause-dispatcher (at 1s) (for 1s) (of (zone paris)))`:             `pause-dispatcher.of.zone: no zone "paris" is described`,
+		`(pause-dispatcher (at 1s) (of (share 30%)))`:                       `pause-dispatcher.for: wants how long, or the dispatcher never comes back`,
+		`(link (at 1s) (of (share 30%)) (manner late))`:                     `link.delay: wants how late`,
+		`(virtual) (link (at 1s) (of (share 30%)))`:                         `link.at: is for processes; virtual time has none`,
 		`(grow (at 1s))`:                                                    `grow.count: wants how many hosts`,
 		`(load (rate 3) (programme (constant (for 1s) (rate 1))))`:          `rate and a programme or streams can't both be given`,
 		`(load (programme (burst (for 9s) (rate 1) (to 2))))`:               `a burst wants every and lasts`,
