Ledger of what other dispatchers hold, and the module's use of it; played in virtual time

internal/fleet/ledger keeps the others' reports: an age past which they count for nothing, incarnation and sequence, bounds, a quorum under which nothing is told. logic takes the sums as sightings (Heard) and as the demand that ranks homes (HeardDemand); without any the decisions are the same to the byte, which TestSharing checks. Variants play it by (share (every 250ms) (late ..)).

--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -185,7 +185,8 @@
 	case wire.EvWake:
 		return s.Wake(now, e.Token, acts)
 	case wire.EvInbox:
-		return s.Message(now, int(e.Author), e.Text, acts)
+		// Peers tell each other nothing in the simulator; what is due is done.
+		return s.Wake(now, 0, acts)
 	}
 	return acts
 }
--- /dev/null
+++ b/internal/fleet/ledger/ledger.go
@@ -0,0 +1,240 @@
+// Package ledger keeps what the other dispatchers of a fleet say that they have outstanding at each host and are asked for,
+// and says how much of it may be believed. It does no I/O and reads no clock; times are microseconds on the caller's clock.
+//
+// News has an age: it is the time since it was heard, and past Limits.Believe a peer's news counts for nothing. A process
+// that wakes up late is known by its incarnation and sequence. Where too few of the members are heard nothing is told, and
+// the decisions are those of a dispatcher that shares nothing.
+package ledger
+
+import (
+	"cmp"
+	"errors"
+	"math"
+	"slices"
+
+	"granitewing/logic"
+)
+
+// Limits bound what is believed. The zero value of a field means its default.
+type Limits struct {
+	Believe int64   // microseconds for which a peer's news counts; default 2 s
+	Gap     int64   // microseconds that two reports of a peer are apart at least; default 20 ms
+	Quorum  float64 // share of the other members that must be heard; default a half
+	Peers   int     // default 2,000
+}
+
+// Bounds on one report. What a dispatcher has outstanding is bounded by its open messages, so more is nonsense.
+const (
+	HeldMost  = 1024
+	AskedMost = 48
+	workMost  = 1e5 // slot-seconds at one host
+	loadMost  = 1e5 // slots a second for one data set
+)
+
+// Held is slot-work, in seconds on a standard core, outstanding at a host.
+type Held struct {
+	Host logic.WorkerID
+	Work float64
+}
+
+// Asked is the slots a second for which a dispatcher is asked with a data set.
+type Asked struct {
+	Set  uint64
+	Load float64
+}
+
+// Report is what one dispatcher says of itself. Of one name a higher incarnation is a later process, and within it a higher
+// sequence later news.
+type Report struct {
+	From        string
+	Incarnation uint64
+	Seq         uint64
+	Held        []Held
+	Asked       []Asked
+}
+
+// The reasons for which a report is refused.
+var (
+	ErrSelf  = errors.New("ledger: a report in this dispatcher's own name")
+	ErrOld   = errors.New("ledger: older than what was heard of its sender")
+	ErrRange = errors.New("ledger: a figure out of range")
+	ErrFlood = errors.New("ledger: too soon after the last report of its sender")
+	ErrFull  = errors.New("ledger: more senders than are kept")
+)
+
+// Counts is what was heard and refused since the start.
+type Counts struct {
+	Heard, Old, Range, Flood, Full, Self int
+	Strange                              int // figures of hosts that this dispatcher does not know
+}
+
+// Ledger is one dispatcher's. It must not be used by two goroutines at once.
+type Ledger struct {
+	self    string
+	limits  Limits
+	members int // others that are there, as far as membership knows
+	peers   map[string]*peer
+	order   []string // of peers, sorted: sums of fractions depend on it, and a play has to repeat
+	counts  Counts
+	told    map[logic.WorkerID]float64 // work of the others, while it is summed
+	sets    map[uint64]float64
+}
+
+type peer struct {
+	incarnation, seq uint64
+	at               int64
+	gone             bool
+	held             []Held
+	asked            []Asked
+}
+
+// New makes a ledger for the dispatcher named self.
+func New(self string, limits Limits) *Ledger {
+	limits.Believe = cmp.Or(limits.Believe, 2_000_000)
+	limits.Gap = cmp.Or(limits.Gap, 20_000)
+	limits.Quorum = cmp.Or(limits.Quorum, 0.5)
+	limits.Peers = cmp.Or(limits.Peers, 2000)
+	return &Ledger{self: self, limits: limits, peers: map[string]*peer{}, told: map[logic.WorkerID]float64{}, sets: map[uint64]float64{}}
+}
+
+// Members says how many other dispatchers are there; news of fewer of them is scaled to all.
+func (l *Ledger) Members(n int) { l.members = n }
+
+// Hear takes a report at the time at which it came. One that is refused changes nothing.
+func (l *Ledger) Hear(now int64, r *Report) error {
+	p := l.peers[r.From]
+	switch {
+	case r.From == l.self || r.From == "":
+		l.counts.Self++
+		return ErrSelf
+	case p != nil && (r.Incarnation < p.incarnation || r.Incarnation == p.incarnation && (r.Seq <= p.seq || p.gone)):
+		l.counts.Old++
+		return ErrOld
+	case !inRange(r):
+		l.counts.Range++
+		return ErrRange
+	case p != nil && r.Incarnation == p.incarnation && now-p.at < l.limits.Gap:
+		l.counts.Flood++
+		return ErrFlood
+	case p == nil && len(l.peers) >= l.limits.Peers:
+		if !l.room(now) {
+			l.counts.Full++
+			return ErrFull
+		}
+	}
+	if p == nil {
+		p = &peer{}
+		l.peers[r.From] = p
+		i, _ := slices.BinarySearch(l.order, r.From)
+		l.order = slices.Insert(l.order, i, r.From)
+	}
+	*p = peer{incarnation: r.Incarnation, seq: r.Seq, at: now, held: append(p.held[:0], r.Held...), asked: append(p.asked[:0], r.Asked...)}
+	l.counts.Heard++
+	return nil
+}
+
+func inRange(r *Report) bool {
+	fine := func(v, most float64) bool { return v >= 0 && v <= most } // false of NaN as well
+	return len(r.Held) <= HeldMost && len(r.Asked) <= AskedMost &&
+		!slices.ContainsFunc(r.Held, func(h Held) bool { return !fine(h.Work, workMost) }) &&
+		!slices.ContainsFunc(r.Asked, func(a Asked) bool { return !fine(a.Load, loadMost) })
+}
+
+// forgetAfter is how many times Believe a silent peer's incarnation is remembered, so that its old news stays refused,
+// before its place may go to another.
+const forgetAfter = 30
+
+// room makes a place by forgetting the peer that has been silent longest.
+func (l *Ledger) room(now int64) bool {
+	oldest, at := "", now-forgetAfter*l.limits.Believe
+	for name, p := range l.peers {
+		if p.at < at {
+			oldest, at = name, p.at
+		}
+	}
+	if oldest == "" {
+		return false
+	}
+	delete(l.peers, oldest)
+	i, _ := slices.BinarySearch(l.order, oldest)
+	l.order = slices.Delete(l.order, i, i+1)
+	return true
+}
+
+// Gone says that membership has given a peer's process up: its work ended with it, and what still comes of that process is
+// refused.
+func (l *Ledger) Gone(name string, incarnation uint64) {
+	if p := l.peers[name]; p != nil && p.incarnation <= incarnation {
+		*p = peer{incarnation: incarnation, seq: p.seq, at: p.at, gone: true}
+	}
+}
+
+// Telling is where the sums go.
+type Telling interface {
+	Heard(now int64, host logic.WorkerID, work float64, at int64)
+	HeardDemand(set uint64, load float64, until int64)
+}
+
+// Tell sums what the others have at each of some hosts and tells it, with the mean time of the news that it rests on.
+// It tells nothing where less than the quorum was heard; what was told before then fades as any sighting does.
+func (l *Ledger) Tell(now int64, hosts []logic.WorkerID, to Telling) (heard int) {
+	clear(l.told)
+	clear(l.sets)
+	for _, h := range hosts {
+		l.told[h] = 0
+	}
+	at := 0.0
+	for _, name := range l.order {
+		p := l.peers[name]
+		if p.gone || now-p.at > l.limits.Believe {
+			continue
+		}
+		heard++
+		at += float64(p.at)
+		for _, h := range p.held {
+			if _, known := l.told[h.Host]; known {
+				l.told[h.Host] += h.Work
+			} else {
+				l.counts.Strange++
+			}
+		}
+		for _, a := range p.asked {
+			l.sets[a.Set] += a.Load
+		}
+	}
+	if heard == 0 || float64(heard) < l.limits.Quorum*float64(l.members) {
+		return heard
+	}
+	// Those not heard are taken to be like those that are.
+	scale := math.Max(float64(l.members)/float64(heard), 1)
+	when := int64(at / float64(heard))
+	for _, h := range hosts {
+		to.Heard(now, h, l.told[h]*scale, when)
+	}
+	for set, load := range l.sets {
+		to.HeardDemand(set, load*scale, when+l.limits.Believe)
+	}
+	return heard
+}
+
+// Counts tells what was heard and refused.
+func (l *Ledger) Counts() Counts { return l.counts }
+
+// Source is what a dispatcher knows of itself.
+type Source interface {
+	Outstanding(tell func(host logic.WorkerID, work float64))
+	Demand(now int64, tell func(set uint64, load float64))
+}
+
+// Of makes a dispatcher's report of itself; of the data sets it names those that it is asked for most.
+func Of(from string, incarnation, seq uint64, now int64, s Source) *Report {
+	r := &Report{From: from, Incarnation: incarnation, Seq: seq}
+	s.Outstanding(func(host logic.WorkerID, work float64) {
+		r.Held = append(r.Held, Held{host, min(work, workMost)})
+	})
+	s.Demand(now, func(set uint64, load float64) { r.Asked = append(r.Asked, Asked{set, min(load, loadMost)}) })
+	slices.SortFunc(r.Held, func(a, b Held) int { return cmp.Or(cmp.Compare(b.Work, a.Work), cmp.Compare(a.Host, b.Host)) })
+	slices.SortFunc(r.Asked, func(a, b Asked) int { return cmp.Or(cmp.Compare(b.Load, a.Load), cmp.Compare(a.Set, b.Set)) })
+	r.Held, r.Asked = r.Held[:min(len(r.Held), HeldMost)], r.Asked[:min(len(r.Asked), AskedMost)]
+	return r
+}
--- a/internal/lab/experiment/play.go
+++ b/internal/lab/experiment/play.go
@@ -371,7 +371,7 @@
 			err := d.Stop()
 			if errors.Is(err, stage.ErrKilled) {
 				// As a platform does it. What came before SIGTERM and would have run on is lost with it; a later one is not.
-				t.log.Killed(i, time.Since(t.fleet.Start()).Microseconds(), now)
+				t.log.Killed(i, d.Killed().Sub(t.fleet.Start()).Microseconds(), now)
 				err = nil
 			}
 			t.ended(i, d, err)
--- a/internal/lab/stage/stage.go
+++ b/internal/lab/stage/stage.go
@@ -36,6 +36,7 @@
 	mu   sync.Mutex
 	log  bytes.Buffer // its first bytes
 	kill bool         // it was ended on purpose
+	at   time.Time    // when, before the signal
 }
 
 // Start starts program with a configuration, which is kept in dir, and waits until it listens. A dispatcher never
@@ -167,12 +168,19 @@
 // Kill ends it at once.
 func (d *Dispatcher) Kill() {
 	d.mu.Lock()
-	d.kill = true
+	d.kill, d.at = true, time.Now()
 	d.mu.Unlock()
 	d.cmd.Process.Kill()
 	<-d.over
 }
 
+// Killed is when it was killed, before its clients could see it.
+func (d *Dispatcher) Killed() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.at
+}
+
 // Pause stops the process where it stands, or lets it go on.
 func (d *Dispatcher) Pause(on bool) error {
 	sig := syscall.SIGCONT
--- a/internal/lab/virtual/dispatcher.go
+++ b/internal/lab/virtual/dispatcher.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"granitewing/internal/fleet/ledger"
 	"granitewing/internal/lab/client"
 	"granitewing/internal/lab/model"
 	"granitewing/internal/memory"
@@ -45,6 +46,10 @@
 	wakeSeq    int
 	mirror     map[string]bool // hosts told to be ready
 	classes    []logic.Class
+
+	ledger *ledger.Ledger // what the others say, where they share
+	hosts  []logic.WorkerID
+	seq    uint64
 }
 
 // boot starts its process.
@@ -58,6 +63,7 @@
 	if err != nil {
 		return err
 	}
+	d.newLedger()
 	d.names, d.classes = cfg.Names(), cfg.Settings.Classes
 	d.dead, d.watching, d.listed = false, false, cfg.Known.Revision
 	d.messages, d.relays, d.mirror = map[memory.ID]*try{}, map[memory.RelayID]*attempt{}, map[string]bool{}
--- /dev/null
+++ b/internal/lab/virtual/sharing.go
@@ -0,0 +1,56 @@
+package virtual
+
+import (
+	"fmt"
+	"slices"
+
+	"granitewing/internal/fleet/ledger"
+	"granitewing/internal/lab/world"
+	"granitewing/internal/memory"
+	"granitewing/logic"
+)
+
+// Dispatchers that share what they know: each tells all others what it has outstanding, by the ledger that the product
+// uses; only the way from one to another is modelled. A report takes its time, is lost, or comes out of order with others.
+
+// share begins the telling, each dispatcher at a phase of its own.
+func (p *play) share(s *world.Share) {
+	for _, d := range p.disp {
+		p.after(int64(d.rng.Float64()*float64(s.Every.Microseconds())), func() { p.tell(d, s) })
+	}
+}
+
+// tell has a dispatcher hear what has come and send its own report, and again after a period.
+func (p *play) tell(d *dispatcher, s *world.Share) {
+	if p.sent < len(p.day.Jobs) || p.open > 0 {
+		p.after(s.Every.Microseconds(), func() { p.tell(d, s) })
+	}
+	core, ok := d.core.(*memory.Core)
+	if !ok || d.dead {
+		return
+	}
+	d.hosts = core.Numbers(d.hosts[:0])
+	slices.Sort(d.hosts)
+	d.ledger.Members(len(p.disp) - 1)
+	d.call(func(now int64) []memory.Command {
+		d.ledger.Tell(now, d.hosts, core)
+		return nil
+	})
+	d.seq++
+	r := ledger.Of(fmt.Sprintf("n%d", d.number), uint64(d.gen), d.seq, p.now, core)
+	late := s.Late.Lo + world.Delay(d.rng.Float64()*float64(s.Late.Hi-s.Late.Lo))
+	p.after(late.Microseconds(), func() {
+		for _, o := range p.disp {
+			lost := s.Loss > 0 && d.rng.Float64() < s.Loss
+			parted := len(p.parts) > 0 && p.parts[[2]int{min(d.zone, o.zone), max(d.zone, o.zone)}]
+			if o != d && !o.dead && !lost && !parted {
+				o.ledger.Hear(p.now, r)
+			}
+		}
+	})
+}
+
+// newLedger is a dispatcher's at its start.
+func (d *dispatcher) newLedger() {
+	d.ledger, d.hosts, d.seq = ledger.New(fmt.Sprintf("n%d", d.number), ledger.Limits{}), []logic.WorkerID{}, 0
+}
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -155,6 +155,9 @@
 	if err := p.dispatchers(); err != nil {
 		return nil, err
 	}
+	if o.Variant.Share != nil {
+		p.share(o.Variant.Share)
+	}
 	for _, op := range day.Ops {
 		p.after(op.At.Microseconds(), func() { p.apply(op) })
 	}
--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"testing"
+	"time"
 
 	"granitewing/internal/lab/audit"
 	"granitewing/internal/lab/world"
+	"granitewing/internal/settings"
 )
 
 // storm is one of each failure, many at once, with a dispatcher's death in the middle and a discovery that hides
@@ -208,3 +210,33 @@
 		}
 	}
 }
+
+// Sharing: what no peer hears leaves each dispatcher exactly as one that shares nothing; what is heard, though late and
+// with losses, serves more, lets fewer alerts fail and keeps the rules.
+func TestSharing(t *testing.T) {
+	day := `(experiment e (virtual) (length 10s) (load (rate 42)) (dispatchers 60) (fleet (hosts 30)) (data-sets (count 130) (store 130)))`
+	text := func(v *world.Share) (string, float64, int64) {
+		res, rep := playDay(t, day, 3, world.Variant{Share: v})
+		if rep.Broken() > 0 {
+			t.Errorf("%+v: %s", v, rep)
+		}
+		rows := res.Recorder.Rows()
+		b, err := json.Marshal(struct {
+			Rows   any
+			Spread any
+		}{rows, res.Spread})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(b), rows[len(rows)-1].Service, rows[3].Failed
+	}
+	span := settings.Span{Lo: 50 * time.Millisecond, Hi: 500 * time.Millisecond}
+	alone, service, failed := text(nil)
+	if deaf, _, _ := text(&world.Share{Every: 250 * time.Millisecond, Late: span, Loss: 1}); deaf != alone {
+		t.Error("dispatchers that hear nobody decide otherwise than alone")
+	}
+	_, with, less := text(&world.Share{Every: 250 * time.Millisecond, Late: span, Loss: 0.3})
+	if with <= service || less >= failed {
+		t.Errorf("sharing serves %.3f with %d alerts failed, alone %.3f with %d", with, less, service, failed)
+	}
+}
--- a/internal/lab/world/spec.go
+++ b/internal/lab/world/spec.go
@@ -208,6 +208,14 @@
 	Set     []Change `sexp:"set"`
 	Own     string   `sexp:"settings"`                                            // in place of the experiment's
 	Policy  string   `sexp:"policy" one-of:"module|random|least|two|round-robin"` // in virtual time
+	Share   *Share   `sexp:"share"`                                               // in virtual time: dispatchers tell each other what they hold
+}
+
+// Share is how dispatchers tell each other what they have outstanding.
+type Share struct {
+	Every time.Duration `sexp:"every,required" min:"0.01"`
+	Late  settings.Span `sexp:"late" min:"0"` // of a report on its way
+	Loss  float64       `sexp:"loss" min:"0" max:"1"`
 }
 
 // For gives the deployment as a variant has it.
@@ -366,6 +374,9 @@
 		if v.Policy != "" && v.Policy != "module" && !s.Virtual {
 			return fmt.Errorf("variant %s: another policy than the module plays in virtual time alone", v.Name)
 		}
+		if v.Share != nil && !s.Virtual {
+			return fmt.Errorf("variant %s: share plays in virtual time alone; processes share by their own settings", v.Name)
+		}
 	}
 	return s.checkFaults()
 }
--- a/logic/failures_test.go
+++ b/logic/failures_test.go
@@ -103,7 +103,7 @@
 	s := mustNew(t, testConfig())
 	s.Workers(t0, ListFull, readyWorkers(3), nil)
 	for i := range s.workers {
-		s.wellness(&s.workers[i], false)
+		s.eject(&s.workers[i])
 	}
 	if got := sends(arrive(s, t0+1, 1)); len(got) != 1 {
 		t.Errorf("sent to %v, want one worker of the ejected fleet", got)
@@ -210,7 +210,7 @@
 	if s.now >= w.ejected {
 		t.Error("a worker that takes jobs and starts none is not ejected")
 	}
-	s.wellness(w, true)
+	s.wellness(w)
 	s.crowd = crowdFrom // the whole fleet is slow to start
 	for range hangMisses {
 		j := &job{n: 1, live: 1}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -61,11 +61,13 @@
 	hangMisses = 2         // start notes missing in a row, with no sign of life, that make a worker suspect
 	takenAfter = 500_000   // us in which workers that tell so have taken a job: ten times what was ever seen
 	hearSpan   = 3_000_000 // us for which a sign of life vouches for a worker
+	newsSpan   = 2_000_000 // us for which what the other schedulers tell counts as seeing the whole
+	homesTaken = 3         // homes of a data set compared then: were it all, those that hear the same would go to the same one
 	moveGain   = 0.1       // least fall in expected loss, in mean jobs, for which a waiting job is taken elsewhere
 )
 
 // ---- Value function ----
-//
+
 // Equation (16) in units of d, with q = (tau-u)/d and s = tau/d, is
 //
 //	v(u)-v(tau) = G(q) - G'(s) q   for q > 0,   -G'(s) q   for q <= 0,
@@ -272,7 +274,6 @@
 
 // update renews the estimates that all workers share: the mix of classes, the utilisation that the load-equalising
 // split gives every worker, and with it the table of the value function.
-//
 // Departure from the design page: lambda is the fleet's (own rate x schedulers), since u estimates the others' work too.
 func (s *Scheduler) update() {
 	if s.refreshed != 0 && s.now-s.refreshed < refresh {
@@ -480,14 +481,7 @@
 
 // homesOf ranks the first workers of a data set by a hash weighted by size, alike at all schedulers with the same list.
 func (s *Scheduler) homesOf(key uint64) *homes {
-	h := s.homes[key]
-	if h == nil {
-		if len(s.homes) >= homesKept {
-			clear(s.homes)
-		}
-		h = &homes{}
-		s.homes[key] = h
-	}
+	h := s.home(key)
 	if h.list == s.lists {
 		return h
 	}
@@ -512,11 +506,25 @@
 	return h
 }
 
+// home is what is kept of a data set.
+func (s *Scheduler) home(key uint64) *homes {
+	if s.homes[key] == nil {
+		if len(s.homes) >= homesKept {
+			clear(s.homes)
+		}
+		s.homes[key] = &homes{}
+	}
+	return s.homes[key]
+}
+
 // homesWanted is how many workers the demand for a data set fills: the hotter it is, the further down the common
 // ranking it is found. Guards against a hot one that overflows to other workers at each scheduler.
 func (s *Scheduler) homesWanted(h *homes) float64 {
-	n := float64(s.cfg.Schedulers)
-	return max(h.load/s.warmup*s.meanWork*n/max(homeFill*s.perWorker, 1e-3), 1)
+	load := h.load / s.warmup * float64(s.cfg.Schedulers)
+	if s.now < h.toldTill {
+		load = h.load/s.warmup + h.told
+	}
+	return max(load*s.meanWork/max(homeFill*s.perWorker, 1e-3), 1)
 }
 
 // demand books a job into the demand for its data set.
@@ -555,8 +563,10 @@
 	n := uint64(len(s.ready))
 	all := s.cfg.Schedulers <= fewSeers || n <= scanMost
 	if !all && j.key != 0 {
-		for _, i := range s.homesOf(j.key).ids {
-			if i >= 0 {
+		h := s.homesOf(j.key)
+		wanted := uint64(math.Ceil(s.homesWanted(h)))
+		for r, i := range h.ids {
+			if i >= 0 && (s.now >= s.heardTill || wanted <= 2 || uint64(r) < wanted && s.random()%wanted < homesTaken) {
 				s.consider(j, i, &best)
 			}
 		}
@@ -629,12 +639,7 @@
 	if c.Repeat == RepeatSafe || c.Repeat == RepeatKeyed && c.Group == GroupAll {
 		return true
 	}
-	for k := range j.n {
-		if !j.att[k].never {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(j.att[:j.n], func(a attempt) bool { return !a.never })
 }
 
 // coldAllows keeps a worker that has just started from being pushed over: what it can take is dealt to schedulers by hash.
@@ -750,11 +755,10 @@
 		j.most = max(j.work, hint)
 		*mean += (hint - *mean) * 0.05
 	}
-	if in.Slots > 1 && in.Slots < 1e6 {
-		j.slots = in.Slots
-	}
-	if in.Memory > j.slots && in.Memory < 1e6 {
-		j.slots = in.Memory // a worker has a unit of memory for each slot, so the larger need decides
+	for _, need := range [...]float64{in.Slots, in.Memory} { // a worker has a unit of memory for each slot
+		if need > j.slots && need < 1e6 {
+			j.slots = need
+		}
 	}
 	if j.deadline <= 0 {
 		j.deadline = s.now + c.Deadline
@@ -824,12 +828,7 @@
 
 // repeatable tells whether a worker that was not tried could be sent the job, else it would be held until its deadline.
 func (s *Scheduler) repeatable(j *job) bool {
-	for _, i := range s.ready {
-		if s.mayRepeat(j, &s.workers[i]) && !j.tried(i) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(s.ready, func(i int32) bool { return s.mayRepeat(j, &s.workers[i]) && !j.tried(i) })
 }
 
 // lastCall is when a job must be answered: one tick before the client's time is up.
@@ -871,7 +870,7 @@
 		s.reviewAt(i, s.lastCall(j))
 		return
 	}
-	if s.cfg.TellsStart && !s.anyStarted(j) {
+	if s.cfg.TellsStart && !slices.ContainsFunc(j.att[:j.n], func(a attempt) bool { return a.out && !a.cancelled && a.started != 0 }) {
 		s.noStart(j)
 		if s.elsewhereHelps(i) {
 			return
@@ -902,15 +901,6 @@
 	return at
 }
 
-func (s *Scheduler) anyStarted(j *job) bool {
-	for k := range j.n {
-		if a := &j.att[k]; a.out && !a.cancelled && a.started != 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // noStart takes the missing start notes of a job as evidence that its workers have no free slot.
 func (s *Scheduler) noStart(j *job) {
 	for k := range j.n {
@@ -973,7 +963,11 @@
 // vain tells whether a job so likely late only keeps others waiting. One that can't be refused is failed where most jobs
 // wait, of which each of many schedulers sees a part.
 func (s *Scheduler) vain(j *job, late float64) bool {
-	return late >= hopeless && s.cfg.Classes[j.class].LateWorth <= 0 && (s.mayRefuse(j) || s.crowd*float64(s.cfg.Schedulers) >= crowdFrom*min(fewSeers, float64(s.cfg.Schedulers)))
+	n := float64(s.cfg.Schedulers)
+	if s.now < s.heardTill {
+		n = 1 // the others' part is seen as well
+	}
+	return late >= hopeless && s.cfg.Classes[j.class].LateWorth <= 0 && (s.mayRefuse(j) || s.crowd*n >= crowdFrom*min(fewSeers, n))
 }
 
 // lateWhereItIs is the least chance of being late over the workers that a job waits at.
@@ -1030,7 +1024,7 @@
 	w.running += j.slots
 	kd := &s.kinds[w.info.Kind]
 	kd.ran += max(w.running-kd.ran, 0) * 0.2 // jobs that run side by side show slots where nothing reports them
-	s.wellness(w, true)
+	s.wellness(w)
 	s.learnStart(w, seconds(s.now-a.sent))
 	if !j.done {
 		for o := range j.n {
@@ -1071,6 +1065,24 @@
 	}
 }
 
+// Heard takes slot-work that the other schedulers have at a worker, as of a time: a sighting like those of its own.
+func (s *Scheduler) Heard(now int64, id WorkerID, work float64, at int64) {
+	s.now = max(s.now, now)
+	if i, ok := s.byID[id]; ok && at >= s.workers[i].bgAt {
+		w := &s.workers[i]
+		s.derive(w)
+		s.seeOthers(w, (w.own+work)*w.drain)
+		w.bgAt = min(at, s.now)
+		s.heardTill = w.bgAt + newsSpan
+	}
+}
+
+// HeardDemand takes the slots a second for which the others are asked with a data set, believed until a time.
+func (s *Scheduler) HeardDemand(key uint64, load float64, until int64) {
+	h := s.home(key)
+	h.told, h.toldTill = load, until
+}
+
 // Progress takes the share of an attempt that is done; before its start it says only that the worker has taken it.
 func (s *Scheduler) Progress(now int64, id JobID, k int, share float64, out []Action) []Action {
 	s.begin(now, out)
@@ -1124,7 +1136,7 @@
 	s.begin(now, out)
 	i, j, a := s.find(id, k)
 	if a != nil && !j.done {
-		s.wellness(&s.workers[a.w], true)
+		s.wellness(&s.workers[a.w])
 		j.done = true
 		for o := range j.n {
 			if o != k {
@@ -1170,7 +1182,7 @@
 func (s *Scheduler) learnOutcome(j *job, a *attempt, w *worker, o *Outcome) {
 	switch o.Result {
 	case Served:
-		s.wellness(w, true)
+		s.wellness(w)
 		w.well++
 		s.zones[w.info.Zone].failing *= 1 - failGain
 		s.decay()
@@ -1190,7 +1202,7 @@
 		}
 		s.learnRun(w, run, j.work)
 	case ConnectFailed, Broken:
-		if s.wellness(w, false); o.Result == ConnectFailed {
+		if s.eject(w); o.Result == ConnectFailed {
 			// Nobody is there: a list will bring it back, or another process. Asking soon again costs a job an attempt.
 			w.ejected = max(w.ejected, s.now+ejectMost)
 			s.fail(w)
@@ -1206,17 +1218,13 @@
 	}
 }
 
-// wellness is passive health. The emptied backlog of a worker that breaks off would make it the cheapest of all. Ejection
-// is a cost and not a ban, so a fleet that is ejected as a whole is still used by the same argmin.
-func (s *Scheduler) wellness(w *worker, good bool) {
-	if good {
-		w.fails, w.ejected, w.heard, w.misses = 0, 0, s.now, 0
-		return
-	}
-	s.eject(w)
+// wellness is passive health: a sign of life ends an ejection.
+func (s *Scheduler) wellness(w *worker) {
+	w.fails, w.ejected, w.heard, w.misses = 0, 0, s.now, 0
 }
 
-// eject keeps jobs off a worker for a time that doubles with each failure since its last sign of life.
+// eject keeps jobs off a worker for a time that doubles with each failure since its last sign of life: the emptied backlog
+// of one that breaks off would make it the cheapest. It is a cost and not a ban, so a fleet ejected as a whole is still used.
 func (s *Scheduler) eject(w *worker) {
 	w.fails++
 	span := min(int64(ejectFirst)<<min(w.fails-1, 6), ejectMost)
@@ -1258,12 +1266,6 @@
 	}
 }
 
-// Message takes a peer's message. Peers tell each other nothing: twice tried, it made them move together.
-func (s *Scheduler) Message(now int64, _ int, _ []byte, out []Action) []Action {
-	s.begin(now, out)
-	return s.end()
-}
-
 // ---- Timers ----
 
 // The kinds of timers.
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -211,7 +211,8 @@
 			c.jobs[id].told = true
 			c.apply(s.HangUp(c.now, id, buf[:0]))
 		case k < 50:
-			c.apply(s.Message(c.now, r.Intn(4), []byte{1, byte(k), 3}, buf[:0]))
+			s.Heard(c.now, WorkerID(r.Intn(12)), r.ExpFloat64()*5, c.now-int64(r.Intn(3_000_000)))
+			s.HeardDemand(uint64(r.Intn(5)), r.ExpFloat64()*20, c.now+int64(r.Intn(3_000_000)))
 		case k < 52: // misuse: what was never made must be ignored
 			c.apply(s.Outcome(c.now-r.Int63n(9_000_000), Outcome{Job: JobID(r.Intn(n + 2)), Attempt: 7}, buf[:0]))
 			c.apply(s.Started(c.now, JobID(r.Intn(n+2)), -1, buf[:0]))
--- a/logic/state.go
+++ b/logic/state.go
@@ -1,5 +1,7 @@
 package logic
 
+import "math"
+
 // The records that the decisions in logic.go read and write; nothing is decided here.
 
 // attempt is one sending of a job.
@@ -95,6 +97,9 @@
 	list uint32  // the list event that the ranking is of
 	load float64 // own slot-work for it, a second
 	at   int64
+
+	told     float64 // the other schedulers', as they say; believed until toldTill
+	toldTill int64
 }
 
 // Scheduler makes the decisions of one dispatcher. Use New.
@@ -142,10 +147,30 @@
 	usedAt         []int64
 	zones          []zone
 	seen           float64
+	heardTill      int64   // until then the other schedulers' part is seen as well
 	crowd          float64 // share of attempts of late that found no free slot
 	fetch          float64 // time to fetch a data set, seconds
 }
 
+// Outstanding gives the slot-work that this scheduler has at each worker where it has any.
+func (s *Scheduler) Outstanding(tell func(id WorkerID, work float64)) {
+	for i := range s.workers {
+		if w := &s.workers[i]; w.known && w.own > 0 {
+			tell(w.info.ID, w.own)
+		}
+	}
+}
+
+// Demand gives the slots a second for which this scheduler is asked with each data set, as of now. Soon after its start it
+// has seen little, and says so much more for it; but no job alone counts as many.
+func (s *Scheduler) Demand(now int64, tell func(key uint64, load float64)) {
+	for key, h := range s.homes {
+		if load := h.load * math.Exp(-seconds(max(now-h.at, 0))/rateSpan); load > 1e-3 {
+			tell(key, load/max(s.warmup, 0.1))
+		}
+	}
+}
+
 func orDefault[T int64 | float64](v, d T) T {
 	if v > 0 {
 		return v
