Members of a fleet tell each other what they hold, in a build of its own

The owner waits for no peer. Own settings (fleet …), verbs fleet status and check, counters at the door; all of it in bin/granitewing-fleet alone: bin/granitewing links no membership and opens no new socket.

A process that starts while its former one still has the place (an upgrade, a restart) serves alone until that one has left, which it does at SIGTERM. Any other address that can't be had, a taken name and a bad key end the start with code 2 and one line.

Tests with processes: twelve that share, three in ten killed and back, one stopped for longer than its news counts, one started anew beside its old process; a stand-in that tells nonsense, an older incarnation, the dispatcher's own name; silence, an orderly leave; another fleet's label. Not yet: links that lose and reorder the members' datagrams.

--- /dev/null
+++ b/cmd/granitewing-fleet/main_test.go
@@ -0,0 +1,206 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"granitewing/internal/fleet/ledger"
+	"granitewing/internal/fleet/member"
+)
+
+const bound = 20 * time.Second // a test that waits so long has failed
+
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "fleet-test")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "granitewing-fleet")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("%v\n%s", err, out))
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// free is an address that nobody uses.
+func free(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// command is a dispatcher of a name with its part in a fleet, not started yet.
+func command(t *testing.T, name, fleet string) *exec.Cmd {
+	t.Helper()
+	dir := t.TempDir()
+	path := filepath.Join(dir, "own.sexp")
+	if err := os.WriteFile(path, []byte("(granitewing (log (format text)) (fleet "+fleet+"))"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(program, "serve", "--config", "../../deploy/example.json", "--settings", path)
+	cmd.Env = append(os.Environ(), "ROUTER_NAME="+name, "ROUTER_LISTEN=127.0.0.1:0", "ROUTER_DISCOVERY=127.0.0.1:1", "ROUTER_MANAGEMENT=127.0.0.1:0", "TMPDIR="+dir)
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	return cmd
+}
+
+// start starts a dispatcher and gives its door.
+func start(t *testing.T, name, fleet string) string {
+	t.Helper()
+	cmd := command(t, name, fleet)
+	out, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
+	door := make(chan string, 1)
+	go func() {
+		for s := bufio.NewScanner(out); s.Scan(); {
+			if _, addr, ok := strings.Cut(s.Text(), "msg=door"); ok {
+				_, addr, _ = strings.Cut(addr, "addr=")
+				door <- strings.TrimSpace(addr)
+			}
+		}
+	}()
+	select {
+	case d := <-door:
+		return d
+	case <-time.After(bound):
+		t.Fatal("no door")
+		return ""
+	}
+}
+
+// status is what the verb says in JSON.
+type status struct {
+	Members, Heard int
+	Refused        map[string]int
+	Peers          []struct{ Name, State string }
+}
+
+// until asks for the status again and again until it is as wanted.
+func until(t *testing.T, door, what string, want func(*status) bool) {
+	t.Helper()
+	var s status
+	var out []byte
+	for end := time.Now().Add(bound); time.Now().Before(end); {
+		var err error
+		if out, err = exec.Command(program, "fleet", "status", "--door", door, "--json").Output(); err != nil {
+			continue // it has just started
+		}
+		s = status{}
+		if err := json.Unmarshal(out, &s); err != nil {
+			t.Fatal(err)
+		}
+		if want(&s) {
+			return
+		}
+	}
+	t.Fatalf("%s: not seen; last\n%s", what, out)
+}
+
+// peer is a stand-in for another dispatcher.
+func peer(t *testing.T, name, label string, incarnation uint64, join ...string) (*member.Fleet, string) {
+	t.Helper()
+	bind := free(t)
+	f, err := member.Join(member.Options{Name: name, Bind: bind, Join: join, Label: label, Incarnation: incarnation, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f, bind
+}
+
+func report(name string, incarnation, seq uint64, work float64) *ledger.Report {
+	return &ledger.Report{From: name, Incarnation: incarnation, Seq: seq, Held: []ledger.Held{{Host: 1, Work: work}}}
+}
+
+// A peer that tells nonsense, one of an earlier incarnation that still talks, and one that goes: each is refused or given
+// up with its cause, and the dispatcher says so.
+func TestPeersThatAreNotBelieved(t *testing.T) {
+	bind := free(t)
+	door := start(t, "n0", fmt.Sprintf(`(label "t") (bind %q) (every 100ms)`, bind))
+	f, _ := peer(t, "p", "t", 7, bind)
+	seq := uint64(0)
+	tell := func(r func() *ledger.Report) func(*status) bool {
+		return func(*status) bool { seq++; f.Tell(r()); return false }
+	}
+	either := func(do, want func(*status) bool) func(*status) bool {
+		return func(s *status) bool { return want(s) || do(s) }
+	}
+	until(t, door, "a member that is heard", either(tell(func() *ledger.Report { return report("p", 7, seq, 2) }),
+		func(s *status) bool { return s.Members == 1 && s.Heard == 1 }))
+	until(t, door, "nonsense refused", either(tell(func() *ledger.Report { return report("p", 7, seq, math.Inf(1)) }),
+		func(s *status) bool { return s.Refused["range"] > 0 }))
+	until(t, door, "an older incarnation refused", either(tell(func() *ledger.Report { return report("p", 6, seq, 2) }),
+		func(s *status) bool { return s.Refused["old"] > 0 }))
+	until(t, door, "its own name refused", either(tell(func() *ledger.Report { return report("n0", 1<<63, seq, 2) }),
+		func(s *status) bool { return s.Refused["self"] > 0 }))
+	until(t, door, "silence noticed", func(s *status) bool { return s.Heard == 0 && len(s.Peers) == 1 && s.Peers[0].State == "silent" })
+	f.Leave()
+	until(t, door, "a member that left", func(s *status) bool { return s.Members == 0 && len(s.Peers) == 1 && s.Peers[0].State == "gone" })
+}
+
+// Two fleets at one address do not mix.
+func TestAnotherFleetsLabel(t *testing.T) {
+	bind := free(t)
+	door := start(t, "n0", fmt.Sprintf(`(label "ours") (bind %q) (every 100ms)`, bind))
+	theirs, _ := peer(t, "p", "theirs", 1, bind)
+	defer theirs.Leave()
+	ours, _ := peer(t, "q", "ours", 1, bind)
+	defer ours.Leave()
+	until(t, door, "the one of this fleet", func(s *status) bool { return s.Members == 1 })
+	if h := theirs.Take(); h.Members != 0 {
+		t.Errorf("a member of another fleet sees %d of this one", h.Members)
+	}
+}
+
+// What can't be had ends the start with code 2 and one line that names it.
+func TestRefusedStarts(t *testing.T) {
+	standIn, taken := peer(t, "n0", "t", 1)
+	defer standIn.Leave()
+	for name, c := range map[string]struct{ fleet, want string }{
+		"a name that a live member has":     {fmt.Sprintf(`(label "t") (bind %q) (join %q)`, free(t), taken), "the name n0 is taken by the live member at " + taken},
+		"an address that can't be bound":    {fmt.Sprintf(`(label "t") (bind %q)`, taken), "fleet.bind: " + taken},
+		"an address that is none":           {`(label "t") (bind "here")`, `fleet.bind: "here": want an IP address and a port`},
+		"a key that nobody knows":           {`(label "t") (bind "127.0.0.1:1") (gossip 3)`, "gossip"},
+		"news that is believed for no time": {`(label "t") (bind "127.0.0.1:1") (every 1s) (believe 1s)`, "fleet.believe: 1s is under two reports"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cmd := command(t, "n0", c.fleet)
+			var log bytes.Buffer
+			cmd.Stderr = &log
+			if err := cmd.Start(); err != nil {
+				t.Fatal(err)
+			}
+			stop := time.AfterFunc(bound, func() { cmd.Process.Kill() })
+			defer stop.Stop()
+			cmd.Wait()
+			if code := cmd.ProcessState.ExitCode(); code != 2 || !strings.Contains(log.String(), c.want) {
+				t.Errorf("exit %d, want 2 and %q:\n%s", code, c.want, log.String())
+			}
+		})
+	}
+}
--- a/cmd/gwlab/main_test.go
+++ b/cmd/gwlab/main_test.go
@@ -29,7 +29,7 @@
 		panic(err)
 	}
 	gwlab = filepath.Join(dir, "gwlab")
-	for _, p := range []string{".", "../granitewing", "../granitewing-store"} {
+	for _, p := range []string{".", "../granitewing", "../granitewing-store", "../granitewing-fleet"} {
 		if out, err := exec.Command("go", "build", "-o", dir+"/", p).CombinedOutput(); err != nil {
 			panic(fmt.Sprintf("%v\n%s", err, out))
 		}
@@ -512,3 +512,34 @@
 		}
 	}
 }
+
+// sharing has the dispatchers of an experiment take part in a fleet.
+const sharing = `(settings "(granitewing (fleet (label \"t\") (bind \"{gossip}\") (join {seeds}) (every 100ms)))")`
+
+// A fleet that shares, of which some are killed and come back and one stands still past the age of its news: at the end
+// each hears all others again, nothing of an earlier process is believed, and the rules hold.
+func TestFleetThatShares(t *testing.T) {
+	path := write(t, fmt.Sprintf(few, "9s", "4s", "4s", sharing+`
+	  (kill-dispatcher (at 1s) (for 1s) (of (share 30%)))
+	  (pause-dispatcher (at 2s) (for 3s) (of (names n1)))
+	  (restart-dispatcher (at 3s) (for 200ms) (of (names n2)))`))
+	o, log, code := fleetOf(t, path, "--program", filepath.Join(filepath.Dir(gwlab), "granitewing-fleet"), "--seed", "4")
+	if code != 0 || o.Audit.Broken() > 0 {
+		t.Fatalf("exit %d\n%s\n%s", code, o.Audit, log)
+	}
+	const others = 12 * 11
+	if n := o.Figures["router_fleet_members"]; n != others {
+		t.Errorf("the dispatchers know %v others, want %d", n, others)
+	}
+	if n := o.Figures["router_fleet_heard"]; n != others {
+		t.Errorf("the dispatchers hear %v others, want %d", n, others)
+	}
+	for _, cause := range []string{"range", "full", "self", "form"} {
+		if n := o.Figures[`router_fleet_refused_total{cause="`+cause+`"}`]; n != 0 {
+			t.Errorf("%v reports refused as %s", n, cause)
+		}
+	}
+	if all := o.Rows[len(o.Rows)-1]; all.InTime*2 < all.Asked {
+		t.Errorf("%d of %d in time", all.InTime, all.Asked)
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -18,6 +18,7 @@
 	Serve   serve   `cmd:"" help:"Serve until SIGTERM. Example: granitewing serve --config deploy/example.json --settings site.sexp"`
 	Check   check   `cmd:"" help:"Read configuration and settings and say what is wrong or what they mean. Example: granitewing check --config deploy/example.json"`
 	Records records `cmd:"" help:"Look at, check and tend the store of record."`
+	Fleet   fleet   `cmd:"" help:"Look at the fleet that a dispatcher shares with."`
 	Version version `cmd:"" help:"Print the version and exit."`
 }
 
@@ -43,7 +44,7 @@
 func (s *serve) Run() error {
 	own, err := lifecycle.ReadSettings(s.Settings)
 	if err != nil {
-		return err
+		return fmt.Errorf("%w: %w", lifecycle.ErrUsage, err)
 	}
 	own.Log.Format = cmp.Or(s.Log, own.Log.Format)
 	return lifecycle.Run(s.env, own, own.Log.Logger(os.Stderr))
@@ -92,6 +93,9 @@
 	}
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
+		if errors.Is(err, lifecycle.ErrUsage) {
+			os.Exit(2)
+		}
 		os.Exit(1)
 	}
 }
--- /dev/null
+++ b/internal/cli/fleet.go
@@ -0,0 +1,116 @@
+package cli
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// fleet are the verbs of a fleet whose members share what they hold.
+type fleet struct {
+	Status fleetStatus `cmd:"" help:"Ask a running dispatcher's door who is in its fleet, how old their news is and what was refused. Example: granitewing-fleet fleet status --door 127.0.0.1:9100"`
+}
+
+type fleetStatus struct {
+	Door string `required:"" help:"The dispatcher's management address." placeholder:"ADDR"`
+	JSON bool   `help:"Results as JSON."`
+}
+
+// status is what a door tells of the fleet.
+type status struct {
+	Members int            `json:"members"` // others that are there
+	Heard   int            `json:"heard"`   // of them, those whose news counts
+	Reports int            `json:"reports"`
+	Refused map[string]int `json:"refused"`
+	Peers   []peer         `json:"peers"`
+}
+
+type peer struct {
+	Name        string  `json:"name"`
+	Incarnation string  `json:"incarnation"`
+	State       string  `json:"state"`
+	Age         float64 `json:"news_age_s"`
+}
+
+// doorLimit bounds the call; a door answers within a second.
+const doorLimit = 2 * time.Second
+
+func (f *fleetStatus) Run() error {
+	c, err := net.DialTimeout("tcp", f.Door, doorLimit)
+	if err != nil {
+		return fmt.Errorf("door: %w", err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(doorLimit))
+	if _, err := io.WriteString(c, "counters\n"); err != nil {
+		return fmt.Errorf("door: %w", err)
+	}
+	text, err := io.ReadAll(io.LimitReader(c, 8<<20))
+	if err != nil {
+		return fmt.Errorf("door: %w", err)
+	}
+	s, err := readStatus(string(text))
+	if err != nil {
+		return err
+	}
+	if f.JSON {
+		e := json.NewEncoder(os.Stdout)
+		e.SetIndent("", " ")
+		return e.Encode(s)
+	}
+	s.write(os.Stdout)
+	return nil
+}
+
+var (
+	refusedLine = regexp.MustCompile(`^router_fleet_refused_total\{cause="(\w+)"\} (\d+)$`)
+	peerLine    = regexp.MustCompile(`^router_fleet_news_age_seconds\{member="((?:[^"\\]|\\.)*)",incarnation="(\d+)",state="(\w+)"\} ([0-9.]+)$`)
+)
+
+// readStatus finds the fleet's figures among a door's.
+func readStatus(text string) (*status, error) {
+	s := &status{Refused: map[string]int{}, Members: -1}
+	for line := range strings.Lines(text) {
+		line = strings.TrimSpace(line)
+		name, value, _ := strings.Cut(line, " ")
+		n, _ := strconv.Atoi(value)
+		switch name {
+		case "router_fleet_members":
+			s.Members = n
+		case "router_fleet_heard":
+			s.Heard = n
+		case "router_fleet_reports_total":
+			s.Reports = n
+		}
+		if m := refusedLine.FindStringSubmatch(line); m != nil {
+			s.Refused[m[1]], _ = strconv.Atoi(m[2])
+		} else if m := peerLine.FindStringSubmatch(line); m != nil {
+			age, _ := strconv.ParseFloat(m[4], 64)
+			s.Peers = append(s.Peers, peer{m[1], m[2], m[3], age})
+		}
+	}
+	if s.Members < 0 {
+		return nil, errors.New("the dispatcher is in no fleet: its settings have no (fleet …), or it has just started")
+	}
+	return s, nil
+}
+
+func (s *status) write(w io.Writer) {
+	fmt.Fprintf(w, "%d other members, the news of %d counts; %d reports taken\n", s.Members, s.Heard, s.Reports)
+	fmt.Fprintf(w, "refused: %d old, %d out of range, %d too soon, %d without room, %d in this name, %d no report\n",
+		s.Refused["old"], s.Refused["range"], s.Refused["flood"], s.Refused["full"], s.Refused["self"], s.Refused["form"])
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "member\tstate\tnews\tincarnation")
+	for _, p := range s.Peers {
+		fmt.Fprintf(t, "%s\t%s\t%.2f s old\t%s\n", p.Name, p.State, p.Age, p.Incarnation)
+	}
+	t.Flush()
+}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -75,6 +75,7 @@
 	figures    *figures
 	cordonsOut chan []string // to the keeper of the file of cordons
 	started    time.Time     // of this process, as told to a next one
+	sharing    *sharing      // nil where nothing is shared
 	successor  atomic.Bool   // a later process of this dispatcher has started, as found at SIGTERM
 }
 
@@ -119,6 +120,9 @@
 	d.do(d.core.Inventory(d.now(), logic.ListCached, d.cfg.Known.Hosts))
 	d.startCordons()
 	d.census()
+	if d.sharing != nil {
+		d.share()
+	}
 	for {
 		for len(d.later) > 0 {
 			f := d.later[0]
--- a/internal/driver/figures.go
+++ b/internal/driver/figures.go
@@ -17,6 +17,7 @@
 	success, overload, failed     []*metrics.Counter // by class
 	dispatches                    *metrics.Counter   // relays whose request was written whole
 	concurrent, targets, disabled atomic.Int64
+	more                          atomic.Pointer[[]byte] // of the fleet, as last written; nil where nothing is shared
 }
 
 var labelValue = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
@@ -57,5 +58,8 @@
 func (f *figures) text() []byte {
 	var b bytes.Buffer
 	f.set.WritePrometheus(&b)
+	if more := f.more.Load(); more != nil {
+		b.Write(*more)
+	}
 	return b.Bytes()
 }
--- /dev/null
+++ b/internal/driver/share.go
@@ -0,0 +1,98 @@
+package driver
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"granitewing/internal/fleet/ledger"
+	"granitewing/logic"
+)
+
+// Peers carries reports between the dispatchers of a fleet. Neither call waits for one.
+type Peers interface {
+	Tell(*ledger.Report)
+	Take() ledger.Heard
+}
+
+// Sharing has the driver tell the other dispatchers of a fleet what it holds, and hear what they do.
+type Sharing struct {
+	Peers       Peers
+	Limits      ledger.Limits
+	Every       time.Duration
+	Incarnation uint64
+}
+
+// statusEvery is how many periods apart the figures of the members are written anew.
+const statusEvery = 4
+
+// sharing is the driver's side; it belongs to the owner.
+type sharing struct {
+	Sharing
+	ledger *ledger.Ledger
+	hosts  []logic.WorkerID
+	seq    uint64
+	heard  int // members whose news is believed
+	bad    int
+	there  int
+}
+
+// Share has the driver take part in a fleet; to be called before Run.
+func (d *Driver) Share(s Sharing) {
+	d.sharing = &sharing{Sharing: s, ledger: ledger.New(d.cfg.Name, s.Limits)}
+}
+
+// share takes what has come, tells the decisions and the others, and does so again after the period. It is beside the
+// path of every message: none waits for it.
+func (d *Driver) share() {
+	s, now := d.sharing, d.now()
+	h := s.Peers.Take()
+	s.there, s.bad = h.Members, s.bad+h.Bad
+	s.ledger.Members(h.Members)
+	for _, p := range h.Gone {
+		s.ledger.Gone(p.Name, p.Incarnation)
+	}
+	for _, n := range h.News {
+		s.ledger.Hear(now-time.Since(n.At).Microseconds(), n.Report) // what is refused is counted there
+	}
+	s.hosts = d.core.Numbers(s.hosts[:0])
+	s.heard = s.ledger.Tell(now, s.hosts, d.core)
+	s.seq++
+	s.Peers.Tell(ledger.Of(d.cfg.Name, s.Incarnation, s.seq, now, d.core))
+	if s.seq%statusEvery == 1 {
+		text := s.text(now)
+		d.figures.more.Store(&text)
+	}
+	d.after(s.Every, d.share)
+}
+
+// text is what the door tells of the fleet, in the form of its other figures.
+func (s *sharing) text(now int64) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "router_fleet_members %d\nrouter_fleet_heard %d\nrouter_fleet_reports_sent_total %d\n", s.there, s.heard, s.seq)
+	c := s.ledger.Counts()
+	fmt.Fprintf(&b, "router_fleet_reports_total %d\n", c.Heard)
+	for _, r := range []struct {
+		cause string
+		n     int
+	}{{"old", c.Old}, {"range", c.Range}, {"flood", c.Flood}, {"full", c.Full}, {"self", c.Self}, {"form", s.bad}} {
+		fmt.Fprintf(&b, "router_fleet_refused_total{cause=%q} %d\n", r.cause, r.n)
+	}
+	fmt.Fprintf(&b, "router_fleet_unknown_hosts_total %d\n", c.Strange)
+	peers := s.ledger.Peers()
+	slices.SortFunc(peers, func(a, b ledger.Peer) int { return cmp.Compare(a.Name, b.Name) })
+	for _, p := range peers {
+		state := "heard"
+		switch {
+		case p.Gone:
+			state = "gone"
+		case now-p.At > s.ledger.Believes():
+			state = "silent"
+		}
+		fmt.Fprintf(&b, "router_fleet_news_age_seconds{member=\"%s\",incarnation=\"%d\",state=%q} %.3f\n",
+			labelValue.Replace(p.Name), p.Incarnation, state, float64(now-p.At)/1e6)
+	}
+	return b.Bytes()
+}
--- a/internal/driver/upgrade.go
+++ b/internal/driver/upgrade.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 )
 
 // The next version of the program starts beside this one with the same configuration and shares the clients' address
@@ -40,14 +41,22 @@
 }
 
 func (d *Driver) succeeded() bool {
+	pid, at, ok := d.told()
+	return ok && pid != os.Getpid() && at > d.started.UnixNano()
+}
+
+// Former tells whether the process of this dispatcher that told of its start last still runs; to be called before Run.
+func (d *Driver) Former() bool {
+	pid, _, ok := d.told()
+	return ok && pid > 0 && pid != os.Getpid() && syscall.Kill(pid, 0) == nil
+}
+
+// told reads the process that told of its start last, and when.
+func (d *Driver) told() (pid int, at int64, ok bool) {
 	text, err := os.ReadFile(d.fileOf("start"))
 	if err != nil {
-		return false
-	}
-	var pid int
-	var at int64
-	if _, err := fmt.Sscan(string(text), &pid, &at); err != nil {
-		return false
+		return 0, 0, false
 	}
-	return pid != os.Getpid() && at > d.started.UnixNano()
+	_, err = fmt.Sscan(string(text), &pid, &at)
+	return pid, at, err == nil
 }
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -11,6 +11,7 @@
 	"errors"
 	"math"
 	"slices"
+	"time"
 
 	"granitewing/logic"
 )
@@ -217,6 +218,9 @@
 	return heard
 }
 
+// Believes is for how many microseconds news counts.
+func (l *Ledger) Believes() int64 { return l.limits.Believe }
+
 // Counts tells what was heard and refused.
 func (l *Ledger) Counts() Counts { return l.counts }
 
@@ -238,3 +242,44 @@
 	r.Held, r.Asked = r.Held[:min(len(r.Held), HeldMost)], r.Asked[:min(len(r.Asked), AskedMost)]
 	return r
 }
+
+// ErrInUse tells that another process has the address at which a dispatcher takes part in its fleet.
+var ErrInUse = errors.New("the address is in use")
+
+// News is a report with the time at which it came.
+type News struct {
+	*Report
+	At time.Time
+}
+
+// Process is one process of a dispatcher.
+type Process struct {
+	Name        string
+	Incarnation uint64
+}
+
+// Heard is what membership has brought since it was last asked.
+type Heard struct {
+	News    []News
+	Gone    []Process
+	Members int // others that are there now
+	Bad     int // messages that were no report, or found no room
+}
+
+// Peer is what is known of one sender.
+type Peer struct {
+	Name        string
+	Incarnation uint64
+	At          int64 // of its last report
+	Gone        bool
+}
+
+// Peers lists all senders by name.
+func (l *Ledger) Peers() []Peer {
+	out := make([]Peer, 0, len(l.order))
+	for _, name := range l.order {
+		p := l.peers[name]
+		out = append(out, Peer{name, p.incarnation, p.at, p.gone})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fleet/member/member.go
@@ -0,0 +1,263 @@
+// Package member is who is in a fleet of dispatchers: membership by gossip and failure detection (hashicorp/memberlist),
+// whose own messages carry the dispatchers' reports. It decides nothing; what is heard waits here until it is taken.
+package member
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+
+	"granitewing/internal/fleet/ledger"
+)
+
+// Bounds on what waits to be taken, and times.
+const (
+	waitingMost = 4096            // senders whose latest report waits
+	rejoin      = 3 * time.Second // between looks whether a member named in Join is missing
+	reclaim     = 2 * time.Second // after its failure a name may come back at another address
+	leaveLimit  = time.Second     // for telling the others of an orderly end
+)
+
+// Options say who joins what.
+type Options struct {
+	Name        string // of this dispatcher; none of two live members may have the same
+	Bind        string // address and port of its own, for datagrams and connections
+	Join        []string
+	Label       string // of the fleet: members with another are not heard
+	Incarnation uint64 // of this process: higher than that of any before of its name
+	Log         *slog.Logger
+}
+
+// Fleet is this process's place in the fleet. Its methods may be called by any goroutine and wait for no peer.
+type Fleet struct {
+	o    Options
+	list *memberlist.Memberlist
+	out  chan []byte
+	done chan struct{}
+	wait sync.WaitGroup
+
+	mu       sync.Mutex
+	reports  map[string]ledger.News // the latest of each sender
+	gone     []ledger.Process
+	bad      int // messages that are no report
+	full     int // reports for which there was no room
+	conflict string
+}
+
+// Join takes part in a fleet. Members that can't be reached now are asked again later; a name that a live member has
+// already is an error.
+func Join(o Options) (*Fleet, error) {
+	host, port, err := net.SplitHostPort(o.Bind)
+	if err != nil {
+		return nil, fmt.Errorf("fleet.bind: %w", err)
+	}
+	number, err := strconv.Atoi(port)
+	if err != nil || net.ParseIP(host) == nil {
+		return nil, fmt.Errorf("fleet.bind: %q: want an IP address and a port", o.Bind)
+	}
+	f := &Fleet{o: o, out: make(chan []byte, 1), done: make(chan struct{}), reports: map[string]ledger.News{}}
+	cfg := memberlist.DefaultLANConfig()
+	cfg.Name, cfg.BindAddr, cfg.BindPort, cfg.AdvertiseAddr, cfg.AdvertisePort = o.Name, host, number, host, number
+	cfg.Label, cfg.DeadNodeReclaimTime = o.Label, reclaim
+	cfg.Delegate, cfg.Events, cfg.Conflict = f, f, f
+	cfg.LogOutput = lines{o.Log}
+	if f.list, err = memberlist.Create(cfg); err != nil {
+		if strings.Contains(err.Error(), syscall.EADDRINUSE.Error()) { // the library wraps no cause
+			err = ledger.ErrInUse
+		}
+		return nil, fmt.Errorf("fleet.bind: %s: %w", o.Bind, err)
+	}
+	f.join()
+	if with := f.taken(); with != "" {
+		f.list.Shutdown()
+		return nil, fmt.Errorf("fleet: the name %s is taken by the live member at %s", o.Name, with)
+	}
+	f.wait.Go(f.sending)
+	f.wait.Go(f.rejoining)
+	return f, nil
+}
+
+// join asks the members named that are not known to be there. Each is asked by itself: one that is stalled keeps the
+// others waiting no longer than its own time-out.
+func (f *Fleet) join() {
+	there := map[string]bool{f.o.Bind: true}
+	for _, m := range f.list.Members() {
+		there[m.Address()] = true
+	}
+	var wait sync.WaitGroup
+	for _, addr := range f.o.Join {
+		if there[addr] {
+			continue
+		}
+		wait.Go(func() {
+			if _, err := f.list.Join([]string{addr}); err != nil {
+				f.o.Log.Warn("fleet: a member does not answer; is it up, and of this fleet?", "member", addr, "fleet", f.o.Label, "cause", flat(err))
+			}
+		})
+	}
+	wait.Wait()
+}
+
+// flat is an error in one line.
+func flat(err error) string { return strings.Join(strings.Fields(err.Error()), " ") }
+
+// rejoining finds members again that were given up while links were cut: two halves that can meet again do.
+func (f *Fleet) rejoining() {
+	t := time.NewTicker(rejoin)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			f.join()
+		case <-f.done:
+			return
+		}
+	}
+}
+
+// Tell sends a report to all members. Where the one before is still being sent, it is dropped for this one.
+func (f *Fleet) Tell(r *ledger.Report) {
+	b := ledger.Append(nil, r)
+	for {
+		select {
+		case f.out <- b:
+			return
+		default:
+			select {
+			case <-f.out:
+			default:
+			}
+		}
+	}
+}
+
+func (f *Fleet) sending() {
+	for {
+		select {
+		case b := <-f.out:
+			for _, m := range f.list.Members() {
+				if m.Name != f.o.Name {
+					f.list.SendBestEffort(m, b) // a datagram: what is lost is told anew with the next
+				}
+			}
+		case <-f.done:
+			return
+		}
+	}
+}
+
+// Take gives what was heard since the last call.
+func (f *Fleet) Take() ledger.Heard {
+	members := f.list.NumMembers() - 1
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h := ledger.Heard{Members: members, Gone: f.gone, Bad: f.bad + f.full}
+	for _, n := range f.reports {
+		h.News = append(h.News, n)
+	}
+	clear(f.reports)
+	f.gone, f.bad, f.full = nil, 0, 0
+	slices.SortFunc(h.News, func(a, b ledger.News) int { return strings.Compare(a.From, b.From) })
+	return h
+}
+
+// Leave tells the others of an orderly end and closes all.
+func (f *Fleet) Leave() {
+	close(f.done)
+	f.wait.Wait()
+	if err := f.list.Leave(leaveLimit); err != nil {
+		f.o.Log.Warn("fleet: the others were not told of the end", "cause", flat(err))
+	}
+	f.list.Shutdown()
+}
+
+func (f *Fleet) taken() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.conflict
+}
+
+// ---- What the library calls ----
+
+// NodeMeta implements memberlist.Delegate.
+func (f *Fleet) NodeMeta(int) []byte { return binary.BigEndian.AppendUint64(nil, f.o.Incarnation) }
+
+// NotifyMsg implements memberlist.Delegate: a report has come.
+func (f *Fleet) NotifyMsg(b []byte) {
+	r, err := ledger.Parse(b)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err != nil {
+		f.bad++
+		return
+	}
+	if old, waits := f.reports[r.From]; waits && (old.Incarnation > r.Incarnation || old.Incarnation == r.Incarnation && old.Seq >= r.Seq) {
+		return
+	} else if !waits && len(f.reports) >= waitingMost {
+		f.full++
+		return
+	}
+	f.reports[r.From] = ledger.News{Report: r, At: time.Now()}
+}
+
+// GetBroadcasts implements memberlist.Delegate.
+func (f *Fleet) GetBroadcasts(int, int) [][]byte { return nil }
+
+// LocalState implements memberlist.Delegate.
+func (f *Fleet) LocalState(bool) []byte { return nil }
+
+// MergeRemoteState implements memberlist.Delegate.
+func (f *Fleet) MergeRemoteState([]byte, bool) {}
+
+// NotifyJoin implements memberlist.EventDelegate.
+func (f *Fleet) NotifyJoin(n *memberlist.Node) {
+	f.o.Log.Info("fleet: member", "member", n.Name, "addr", n.Address())
+}
+
+// NotifyUpdate implements memberlist.EventDelegate.
+func (f *Fleet) NotifyUpdate(*memberlist.Node) {}
+
+// NotifyLeave implements memberlist.EventDelegate: it ended, or was given up.
+func (f *Fleet) NotifyLeave(n *memberlist.Node) {
+	f.o.Log.Info("fleet: member gone", "member", n.Name, "addr", n.Address())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(n.Meta) == 8 && len(f.gone) < waitingMost {
+		f.gone = append(f.gone, ledger.Process{Name: n.Name, Incarnation: binary.BigEndian.Uint64(n.Meta)})
+	}
+}
+
+// NotifyConflict implements memberlist.ConflictDelegate.
+func (f *Fleet) NotifyConflict(existing, other *memberlist.Node) {
+	f.o.Log.Error("fleet: two members of one name", "member", existing.Name, "addr", existing.Address(), "other", other.Address())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if existing.Name == f.o.Name {
+		f.conflict = other.Address()
+	}
+}
+
+// lines brings the library's own log into the program's. What it says of peers that come and go is said here already.
+type lines struct{ log *slog.Logger }
+
+func (l lines) Write(b []byte) (int, error) {
+	text := strings.TrimSpace(string(b))
+	if _, after, ok := strings.Cut(text, "[ERR] "); ok {
+		l.log.Warn("fleet", "cause", after)
+	} else {
+		l.log.Debug("fleet", "cause", text)
+	}
+	return len(b), nil
+}
+
+var _ io.Writer = lines{}
--- a/internal/lab/experiment/play.go
+++ b/internal/lab/experiment/play.go
@@ -10,10 +10,12 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -95,6 +97,9 @@
 		defer theatre.store.Close()
 	}
 	var targets []load.Target
+	if theatre.gossip, err = places(day.Dispatchers); err != nil {
+		return nil, err
+	}
 	if err := theatre.startAll(ctx); err != nil {
 		return nil, err
 	}
@@ -219,6 +224,7 @@
 	cpu     []float64
 	starts  uint64
 	over    bool
+	gossip  []string // where each takes part in a fleet
 	store   *pgstandin.Server
 	storeMu sync.Mutex // guards faults
 	faults  pgstandin.Faults
@@ -285,13 +291,46 @@
 	return nil
 }
 
-// own gives a dispatcher's own settings, which name its files by play and number.
+// seedsMost is how many members of a fleet the others are told to join.
+const seedsMost = 3
+
+// places finds an address for each dispatcher's part in a fleet: a loopback address of its own, with a port that is free
+// there for datagrams and connections.
+func places(n int) ([]string, error) {
+	var out []string
+	for i := range n {
+		host := fmt.Sprintf("127.2.%d.%d", (i+1)>>8, (i+1)&0xff)
+		ln, err := net.Listen("tcp", host+":0")
+		if err != nil {
+			return nil, fmt.Errorf("gossip of dispatcher %d: %w", i, err)
+		}
+		addr := ln.Addr().String()
+		u, err := net.ListenPacket("udp", addr)
+		if err != nil {
+			ln.Close()
+			return nil, fmt.Errorf("gossip of dispatcher %d: %w", i, err)
+		}
+		u.Close()
+		ln.Close()
+		out = append(out, addr)
+	}
+	return out, nil
+}
+
+// own gives a dispatcher's own settings, which name its files by play and number, and its place in a fleet.
 func (t *theatre) own(i int) string {
 	text := cmp.Or(t.v.Own, t.day.Own)
 	url := ""
 	if t.store != nil {
 		url = t.store.URL()
 	}
+	if strings.Contains(text, "{gossip}") {
+		seeds := make([]string, min(len(t.gossip), seedsMost))
+		for k := range seeds {
+			seeds[k] = strconv.Quote(t.gossip[k])
+		}
+		text = strings.NewReplacer("{gossip}", t.gossip[i], "{seeds}", strings.Join(seeds, " ")).Replace(text)
+	}
 	return strings.NewReplacer("{dir}", t.s.Dir, "{postgres}", url, "{name}", fmt.Sprintf("%s-%d-n%d", t.v.Name, t.seed, i)).Replace(text)
 }
 
--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -272,8 +272,7 @@
 	}
 }
 
-// Close implements net.Conn: the caller hears of it after all that was written, unless the way back is cut; then it is
-// dropped, as a connection whose other end no longer knows of it.
+// Close implements net.Conn: the caller hears of it after all that was written, once the way back is whole.
 func (c *Conn) Close() error {
 	select {
 	case c.out <- piece{err: io.EOF}:
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -204,6 +204,7 @@
 {{range .Marks}}<div class="note">{{printf "%.1f" .At}} s: {{.Label}}</div>{{end}}
 {{if not .Virtual}}<p class="note">{{.Verdict}}</p>{{end}}
 {{range .Notes}}<p class="note">{{.}}</p>{{end}}
+{{with .Spread}}<p class="note">Use of the hosts, from their own records:</p><pre>{{.}}</pre>{{end}}
 {{with .Audit}}<table><tr><th>rule<th>checked<th>broken{{range .Rules}}<tr><td>{{.Name}}<td>{{.Checked}}<td>{{.Broken}}{{end}}</table>
 {{range .Rules}}{{range .Shown}}<div class="bad">{{.}}</div>{{end}}{{end}}{{end}}
 {{end}}{{end}}</html>
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -59,6 +59,17 @@
 		go d.Door(door)
 		log.Info("door", "addr", door.Addr().String())
 	}
+	if own.Fleet != nil {
+		place, err := joinFleet(cfg, own.Fleet, d, log)
+		if err != nil {
+			return err
+		}
+		// At the signal already: a next process of the name may be there and wait for the place.
+		go func() {
+			<-stop
+			place.Leave()
+		}()
+	}
 	if records != nil {
 		d.Keep(*records)
 		go prune(own.Records, records.Store, log, stop)
--- a/internal/lifecycle/log.go
+++ b/internal/lifecycle/log.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/lmittmann/tint"
@@ -23,6 +24,7 @@
 type Settings struct {
 	Log     LogSettings     `sexp:"log"`
 	Records *RecordSettings `sexp:"record"`
+	Fleet   *FleetSettings  `sexp:"fleet"`
 }
 
 // ReadSettings reads a file that holds one list (granitewing …); no path gives the defaults.
@@ -84,6 +86,11 @@
 		fmt.Fprintf(w, "class %s: wanted within %v plus %g times its work, given up after %v, worth %g, %s\n",
 			c.Name, us(c.Aim), c.Stretch, us(c.Deadline), c.Worth, repeats[c.Repeat])
 	}
+	if own != nil && own.Fleet != nil {
+		f := own.Fleet
+		fmt.Fprintf(w, "fleet %s: member %s at %s, joins %s; tells the others every %v, news counts for %v\n",
+			f.Label, cfg.Name, f.Bind, strings.Join(f.Join, " "), f.Every, f.Believe)
+	}
 	if own == nil || own.Records == nil {
 		return nil
 	}
