--- a/internal/lab/experiment/play.go
+++ b/internal/lab/experiment/play.go
@@ -219,7 +219,7 @@
 	addrs   map[int]string
 	dead    map[int]int64
 	paused  map[int]int64
-	turn    []sync.Mutex // by dispatcher
+	turn    []sync.Mutex        // by dispatcher
 	leaving []*stage.Dispatcher // told to end; another of the name may run already
 	crashes []error
 	cpu     []float64
