Believe a dispatcher again that was given up; put links between dispatchers and clients

Seen: with links between the members of a fleet (the rig had none), every case in which failure detection gave a member up ended with it unheard for good: a zone cut for 10 s, one process stopped for 10 s, one member cut off alone. Two causes, each found by a play of twelve processes:

- ledger.Gone marked a process, and Hear refused every later report of the same process as old.
Only a restart ended that.
Now its news counts for nothing until it says something newer; what it said before stays refused.
- A member that others had given up, and that had not given them up itself, was told by nobody: its pings are answered, and the library compares what two members know every 30 s (150 s at 300).

A member calls from the address it is bound to, and may tell others another one (advertise).

The rig: internal/lab/mesh stands between members, knows each caller by its address, carries datagrams (lost, late, doubled, out of order, cut one way) and connections over a link for each two, and counts them; gates do so for clients. Faults: (link (peers others|all) ..) and (link (clients) ..); (look (at T)) asks all doors in the middle of a play. What a client loses on a link that fails is not held against the dispatcher, as with one that is killed.

--- a/cmd/granitewing-fleet/main.go
+++ b/cmd/granitewing-fleet/main.go
@@ -12,7 +12,7 @@
 
 func main() {
 	lifecycle.JoinFleet = func(f *lifecycle.FleetSettings, name string, incarnation uint64, log *slog.Logger) (lifecycle.Peers, error) {
-		peers, err := member.Join(member.Options{Name: name, Bind: f.Bind, Join: f.Join, Label: f.Label, Incarnation: incarnation, Log: log})
+		peers, err := member.Join(member.Options{Name: name, Bind: f.Bind, Advertise: f.Advertise, Join: f.Join, Label: f.Label, Incarnation: incarnation, Log: log})
 		if err != nil {
 			return nil, err
 		}
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -108,7 +108,7 @@
 	case r.From == l.self || r.From == "":
 		l.counts.Self++
 		return ErrSelf
-	case p != nil && (r.Incarnation < p.incarnation || r.Incarnation == p.incarnation && (r.Seq <= p.seq || p.gone)):
+	case p != nil && now-p.at <= forgetAfter*l.limits.Believe && (r.Incarnation < p.incarnation || r.Incarnation == p.incarnation && r.Seq <= p.seq):
 		l.counts.Old++
 		return ErrOld
 	case !inRange(r):
@@ -141,8 +141,8 @@
 		!slices.ContainsFunc(r.Asked, func(a Asked) bool { return !fine(a.Load, loadMost) })
 }
 
-// forgetAfter is how many times Believe a silent peer's incarnation is remembered, so that its old news stays refused,
-// before its place may go to another.
+// forgetAfter is how many times Believe a silent peer's incarnation is remembered, so that its old news stays refused. No
+// datagram is on its way for so long; after that its place may go to another, and it may come back with a clock set back.
 const forgetAfter = 30
 
 // room makes a place by forgetting the peer that has been silent longest.
@@ -162,8 +162,8 @@
 	return true
 }
 
-// Gone says that membership has given a peer's process up: its work ended with it, and what still comes of that process is
-// refused.
+// Gone says that membership has given a peer's process up: what it has counts for nothing. Membership may be wrong, of one
+// that stood still or was cut off; so later news of that process counts again, and what it said before stays refused.
 func (l *Ledger) Gone(name string, incarnation uint64) {
 	if p := l.peers[name]; p != nil && p.incarnation <= incarnation {
 		*p = peer{incarnation: incarnation, seq: p.seq, at: p.at, gone: true}
--- a/internal/lab/emulate/emulate.go
+++ b/internal/lab/emulate/emulate.go
@@ -232,22 +232,28 @@
 	e.rearm()
 }
 
-// suffer has the links between some dispatchers and hosts, or discovery, suffer what an operation says, or makes them whole.
-func (e *Emulator) suffer(op world.Op) {
-	l := op.Link
-	var f link.Faults
-	if op.On {
-		to, from := l.Way != "from", l.Way != "to"
-		way := func(on bool) link.Way {
-			return link.Way{Cut: on && l.Manner == "silent", Half: on && l.Manner == "half", Delay: map[bool]time.Duration{true: l.Delay}[on]}
-		}
-		f = link.Faults{To: way(to), From: way(from), Refuse: l.Manner == "reset"}
+// FaultsOf is what the links of an operation suffer from it, none once it is over.
+func FaultsOf(op world.Op) link.Faults {
+	if !op.On {
+		return link.Faults{}
 	}
-	set := func(l *link.Link) {
-		if l.Set(f); f.Refuse {
-			l.Reset()
+	l := op.Link
+	way := func(on bool) link.Way {
+		switch {
+		case !on:
+			return link.Way{}
+		case l.Manner == "late":
+			return link.Way{Delay: l.Delay, Spread: l.Spread, Loss: l.Loss, Twice: l.Twice}
 		}
+		return link.Way{Cut: l.Manner == "silent", Half: l.Manner == "half"}
 	}
+	return link.Faults{To: way(l.Way != "from"), From: way(l.Way != "to"), Refuse: l.Manner == "reset"}
+}
+
+// suffer has the links between some dispatchers and hosts, or discovery, suffer what an operation says, or makes them whole.
+func (e *Emulator) suffer(op world.Op) {
+	l, f := op.Link, FaultsOf(op)
+	set := func(l *link.Link) { l.Suffer(f) }
 	for _, d := range op.Dispatchers {
 		if l.Discovery {
 			set(&e.discovery[d].link)
--- /dev/null
+++ b/internal/lab/experiment/peers.go
@@ -0,0 +1,131 @@
+package experiment
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"granitewing/internal/lab/emulate"
+	"granitewing/internal/lab/link"
+	"granitewing/internal/lab/mesh"
+	"granitewing/internal/lab/world"
+)
+
+// disturbs says whether a day has operations of a kind.
+func (t *theatre) disturbs(kind world.OpKind) bool {
+	return slices.ContainsFunc(t.day.Ops, func(o world.Op) bool { return o.Kind == kind })
+}
+
+func (t *theatre) disturbsClients() bool { return t.disturbs(world.OpClients) }
+
+// connect stands the mesh between the dispatchers, where their settings tell others the mesh's address of them.
+func (t *theatre) connect() (err error) {
+	own := cmp.Or(t.v.Own, t.day.Own)
+	switch shares := strings.Contains(own, "{gossip}"); {
+	case strings.Contains(own, "{told}"):
+		t.mesh, err = mesh.Open(t.gossip, t.seed)
+	case shares && t.disturbs(world.OpPeers):
+		err = fmt.Errorf("variant %s: the links between dispatchers fail in this day, but its settings do not have them go over the rig's: they want (advertise \"{told}\")", t.v.Name)
+	}
+	return err
+}
+
+// gate stands between the clients and a dispatcher, and says where it is.
+func (t *theatre) gate(i int) (string, error) {
+	path := &link.Link{}
+	g, err := mesh.OpenGate("127.0.0.1:0", t.addrs[i], path)
+	if err != nil {
+		return "", fmt.Errorf("clients of dispatcher %d: %w", i, err)
+	}
+	t.fronts, t.paths = append(t.fronts, g), append(t.paths, path)
+	return g.Addr(), nil
+}
+
+// part has links of dispatchers with each other, or with clients, suffer what an operation says. Towards the dispatchers
+// named is what clients send to them; between dispatchers, to is what the others say to those named.
+func (t *theatre) part(op world.Op) {
+	f := emulate.FaultsOf(op)
+	if op.Kind == world.OpClients {
+		now := time.Since(t.fleet.Start()).Microseconds()
+		for _, d := range op.Dispatchers {
+			t.mu.Lock()
+			if from, suffers := t.parted[d]; suffers {
+				t.log.Killed(d, from, now) // what a client lost on its way is not held against the dispatcher
+				delete(t.parted, d)
+			}
+			if op.On {
+				t.parted[d] = now
+			}
+			t.mu.Unlock()
+			t.paths[d].Suffer(f)
+		}
+		return
+	}
+	if t.mesh == nil {
+		return // they share nothing, and so nothing is between them
+	}
+	for _, d := range op.Dispatchers {
+		for _, o := range op.Others {
+			if o == d || o < d && slices.Contains(op.Dispatchers, o) {
+				continue // those both named have one link, and it suffers once
+			}
+			t.mesh.Set(o, d, f)
+		}
+	}
+}
+
+// look asks all doors at once.
+func (t *theatre) look(op world.Op) {
+	t.looking.Add(1)
+	defer t.looking.Done()
+	l := Look{At: op.At.Seconds(), Figures: make([]map[string]float64, t.day.Dispatchers)}
+	t.mu.Lock()
+	var wait sync.WaitGroup
+	for i, d := range t.running {
+		wait.Go(func() {
+			f, err := d.Figures()
+			if err != nil {
+				return // it stands still, or ends just now
+			}
+			for name := range f {
+				if strings.Contains(name, "{member=") {
+					delete(f, name) // as many as there are pairs
+				}
+			}
+			l.Figures[i] = f
+		})
+	}
+	t.mu.Unlock()
+	wait.Wait()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.looks = append(t.looks, l)
+}
+
+// looked gives what the doors have told, by time.
+func (t *theatre) looked() []Look {
+	t.looking.Wait()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	slices.SortFunc(t.looks, func(a, b Look) int { return cmp.Compare(a.At, b.At) })
+	return t.looks
+}
+
+// talk tells what went over the mesh since the start.
+func (t *theatre) talk(since time.Duration) *Talk {
+	if t.mesh == nil {
+		return nil
+	}
+	out := &Talk{}
+	per := 1 / (since.Seconds() * float64(t.day.Dispatchers))
+	for i := range t.day.Dispatchers {
+		datagrams, bytes, lost := t.mesh.Sent(i)
+		out.Datagrams += float64(datagrams) * per
+		out.Bytes += float64(bytes) * per
+		out.Lost += float64(lost) * per
+	}
+	return out
+}
--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -15,6 +15,11 @@
 	Cut   bool          // they wait until the link is whole again, as in a network that sends them once more
 	Half  bool          // the next piece comes half, then the way is cut
 	Delay time.Duration // they come so much later
+
+	// Of datagrams alone; a connection sends anew what is lost, and keeps its order.
+	Loss   float64       // share that does not come
+	Twice  float64       // share that comes twice
+	Spread time.Duration // they come up to so much later still, each by itself, and so out of order
 }
 
 // Faults are what a link suffers.
@@ -49,6 +54,13 @@
 	l.change = make(chan struct{})
 }
 
+// Suffer is Set, and resets what is open where the link refuses.
+func (l *Link) Suffer(f Faults) {
+	if l.Set(f); f.Refuse {
+		l.Reset()
+	}
+}
+
 // Faults tells what the link suffers.
 func (l *Link) Faults() Faults {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/lab/mesh/mesh_test.go
@@ -0,0 +1,204 @@
+package mesh
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"granitewing/internal/lab/link"
+)
+
+const bound = 10 * time.Second // a test that waits so long has failed
+
+// member is one that binds to an address of its own, as dispatchers do.
+type member struct {
+	udp *net.UDPConn
+	tcp *net.TCPListener
+}
+
+// two are two members with a mesh between them.
+func two(t *testing.T) (*Mesh, [2]member) {
+	t.Helper()
+	var members [2]member
+	var places []string
+	for i := range members {
+		ip := net.IPv4(127, 2, 9, byte(i+1))
+		tcp, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: ip})
+		if err != nil {
+			t.Fatal(err)
+		}
+		udp, err := net.ListenUDP("udp4", &net.UDPAddr{IP: ip, Port: tcp.Addr().(*net.TCPAddr).Port})
+		if err != nil {
+			t.Fatal(err)
+		}
+		members[i] = member{udp, tcp}
+		places = append(places, tcp.Addr().String())
+		t.Cleanup(func() { tcp.Close(); udp.Close() })
+	}
+	m, err := Open(places, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(m.Close)
+	return m, members
+}
+
+// say has a member send a datagram to where the other is told to be.
+func (m member) say(t *testing.T, mesh *Mesh, to int, text string) {
+	t.Helper()
+	addr, err := net.ResolveUDPAddr("udp4", mesh.Addr(to))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := m.udp.WriteToUDP([]byte(text), addr); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// hear gives the next datagram.
+func (m member) hear(t *testing.T) string {
+	t.Helper()
+	m.udp.SetReadDeadline(time.Now().Add(bound))
+	b := make([]byte, 100)
+	n, err := m.udp.Read(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b[:n])
+}
+
+// Datagrams suffer what the link says: those that are cut or lost never come, so that the next one sent is the next heard.
+func TestDatagrams(t *testing.T) {
+	m, who := two(t)
+	heard := func(to int, want string) {
+		t.Helper()
+		if got := who[to].hear(t); got != want {
+			t.Errorf("heard %q, want %q", got, want)
+		}
+	}
+	cut := link.Way{Cut: true}
+	for _, f := range []link.Faults{{To: cut}, {To: link.Way{Loss: 1}}, {To: link.Way{Half: true}}, {Refuse: true}} {
+		m.Set(0, 1, f)
+		who[0].say(t, m, 1, "lost")
+		for _, _, lost := m.Sent(0); lost == 0; _, _, lost = m.Sent(0) {
+		}
+		if !f.Refuse {
+			who[1].say(t, m, 0, "back") // that way is whole
+			heard(0, "back")
+		}
+		m.Set(0, 1, link.Faults{})
+		who[0].say(t, m, 1, "whole")
+		heard(1, "whole")
+		m.seats[0].sent.Lost.Store(0)
+	}
+	m.Set(1, 0, link.Faults{From: link.Way{Twice: 1}}) // from the other end's view
+	who[0].say(t, m, 1, "twice")
+	heard(1, "twice")
+	heard(1, "twice")
+	// What is spread over time comes in another order sooner or later.
+	m.Set(0, 1, link.Faults{To: link.Way{Spread: 20 * time.Millisecond}})
+	for round := range 20 {
+		for i := range 10 {
+			who[0].say(t, m, 1, fmt.Sprint(round, i))
+		}
+		turned, last := false, ""
+		for range 10 {
+			got := who[1].hear(t)
+			turned = turned || got < last
+			last = got
+		}
+		if turned {
+			return
+		}
+	}
+	t.Error("all came in order")
+}
+
+// Connections go over the link of those two, whoever opened them, and a caller whose way is cut reaches nobody.
+func TestConnections(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	m, who := two(t)
+	defer m.Close()
+	m.Set(1, 0, link.Faults{To: link.Way{Cut: true}})
+	call := func(from, to int) net.Conn {
+		t.Helper()
+		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: who[from].tcp.Addr().(*net.TCPAddr).IP}}
+		c, err := d.Dial("tcp", m.Addr(to))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(bound))
+		return c
+	}
+	a, b := call(0, 1), call(1, 0)
+	defer a.Close()
+	defer b.Close()
+	for _, c := range []net.Conn{a, b} {
+		if _, err := c.Write([]byte("in")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// 0 reaches 1, whose answer waits; 1 does not reach 0.
+	at1, err := who[1].tcp.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer at1.Close()
+	at1.SetDeadline(time.Now().Add(bound))
+	b2 := make([]byte, 2)
+	if _, err := io.ReadFull(at1, b2); err != nil || string(b2) != "in" {
+		t.Fatalf("%q, %v", b2, err)
+	}
+	at1.Write([]byte("no"))
+	a.SetReadDeadline(time.Now().Add(30 * time.Millisecond))
+	if _, err := a.Read(b2); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("%v over a way that is cut", err)
+	}
+	who[0].tcp.SetDeadline(time.Now().Add(30 * time.Millisecond))
+	if c, err := who[0].tcp.Accept(); err == nil {
+		c.Close()
+		t.Error("a caller whose way is cut was accepted")
+	}
+	m.Set(0, 1, link.Faults{})
+	a.SetReadDeadline(time.Now().Add(bound))
+	if _, err := io.ReadFull(a, b2); err != nil || string(b2) != "no" {
+		t.Errorf("%q, %v once the way is whole", b2, err)
+	}
+	who[0].tcp.SetDeadline(time.Now().Add(bound))
+	at0, err := who[0].tcp.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Its end comes through, as does a reset.
+	at0.Close()
+	if _, err := b.Read(b2); err == nil {
+		t.Error("a connection that the place has closed goes on")
+	}
+	m.Set(0, 1, link.Faults{Refuse: true})
+	if _, err := a.Read(b2); err == nil {
+		t.Error("a connection goes on over a link that resets")
+	}
+}
+
+// Only members are carried.
+func TestStrangers(t *testing.T) {
+	m, _ := two(t)
+	c, err := net.Dial("tcp", m.Addr(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(bound))
+	if _, err := c.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a stranger's connection: %v", err)
+	}
+	if _, err := Open([]string{"127.2.9.9:1", "127.2.9.9:2"}, 1); err == nil {
+		t.Error("two members of one address were taken")
+	}
+}
--- a/internal/lifecycle/fleet.go
+++ b/internal/lifecycle/fleet.go
@@ -16,13 +16,14 @@
 
 // FleetSettings have a dispatcher take part in a fleet whose members tell each other what they hold.
 type FleetSettings struct {
-	Label   string        `sexp:"label,required"`              // of the fleet; members with another are not heard
-	Bind    string        `sexp:"bind,required"`               // address and port of this member's own
-	Join    []string      `sexp:"join"`                        // members to ask at the start, and again while they are missing
-	Every   time.Duration `sexp:"every" min:"0.02" max:"10"`   // between reports
-	Believe time.Duration `sexp:"believe" min:"0.05" max:"60"` // news past this age counts for nothing
-	Quorum  float64       `sexp:"quorum" min:"0" max:"1"`      // share of the members that must be heard for anything to count
-	Where   settings.Pos  `sexp:",pos"`
+	Label     string        `sexp:"label,required"`              // of the fleet; members with another are not heard
+	Bind      string        `sexp:"bind,required"`               // address and port of this member's own
+	Advertise string        `sexp:"advertise"`                   // where the others reach it, if that is not bind
+	Join      []string      `sexp:"join"`                        // members to ask at the start, and again while they are missing
+	Every     time.Duration `sexp:"every" min:"0.02" max:"10"`   // between reports
+	Believe   time.Duration `sexp:"believe" min:"0.05" max:"60"` // news past this age counts for nothing
+	Quorum    float64       `sexp:"quorum" min:"0" max:"1"`      // share of the members that must be heard for anything to count
+	Where     settings.Pos  `sexp:",pos"`
 }
 
 // SetDefaults implements settings.Defaulter.
@@ -38,6 +39,9 @@
 	if host, _, err := net.SplitHostPort(f.Bind); err != nil || net.ParseIP(host) == nil {
 		return at("bind", "%q: want an IP address and a port", f.Bind)
 	}
+	if host, _, err := net.SplitHostPort(f.Advertise); f.Advertise != "" && (err != nil || net.ParseIP(host) == nil || net.ParseIP(host).IsUnspecified()) {
+		return at("advertise", "%q: want an IP address that others can call, and a port", f.Advertise)
+	}
 	for _, j := range f.Join {
 		if host, _, err := net.SplitHostPort(j); err != nil || net.ParseIP(host) == nil {
 			return at("join", "%q: want an IP address and a port", j)
