--- a/internal/lab/emulate/emulate.go
+++ b/internal/lab/emulate/emulate.go
@@ -53,6 +53,7 @@
 	ports   []*port // by dispatcher
 	ln      net.Listener
 	tcp     int // its port, the same at all addresses
+	hold    int // while it does not listen, a socket that keeps the port from others; 0 for none
 	streams map[uint64]*stream
 	timer   *time.Timer
 	up      bool // it has joined and not stopped
@@ -316,6 +317,7 @@
 			h.timer.Stop()
 		}
 		h.shut()
+		h.release()
 	}
 	for _, d := range e.discovery {
 		d.ln.Close()
@@ -364,6 +366,7 @@
 
 // open listens, at the port of before where there was one: discovery's list names it.
 func (h *host) open() error {
+	h.release()
 	ln, err := loopback.Listen(context.Background(), "tcp4", fmt.Sprintf("0.0.0.0:%d", h.tcp))
 	if err != nil {
 		return fmt.Errorf("host %s: %w", h.m.Name, err)
@@ -374,9 +377,29 @@
 }
 
 func (h *host) shut() {
-	if h.ln != nil {
-		h.ln.Close()
-		h.ln = nil
+	if h.ln == nil {
+		return
+	}
+	h.ln.Close()
+	h.ln = nil
+	// A socket that is bound and does not listen: calls are refused, and no other program is given the port meanwhile.
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return
+	}
+	syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1) // its old connections may still be closing
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Port: h.tcp}); err != nil {
+		syscall.Close(fd)
+		return
+	}
+	h.hold = fd
+}
+
+// release gives the port back to its host.
+func (h *host) release() {
+	if h.hold > 0 {
+		syscall.Close(h.hold)
+		h.hold = 0
 	}
 }
 
