List in fleet status those that tell this dispatcher now

Seen with 20 processes: a member's list had a dozen that were silent for 12 s though all were there, since they had told it in the first seconds only, before each knew all the members. One that has moved to another hub, or that has been silent for five times the age to which news is believed, is left out; who is there is the number of members.

--- a/internal/driver/share.go
+++ b/internal/driver/share.go
@@ -28,6 +28,9 @@
 // statusEvery is how many periods apart the figures of the members are written anew.
 const statusEvery = 4
 
+// toldFor is for how many times the age to which news is believed a silent sender is listed.
+const toldFor = 5
+
 // sharing is the driver's side; it belongs to the owner.
 type sharing struct {
 	Sharing
@@ -89,6 +92,8 @@
 	for _, p := range peers {
 		state := "heard"
 		switch {
+		case !p.Gone && now-p.At > toldFor*s.ledger.Believes():
+			continue // it tells another hub, or its end was not seen; who is there is told by the number of members
 		case p.Gone:
 			state = "gone"
 		case now-p.At > s.ledger.Believes():
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -122,7 +122,7 @@
 	age              int64
 	incarnation, seq uint64
 	at               int64
-	gone             bool
+	gone, moved      bool
 	held             []Held
 	asked            []Asked
 }
@@ -177,7 +177,9 @@
 	case Own:
 		p.members, p.age = 1, 0
 	case Moved:
-		*p = peer{incarnation: r.Incarnation, seq: r.Seq, at: now, gone: true}
+		*p = peer{incarnation: r.Incarnation, seq: r.Seq, at: now, gone: true, moved: true}
+	case Group:
+		p.moved = r.Members == 0 // it is a hub no more
 	}
 	l.counts.Heard++
 	return nil
@@ -350,11 +352,14 @@
 	Gone        bool
 }
 
-// Peers lists all senders by name.
+// Peers lists all senders but those that tell another hub now.
 func (l *Ledger) Peers() []Peer {
 	out := make([]Peer, 0, len(l.order))
 	for _, key := range l.order {
 		p := l.peers[key]
+		if p.moved {
+			continue
+		}
 		out = append(out, Peer{p.members, key.name, p.incarnation, p.at, p.gone})
 	}
 	return out
