Believe a sum of the rest from the hub that was told alone

Seen in the read of the change: any member that claimed to speak for more dispatchers than were heard directly took the place of all other news. A sum of the rest counts now only from this dispatcher's hub or the one before it; seen to fail without it (n0 hears 10000).

--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -238,8 +238,8 @@
 	HeardDemand(set uint64, load float64, until int64)
 }
 
-// believed gives those whose news counts now: this dispatcher's own sources, or the sum of all the rest that a hub has
-// told last, whichever speaks for more.
+// believed gives those whose news counts now: this dispatcher's own sources, or the sum of all the rest that its hub, or the
+// one before, has told last, whichever speaks for more. Of others that claim to speak for the rest nothing is believed.
 func (l *Ledger) believed(now int64) (from []*peer, members int) {
 	var rest *peer
 	for _, key := range l.order {
@@ -248,6 +248,7 @@
 		case p.gone || now-p.at > l.limits.Believe:
 		case key.kind != Rest:
 			from, members = append(from, p), members+p.members
+		case key.name != l.hub && key.name != l.left:
 		case rest == nil || p.at >= rest.at:
 			rest = p
 		}
