Split the decision module by subject and read estimates of the fleet's news beside its own

Job.Price, Scheduler.Weighed and Waits are read only where a price is given, so a dispatcher without a fleet decides as before.

--- a/logic/api.go
+++ b/logic/api.go
@@ -110,6 +110,8 @@
 	ConnectTimeout int64 // a connection that is not up by then counts as failed
 	ConnIdle       int64 // workers close a connection that stood idle for so long
 	MaxOpen        int   // jobs held at once; 0 = no limit
+	Pushed         bool  // the list of workers counts as told at once, whether it was asked for or not
+	AskWithin      int64 // without a subscription a list holds for so long after it was asked for; 0 = without end
 }
 
 // Phase is what the list says of a worker.
@@ -155,6 +157,8 @@
 	Memory   float64 // memory units it takes
 	Deadline int64   // when the client gives up
 	Repeated bool    // the client has tried before
+	Share    float64 // of its worth that it earns, where the limits of a whole fleet have decided that; 0 = they have not
+	Price    float64 // worth of the work on one slot in a second that the fleet could do in its place; 0 = it has room
 }
 
 // Result says how an attempt ended.
--- /dev/null
+++ b/logic/backlog.go
@@ -0,0 +1,123 @@
+package logic
+
+import "math"
+
+// A worker's u: own outstanding work and what is seen and told of the others' (DESIGN, per-worker state; under strain).
+
+const (
+	slotsFade = 0.9995    // fade of the most free slots seen at a kind, for each report
+	sightSpan = 2.5       // running times over which a sighting fades: a queue outlives the jobs in it
+	seenGain  = 0.1       // weight of one sighting in the mean backlog of a kind or zone
+	seenFirst = 0.3       // that mean before any sighting, in running times: somewhat over half busy
+	newsSpan  = 2_000_000 // us for which what the other schedulers tell counts as seeing the whole
+)
+
+// backlog is u: own outstanding work and an estimate of the others', which returns from what was last seen to the mean
+// as jobs turn over.
+func (s *Scheduler) backlog(w *worker) float64 {
+	own := w.own * w.drain
+	n := float64(s.cfg.Schedulers)
+	if n < 2 {
+		return own
+	}
+	run := w.pace * s.meanWork
+	k, z := &s.kinds[w.info.Kind], &s.zones[w.info.Zone]
+	mean := max(k.seen+z.seen-s.seen, 0) * run * s.leaning(w)
+	if w.bgAt == 0 {
+		return own + mean
+	}
+	t := seconds(s.now-w.bgAt) / max(sightSpan*run, 0.05)
+	return own + mean + (w.bg-mean)/(1+t+t*t/2)
+}
+
+// leaning is how much longer a worker's queue is taken to be for this scheduler's own choices of late. What draws it to a
+// worker draws all that hold the same list; one that had more than its part of this one's jobs had more of theirs too.
+func (s *Scheduler) leaning(w *worker) float64 {
+	if s.cfg.Schedulers <= fewSeers || s.perWorker <= 0 {
+		return 1
+	}
+	fair := s.rate * rateSpan * s.slotsOf(w) / w.pace / (s.perWorker * float64(len(s.ready)))
+	m := (w.sent*math.Exp(-seconds(s.now-w.sentAt)/rateSpan) + 1) / (fair + 1)
+	return m * m
+}
+
+// learnStart learns from the time between sending and start: the way there when it was short, and the worker's backlog
+// when it was not.
+func (s *Scheduler) learnStart(w *worker, delay float64) {
+	b := &s.base[w.info.Zone]
+	if delay < *b {
+		*b += (delay - *b) * 0.3
+	} else {
+		*b += (min(delay, 2**b) - *b) * 0.02
+	}
+	wait := max(delay-1.5**b-seconds(s.cfg.Resolution), 0)
+	s.waits += (wait - s.waits) * 0.05
+	if wait == 0 {
+		s.seeOthers(w, w.slack*0.7)
+	} else {
+		s.seeOthers(w, w.slack+s.rho*wait)
+	}
+}
+
+// seeOthers notes a backlog seen at a worker; what is this scheduler's own is taken off. The means by kind and by zone are what a worker not lately seen is taken to hold. They guard against a herd: all
+// schedulers know the fast kind, and would all choose it were its queue not expected to be longer for that reason.
+func (s *Scheduler) seeOthers(w *worker, u float64) {
+	w.bg, w.bgAt = max(u-w.own*w.drain, 0), s.now
+	v := w.bg / max(w.pace*s.meanWork, 1e-3)
+	for _, m := range [...]*float64{&s.kinds[w.info.Kind].seen, &s.zones[w.info.Zone].seen, &s.seen} {
+		*m += (v - *m) * seenGain
+	}
+}
+
+// Heard takes slot-work that the other schedulers have at a worker, as of a time: a sighting like those of its own.
+func (s *Scheduler) Heard(now int64, id WorkerID, work float64, at int64) {
+	s.now = max(s.now, now)
+	if i, ok := s.byID[id]; ok && at >= s.workers[i].bgAt {
+		w := &s.workers[i]
+		s.derive(w)
+		s.seeOthers(w, (w.own+work)*w.drain)
+		w.bgAt = min(at, s.now)
+		s.heardTill = w.bgAt + newsSpan
+	}
+}
+
+// HeardDemand takes the slots a second for which the others are asked with a data set, believed until a time.
+func (s *Scheduler) HeardDemand(key uint64, load float64, until int64) {
+	h := s.home(key)
+	h.told, h.toldTill = load, until
+}
+
+// readReport takes a load report: slots of its kind, and the others' backlog.
+func (s *Scheduler) readReport(w *worker, values []float32) {
+	told := [...]float64{FieldInflight: -1, FieldQueue: -1, FieldService: -1, FieldRate: -1, FieldFreeSlots: -1}
+	for n, v := range values {
+		if f := float64(v); n < len(s.cfg.Reports) && f >= 0 && f <= 1e9 {
+			told[s.cfg.Reports[n]] = f
+		}
+	}
+	free, queue, held := told[FieldFreeSlots], told[FieldQueue], told[FieldInflight]
+	busy := held
+	if service, rate := told[FieldService]/1000, told[FieldRate]; busy < 0 && service >= 0 && rate >= 0 {
+		busy = rate * service
+	}
+	if k := &s.kinds[w.info.Kind]; free > k.slots {
+		k.slots = free
+	} else {
+		k.slots *= slotsFade
+	}
+	slots := s.slotsOf(w)
+	if queue < 0 && held >= 0 {
+		queue = max(held-slots, 0)
+	}
+	if free < 0 && busy >= 0 {
+		free = max(slots-busy, 0)
+	}
+	// A report is as old as its period and delay; half of what was believed stays.
+	u := s.backlog(w)
+	switch {
+	case free >= 0.5:
+		s.seeOthers(w, u/2+tailRoom*w.pace*s.meanWork*max(slots-free, 0)/slots/2)
+	case queue >= 0:
+		s.seeOthers(w, u/2+(w.slack+w.d*(queue+0.5))/2)
+	}
+}
--- /dev/null
+++ b/logic/cold.go
@@ -0,0 +1,47 @@
+package logic
+
+import "math"
+
+// Workers that have just started: how much of their capacity they have, and how much of it may be used.
+
+const (
+	coldSafety = 0.4 // share of what a window allows that is used in a slot
+)
+
+// coldAllows keeps a worker that has just started from being pushed over by the sum of all schedulers, and from more work than
+// it can do. With N the requests of mean work that the settings allow it in a FallWindow, it falls beyond N + 3 root N + 3 of
+// them in any window. Time is cut into slots as long as a window; in each a few schedulers, the same to all by a hash, may send it
+// an equal part of coldSafety N. The first job in a turn may be larger by an equal part of (3 root N + 3) / 2, else jobs larger
+// than a part would go to no cold worker. A few schedulers that each see enough jobs find small ones among them, which a slow
+// worker ends in time. Since a window meets two slots, the sum stays under 2 coldSafety N + 3 root N + 3 whatever comes to whom.
+func (s *Scheduler) coldAllows(w *worker, work float64) bool {
+	if s.warmth(w) >= 1 {
+		return true
+	}
+	k := &s.kinds[w.info.Kind]
+	capacity := min(s.slotsOf(w), max(k.slots, firstSlots)) / max(s.kindPace(k), 1)
+	n := s.cfg.FallMultiple * s.warmth(w) * capacity * seconds(s.cfg.FallWindow) / s.meanWork
+	all := uint64(s.cfg.Schedulers)
+	turns := min(max(uint64(coldSafety*n), 1), all)
+	part := coldSafety * n * s.meanWork / float64(turns)
+	if slot := s.now / s.cfg.FallWindow; w.coldSlot != slot {
+		w.coldSlot, w.coldUsed = slot, 0
+	}
+	if (uint64(s.cfg.Self)+mix(uint64(w.info.ID)<<20^uint64(w.coldSlot)))%all >= turns {
+		return false
+	}
+	more := 0.0
+	if s.cfg.Schedulers > fewSeers {
+		more = (3*math.Sqrt(n) + 3) / 2 * s.meanWork / float64(turns)
+	}
+	return w.coldUsed+work <= part || w.coldUsed == 0 && work <= part+more
+}
+
+// warmth is the share of its capacity that a worker is taken to have. It lags behind time, since work is what warms it.
+func (s *Scheduler) warmth(w *worker) float64 {
+	if s.cfg.Cold <= 0 || w.info.UpSince <= 0 || s.now-w.info.UpSince >= s.cfg.Cold {
+		return 1
+	}
+	x := seconds(max(s.now-w.info.UpSince, 0)) / seconds(s.cfg.Cold)
+	return s.cfg.StartCapacity + (1-s.cfg.StartCapacity)*x*x
+}
--- /dev/null
+++ b/logic/cost.go
@@ -0,0 +1,54 @@
+package logic
+
+import "math"
+
+// The admission cost of a job at a worker (DESIGN, cost of a placement; equation 18).
+
+const (
+	warmGain  = 1.0  // mean jobs that one at a cold worker earns beside its own worth: it is work that warms it
+	ejectCost = 0.95 // chance of failure booked to an ejected worker; shared by all, it cancels out
+	missPrice = 1.0  // mean jobs that a fetch costs beyond its time: it pushes out a set that is asked for again
+)
+
+// lateChance is the paper's 1(u >= tau) averaged over the error of the estimated backlog, taken as a gamma law of shape
+// 2 around it.
+func lateChance(tau, u float64) float64 {
+	if tau <= 0 {
+		return 1
+	}
+	z := 2 * tau / max(u, 1e-6)
+	return (1 + z) * math.Exp(-z)
+}
+
+// cost is the admission cost of a job at a worker in mean jobs' worth, with the chance that the job is late.
+func (s *Scheduler) cost(j *job, w *worker) (total, late float64) {
+	s.derive(w)
+	miss := s.missChance(j, w)
+	fetch := miss * s.fetch
+	c := &s.cfg.Classes[j.class]
+	u := s.backlog(w)
+	run := w.pace*j.work + fetch
+	tau := seconds(j.aimAt-s.now) - s.base[w.info.Zone]*1.5 - run + w.room(j.slots, s.meanWork)
+	late = lateChance(tau, u)
+	x := j.slots * (j.work + fetch/w.pace) / s.meanWork
+	for i, h := range s.weight {
+		q := (w.tau[i] - u) / w.d
+		total += h * (s.table.At(q-x) - s.table.At(q) + w.slope[i]*x)
+	}
+	total += j.worth*max(late*(1-c.LateWorth), s.failChance(w)) + s.crossing(w) + missPrice*miss
+	if s.now < w.ejected {
+		total += ejectCost * j.worth
+	}
+	if s.warmth(w) < 1 {
+		total -= warmGain
+	}
+	return total, late
+}
+
+// crossing is the price of leaving the zone, in mean jobs.
+func (s *Scheduler) crossing(w *worker) float64 {
+	if w.info.Zone == s.cfg.Zone {
+		return 0
+	}
+	return s.cfg.PriceCross
+}
--- /dev/null
+++ b/logic/rules.go
@@ -0,0 +1,100 @@
+package logic
+
+import "slices"
+
+// The rules on repeats, attempts and refusals: every attempt and every refusal passes them.
+
+const (
+	hopeless  = 0.95 // chance of being late beyond which a job is not worth its work
+	sentDoubt = 3.0  // times that lateness counts of a job that can't be refused once it is sent, where its fleet is short
+	crowdFrom = 0.5  // share of attempts that find no free slot from which slow starts are nobody's fault
+)
+
+// mayRepeat guards against a second effect: every attempt, first or further, passes it.
+func (s *Scheduler) mayRepeat(j *job, w *worker) bool {
+	if s.spent(j) || j.done {
+		return false
+	}
+	c := &s.cfg.Classes[j.class]
+	for k := range j.n {
+		a := &j.att[k]
+		if a.out && !s.cfg.MayCopy {
+			return false
+		}
+		if a.never {
+			continue
+		}
+		switch c.Repeat {
+		case RepeatSafe:
+		case RepeatKeyed:
+			if s.now-a.sent > c.Window-4*s.cfg.Resolution || !sameGroup(c.Group, a, w) {
+				return false
+			}
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+func sameGroup(g Group, a *attempt, w *worker) bool {
+	return g == GroupAll || a.zone == w.info.Zone && (g == GroupZone || a.cell == w.info.Cell)
+}
+
+// spent tells whether a job has had all its attempts. What found nobody may not count, but has an end as well.
+func (s *Scheduler) spent(j *job) bool { return j.n-j.free >= s.cfg.MaxAttempts || j.n >= maxTries }
+
+// mayRefuse tells whether 'trying again is harmless' is true of a job.
+func (s *Scheduler) mayRefuse(j *job) bool {
+	c := &s.cfg.Classes[j.class]
+	if c.Repeat == RepeatSafe || c.Repeat == RepeatKeyed && c.Group == GroupAll {
+		return true
+	}
+	return !slices.ContainsFunc(j.att[:j.n], func(a attempt) bool { return !a.never })
+}
+
+// finish gives the final answer that the rules permit and calls off what is still out.
+func (s *Scheduler) finish(i int32) {
+	j := &s.jobs[i]
+	s.settle(j)
+	a := Action{Kind: ActFail, Job: j.id}
+	if s.mayRefuse(j) {
+		a.Kind, a.After = ActRefuse, s.retryAfter()
+	}
+	s.do(a)
+	s.release(i)
+}
+
+// retryAfter tells a client that was refused when to come back: after the wait that jobs see before they start, which
+// is about how long it takes for a place to become free.
+func (s *Scheduler) retryAfter() int64 {
+	return min(max(int64(s.waits*1e6), holdGap), s.cfg.MaxRetryAfter)
+}
+
+// callOff stops waiting for an attempt, which frees what it holds where workers drop cancelled work.
+func (s *Scheduler) callOff(j *job, k int) {
+	a := &j.att[k]
+	if !a.out || a.cancelled || !s.cfg.MayCancel {
+		return
+	}
+	a.cancelled = true
+	s.unload(a)
+	s.do(Action{Kind: ActCancel, Job: j.id, Attempt: k})
+}
+
+// vain tells whether a job so likely late only keeps others waiting. One that can't be refused is failed where most jobs
+// wait, of which each of many schedulers sees a part.
+func (s *Scheduler) vain(j *job, late float64) bool {
+	doubt := late
+	if s.cfg.Classes[j.class].Repeat == RepeatUnsafe {
+		doubt *= sentDoubt
+	}
+	if j.price > 0 && j.n == 0 && j.worth*s.meanWorth*(1-doubt) < j.price*j.work*j.slots {
+		return true // its fleet is short, and does work that is worth more
+	}
+	n := float64(s.cfg.Schedulers)
+	if s.now < s.heardTill {
+		n = 1 // the others' part is seen as well
+	}
+	return late >= hopeless && s.cfg.Classes[j.class].LateWorth <= 0 && (s.mayRefuse(j) || s.crowd*n >= crowdFrom*min(fewSeers, n))
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -1,6 +1,9 @@
 package logic
 
-import "math"
+import (
+	"granitewing/logic/value"
+	"math"
+)
 
 // The records that the decisions in logic.go read and write; nothing is decided here.
 
@@ -30,6 +33,7 @@
 	done, held               bool
 	key                      uint64
 	work, slots, worth       float64
+	price                    float64 // worth of a slot-second that its fleet has no room for
 	free                     int     // attempts that do not count, for they never reached their worker
 	most                     float64 // work that it has by its hint, where that is more than what is expected
 	arrived, deadline, aimAt int64
@@ -58,6 +62,7 @@
 	sentAt         int64
 	tables         uint32  // change of the table that tau and slope are of
 	run, work      float64 // decayed sums of running times and work, for the pace
+	toldRun, told  float64 // the same of other schedulers, as far as they tell
 	paceAt         int64   // when these were last faded
 	bg             float64 // others' backlog as last seen, seconds to drain
 	bgAt           int64
@@ -126,6 +131,7 @@
 	tellsTaken bool // workers have said that they had taken a job
 	askTry     int
 	asked      bool
+	doubt      bool // no worker may be sent anything, whatever the list says
 	started    int64
 	warmup     float64 // share of the rate memory that has been filled since the start
 
@@ -138,7 +144,7 @@
 	meanWorth      float64
 	weight         []float64 // p_c E[H_c] in mean jobs, what a late one loses
 	rho            float64
-	table          *valueTable
+	table          *value.Table
 	tables         uint32 // changes of it
 	refreshed      int64
 	waits          float64 // mean wait seen before a start, seconds
@@ -150,6 +156,44 @@
 	heardTill      int64   // until then the other schedulers' part is seen as well
 	crowd          float64 // share of attempts of late that found no free slot
 	fetch          float64 // time to fetch a data set, seconds
+	weighed        [3]float64
+}
+
+// Doubt takes the news that what the list says may no longer be acted on, or may again. Jobs wait meanwhile, as they do while
+// there is no worker.
+func (s *Scheduler) Doubt(now int64, on bool, out []Action) []Action {
+	s.begin(now, out)
+	s.doubt = on
+	return s.end()
+}
+
+// Verdict takes the word of a fleet that a worker is not to be trusted before a time. It is a cost, as an ejection is, and
+// ends with the next sign of life.
+func (s *Scheduler) Verdict(now int64, id WorkerID, until int64) {
+	s.now = max(s.now, now)
+	if i, ok := s.byID[id]; ok {
+		s.workers[i].ejected = max(s.workers[i].ejected, until)
+	}
+}
+
+// Ran gives the running times and work of this scheduler's own runs at each worker, recent ones weighing most.
+func (s *Scheduler) Ran(now int64, tell func(id WorkerID, run, work float64)) {
+	s.now = max(s.now, now)
+	for i := range s.workers {
+		if w := &s.workers[i]; w.known && w.work > 0 {
+			s.fadePace(w)
+			tell(w.info.ID, w.run, w.work)
+		}
+	}
+}
+
+// HeardRan takes the same of the other schedulers together, in place of what they told before.
+func (s *Scheduler) HeardRan(now int64, id WorkerID, run, work float64) {
+	s.now = max(s.now, now)
+	if i, ok := s.byID[id]; ok {
+		s.fadePace(&s.workers[i])
+		s.workers[i].toldRun, s.workers[i].told = run, work
+	}
 }
 
 // Outstanding gives the slot-work that this scheduler has at each worker where it has any.
@@ -161,6 +205,29 @@
 	}
 }
 
+// Weighed gives what the last job to arrive is taken for: its worth as the settings count it, its slot-work, and for how many
+// seconds it can wait and still be in time.
+func (s *Scheduler) Weighed() (worth, work, slack float64) {
+	return s.weighed[0], s.weighed[1], s.weighed[2]
+}
+
+// Waits gives the slot-work that this scheduler has at workers and that has not begun, and the slot-work a second that all
+// ready workers can do.
+func (s *Scheduler) Waits() (work, capacity float64) {
+	for i := range s.jobs {
+		for _, a := range s.jobs[i].att[:s.jobs[i].n] {
+			if a.out && a.started == 0 && !a.cancelled {
+				work += a.x
+			}
+		}
+	}
+	for _, i := range s.ready {
+		w := &s.workers[i]
+		capacity += s.slotsOf(w) / s.paceOf(w) * s.warmth(w)
+	}
+	return work, capacity
+}
+
 // Demand gives the slots a second for which this scheduler is asked with each data set, as of now. Soon after its start it
 // has seen little, and says so much more for it; but no job alone counts as many.
 func (s *Scheduler) Demand(now int64, tell func(key uint64, load float64)) {
