Run all interleavings of a few goroutines of real code, and keep the list in a package

internal/check runs 2 to 4 goroutines of real code one at a time over all schedules, internal/seam is what the built program uses in its place, internal/latest the bounded place of the newest value.

--- /dev/null
+++ b/internal/check/check_test.go
@@ -0,0 +1,105 @@
+//go:build check
+
+package check
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"granitewing/internal/seam"
+)
+
+// lost is a counter that two goroutines read and write, with a lock between or without.
+func lost(locked bool) Make {
+	return func() ([]func(), func() error) {
+		var mu seam.Mutex
+		n := 0
+		add := func() {
+			if locked {
+				mu.Lock()
+				defer mu.Unlock()
+			}
+			Touch(&n)
+			old := n
+			Touch(&n)
+			n = old + 1
+		}
+		return []func(){add, add}, func() error {
+			if n != 2 {
+				return errors.New("one is lost")
+			}
+			return nil
+		}
+	}
+}
+
+// crossed is two locks taken in two orders.
+func crossed() ([]func(), func() error) {
+	var a, b seam.Mutex
+	take := func(x, y *seam.Mutex) func() {
+		return func() {
+			x.Lock()
+			y.Lock()
+			y.Unlock()
+			x.Unlock()
+		}
+	}
+	return []func(){take(&a, &b), take(&b, &a)}, nil
+}
+
+// What is wrong in some order is found, and the order found shows it again; what is right in all is run in all.
+func TestFinds(t *testing.T) {
+	for name, c := range map[string]struct {
+		make Make
+		want string
+	}{
+		"a lost update":       {lost(false), "one is lost"},
+		"locks in two orders": {crossed, "each waits for another"},
+		"with a lock":         {lost(true), ""},
+	} {
+		r := Run(Default, c.make)
+		t.Logf("%s: %v", name, r)
+		switch {
+		case c.want == "":
+			if r.Err != nil || !r.Whole {
+				t.Errorf("%s: %v", name, r)
+			}
+		case r.Err == nil || !strings.Contains(r.Err.Error(), c.want):
+			t.Errorf("%s: %v, want %s", name, r, c.want)
+		default:
+			if err := Replay(r.Schedule, c.make); err == nil || err.Error() != r.Err.Error() {
+				t.Errorf("%s again: %v", name, err)
+			}
+		}
+	}
+}
+
+// Orders that are alike are run once: of three goroutines that touch things of their own three times, one; of three that
+// touch one thing once each, all six.
+func TestAlike(t *testing.T) {
+	of := func(one bool) Make {
+		return func() ([]func(), func() error) {
+			shared, own := new(int), [3]int{}
+			var out []func()
+			for i := range own {
+				out = append(out, func() {
+					if one {
+						Touch(shared)
+						return
+					}
+					for range 3 {
+						Touch(&own[i])
+					}
+				})
+			}
+			return out, nil
+		}
+	}
+	if r := Run(Default, of(false)); r.Schedules != 1 || !r.Whole {
+		t.Error(r)
+	}
+	if r := Run(Default, of(true)); r.Schedules != 6 || !r.Whole {
+		t.Error(r)
+	}
+}
--- /dev/null
+++ b/internal/inventory/inventory_test.go
@@ -0,0 +1,169 @@
+package inventory
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// play runs a script against a keeper and gives what it wants done, a line a step. A step is a time in milliseconds, a word
+// and its arguments.
+func play(t *testing.T, l Limits, steps string) string {
+	k := New(0, l, 41, func() float64 { return 0 })
+	var out strings.Builder
+	for step := range strings.SplitSeq(strings.TrimSpace(steps), "\n") {
+		var ms, revision int64
+		var word string
+		var id Call
+		if n, _ := fmt.Sscan(step, &ms, &word, &id, &revision); n < 2 {
+			t.Fatalf("step %q", step)
+		}
+		now := ms * 1000
+		for at := k.Next(); at != 0 && at <= now; at = k.Next() {
+			k.Wake(at)
+			write(&out, at, k)
+		}
+		believed := true
+		switch word {
+		case "ask":
+			k.Ask(now)
+		case "heard":
+			k.Heard(now, id)
+		case "listed":
+			believed = k.Listed(now, id, revision, false)
+		case "whole":
+			believed = k.Listed(now, id, revision, true)
+		case "refused":
+			k.Ended(now, id, Refused)
+		case "moved":
+			k.Moved(now)
+		case "until":
+		default:
+			t.Fatalf("step %q", step)
+		}
+		if !believed {
+			fmt.Fprintf(&out, "%d not believed\n", ms)
+		}
+		write(&out, now, k)
+	}
+	return out.String()
+}
+
+func write(out *strings.Builder, now int64, k *Keeper) {
+	for _, c := range k.Ready() {
+		switch c.Kind {
+		case Dial:
+			fmt.Fprintf(out, "%d dial %d after %d\n", now/1000, c.Call, c.Index)
+		case Close:
+			fmt.Fprintf(out, "%d close %d\n", now/1000, c.Call)
+		case Fail:
+			fmt.Fprintf(out, "%d fail\n", now/1000)
+		case Doubt:
+			fmt.Fprintf(out, "%d doubt: %s\n", now/1000, c.Cause)
+		case Trust:
+			fmt.Fprintf(out, "%d trust\n", now/1000)
+		}
+	}
+}
+
+func TestKeeper(t *testing.T) {
+	asked := Limits{AskWithin: 4_000_000, Grace: 750_000}
+	for _, c := range []struct {
+		name   string
+		limits Limits
+		steps  string
+		want   string
+	}{
+		{"a silent watch is opened anew with one call lost, and kept until the answer", asked, `
+			0 ask
+			100 listed 1 42
+			5000 listed 2 42
+			5100 until`, `
+			0 dial 1 after 41
+			2500 dial 2 after 42
+			4700 close 2
+			4700 dial 3 after 42
+			5000 not believed
+			`},
+		{"past the limit the list is in doubt until the answer", asked, `
+			0 ask
+			100 listed 1 42
+			6000 refused 3
+			6300 ask
+			7000 listed 4 43`, `
+			0 dial 1 after 41
+			2500 dial 2 after 42
+			4700 close 2
+			4700 dial 3 after 42
+			6000 fail
+			6300 dial 4 after 42
+			6600 doubt: discovery is silent
+			7000 close 1
+			7000 trust
+			`},
+		{"a call that is answered byte by byte is not lost", asked, `
+			0 ask
+			2000 heard 1
+			4000 heard 1
+			6000 heard 1
+			7900 listed 1 42`, `
+			0 dial 1 after 41
+			4500 doubt: no watch is open for longer than the settings allow
+			7900 trust
+			`},
+		{"the old address is listened to until the new one answers, and its revisions do not count there", asked, `
+			0 ask
+			100 listed 1 42
+			1000 moved
+			1100 listed 1 43
+			1200 whole 2 7
+			1300 listed 1 44`, `
+			0 dial 1 after 41
+			1000 dial 2 after -1
+			1200 close 1
+			1300 not believed
+			`},
+		{"a revision that goes back is not believed, but a whole list that says it again is", asked, `
+			0 ask
+			100 listed 1 42
+			200 listed 1 41
+			500 ask
+			600 whole 2 41`, `
+			0 dial 1 after 41
+			200 not believed
+			200 close 1
+			200 fail
+			500 dial 2 after -1
+			`},
+		{"where lists are pushed a watch that ends is opened at once, and a call that fails soon after", Limits{Pushed: true, Grace: 750_000}, `
+			0 ask
+			100 listed 1 42
+			1000 refused 1
+			1100 refused 2
+			1700 listed 3 43`, `
+			0 dial 1 after 41
+			1000 dial 2 after 42
+			1300 dial 3 after 42
+			1500 doubt: no watch is open and lists are pushed
+			1700 trust
+			`},
+		{"where lists are pushed and calls are silent it is down: the list holds, and a call waits", Limits{Pushed: true, Grace: 750_000}, `
+			0 ask
+			100 listed 1 42
+			9000 until`, `
+			0 dial 1 after 41
+			2500 dial 2 after 42
+			4700 close 2
+			4700 dial 3 after 42
+			6900 close 3
+			6900 dial 4 after 42
+			`},
+	} {
+		want := strings.ReplaceAll(strings.TrimPrefix(c.want, "\n"), "\t", "")
+		if diff := cmp.Diff(want, play(t, c.limits, strings.ReplaceAll(c.steps, "\t", ""))); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", c.name, diff)
+		}
+	}
+}
--- /dev/null
+++ b/internal/latest/latest_check_test.go
@@ -0,0 +1,63 @@
+//go:build check
+
+package latest
+
+import (
+	"fmt"
+	"testing"
+
+	"granitewing/internal/check"
+	"granitewing/internal/seam"
+)
+
+// places has one goroutine put three things and another take three times; put is how.
+func places(put func(p Place[int], v int)) check.Make {
+	return func() ([]func(), func() error) {
+		p := New[int]()
+		var took []int
+		puts := func() {
+			for v := 1; v <= 3; v++ {
+				put(p, v)
+			}
+		}
+		takes := func() {
+			for range 3 {
+				if v, ok := p.Take(); ok {
+					took = append(took, v)
+				}
+			}
+		}
+		return []func(){puts, takes}, func() error {
+			if v, ok := p.Take(); ok {
+				took = append(took, v)
+			}
+			for i, v := range took {
+				if i > 0 && v <= took[i-1] {
+					return fmt.Errorf("took %v: what was overtaken came after", took)
+				}
+			}
+			if len(took) == 0 || took[len(took)-1] != 3 {
+				return fmt.Errorf("took %v: the latest is lost", took)
+			}
+			return nil
+		}
+	}
+}
+
+func TestInterleavings(t *testing.T) {
+	r := check.Run(check.Default, places(Place[int].Put))
+	t.Log(r)
+	if r.Err != nil || !r.Whole || r.Schedules < 10 {
+		t.Error(r)
+	}
+}
+
+// Without making room the latest is lost in some order.
+func TestInterleavingsWithoutRoom(t *testing.T) {
+	broken := places(func(p Place[int], v int) { seam.TrySend(p.c, v) })
+	r := check.Run(check.Default, broken)
+	t.Log(r)
+	if r.Err == nil || check.Replay(r.Schedule, broken) == nil {
+		t.Error(r)
+	}
+}
