--- a/cmd/granitewing-fleet/main_test.go
+++ b/cmd/granitewing-fleet/main_test.go
@@ -130,6 +130,12 @@
 	Members, Heard int
 	Refused        map[string]int
 	Peers          []struct{ Name, State, Incarnation string }
+	Dealer         string
+	Limits         []struct {
+		Name             string
+		Amount, Rights   float64
+		Connected, Deals bool
+	}
 }
 
 // ask gives the status, nil where the dispatcher does not tell it yet.
--- a/cmd/granitewing/main_test.go
+++ b/cmd/granitewing/main_test.go
@@ -19,7 +19,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"granitewing/internal/exchange"
+	"granitewing/internal/testing/exchange"
 )
 
 // patience is how long a test waits for what must come; it only ends tests that have failed.
@@ -58,7 +58,8 @@
 	lines     chan string // of its log
 	listeners map[string]net.Listener
 	peers     map[string]*peer
-	addrs     *strings.Replacer
+	addrs     *strings.Replacer // names for addresses
+	addrsOf   *strings.Replacer // addresses for names
 	listen    string
 	door      string // the operators' door, where the configuration names one
 	tmp       string // $TMPDIR of the program
@@ -75,7 +76,7 @@
 // and what shall.
 func start(t *testing.T, hosts, changes []string) *world {
 	w := &world{t: t, lines: make(chan string, 100), listeners: map[string]net.Listener{}, peers: map[string]*peer{}}
-	var members, names []string
+	var members, names, back []string
 	for _, name := range append([]string{"discovery"}, hosts...) {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -84,12 +85,13 @@
 		t.Cleanup(func() { ln.Close() })
 		w.listeners[name] = ln
 		names = append(names, ln.Addr().String(), "{"+name+"}")
+		back = append(back, "{"+name+"}", ln.Addr().String())
 		if name != "discovery" {
 			members = append(members, fmt.Sprintf(`{"id":"s-0%s","host_port":"%s","locality":"dakar","flavor":"m1","phase":"ready"}`,
 				name, ln.Addr()))
 		}
 	}
-	w.addrs = strings.NewReplacer(names...)
+	w.addrs, w.addrsOf = strings.NewReplacer(names...), strings.NewReplacer(back...)
 	w.text = strings.NewReplacer(append(changes, "MEMBERS", strings.Join(members, ","))...).Replace(config)
 	w.path = filepath.Join(t.TempDir(), "config.json")
 	w.configure("DISCOVERY", "discovery")
@@ -183,6 +185,9 @@
 		c, err = net.Dial("tcp", w.listen)
 	}
 	if err != nil {
+		for len(w.lines) > 0 {
+			w.t.Log(<-w.lines)
+		}
 		w.t.Fatalf("%s: %v", name, err)
 	}
 	w.t.Cleanup(func() { c.Close() })
@@ -244,6 +249,13 @@
 		if diff := cmp.Diff(string(exchange.Bytes(data)), got); diff != "" {
 			w.t.Fatalf("%s (-want +got):\n%s", title, diff)
 		}
+	case "tells": // a watch's answer in which a list stands, with addresses put in for {names}
+		list := w.addrsOf.Replace(string(data))
+		if _, err := fmt.Fprintf(w.peer(who), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(list), list); err != nil {
+			w.t.Fatalf("%s: %v", title, err)
+		}
+	case "logs": // a line with that text
+		w.await(strings.TrimSpace(string(data)))
 	case "connects":
 		w.peer(who)
 	case "floods": // with so many bytes, and waits until all are taken
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -98,7 +98,8 @@
 	}
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
-		if errors.Is(err, lifecycle.ErrUsage) {
+		var bad *settings.Error
+		if errors.Is(err, lifecycle.ErrUsage) || errors.As(err, &bad) {
 			os.Exit(2)
 		}
 		os.Exit(1)
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -88,16 +88,18 @@
 		}
 	}
 	for text, want := range map[string]string{
-		"(granitewing\n (record (class alert-send before)))":                                         "own.sexp:2:2: granitewing.record.store: missing",
-		`(granitewing (record (store sqlite "x") (class alert-send sometimes)))`:                     "want one of off, behind, told, before",
-		`(granitewing (record (store sqlite "x") (class nothing before)))`:                           `own.sexp:1:41: record.class: the configuration has no class "nothing"`,
-		`(granitewing (record (store sqlite "x") (class alert-send before) (class alert-send off)))`: `class "alert-send" is given twice`,
-		`(granitewing (record (store sqlite "x") (class latest-readings behind (repeat 1s))))`:       "only what is durable before its client is told",
-		`(granitewing (record (store mysql "x")))`:                                                   "want one of sqlite, postgres",
-		`(granitewing (log (format loud)))`:                                                          "want one of auto, text, json",
+		"(granitewing\n (record (class alert-send before)))":                                                                 "own.sexp:2:2: granitewing.record.store: missing",
+		`(granitewing (record (store sqlite "x") (class alert-send sometimes)))`:                                             "want one of off, behind, told, before",
+		`(granitewing (record (store sqlite "x") (class nothing before)))`:                                                   `own.sexp:1:41: record.class: the configuration has no class "nothing"`,
+		`(granitewing (record (store sqlite "x") (class alert-send before) (class alert-send off)))`:                         `class "alert-send" is given twice`,
+		`(granitewing (record (store sqlite "x") (class latest-readings behind (repeat 1s))))`:                               "only what is durable before its client is told",
+		`(granitewing (record (store mysql "x")))`:                                                                           "want one of sqlite, postgres",
+		`(granitewing (fleet (label "x") (bind "127.0.0.1:1") (limits (keepers n0) (limit a (class alert-send) (open 0)))))`: "own.sexp:1:75: fleet.limits.limit.open: 0: a limit of nothing",
+		`(granitewing (fleet (label "x") (bind "127.0.0.1:1") (limits (keepers n0) (limit a (class nothing) (rate 3)))))`:    `no class "nothing"`,
+		`(granitewing (log (format loud)))`:                                                                                  "want one of auto, text, json",
 	} {
 		_, log, code := call(t, binary, "check", "--config", example, "--settings", write(t, text))
-		if code != 1 || !strings.Contains(log, want) {
+		if code != 2 || !strings.Contains(log, want) || strings.Count(log, "\n") != 1 {
 			t.Errorf("%s: exit %d, %q; want %q", text, code, log, want)
 		}
 	}
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -31,6 +31,9 @@
 	Reports int            `json:"reports"`
 	Refused map[string]int `json:"refused"`
 	Peers   []peer         `json:"peers"`
+	Dealer  string         `json:"dealer,omitempty"` // of the limits, as far as this dispatcher knows
+	Limits  []*limitStatus `json:"limits,omitempty"`
+	Price   *priceStatus   `json:"price,omitempty"`
 }
 
 type peer struct {
@@ -73,6 +76,8 @@
 
 var (
 	refusedLine = regexp.MustCompile(`^router_fleet_refused_total\{cause="(\w+)"\} (\d+)$`)
+	dealerLine  = regexp.MustCompile(`^router_fleet_dealer\{member="((?:[^"\\]|\\.)*)",self="(\w+)"\} 1$`)
+	limitLine   = regexp.MustCompile(`^router_fleet_limit_(\w+)\{limit="((?:[^"\\]|\\.)*)"\} ([0-9.e+-]+)$`)
 	peerLine    = regexp.MustCompile(`^router_fleet_news_age_seconds\{member="((?:[^"\\]|\\.)*)",incarnation="(\d+)",state="(\w+)",speaks_for="(\d+)"\} ([0-9.]+)$`)
 )
 
@@ -91,12 +96,24 @@
 		case "router_fleet_reports_total":
 			s.Reports = n
 		}
+		if p := (priceStatus{}); p.take(name, 0) {
+			if s.Price == nil {
+				s.Price = &priceStatus{}
+			}
+			v, _ := strconv.ParseFloat(value, 64)
+			s.Price.take(name, v)
+		}
 		if m := refusedLine.FindStringSubmatch(line); m != nil {
 			s.Refused[m[1]], _ = strconv.Atoi(m[2])
 		} else if m := peerLine.FindStringSubmatch(line); m != nil {
 			speaks, _ := strconv.Atoi(m[4])
 			age, _ := strconv.ParseFloat(m[5], 64)
 			s.Peers = append(s.Peers, peer{m[1], m[2], m[3], speaks, age})
+		} else if m := dealerLine.FindStringSubmatch(line); m != nil {
+			s.Dealer = m[1]
+		} else if m := limitLine.FindStringSubmatch(line); m != nil {
+			v, _ := strconv.ParseFloat(m[3], 64)
+			s.limit(m[2]).take(m[1], v)
 		}
 	}
 	if s.Members < 0 {
@@ -115,4 +132,6 @@
 		fmt.Fprintf(t, "%s\t%s\t%d\t%.2f s old\t%s\n", p.Name, p.State, p.Speaks, p.Age, p.Incarnation)
 	}
 	t.Flush()
+	s.writeLimits(w)
+	s.Price.write(w)
 }
--- a/internal/driver/cordons.go
+++ b/internal/driver/cordons.go
@@ -20,17 +20,7 @@
 func (d *Driver) keepCordons() {
 	names := d.core.Cordons()
 	slices.Sort(names)
-	for {
-		select {
-		case d.cordonsOut <- names:
-			return
-		default:
-			select {
-			case <-d.cordonsOut:
-			default:
-			}
-		}
-	}
+	d.cordonsOut.Put(names)
 }
 
 // keepCordonFile runs beside the owner until the end: it writes what keepCordons hands it, whole or not at all, and
@@ -41,7 +31,7 @@
 	defer look.Stop()
 	for {
 		select {
-		case names := <-d.cordonsOut:
+		case names := <-d.cordonsOut.C():
 			tmp := path + ".new"
 			err := os.WriteFile(tmp, []byte(strings.Join(names, "\n")+"\n"), 0o600)
 			if err == nil {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -11,34 +11,31 @@
 	"sync/atomic"
 	"time"
 
+	"granitewing/internal/latest"
 	"granitewing/internal/memory"
+	"granitewing/internal/seam"
 	"granitewing/internal/wire/platform"
 	"granitewing/logic"
 )
 
 // Figures that no setting gives.
 const (
-	eventsMost    = 256                    // events on their way; those who post wait beyond it
-	writeLimit    = 30 * time.Second       // a peer that takes no bytes for so long is given up
-	messageLimit  = 2 * time.Second        // a message that has begun must be whole by then; a new connection's first at once
-	northIdle     = 5 * time.Minute        // idle connections that have carried a message are kept so long
-	goodbyeLimit  = time.Second            // a peer must end what both sides know to be over by then
-	drainLimit    = 4 * time.Second        // so long a client that is turned away may go on sending before it is cut off
-	expireAfter   = 20 * time.Millisecond  // past a deadline; within the slack that the rules allow
-	inventoryWait = 5 * time.Second        // discovery writes a line at least every 2 s
-	dialInventory = 2 * time.Second        // discovery serves calls in turn
-	dialDefault   = time.Second            // for hosts, where the settings give no time-out
-	idleDefault   = 10 * time.Second       // for connections to hosts, where the settings give no limit
-	lingerIdle    = 450 * time.Millisecond // once clients are sent away, they may use the connections they have for up to 0.4 s
-	arriveLimit   = time.Second            // after SIGTERM new connections come for up to 0.4 s; late ones on a busy machine included
-	fullAfter     = time.Second            // a client refused for want of descriptors may come back then
-	quietCheck    = 50 * time.Millisecond  // between looks whether all is quiet by then
-	acceptRetry   = 100 * time.Millisecond // between tries to accept while that fails
+	eventsMost   = 256                    // events on their way; those who post wait beyond it
+	writeLimit   = 30 * time.Second       // a peer that takes no bytes for so long is given up
+	messageLimit = 2 * time.Second        // a message that has begun must be whole by then; a new connection's first at once
+	northIdle    = 5 * time.Minute        // idle connections that have carried a message are kept so long
+	goodbyeLimit = time.Second            // a peer must end what both sides know to be over by then
+	drainLimit   = 4 * time.Second        // so long a client that is turned away may go on sending before it is cut off
+	expireAfter  = 20 * time.Millisecond  // past a deadline; within the slack that the rules allow
+	dialDefault  = time.Second            // for hosts, where the settings give no time-out
+	idleDefault  = 10 * time.Second       // for connections to hosts, where the settings give no limit
+	lingerIdle   = 450 * time.Millisecond // once clients are sent away, they may use the connections they have for up to 0.4 s
+	arriveLimit  = time.Second            // after SIGTERM new connections come for up to 0.4 s; late ones on a busy machine included
+	fullAfter    = time.Second            // a client refused for want of descriptors may come back then
+	quietCheck   = 50 * time.Millisecond  // between looks whether all is quiet by then
+	acceptRetry  = 100 * time.Millisecond // between tries to accept while that fails
 )
 
-// unlisted stands for a revision where discovery was not heard: its whole list has to be asked for.
-const unlisted = -1
-
 // Driver serves one dispatcher.
 type Driver struct {
 	cfg   *platform.Config
@@ -57,9 +54,8 @@
 	open    map[memory.ID]*north
 	relays  map[memory.RelayID]*relay
 	pool    pool
-	watch   *watch
+	watches watches
 	wake    *time.Timer
-	listed  int64 // revision of the inventory, or unlisted
 	limits  limits
 	bytes   int           // of messages that clients have sent
 	full    chan struct{} // closed once another connection may be accepted
@@ -73,10 +69,10 @@
 	ending     ending      // what SIGTERM begins, when no later process takes over
 	serving    atomic.Bool // the door's health: hosts are known and clients are taken
 	figures    *figures
-	cordonsOut chan []string // to the keeper of the file of cordons
-	started    time.Time     // of this process, as told to a next one
-	sharing    *sharing      // nil where nothing is shared
-	successor  atomic.Bool   // a later process of this dispatcher has started, as found at SIGTERM
+	cordonsOut latest.Place[[]string] // to the keeper of the file of cordons
+	started    time.Time              // of this process, as told to a next one
+	sharing    *sharing               // nil where nothing is shared
+	successor  atomic.Bool            // a later process of this dispatcher has started, as found at SIGTERM
 }
 
 // limits shares out descriptors and memory.
@@ -107,7 +103,7 @@
 		events: make(chan func(), eventsMost), done: make(chan struct{}),
 		norths: map[*north]struct{}{}, open: map[memory.ID]*north{}, relays: map[memory.RelayID]*relay{},
 		pool: pool{hosts: map[string]*hostConns{}}, limits: limitsFor(cfg.Sockets, cfg.MemoryMB),
-		figures: newFigures(cfg.Settings.Classes), cordonsOut: make(chan []string, 1), started: time.Now(),
+		figures: newFigures(cfg.Settings.Classes), cordonsOut: latest.New[[]string](), started: time.Now(),
 	}, nil
 }
 
@@ -116,7 +112,7 @@
 	defer close(d.done)
 	d.announce()
 	go d.accept()
-	d.listed = d.cfg.Known.Revision
+	d.watches = newWatches(d.cfg, d.now())
 	d.do(d.core.Inventory(d.now(), logic.ListCached, d.cfg.Known.Hosts))
 	d.startCordons()
 	d.census()
@@ -139,18 +135,14 @@
 			f()
 		case <-stop:
 			stop = nil
+			d.resign()
 			d.stop()
 		}
 	}
 }
 
 // post hands an event to the owner; it waits while too many are on their way.
-func (d *Driver) post(f func()) {
-	select {
-	case d.events <- f:
-	case <-d.done:
-	}
-}
+func (d *Driver) post(f func()) { seam.Send(d.events, f, d.done) }
 
 // after posts an event when a wait is over.
 func (d *Driver) after(wait time.Duration, f func()) *time.Timer {
--- a/internal/driver/journal.go
+++ b/internal/driver/journal.go
@@ -6,6 +6,7 @@
 
 	"granitewing/internal/memory"
 	"granitewing/internal/record"
+	"granitewing/internal/seam"
 )
 
 // refusedFor is when a client may come back whose message can't be recorded now.
@@ -43,22 +44,21 @@
 // writing makes the writes.
 func (j *journal) writing() {
 	for {
-		select {
-		case batch := <-j.writes:
-			ctx, cancel := context.WithTimeout(context.Background(), j.limit)
-			err := j.store.Write(ctx, batch)
-			cancel()
-			j.d.post(func() { j.wrote(err) })
-		case <-j.d.done:
+		batch, more := seam.Recv(j.writes, j.d.done)
+		if !more {
 			return
 		}
+		ctx, cancel := context.WithTimeout(context.Background(), j.limit)
+		err := j.store.Write(ctx, batch)
+		cancel()
+		j.d.post(func() { j.wrote(err) })
 	}
 }
 
 // flush begins the next write if there is something to write and none is under way.
 func (j *journal) flush() {
 	if batch := j.Batch(j.d.now()); batch != nil {
-		j.writes <- batch // never waits: Batch gives one only when the last is done
+		seam.Send(j.writes, batch, nil) // never waits: Batch gives one only when the last is done
 	}
 	j.arm()
 }
--- a/internal/driver/south.go
+++ b/internal/driver/south.go
@@ -26,7 +26,8 @@
 	addr    string
 	parser  *platform.Relay
 	relay   *relay
-	pending bool // the request is not wholly written
+	pending bool // the request is not wholly written, as far as the writer has told
+	counted bool // the request is, and was counted
 	broken  bool // the connection failed before the writer told how far it came
 	waiting bool // the outcome is known, the end of the answer is not
 	uses    int  // relays begun
@@ -152,7 +153,7 @@
 		s.timer.Stop()
 	}
 	s.uses++
-	r.on, s.relay, s.pending = s, r, true
+	r.on, s.relay, s.pending, s.counted = s, r, true, false
 	s.parser.Begin(r.msg.Txn)
 	left := time.Duration(r.until-s.d.now()) * time.Microsecond
 	s.write(platform.AppendRelay(nil, r.addr, r.msg, max(left, 0)))
@@ -221,7 +222,7 @@
 func (s *south) wrote(err error) {
 	s.pending = false
 	if err == nil && s.relay != nil {
-		s.d.figures.dispatches.Inc()
+		s.count()
 	}
 	if s.gone || err == nil && !s.broken {
 		return
@@ -239,9 +240,20 @@
 	s.d.ended(r, logic.Broken, nil)
 }
 
-// note takes what the host says of the relay.
+// count counts a request that was written whole.
+func (s *south) count() {
+	if !s.counted {
+		s.counted = true
+		s.d.figures.dispatches.Inc()
+	}
+}
+
+// note takes what the host says of the relay. It has the request then, though the writer's word may come later.
 func (s *south) note(n platform.Note) {
 	r, d := s.relay, s.d
+	if r != nil {
+		s.count()
+	}
 	switch n.Kind {
 	case platform.NoteTaken:
 		if r != nil {
--- a/internal/driver/south_test.go
+++ b/internal/driver/south_test.go
@@ -91,6 +91,34 @@
 	}
 }
 
+// A request is counted once, whether the host answers before the writer has told that it is written or after.
+func TestDispatchesCounted(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		d := testDriver(t)
+		far, near := net.Pipe()
+		defer far.Close()
+		d.pool.add("a", 1)
+		s := &south{addr: "a"}
+		s.parser = platform.NewRelay(s.note)
+		s.conn = d.newConn(near, 1, s.read, s.wrote)
+		msg := &platform.Message{Method: "POST", Target: "/readings", Txn: "t1", Lane: "readings"}
+		r := &relay{id: memory.RelayID{Message: 7}, msg: msg, addr: "a", until: d.now() + 1_000_000, timer: time.NewTimer(time.Hour)}
+		d.relays[r.id] = r
+		s.begin(r)
+		if !answered {
+			s.wrote(nil)
+		}
+		s.note(platform.Note{Kind: platform.NoteTaken})
+		s.note(platform.Note{Kind: platform.NoteEnded, Result: logic.Served})
+		if answered {
+			s.wrote(nil)
+		}
+		if n := d.figures.dispatches.Get(); n != 1 {
+			t.Errorf("answered first: %t; counted %d times", answered, n)
+		}
+	}
+}
+
 // A connection that comes up after its host was barred carries nothing to it: the rules count from the first byte.
 func TestLateConnectionToABarredHost(t *testing.T) {
 	for _, barred := range []bool{false, true} {
--- a/internal/driver/stop.go
+++ b/internal/driver/stop.go
@@ -125,9 +125,7 @@
 	if !d.shut {
 		d.ln.Close()
 	}
-	if d.watch != nil {
-		d.watch.end()
-	}
+	d.watches.leave()
 	for addr := range d.pool.hosts {
 		d.pool.leave(addr)
 	}
--- a/internal/fleet/ledger/hub.go
+++ b/internal/fleet/ledger/hub.go
@@ -2,10 +2,13 @@
 
 import (
 	"cmp"
-	"hash/fnv"
+	"maps"
 	"math"
 	"slices"
 
+	"granitewing/internal/fleet/draw"
+	"granitewing/internal/fleet/slack"
+	"granitewing/internal/fleet/verdict"
 	"granitewing/logic"
 )
 
@@ -32,17 +35,6 @@
 // Asks tells whether an answer is expected of those that it goes to.
 func (o *Out) Asks() bool { return o.Kind == Own || o.Kind == Group }
 
-func hash(a, b string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(a))
-	h.Write([]byte{0})
-	h.Write([]byte(b))
-	x := h.Sum64()
-	x ^= x >> 31 // the low bits of names that differ in their last byte are alike
-	x *= 0x9e3779b97f4a7c15
-	return x ^ x>>29
-}
-
 // first gives the n of some names whose hash with a salt is highest, highest first.
 func first(names []string, salt string, n int) []string {
 	type scored struct {
@@ -51,7 +43,7 @@
 	}
 	all := make([]scored, len(names))
 	for i, m := range names {
-		all[i] = scored{m, hash(m, salt)}
+		all[i] = scored{m, draw.Of(m, salt)}
 	}
 	slices.SortFunc(all, func(a, b scored) int { return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.name, b.name)) })
 	out := make([]string, min(n, len(all)))
@@ -143,7 +135,7 @@
 		}
 	}
 	if isHub {
-		self := &peer{members: 1, at: now, held: own.Held, asked: own.Asked}
+		self := &peer{members: 1, at: now, held: own.Held, asked: own.Asked, votes: own.Votes, ran: own.Ran, load: own.Load}
 		group.add(self, now, 1)
 		all.add(self, now, 1)
 	}
@@ -166,12 +158,23 @@
 	age     float64 // of all of them together, microseconds
 	held    map[logic.WorkerID]float64
 	asked   map[uint64]float64
+	votes   map[voter][2]int // for and against
+	ran     map[logic.WorkerID][2]float64
+	load    slack.Load
+	loads   int // that are in it
+}
+
+// voter is on whom and from where votes are.
+type voter struct {
+	host logic.WorkerID
+	zone uint8
 }
 
 // add adds what a peer has, or with a sign of -1 takes it away.
 func (s *sum) add(p *peer, now int64, sign int) {
 	if s.held == nil {
-		s.held, s.asked = map[logic.WorkerID]float64{}, map[uint64]float64{}
+		s.held, s.asked, s.votes = map[logic.WorkerID]float64{}, map[uint64]float64{}, map[voter][2]int{}
+		s.ran = map[logic.WorkerID][2]float64{}
 	}
 	s.members += sign * p.members
 	s.age += float64(sign) * float64(p.members) * float64(now-p.at+p.age)
@@ -181,11 +184,84 @@
 	for _, a := range p.asked {
 		s.asked[a.Set] += float64(sign) * a.Load
 	}
+	for _, v := range p.votes {
+		n := s.votes[voter{v.Host, v.Zone}]
+		s.votes[voter{v.Host, v.Zone}] = [2]int{n[0] + sign*int(v.Good), n[1] + sign*int(v.Bad)}
+	}
+	for _, r := range p.ran {
+		n := s.ran[r.Host]
+		s.ran[r.Host] = [2]float64{n[0] + float64(sign)*r.Run, n[1] + float64(sign)*r.Work}
+	}
+	if p.load != nil {
+		s.load.Add(p.load, float64(sign))
+		s.loads += sign
+	}
+}
+
+// Load gives the load of all others that are believed now, and for how many members it speaks.
+func (l *Ledger) Load(now int64) (sum slack.Load, members int) {
+	from, members := l.believed(now)
+	for _, p := range from {
+		if p.load != nil {
+			sum.Add(p.load, 1)
+		}
+	}
+	return sum, members
+}
+
+// runs gives the runs of a sum, by host; of what is nearly nothing only the rounding is left.
+func (s *sum) runs() []Ran {
+	var out []Ran
+	for host, n := range s.ran {
+		if n[0] > 0 && n[1] > RanLeast {
+			out = append(out, Ran{host, n[0], n[1]})
+		}
+	}
+	slices.SortFunc(out, func(a, b Ran) int { return cmp.Or(cmp.Compare(b.Work, a.Work), cmp.Compare(a.Host, b.Host)) })
+	return out[:min(len(out), HeldMost)]
+}
+
+// RanLeast is the work of runs that are worth telling of, seconds.
+const RanLeast = 1e-3
+
+// Ran gives the runs of all others that are believed now.
+func (l *Ledger) Ran(now int64) []Ran {
+	s := sum{}
+	from, _ := l.believed(now)
+	for _, p := range from {
+		s.add(&peer{ran: p.ran}, now, 1)
+	}
+	return s.runs()
+}
+
+// counted gives the votes of a sum, those against first.
+func (s *sum) counted() []verdict.Vote {
+	var out []verdict.Vote
+	for of, n := range s.votes {
+		if n[0] > 0 || n[1] > 0 {
+			out = append(out, verdict.Vote{Host: of.host, Zone: of.zone, Good: uint16(max(n[0], 0)), Bad: uint16(max(n[1], 0))})
+		}
+	}
+	slices.SortFunc(out, func(a, b verdict.Vote) int {
+		return cmp.Or(cmp.Compare(b.Bad, a.Bad), cmp.Compare(a.Host, b.Host), cmp.Compare(a.Zone, b.Zone))
+	})
+	return out[:min(len(out), sumMost)]
+}
+
+// Votes gives the votes of all that are believed now, of others and of this dispatcher's own.
+func (l *Ledger) Votes(now int64, own []verdict.Vote) []verdict.Vote {
+	s := sum{}
+	from, _ := l.believed(now)
+	for _, p := range from {
+		s.add(&peer{votes: p.votes}, now, 1)
+	}
+	s.add(&peer{votes: own}, now, 1)
+	return s.counted()
 }
 
 // without is the sum of all but one that is in it.
 func (s *sum) without(p *peer, now int64) *sum {
-	out := &sum{s.members, s.age, make(map[logic.WorkerID]float64, len(s.held)), make(map[uint64]float64, len(s.asked))}
+	out := &sum{s.members, s.age, make(map[logic.WorkerID]float64, len(s.held)), make(map[uint64]float64, len(s.asked)), maps.Clone(s.votes), maps.Clone(s.ran), s.load, s.loads}
 	for host, work := range s.held {
 		out.held[host] = work
 	}
@@ -214,6 +290,15 @@
 			r.Asked = append(r.Asked, Asked{set, min(load, loadMost*most)})
 		}
 	}
+	r.Votes, r.Ran = s.counted(), s.runs()
+	if s.loads > 0 {
+		r.Load = &slack.Load{}
+		for i, v := range s.load {
+			if v > nothing {
+				r.Load[i] = min(v, loadMost*most)
+			}
+		}
+	}
 	r.trim(sumMost)
 	return r
 }
--- a/internal/fleet/ledger/hub_test.go
+++ b/internal/fleet/ledger/hub_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 
+	"granitewing/internal/fleet/verdict"
 	"granitewing/logic"
 )
 
@@ -16,8 +18,9 @@
 	work    map[string]float64 // of each, at host 1
 	cut     func(from, to string) bool
 	seq     uint64
-	told    int // datagrams of the last round
-	most    int // of one member in the last round
+	judges  bool // each votes against host 1, where it ran for two seconds
+	told    int  // datagrams of the last round
+	most    int  // of one member in the last round
 }
 
 func newFleet(n int, limits Limits) *fleet {
@@ -50,7 +53,12 @@
 		}
 		others := slices.DeleteFunc(slices.Clone(f.names), func(n string) bool { return n == from || slices.Contains(gone, n) })
 		f.ledgers[from].Members(len(others))
-		for _, out := range f.ledgers[from].Round(f.now, Of(from, 1, f.seq, f.now, works(f.work[from])), others) {
+		own := Of(from, 1, f.seq, f.now, works(f.work[from]))
+		if f.judges {
+			own.Votes = []verdict.Vote{{Host: 1, Zone: uint8(slices.Index(f.names, from) % 3), Bad: 1}}
+			own.Ran = []Ran{{1, 2, 1}}
+		}
+		for _, out := range f.ledgers[from].Round(f.now, own, others) {
 			for _, to := range out.To {
 				sent[from]++
 				sent[to]++
@@ -202,3 +210,31 @@
 		}
 	}
 }
+
+// Votes and runs of a fleet with hubs come to each member once, and its own not among the runs.
+func TestVotesAndRunsThroughHubs(t *testing.T) {
+	const members = 30
+	f := newFleet(members, Limits{})
+	f.judges = true
+	for range 8 {
+		f.round()
+	}
+	for i, name := range f.names {
+		l := f.ledgers[name]
+		votes, ran := l.Votes(f.now, []verdict.Vote{{Host: 1, Zone: uint8(i % 3), Bad: 1}}), l.Ran(f.now)
+		bad := 0
+		for _, v := range votes {
+			if v.Host != 1 || v.Good != 0 || v.Bad != members/3 {
+				t.Errorf("%s: %+v", name, v)
+			}
+			bad += int(v.Bad)
+		}
+		if bad != members || len(ran) != 1 || math.Abs(ran[0].Run-2*(members-1)) > 1e-6 || math.Abs(ran[0].Work-(members-1)) > 1e-6 {
+			t.Errorf("%s: %d votes, runs %v", name, bad, ran)
+		}
+	}
+	liar := &Report{From: "x", Incarnation: 1, Seq: 1, Votes: []verdict.Vote{{Host: 1, Zone: 0, Bad: 1}, {Host: 1, Zone: 1, Bad: 1}}}
+	if err := f.ledgers["n0"].Hear(f.now, liar); err != ErrRange {
+		t.Error("two votes of one on one host:", err)
+	}
+}
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -13,6 +13,8 @@
 	"slices"
 	"time"
 
+	"granitewing/internal/fleet/slack"
+	"granitewing/internal/fleet/verdict"
 	"granitewing/logic"
 )
 
@@ -34,6 +36,8 @@
 	workMost  = 1e5 // slot-seconds of one dispatcher at one host
 	loadMost  = 1e5 // slots a second of one dispatcher for one data set
 	ageMost   = 60_000_000
+	ranMost   = 60   // seconds of work in the runs of one dispatcher at a host: one that lies weighs no more
+	slowMost  = 1000 // seconds for a second of work
 )
 
 // Kind says for whom a report speaks.
@@ -61,6 +65,12 @@
 	Load float64
 }
 
+// Ran is the running time and the work (seconds on a standard core) of runs at a host of late.
+type Ran struct {
+	Host      logic.WorkerID
+	Run, Work float64
+}
+
 // Report is what one dispatcher says, of itself or of those that it sums. Of one name a higher incarnation is a later
 // process, and within it and a kind a higher sequence later news.
 type Report struct {
@@ -72,6 +82,9 @@
 	Seq         uint64
 	Held        []Held
 	Asked       []Asked
+	Votes       []verdict.Vote
+	Ran         []Ran
+	Load        *slack.Load // nil: it does not tell
 }
 
 // The reasons for which a report is refused.
@@ -125,6 +138,9 @@
 	gone, moved      bool
 	held             []Held
 	asked            []Asked
+	votes            []verdict.Vote
+	ran              []Ran
+	load             *slack.Load
 }
 
 // New makes a ledger for the dispatcher named self.
@@ -172,7 +188,7 @@
 		i, _ := slices.BinarySearchFunc(l.order, key, source.compare)
 		l.order = slices.Insert(l.order, i, key)
 	}
-	*p = peer{members: r.Members, age: r.Age, incarnation: r.Incarnation, seq: r.Seq, at: now, held: append(p.held[:0], r.Held...), asked: append(p.asked[:0], r.Asked...)}
+	*p = peer{members: r.Members, age: r.Age, incarnation: r.Incarnation, seq: r.Seq, at: now, held: append(p.held[:0], r.Held...), asked: append(p.asked[:0], r.Asked...), votes: append(p.votes[:0], r.Votes...), ran: append(p.ran[:0], r.Ran...), load: r.Load}
 	switch r.Kind {
 	case Own:
 		p.members, p.age = 1, 0
@@ -187,14 +203,25 @@
 
 func inRange(r *Report) bool {
 	fine := func(v, most float64) bool { return v >= 0 && v <= most } // false of NaN as well
-	speaks, sets := 1.0, AskedMost
+	speaks, sets, votes := 1.0, AskedMost, verdict.VotesMost
 	if r.Kind != Own {
-		speaks, sets = float64(max(r.Members, 1)), sumMost
+		speaks, sets, votes = float64(max(r.Members, 1)), sumMost, sumMost
 	}
 	return r.Kind < kinds && r.Members >= 0 && r.Members <= membersMost && r.Age >= 0 && r.Age <= ageMost &&
-		len(r.Held) <= HeldMost && len(r.Asked) <= sets &&
+		len(r.Held) <= HeldMost && len(r.Asked) <= sets && len(r.Votes) <= votes && fair(r.Votes, int(speaks)) &&
+		len(r.Ran) <= HeldMost && !slices.ContainsFunc(r.Ran, func(a Ran) bool { return !fine(a.Work, ranMost*speaks) || !fine(a.Run, slowMost*a.Work) }) &&
 		!slices.ContainsFunc(r.Held, func(h Held) bool { return !fine(h.Work, workMost*speaks) }) &&
-		!slices.ContainsFunc(r.Asked, func(a Asked) bool { return !fine(a.Load, loadMost*speaks) })
+		!slices.ContainsFunc(r.Asked, func(a Asked) bool { return !fine(a.Load, loadMost*speaks) }) &&
+		(r.Load == nil || !slices.ContainsFunc(r.Load[:], func(v float64) bool { return !fine(v, loadMost*speaks) }))
+}
+
+// fair tells whether nobody has more votes on a host than there are dispatchers for which it speaks.
+func fair(votes []verdict.Vote, speaks int) bool {
+	cast := map[logic.WorkerID]int{}
+	return !slices.ContainsFunc(votes, func(v verdict.Vote) bool {
+		cast[v.Host] += int(v.Bad) + int(v.Good)
+		return cast[v.Host] > speaks
+	})
 }
 
 // membersMost bounds the dispatchers for which a sum may speak.
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"granitewing/internal/fleet/verdict"
 	"granitewing/logic"
 )
 
@@ -233,6 +234,7 @@
 func FuzzParse(f *testing.F) {
 	f.Add(Append(nil, &Report{From: "a", Incarnation: 1, Seq: 1, Held: []Held{{1, 2}}, Asked: []Asked{{3, 4}}}))
 	f.Add([]byte{version, 0, 1, 'a'})
+	f.Add(Append(nil, &Report{From: "a", Seq: 1, Votes: []verdict.Vote{{Host: 1, Zone: 2, Bad: 1}}, Ran: []Ran{{5, 6, 7}}}))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		r, err := Parse(b)
 		if err != nil {
--- /dev/null
+++ b/internal/fleet/limit/message.go
@@ -0,0 +1,202 @@
+package limit
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"math"
+	"slices"
+
+	"granitewing/internal/fleet/limit/cover"
+	"granitewing/internal/fleet/limit/lease"
+	"granitewing/internal/fleet/limit/rights"
+)
+
+// Kind says what a message is about.
+type Kind uint8
+
+// The kinds of messages.
+const (
+	SeatAsk   Kind = iota // a keeper asks another for the dealer's post
+	SeatYes               // it is promised
+	Ask                   // a member asks the dealer for rights
+	Grant                 // the dealer answers
+	Elsewhere             // a keeper that is not the dealer, or no more, tells who is, as far as it knows
+	SeatFree              // the holder of the post gives it up, for an heir
+	CoverAsk              // the dealer asks a keeper what it knows of a limit's cover
+	CoverIs               // the keeper answers, with its turn
+	CoverPut              // the dealer tells a cover, whose version is the number
+	CoverHas              // the keeper has it
+	kinds
+)
+
+// Message is one from one process to another. Number is the time of an ask on the asker's clock, which answers repeat.
+type Message struct {
+	Kind     Kind
+	From, To lease.Owner // To.Incarnation is 0 where it is not known
+	Number   int64
+	Asks     []ItemAsk
+	Grants   []ItemGrant
+	Dealer   lease.Owner // of Elsewhere, and the heir of SeatFree
+	Cover    *Cover      // of the kinds about covers
+}
+
+// ItemAsk is what is asked of one limit.
+type ItemAsk struct {
+	Limit uint64 // its name's hash
+	rights.Ask
+}
+
+// ItemGrant is what is given of one limit.
+type ItemGrant struct {
+	Limit uint64
+	rights.Grant
+}
+
+// Version is a message's first byte; a report of the ledger begins with another.
+const Version = 0x51
+
+const (
+	nameMost  = 128
+	itemsMost = 64   // limits of a fleet
+	tableMost = 4096 // processes in a cover
+)
+
+// ErrForm tells that bytes are no message.
+var ErrForm = errors.New("limit: not a message")
+
+// number gives a limit's name as messages have it.
+func number(name string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return h.Sum64()
+}
+
+// Append appends a message's bytes, big endian: version, kind, the three processes, the number, and the items after
+// their number. Demand is a 32 bit float. A cover is the limit, the keeper's turn, whether it is known, and its entries after
+// their number.
+func Append(b []byte, m *Message) []byte {
+	b = append(b, Version, byte(m.Kind))
+	for _, o := range []lease.Owner{m.From, m.To, m.Dealer} {
+		b = append(b, byte(len(o.Name)))
+		b = append(b, o.Name...)
+		b = binary.BigEndian.AppendUint64(b, o.Incarnation)
+	}
+	b = binary.BigEndian.AppendUint64(b, uint64(m.Number))
+	b = append(b, byte(max(len(m.Asks), len(m.Grants))))
+	for _, a := range m.Asks {
+		b = binary.BigEndian.AppendUint64(b, a.Limit)
+		b = binary.BigEndian.AppendUint64(b, a.Session)
+		b = binary.BigEndian.AppendUint64(b, uint64(a.Spent))
+		b = binary.BigEndian.AppendUint64(b, uint64(a.Returned))
+		b = binary.BigEndian.AppendUint32(b, uint32(min(a.Old, math.MaxUint32)))
+		b = binary.BigEndian.AppendUint32(b, math.Float32bits(float32(a.Demand)))
+	}
+	for _, g := range m.Grants {
+		b = binary.BigEndian.AppendUint64(b, g.Limit)
+		b = binary.BigEndian.AppendUint64(b, g.Session)
+		b = binary.BigEndian.AppendUint64(b, uint64(g.Granted))
+		b = binary.BigEndian.AppendUint64(b, uint64(g.Keep))
+	}
+	if c := m.Cover; c != nil {
+		known := byte(0)
+		if c.Known {
+			known = 1
+		}
+		b = binary.BigEndian.AppendUint64(b, c.Limit)
+		b = binary.BigEndian.AppendUint64(b, uint64(c.Turn))
+		b = append(b, known)
+		b = binary.BigEndian.AppendUint32(b, uint32(len(c.Table)))
+		for _, key := range slices.Sorted(maps.Keys(c.Table)) {
+			b = binary.BigEndian.AppendUint64(b, key)
+			b = binary.BigEndian.AppendUint32(b, uint32(min(c.Table[key], math.MaxUint32)))
+		}
+	}
+	return b
+}
+
+// Parse reads a message. Its counts are not checked here but where they are used.
+func Parse(b []byte) (*Message, error) {
+	r := reader{b: b}
+	if r.byte() != Version || r.bad {
+		return nil, fmt.Errorf("%w of version %#x", ErrForm, Version)
+	}
+	m := &Message{Kind: Kind(r.byte())}
+	for _, o := range []*lease.Owner{&m.From, &m.To, &m.Dealer} {
+		o.Name = string(r.take(min(int(r.byte()), nameMost)))
+		o.Incarnation = r.uint64()
+	}
+	m.Number = int64(r.uint64())
+	n := int(r.byte())
+	for i := 0; i < n && !r.bad; i++ {
+		switch m.Kind {
+		case Ask:
+			m.Asks = append(m.Asks, ItemAsk{r.uint64(), rights.Ask{Session: r.uint64(), Spent: int64(r.uint64()), Returned: int64(r.uint64()), Old: int64(r.uint32()), Demand: r.float()}})
+		case Grant:
+			m.Grants = append(m.Grants, ItemGrant{r.uint64(), rights.Grant{To: m.To, Session: r.uint64(), Granted: int64(r.uint64()), Keep: int64(r.uint64())}})
+		default:
+			r.bad = true
+		}
+	}
+	if m.Kind >= CoverAsk && m.Kind < kinds {
+		m.Cover = r.cover()
+	}
+	if r.bad || len(r.b) > 0 || m.Kind >= kinds || n > itemsMost || m.From.Name == "" {
+		return nil, ErrForm
+	}
+	return m, nil
+}
+
+// reader takes fields off the front of bytes; once there are too few it is bad and gives zeros.
+type reader struct {
+	b   []byte
+	bad bool
+}
+
+func (r *reader) take(n int) []byte {
+	if r.bad || len(r.b) < n {
+		r.bad = true
+		return nil
+	}
+	out := r.b[:n]
+	r.b = r.b[n:]
+	return out
+}
+
+func (r *reader) byte() byte {
+	if b := r.take(1); b != nil {
+		return b[0]
+	}
+	return 0
+}
+
+func (r *reader) uint64() uint64 {
+	if b := r.take(8); b != nil {
+		return binary.BigEndian.Uint64(b)
+	}
+	return 0
+}
+
+func (r *reader) uint32() uint32 {
+	if b := r.take(4); b != nil {
+		return binary.BigEndian.Uint32(b)
+	}
+	return 0
+}
+
+func (r *reader) float() float64 { return float64(math.Float32frombits(r.uint32())) }
+
+func (r *reader) cover() *Cover {
+	c := &Cover{Limit: r.uint64(), Turn: int64(r.uint64()), Known: r.byte() == 1, Table: cover.Table{}}
+	n := r.uint32()
+	if n > tableMost {
+		r.bad = true
+	}
+	for i := uint32(0); i < n && !r.bad; i++ {
+		key := r.uint64()
+		c.Table[key] = int64(r.uint32())
+	}
+	return c
+}
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -4,11 +4,10 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -21,15 +20,19 @@
 	"github.com/hashicorp/memberlist"
 
 	"granitewing/internal/fleet/ledger"
+	"granitewing/internal/fleet/limit"
+	"granitewing/internal/latest"
 )
 
 // Bounds on what waits to be taken, and times.
 const (
-	waitingMost = 4096                   // senders whose latest report waits
+	waitingMost = 4096                   // senders whose latest report waits, and messages about limits that do
+	sayMost     = 16                     // rounds of messages about limits that wait to be sent
 	rejoinSoon  = 300 * time.Millisecond // from the start until the first look whether a member is missing; then twice as long each time
 	rejoin      = 3 * time.Second        // at most between two looks
 	silent      = 3 * time.Second        // a live member that has said nothing for so long may have given this one up
 	streamLimit = 2 * time.Second        // for a connection to a member; a start waits so long for one that is stalled
+	speaksFor   = time.Second            // who has spoken within it is there, whatever others say of it
 	compare     = 10 * time.Second       // between comparisons of all that is known with a member; more in a large fleet
 	reclaim     = 2 * time.Second        // after its failure a name may come back at another address
 	leaveLimit  = time.Second            // for telling the others of an orderly end
@@ -50,12 +53,15 @@
 type Fleet struct {
 	o    Options
 	list *memberlist.Memberlist
-	out  chan []ledger.Out
+	out  latest.Place[[]ledger.Out]
+	say  chan []*limit.Message
 	done chan struct{}
 	wait sync.WaitGroup
 
 	mu       sync.Mutex
+	speaking map[string]speaker  // members that were there once, until they leave
 	reports  map[key]ledger.News // the latest of each sender and kind
+	said     []*limit.Message    // about limits, in the order in which they came
 	asked    map[string]talk     // with members that should answer
 	gone     []ledger.Process
 	bad      int // messages that are no report
@@ -70,6 +76,12 @@
 	kind ledger.Kind
 }
 
+// speaker is a member as the library knew it last, and when it said something itself.
+type speaker struct {
+	node *memberlist.Node
+	last time.Time
+}
+
 // talk is since when a member should have answered, when it was told something last, and when it spoke.
 type talk struct{ since, told, spoke time.Time }
 
@@ -80,7 +92,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("fleet.bind: %w", err)
 	}
-	f := &Fleet{o: o, out: make(chan []ledger.Out, 1), done: make(chan struct{}), reports: map[key]ledger.News{}, asked: map[string]talk{}}
+	f := &Fleet{o: o, out: latest.New[[]ledger.Out](), say: make(chan []*limit.Message, sayMost), done: make(chan struct{}), speaking: map[string]speaker{}, reports: map[key]ledger.News{}, asked: map[string]talk{}}
 	cfg := memberlist.DefaultLANConfig()
 	cfg.Name, cfg.BindAddr, cfg.BindPort, cfg.AdvertiseAddr, cfg.AdvertisePort = o.Name, host, number, host, number
 	if o.Advertise != "" {
@@ -197,38 +209,28 @@
 
 // Tell sends reports, which nobody may change from now on. Where those before are still being sent, they are dropped for
 // these.
-func (f *Fleet) Tell(out []ledger.Out) {
-	for {
-		select {
-		case f.out <- out:
-			return
-		default:
-			select {
-			case <-f.out:
-			default:
-			}
-		}
-	}
-}
+func (f *Fleet) Tell(out []ledger.Out) { f.out.Put(out) }
 
 func (f *Fleet) sending() {
 	for {
 		select {
-		case out := <-f.out:
+		case out := <-f.out.C():
 			f.send(out)
+		case out := <-f.say:
+			f.utter(out)
 		case <-f.done:
+			select {
+			case out := <-f.say: // this process's last word, as on a post that it gives up
+				f.utter(out)
+			default:
+			}
 			return
 		}
 	}
 }
 
 func (f *Fleet) send(out []ledger.Out) {
-	there := map[string]*memberlist.Node{}
-	for _, m := range f.list.Members() {
-		if m.Name != f.o.Name {
-			there[m.Name] = m
-		}
-	}
+	there := f.there()
 	var b []byte
 	now := time.Now()
 	for i := range out {
@@ -253,14 +255,29 @@
 	}
 }
 
-// Take gives what was heard since the last call.
-func (f *Fleet) Take() ledger.Heard {
-	var members []string
-	for _, m := range f.list.Members() {
+// there gives the others that are there: those that the library holds for alive, and those that speak to this one though
+// others, who don't hear them, have it give them up.
+func (f *Fleet) there() map[string]*memberlist.Node {
+	out := map[string]*memberlist.Node{}
+	members := f.list.Members() // before the lock, which the library's calls take under its own
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, s := range f.speaking {
+		if time.Since(s.last) < speaksFor {
+			out[name] = s.node
+		}
+	}
+	for _, m := range members {
 		if m.Name != f.o.Name {
-			members = append(members, m.Name)
+			out[m.Name] = m
 		}
 	}
+	return out
+}
+
+// Take gives what was heard since the last call.
+func (f *Fleet) Take() ledger.Heard {
+	members := slices.Sorted(maps.Keys(f.there()))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	h := ledger.Heard{Members: members, Gone: f.gone, Bad: f.bad + f.full, Old: f.old}
@@ -290,89 +307,3 @@
 	defer f.mu.Unlock()
 	return f.conflict
 }
-
-// ---- What the library calls ----
-
-// NodeMeta implements memberlist.Delegate.
-func (f *Fleet) NodeMeta(int) []byte { return binary.BigEndian.AppendUint64(nil, f.o.Incarnation) }
-
-// NotifyMsg implements memberlist.Delegate: a report has come.
-func (f *Fleet) NotifyMsg(b []byte) {
-	r, err := ledger.Parse(b)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if err != nil {
-		f.bad++
-		return
-	}
-	if t, asked := f.asked[r.From]; asked {
-		t.spoke = time.Now()
-		f.asked[r.From] = t
-	}
-	from := key{r.From, r.Kind}
-	old, waits := f.reports[from]
-	switch {
-	case waits && (old.Incarnation > r.Incarnation || old.Incarnation == r.Incarnation && old.Seq >= r.Seq):
-		f.old++
-		return
-	case waits && old.Incarnation < r.Incarnation:
-		f.old++ // its successor takes its place
-	case !waits && len(f.reports) >= waitingMost:
-		f.full++
-		return
-	}
-	f.reports[from] = ledger.News{Report: r, At: time.Now()}
-}
-
-// GetBroadcasts implements memberlist.Delegate.
-func (f *Fleet) GetBroadcasts(int, int) [][]byte { return nil }
-
-// LocalState implements memberlist.Delegate.
-func (f *Fleet) LocalState(bool) []byte { return nil }
-
-// MergeRemoteState implements memberlist.Delegate.
-func (f *Fleet) MergeRemoteState([]byte, bool) {}
-
-// NotifyJoin implements memberlist.EventDelegate.
-func (f *Fleet) NotifyJoin(n *memberlist.Node) {
-	f.o.Log.Info("fleet: member", "member", n.Name, "addr", n.Address())
-}
-
-// NotifyUpdate implements memberlist.EventDelegate.
-func (f *Fleet) NotifyUpdate(*memberlist.Node) {}
-
-// NotifyLeave implements memberlist.EventDelegate: it ended, or was given up.
-func (f *Fleet) NotifyLeave(n *memberlist.Node) {
-	f.o.Log.Info("fleet: member gone", "member", n.Name, "addr", n.Address())
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.asked, n.Name)
-	if len(n.Meta) == 8 && len(f.gone) < waitingMost {
-		f.gone = append(f.gone, ledger.Process{Name: n.Name, Incarnation: binary.BigEndian.Uint64(n.Meta)})
-	}
-}
-
-// NotifyConflict implements memberlist.ConflictDelegate.
-func (f *Fleet) NotifyConflict(existing, other *memberlist.Node) {
-	f.o.Log.Error("fleet: two members of one name", "member", existing.Name, "addr", existing.Address(), "other", other.Address())
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if existing.Name == f.o.Name {
-		f.conflict = other.Address()
-	}
-}
-
-// lines brings the library's own log into the program's. What it says of peers that come and go is said here already.
-type lines struct{ log *slog.Logger }
-
-func (l lines) Write(b []byte) (int, error) {
-	text := strings.TrimSpace(string(b))
-	if _, after, ok := strings.Cut(text, "[ERR] "); ok {
-		l.log.Warn("fleet", "cause", after)
-	} else {
-		l.log.Debug("fleet", "cause", text)
-	}
-	return len(b), nil
-}
-
-var _ io.Writer = lines{}
--- a/internal/lab/audit/audit_test.go
+++ b/internal/lab/audit/audit_test.go
@@ -61,6 +61,13 @@
 			l.Finish(3*s, "t", l.Came(2*s, 2*s, "t", "b", 1, 0), Done, "r")
 			l.Ended(3*s, "t", client.Served, "r")
 		}, "sent to b though it may have run at a"},
+		"over when its host came to read it, after the next": {func(l *Log) {
+			l.Sent(0, "t", 0, 0)
+			a := l.Came(s, s, "t", "a", 1, 0)
+			l.Finish(s+10_009, "t", l.Came(s+10_000, s+10_000, "t", "b", 1, 0), Closed, "")
+			l.Finish(3*s, "t", a, Done, "r")
+			l.Ended(3*s, "t", client.Served, "r")
+		}, ""},
 		"two at once": {func(l *Log) {
 			l.Sent(0, "t", 0, 0)
 			a := l.Came(10, 20, "t", "a", 1, 0)
--- a/internal/lab/emulate/emulate.go
+++ b/internal/lab/emulate/emulate.go
@@ -5,15 +5,14 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"granitewing/internal/lab/audit"
+	"granitewing/internal/lab/hold"
 	"granitewing/internal/lab/link"
 	"granitewing/internal/lab/model"
 	"granitewing/internal/lab/spread"
@@ -52,8 +51,8 @@
 	m       *model.Host
 	ports   []*port // by dispatcher
 	ln      net.Listener
-	tcp     int // its port, the same at all addresses
-	hold    int // while it does not listen, a socket that keeps the port from others; 0 for none
+	tcp     int        // its port, the same at all addresses
+	hold    *hold.Port // while it does not listen
 	streams map[uint64]*stream
 	timer   *time.Timer
 	up      bool // it has joined and not stopped
@@ -150,11 +149,16 @@
 }
 
 // Play carries out the day's operations from now on, each on a timer of its own; those on dispatchers and their store go to the
-// caller. It returns at once.
+// caller. It returns at once. What is so from the beginning is in place by then: a timer may fire after the first job has come.
 func (e *Emulator) Play(ctx context.Context, begin time.Time, dispatcher func(world.Op)) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, op := range e.day.Ops {
+		if op.At <= 0 && op.Kind < world.OpKill {
+			slog.Info("fault", "at", op.At, "what", op.Label)
+			e.apply(op)
+			continue
+		}
 		e.timers = append(e.timers, time.AfterFunc(time.Until(begin.Add(op.At)), func() {
 			if ctx.Err() != nil {
 				return
@@ -329,206 +333,3 @@
 	e.mu.Unlock()
 	e.wait.Wait()
 }
-
-// ---- Hosts ----
-
-// loopback listens on every address of 127.0.0.0/8 at once, and on no other interface: the address that a dispatcher was
-// told tells who calls.
-var loopback = net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-	var err error
-	if cerr := c.Control(func(fd uintptr) {
-		err = syscall.SetsockoptString(int(fd), syscall.SOL_SOCKET, syscall.SO_BINDTODEVICE, "lo")
-	}); cerr != nil {
-		return cerr
-	}
-	return err
-}}
-
-// addr is where a dispatcher finds the host.
-func (h *host) addr(dispatcher int) string {
-	n := dispatcher + 1
-	return fmt.Sprintf("127.1.%d.%d:%d", n>>8, n&0xff, h.tcp)
-}
-
-// caller is the dispatcher that was told an address, nil where none was.
-func (h *host) caller(a net.Addr) *port {
-	t, ok := a.(*net.TCPAddr)
-	if !ok {
-		return nil
-	}
-	ip := t.IP.To4()
-	n := int(ip[2])<<8 + int(ip[3]) - 1
-	if ip[1] != 1 || n < 0 || n >= len(h.ports) {
-		return nil
-	}
-	return h.ports[n]
-}
-
-// open listens, at the port of before where there was one: discovery's list names it.
-func (h *host) open() error {
-	h.release()
-	ln, err := loopback.Listen(context.Background(), "tcp4", fmt.Sprintf("0.0.0.0:%d", h.tcp))
-	if err != nil {
-		return fmt.Errorf("host %s: %w", h.m.Name, err)
-	}
-	h.ln, h.tcp = ln, ln.Addr().(*net.TCPAddr).Port
-	h.e.wait.Go(func() { h.accept(ln) })
-	return nil
-}
-
-func (h *host) shut() {
-	if h.ln == nil {
-		return
-	}
-	h.ln.Close()
-	h.ln = nil
-	// A socket that is bound and does not listen: calls are refused, and no other program is given the port meanwhile.
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return
-	}
-	syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1) // its old connections may still be closing
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Port: h.tcp}); err != nil {
-		syscall.Close(fd)
-		return
-	}
-	h.hold = fd
-}
-
-// release gives the port back to its host.
-func (h *host) release() {
-	if h.hold > 0 {
-		syscall.Close(h.hold)
-		h.hold = 0
-	}
-}
-
-// look has the figures of the fleet's use take note of it; the lock is held.
-func (h *host) look(now int64) {
-	h.e.watch.Look(now, h.number, h.m, h.up && !h.vanish && !h.refuses)
-}
-
-// listen opens or shuts a host's address as its state asks.
-func (h *host) listen() {
-	switch want := h.up && !h.refuses; {
-	case want && h.ln == nil:
-		if err := h.open(); err != nil {
-			if errors.Is(err, syscall.EADDRINUSE) {
-				// Another program was given the port meanwhile; it may let go of it.
-				h.e.timers = append(h.e.timers, time.AfterFunc(100*time.Millisecond, func() {
-					h.e.mu.Lock()
-					defer h.e.mu.Unlock()
-					if !h.e.closed {
-						h.listen()
-					}
-				}))
-			}
-			slog.Warn("a host can't listen again", "err", err)
-		}
-	case !want:
-		h.shut()
-	}
-	h.mute()
-	h.look(h.e.now())
-}
-
-// mute finds which ports say nothing. What was open under the silence is reset once it is over.
-func (h *host) mute() {
-	for _, p := range h.ports {
-		zone := h.e.day.ZoneOf(p.dispatcher)
-		muted := h.vanish || h.e.parted[[2]int{min(zone, h.m.Zone), max(zone, h.m.Zone)}]
-		if p.muted && !muted {
-			p.link.Reset()
-		}
-		p.muted = muted
-	}
-}
-
-func reset(c net.Conn) {
-	if r, ok := c.(interface{ Reset() }); ok {
-		r.Reset()
-		return
-	}
-	if t, ok := c.(*net.TCPConn); ok {
-		t.SetLinger(0)
-	}
-	c.Close()
-}
-
-// crash ends a host's process.
-func (h *host) crash(now int64) {
-	h.m.Crash(now)
-	h.fell(now)
-}
-
-// fell cleans up after a process that is gone.
-func (h *host) fell(now int64) {
-	h.up = false
-	for id, s := range h.streams {
-		h.e.log.Finish(now, s.name, s.handle, audit.Lost, "")
-		delete(h.streams, id)
-	}
-	h.shut()
-	for _, p := range h.ports {
-		p.link.Reset()
-	}
-	if h.timer != nil {
-		h.timer.Stop()
-	}
-	h.look(now)
-}
-
-func (h *host) accept(ln net.Listener) {
-	e := h.e
-	for {
-		c, err := ln.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			time.Sleep(10 * time.Millisecond) // out of descriptors; those that are open must go on
-			continue
-		}
-		p := h.caller(c.LocalAddr())
-		e.mu.Lock()
-		if e.closed || h.ln != ln || p == nil {
-			e.mu.Unlock()
-			reset(c)
-			continue
-		}
-		s := &server{p: p}
-		s.c = p.link.Wrap(c, s.gone)
-		e.conns[s.c] = struct{}{}
-		e.wait.Go(s.serve)
-		e.mu.Unlock()
-	}
-}
-
-// arm sets the timer of what a host does next.
-func (h *host) arm() {
-	if h.timer != nil {
-		h.timer.Stop()
-	}
-	next := h.m.Next()
-	if next == model.Never {
-		return
-	}
-	h.timer = time.AfterFunc(time.Duration(next-h.e.now())*time.Microsecond, func() {
-		h.e.mu.Lock()
-		defer h.e.mu.Unlock()
-		if !h.e.closed {
-			h.tell(h.m.Advance(h.e.now()))
-		}
-	})
-}
-
-// tell hands a host's notes to those who wait for them; the lock is held.
-func (h *host) tell(notes []model.Note) {
-	for _, n := range notes {
-		if s := h.streams[n.Attempt]; s != nil {
-			s.tell(n)
-		}
-	}
-	h.look(h.e.now())
-	h.arm()
-}
--- a/internal/lab/emulate/serve.go
+++ b/internal/lab/emulate/serve.go
@@ -84,10 +84,11 @@
 // the host hears of it later and works on meanwhile.
 func (v *server) gone() {
 	e := v.p.h.e
+	now := e.now() // before the wait for the lock, which is long on a busy machine
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if s := v.current; s != nil {
-		e.log.Finish(e.now(), s.name, s.handle, audit.Closed, "")
+		e.log.Finish(now, s.name, s.handle, audit.Closed, "")
 	}
 }
 
@@ -100,9 +101,10 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		delete(e.conns, c)
+		gone := c.Gone()
 		c.Close()
 		if current != nil {
-			p.closed(current)
+			p.closed(current, gone)
 		}
 	}()
 	r := bufio.NewReader(c)
@@ -194,10 +196,14 @@
 	return true
 }
 
-// closed ends an attempt whose connection is over; the lock is held.
-func (p *port) closed(s *stream) {
+// closed ends an attempt whose connection is over, since a time if the dispatcher's end is; the lock is held.
+func (p *port) closed(s *stream, gone time.Time) {
 	e, h := p.h.e, p.h
-	e.log.Finish(e.now(), s.name, s.handle, audit.Closed, "")
+	now := e.now()
+	if !gone.IsZero() {
+		now = gone.Sub(e.start).Microseconds()
+	}
+	e.log.Finish(now, s.name, s.handle, audit.Closed, "")
 	close(s.out)
 	s.out = nil
 	if h.streams[s.attempt] != s {
--- a/internal/lab/experiment/peers.go
+++ b/internal/lab/experiment/peers.go
@@ -3,12 +3,16 @@
 import (
 	"cmp"
 	"fmt"
+	"net/netip"
+	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"granitewing/internal/lab/emulate"
+	"granitewing/internal/lab/hold"
 	"granitewing/internal/lab/link"
 	"granitewing/internal/lab/mesh"
 	"granitewing/internal/lab/world"
@@ -129,3 +133,50 @@
 	}
 	return out
 }
+
+// seedsMost is how many members of a fleet the others are told to join.
+const seedsMost = 3
+
+// places holds an address for each dispatcher's door, and one for its part in a fleet: a loopback address of its own, with a
+// port that is free there for datagrams and connections. They are held to the end of the play, as a dispatcher that is
+// started anew wants them again. The addresses of fleets are this process's own as well: datagrams can't be held.
+func (t *theatre) places(n int) error {
+	net8 := 2 + 2*(os.Getpid()%120) // the next one is that of the mesh's seats
+	for i := range n {
+		door, err := hold.Take(netip.MustParseAddrPort("127.0.0.1:0"))
+		if err != nil {
+			return fmt.Errorf("dispatcher %d: %w", i, err)
+		}
+		t.held, t.doors = append(t.held, door), append(t.doors, door.Addr().String())
+		part, err := hold.Both(netip.AddrFrom4([4]byte{127, byte(net8), byte((i + 1) >> 8), byte(i + 1)}))
+		if err != nil {
+			return fmt.Errorf("gossip of dispatcher %d: %w", i, err)
+		}
+		t.held, t.gossip = append(t.held, part), append(t.gossip, part.Addr().String())
+	}
+	return nil
+}
+
+// own gives a dispatcher's own settings, which name its files by play and number, and its place in a fleet.
+func (t *theatre) own(i int) string {
+	text := cmp.Or(t.v.Own, t.day.Own)
+	url := ""
+	if t.store != nil {
+		url = t.store.URL()
+	}
+	if strings.Contains(text, "{gossip}") {
+		seeds := make([]string, min(len(t.gossip), seedsMost))
+		for k := range seeds {
+			seeds[k] = strconv.Quote(t.gossip[k])
+			if t.mesh != nil {
+				seeds[k] = strconv.Quote(t.mesh.Addr(k))
+			}
+		}
+		told := t.gossip[i]
+		if t.mesh != nil {
+			told = t.mesh.Addr(i)
+		}
+		text = strings.NewReplacer("{gossip}", t.gossip[i], "{told}", told, "{seeds}", strings.Join(seeds, " ")).Replace(text)
+	}
+	return strings.NewReplacer("{dir}", t.s.Dir, "{postgres}", url, "{name}", fmt.Sprintf("%s-%d-n%d", t.v.Name, t.seed, i)).Replace(text)
+}
--- a/internal/lab/mesh/mesh.go
+++ b/internal/lab/mesh/mesh.go
@@ -79,7 +79,7 @@
 	}
 	m.who[ip] = i
 	// The same port for both, at an address of this seat's own, so that another program's ports hardly matter.
-	ln, err := net.Listen("tcp4", fmt.Sprintf("127.3.%d.%d:0", (i+1)>>8, (i+1)&0xff))
+	ln, err := net.Listen("tcp4", fmt.Sprintf("127.%d.%d.%d:0", real.IP.To4()[1]+1, (i+1)>>8, (i+1)&0xff))
 	if err != nil {
 		return err
 	}
--- a/internal/lab/virtual/sharing.go
+++ b/internal/lab/virtual/sharing.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"slices"
 
+	"granitewing/internal/fleet/court"
 	"granitewing/internal/fleet/ledger"
+	"granitewing/internal/fleet/market"
 	"granitewing/internal/lab/world"
 	"granitewing/internal/memory"
 	"granitewing/logic"
@@ -39,7 +41,20 @@
 		return nil
 	})
 	d.seq++
-	for _, out := range d.ledger.Round(p.now, ledger.Of(d.name, uint64(d.gen), d.seq, p.now, core), p.others(d)) {
+	own := ledger.Of(d.name, uint64(d.gen), d.seq, p.now, core)
+	if s.Verdicts == "on" {
+		if d.court == nil || d.courted != core {
+			d.court, d.courted = court.New(d.name, d.zone, core), core
+		}
+		d.court.Sit(p.now, d.ledger, core, len(p.disp), s.Every, own)
+	}
+	if s.Slack == "on" {
+		if d.market == nil || d.traded != core {
+			d.market, d.traded = market.New(core), core
+		}
+		d.market.Sit(p.now, d.ledger, core, len(p.disp), own)
+	}
+	for _, out := range d.ledger.Round(p.now, own, p.others(d)) {
 		late := s.Late.Lo + world.Delay(d.rng.Float64()*float64(s.Late.Hi-s.Late.Lo))
 		p.talk.Datagrams += len(out.To)
 		p.talk.Bytes += len(out.To) * len(ledger.Append(nil, out.Report))
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -32,6 +32,7 @@
 	Log      *audit.Log // may be nil: large fleets are played without an audit, whose records would outgrow the model
 	Measure  bool       // take the CPU time of the cores' calls and their memory; not part of what repeats
 	Progress func(sent, done, total int)
+	Judged   func(at int64, dispatcher int, j *world.Job, refused bool) // each first try, and whether it was refused at once; may be nil
 }
 
 // Result is what a play gave.
--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -53,7 +54,7 @@
 		classes = append(classes, audit.Class{Name: c.Name, Repeat: c.Repeat, Window: c.Window.Microseconds()})
 	}
 	log := audit.New(classes)
-	res, err := Run(context.Background(), day, Options{Variant: v, Seed: seed, Log: log})
+	res, err := Run(context.Background(), day, Options{Variant: v, Seed: seed, Log: log, Judged: judged})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -240,3 +241,41 @@
 		t.Errorf("sharing serves %.3f with %d alerts failed, alone %.3f with %d", with, less, service, failed)
 	}
 }
+
+// judged hears of first tries, in the test that sets it.
+var judged func(at int64, dispatcher int, j *world.Job, refused bool)
+
+// Prices: in an overload most alerts that can't be served are refused before they are sent, like jobs
+// get like verdicts at different dispatchers, in calm nothing is refused for its price, and one that hears nobody decides as it would without.
+func TestSlack(t *testing.T) {
+	span := settings.Span{Lo: 5 * time.Millisecond, Hi: 50 * time.Millisecond}
+	play := func(rate, seconds int, slack string, loss float64) (string, float64, int64) {
+		day := fmt.Sprintf(`(experiment e (virtual) (load (programme (constant (for 2s) (rate 16)) (constant (for %ds) (rate %d)) (constant (for 1s) (rate 16))))
+  (dispatchers 14) (fleet (hosts 14)) (data-sets (count 60) (store 60)))`, seconds, rate)
+		res, rep := playDay(t, day, 5, world.Variant{Share: &world.Share{Every: 100 * time.Millisecond, Late: span, Loss: loss, Slack: slack}})
+		if rep.Broken() > 0 {
+			t.Errorf("slack %q: %s", slack, rep)
+		}
+		rows := res.Recorder.Rows()
+		b, _ := json.Marshal(rows)
+		return string(b), rows[len(rows)-1].Service, rows[3].Failed
+	}
+	for rate, loss := range map[int]float64{16: 0, 49: 1} {
+		with, _, _ := play(rate, 2, "on", loss)
+		if without, _, _ := play(rate, 2, "", loss); with != without {
+			t.Errorf("%d jobs a second, %g lost: decided otherwise with a price", rate, loss)
+		}
+	}
+	_, without, failed := play(49, 7, "", 0.3)
+	var alike Alike
+	judged = alike.Judge
+	_, with, less := play(49, 7, "on", 0.3)
+	judged = nil
+	t.Logf("service %.3f with %d alerts failed, without %.3f with %d; %d of %d first tries refused, %d of %d pairs alike", with, less, without, failed, alike.Refused, alike.Tries, alike.Same, alike.Pairs)
+	if 3*less > failed { // what it serves is seen in larger fleets alone
+		t.Errorf("%d alerts failed with a price, %d without", less, failed)
+	}
+	if alike.Refused < 30 || alike.Pairs < 25 || alike.Same*100 < alike.Pairs*85 {
+		t.Errorf("%d of %d pairs alike got the same verdict, %d tries were refused", alike.Same, alike.Pairs, alike.Refused)
+	}
+}
--- a/internal/lifecycle/fleet.go
+++ b/internal/lifecycle/fleet.go
@@ -10,6 +10,7 @@
 
 	"granitewing/internal/driver"
 	"granitewing/internal/fleet/ledger"
+	"granitewing/internal/fleet/limit"
 	"granitewing/internal/settings"
 	"granitewing/internal/wire/platform"
 )
@@ -24,6 +25,10 @@
 	Believe   time.Duration `sexp:"believe" min:"0.05" max:"60"` // news past this age counts for nothing
 	Quorum    float64       `sexp:"quorum" min:"0" max:"1"`      // share of the members that must be heard for anything to count
 	Hubs      int           `sexp:"hubs" min:"0" max:"1000"`     // members that sum for the others; 0: all of up to 12, the square root of more
+	Limits    *Limits       `sexp:"limits"`
+	Retries   float64       `sexp:"retries" min:"0" max:"2"`  // attempts beyond the first, as a share of first ones; 0: as many as the site allows
+	Verdicts  string        `sexp:"verdicts" one-of:"on|off"` // hosts are judged by what all members find of them
+	Slack     string        `sexp:"slack" one-of:"on|off"`    // jobs are let in by one price of the whole fleet's work
 	Where     settings.Pos  `sexp:",pos"`
 }
 
@@ -95,6 +100,21 @@
 	}
 }
 
+// Say implements driver.Peers.
+func (p *place) Say(out []*limit.Message) {
+	if f := p.now(); f != nil {
+		f.Say(out)
+	}
+}
+
+// Said implements driver.Peers.
+func (p *place) Said() []*limit.Message {
+	if f := p.now(); f != nil {
+		return f.Said()
+	}
+	return nil
+}
+
 // Take implements driver.Peers.
 func (p *place) Take() ledger.Heard {
 	if f := p.now(); f != nil {
@@ -129,6 +149,10 @@
 func joinFleet(cfg *platform.Config, f *FleetSettings, d *driver.Driver, log *slog.Logger) (*place, error) {
 	// A later process of the name has a higher one, as long as its clock was not set back by more than it was down.
 	incarnation := uint64(time.Now().UnixNano())
+	rights, err := f.rights(cfg, incarnation)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUsage, err)
+	}
 	p := &place{}
 	peers, err := JoinFleet(f, cfg.Name, incarnation, log)
 	switch {
@@ -152,7 +176,7 @@
 	default:
 		return nil, fmt.Errorf("%w: %w", ErrUsage, err)
 	}
-	d.Share(driver.Sharing{Peers: p, Every: f.Every, Incarnation: incarnation,
+	d.Share(driver.Sharing{Peers: p, Every: f.Every, Incarnation: incarnation, Rights: rights, Verdicts: f.Verdicts == "on", Slack: f.Slack == "on", Retries: f.Retries,
 		Limits: ledger.Limits{Believe: f.Believe.Microseconds(), Quorum: f.Quorum, Gap: f.Every.Microseconds() / 4,
 			Hubs: f.Hubs, Deaf: max(deaf, 6*f.Every).Microseconds()}})
 	return p, nil
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -11,6 +11,7 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -64,11 +65,16 @@
 		if err != nil {
 			return err
 		}
-		// At the signal already: a next process of the name may be there and wait for the place.
+		// At the signal already: a next process of the name may be there and wait for the place. A short run of what is left
+		// to answer does not cut off the goodbye.
+		left := make(chan struct{})
 		go func() {
+			defer close(left)
 			<-stop
+			within(resignLimit, d.Resigned())
 			place.Leave()
 		}()
+		defer within(leaveLimit, left)
 	}
 	if records != nil {
 		d.Keep(*records)
@@ -90,6 +96,9 @@
 			}
 			log.Info("reload", "discovery", address)
 			d.Reload(address)
+			if own.Fleet != nil && own.Fleet.Limits != nil {
+				relimit(cfg, own, d, log)
+			}
 		}
 	}()
 	log.Info("listening", "addr", ln.Addr().String())
@@ -97,6 +106,22 @@
 	return nil
 }
 
+// How long an end waits for the fleet to be told of it: for the owner's word on what it gives up, and for all of it.
+const (
+	resignLimit = 300 * time.Millisecond
+	leaveLimit  = 1500 * time.Millisecond
+)
+
+// within waits for an event, for a time at most.
+func within(most time.Duration, event <-chan struct{}) {
+	t := time.NewTimer(most)
+	defer t.Stop()
+	select {
+	case <-event:
+	case <-t.C:
+	}
+}
+
 // reload reads the configuration again and gives discovery's address, the one setting that can change while the
 // program runs. It is the file that was replaced, so it goes before the environment here.
 func reload(env func(string) string) (string, error) {
--- a/internal/lifecycle/log.go
+++ b/internal/lifecycle/log.go
@@ -25,6 +25,7 @@
 	Log     LogSettings     `sexp:"log"`
 	Records *RecordSettings `sexp:"record"`
 	Fleet   *FleetSettings  `sexp:"fleet"`
+	path    string          // of their file
 }
 
 // ReadSettings reads a file that holds one list (granitewing …); no path gives the defaults.
@@ -33,6 +34,7 @@
 	if path == "" {
 		return s, nil
 	}
+	s.path = path
 	return s, settings.DecodeFile(path, "granitewing", s)
 }
 
@@ -90,6 +92,11 @@
 		f := own.Fleet
 		fmt.Fprintf(w, "fleet %s: member %s at %s, joins %s; tells the others every %v, news counts for %v\n",
 			f.Label, cfg.Name, f.Bind, strings.Join(f.Join, " "), f.Every, f.Believe)
+		if f.Limits != nil {
+			if err := f.describe(w, cfg); err != nil {
+				return err
+			}
+		}
 	}
 	if own == nil || own.Records == nil {
 		return nil
--- a/internal/memory/core.go
+++ b/internal/memory/core.go
@@ -88,6 +88,7 @@
 	relays   []relay
 	out      int  // relays without an end
 	free     int  // relays that never reached their host, where those do not count as attempts
+	ran      bool // one of them may have run
 	answered bool // it has its final answer, or nobody waits for one
 }
 
@@ -117,6 +118,11 @@
 	out      []Command
 	cordons  map[string]bool     // hosts barred by hand, by name, listed or not
 	listed   map[string]struct{} // names that any inventory gave, for telling a cordon of an unknown host
+	doubt    bool                // any host may have drained for all that is known; none is sent to
+	limits   Limits              // of the fleet; nil: there are none
+	evidence Evidence            // nil: nobody asks for it
+	prices   Prices              // of the fleet; nil: there are none
+	retries  retries             // rights to attempts beyond the first
 }
 
 // New makes a core.
@@ -152,147 +158,24 @@
 		c.do(Command{Kind: Answer, Relay: RelayID{Message: id}, Verdict: Refused, After: fullAfter})
 		return id, c.out
 	}
+	deadline, share, in := c.enter(now, id, m, deadline)
+	if !in {
+		c.do(Command{Kind: Answer, Relay: RelayID{Message: id}, Verdict: Refused, After: overAfter})
+		return id, c.out
+	}
+	c.retries.first()
 	c.messages[id] = &message{name: m.Name}
 	if m.Name != "" {
 		c.names[m.Name] = id
 	}
 	c.acts = c.sched.Arrive(now, logic.Job{
 		ID: id, Key: m.Subject, Class: m.Class, Tenant: m.Tenant, Hint: m.Hint, Slots: m.Slots, Memory: m.Memory,
-		Deadline: deadline, Repeated: m.Repeated,
+		Deadline: deadline, Repeated: m.Repeated, Share: share, Price: c.price(),
 	}, c.acts)
+	c.asked(now)
 	return id, c.finish(now)
 }
 
-// Inventory takes what discovery told, or that it could not be asked.
-func (c *Core) Inventory(now int64, how logic.ListKind, hosts []Host) []Command {
-	c.begin()
-	if how == logic.ListFull || how == logic.ListCached {
-		listed := map[string]bool{}
-		for _, h := range hosts {
-			listed[h.Name] = true
-		}
-		for _, h := range c.hosts {
-			if !listed[h.Name] {
-				c.remove(h)
-			}
-		}
-	}
-	list := make([]logic.WorkerInfo, 0, len(hosts))
-	for _, h := range hosts {
-		if _, known := c.numbers[h.Name]; !known && len(c.hosts) >= hostsMost {
-			continue
-		}
-		list = append(list, c.info(c.take(h), h))
-	}
-	c.acts = c.sched.Workers(now, how, list, c.acts)
-	return c.finish(now)
-}
-
-// info is what the decisions are told of a host: one that is cordoned drains to them, whatever the inventory says.
-func (c *Core) info(id logic.WorkerID, h Host) logic.WorkerInfo {
-	phase := h.Phase
-	if phase == logic.Ready && c.cordons[h.Name] {
-		phase = logic.Draining
-	}
-	return logic.WorkerInfo{ID: id, Zone: h.Zone, Kind: h.Kind, Cell: h.Cell, Weight: h.Weight, UpSince: h.UpSince, Phase: phase}
-}
-
-// Cordon bars the host of that name by hand (on) or lets it be used again. A cordon holds whatever the inventory says
-// until it is lifted; repeating either is harmless. known is false, and nothing changes, for a name that no inventory
-// gave and that is not cordoned.
-func (c *Core) Cordon(now int64, name string, on bool) (known bool, cmds []Command) {
-	c.begin()
-	_, listed := c.listed[name]
-	if !listed && !c.cordons[name] {
-		return false, c.out
-	}
-	if on == c.cordons[name] {
-		return true, c.out
-	}
-	if on {
-		c.cordons[name] = true // bounded, as the names listed are, or as Restore bounds them
-	} else {
-		delete(c.cordons, name)
-	}
-	if id, ok := c.numbers[name]; ok {
-		h := c.hosts[id]
-		if on && h.Phase == logic.Ready {
-			c.do(Command{Kind: Leave, Addr: h.Addr})
-		}
-		c.acts = c.sched.Workers(now, logic.ListDelta, []logic.WorkerInfo{c.info(id, h.Host)}, c.acts)
-	}
-	return true, c.finish(now)
-}
-
-// Restore bars a host by hand that an earlier process of this dispatcher barred, whether it is listed or not.
-func (c *Core) Restore(now int64, name string) []Command {
-	if _, listed := c.listed[name]; !listed && !c.cordons[name] && len(c.cordons) < hostsMost {
-		c.cordons[name] = true
-	}
-	_, cmds := c.Cordon(now, name, true)
-	return cmds
-}
-
-// Cordons gives the names of the hosts barred by hand, in no order.
-func (c *Core) Cordons() []string {
-	names := make([]string, 0, len(c.cordons))
-	for name := range c.cordons {
-		names = append(names, name)
-	}
-	return names
-}
-
-// Census counts the hosts listed and those of them that are not sent new work, whether by hand or since the inventory
-// says that they drain.
-func (c *Core) Census() (listed, avoided int) {
-	for _, h := range c.hosts {
-		if h.Phase != logic.Ready || c.cordons[h.Name] {
-			avoided++
-		}
-	}
-	return len(c.hosts), avoided
-}
-
-// take keeps one entry of the inventory and gives the host's number.
-func (c *Core) take(e Host) logic.WorkerID {
-	id, known := c.numbers[e.Name]
-	if _, seen := c.listed[e.Name]; !seen {
-		if len(c.listed) >= 4*hostsMost {
-			// Names of hosts long replaced are let go together; a cordon of one of them is then refused.
-			clear(c.listed)
-		}
-		c.listed[e.Name] = struct{}{}
-	}
-	if !known {
-		// The number comes from the name alone, since the decisions of dispatchers that share nothing agree
-		// through it; only two names that collide may differ between dispatchers.
-		for id = numberOf(e.Name); c.hosts[id] != nil; {
-			id++
-		}
-	}
-	old := c.hosts[id]
-	if e.Phase == logic.Gone {
-		if old != nil {
-			c.remove(old)
-		}
-		return id
-	}
-	if old != nil && old.Phase == logic.Ready && !c.cordons[e.Name] && (e.Phase != logic.Ready || old.Addr != e.Addr) {
-		c.do(Command{Kind: Leave, Addr: old.Addr})
-	}
-	c.numbers[e.Name] = id
-	c.hosts[id] = &host{Host: e, id: id}
-	return id
-}
-
-func (c *Core) remove(h *host) {
-	if h.Phase == logic.Ready {
-		c.do(Command{Kind: Leave, Addr: h.Addr})
-	}
-	delete(c.hosts, h.id)
-	delete(c.numbers, h.Name)
-}
-
 // Started takes the news that a relay's host has begun to run it.
 func (c *Core) Started(now int64, r RelayID) []Command {
 	c.begin()
@@ -327,7 +210,7 @@
 func (c *Core) HangUp(now int64, id ID) []Command {
 	c.begin()
 	if m := c.messages[id]; m != nil && !m.answered {
-		m.answered = true
+		c.settle(id, m)
 		c.acts = c.sched.HangUp(now, id, c.acts)
 	}
 	return c.finishMessage(now, id)
@@ -382,9 +265,6 @@
 	return a != nil && c.takes(c.hosts[a.worker])
 }
 
-// takes tells whether a host, if it is known, may be sent anything new.
-func (c *Core) takes(h *host) bool { return h != nil && h.Phase == logic.Ready && !c.cordons[h.Name] }
-
 // finish turns actions into commands; an action may bring an outcome at once, which may bring more actions.
 func (c *Core) finish(now int64) []Command {
 	for i := 0; i < len(c.acts); i++ {
@@ -439,6 +319,13 @@
 		m.out > 1 && !c.cfg.MayCopy:                      // one attempt out at a time
 		c.end(now, r, logic.Moot, nil)
 		return
+	case !c.retries.may(len(m.relays) - m.free):
+		if m.out > 1 {
+			c.end(now, r, logic.Moot, nil) // the first copy goes on
+		} else {
+			c.giveUp(now, r, m)
+		}
+		return
 	}
 	c.do(Command{Kind: Send, Relay: r, Addr: h.Addr, Timeout: a.Timeout})
 }
@@ -449,6 +336,8 @@
 	a := &m.relays[r.Attempt]
 	a.out = false
 	m.out--
+	c.note(now, a.worker, result)
+	m.ran = m.ran || result != logic.ConnectFailed && result != logic.Refused && result != logic.Moot
 	if c.cfg.FreeConnects && result == logic.ConnectFailed {
 		m.free++
 	}
@@ -463,7 +352,7 @@
 
 // answer gives the one final answer.
 func (c *Core) answer(id ID, m *message, cmd Command) {
-	m.answered = true
+	c.settle(id, m)
 	cmd.Kind, cmd.Relay = Answer, RelayID{Message: id}
 	c.do(cmd)
 }
--- a/internal/memory/core_test.go
+++ b/internal/memory/core_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"granitewing/internal/exchange"
+	"granitewing/internal/testing/exchange"
 	"granitewing/logic"
 )
 
@@ -75,6 +75,10 @@
 		}
 	case "restore": // a host's name, barred by an earlier process
 		cmds = p.c.Restore(p.now, f[1])
+	case "retries": // share of first attempts, and how many at once
+		var share, most float64
+		fmt.Sscan(f[1]+" "+f[2], &share, &most)
+		p.c.Retries(share, most)
 	case "census":
 		listed, avoided := p.c.Census()
 		fmt.Fprintf(&p.out, "%d listed, %d avoided\n", listed, avoided)
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"reflect"
@@ -149,7 +150,10 @@
 		}
 	}
 	if c, ok := v.Addr().Interface().(Checker); ok {
-		if err := c.Check(); err != nil {
+		var placed *Error
+		if err := c.Check(); errors.As(err, &placed) {
+			return placed // it knows the place better than the list's own
+		} else if err != nil {
 			return &Error{n.Pos, path, err.Error()}
 		}
 	}
--- a/internal/wire/platform/http.go
+++ b/internal/wire/platform/http.go
@@ -236,7 +236,7 @@
 	return wants
 }
 
-// response walks one answer whose body is read line by line.
+// response walks one answer.
 type response struct {
 	head   head
 	inBody bool
@@ -244,13 +244,11 @@
 	status int
 	fields textproto.MIMEHeader
 	close  bool
-	line   []byte
-	most   int // bytes of a line
 }
 
-// feed calls onHead once and onLine for each line, and tells how many bytes it used and whether the answer
-// is whole.
-func (r *response) feed(b []byte, onHead func(), onLine func([]byte) error) (used int, whole bool, err error) {
+// feed calls onHead once and sink for the body's bytes as they come, and tells how many bytes it used and whether the
+// answer is whole.
+func (r *response) feed(b []byte, onHead func(), sink func([]byte) error) (used int, whole bool, err error) {
 	for !r.inBody {
 		n, done, err := r.head.feed(b[used:])
 		used += n
@@ -264,13 +262,8 @@
 			onHead()
 		}
 	}
-	n, whole, err := r.body.feed(b[used:], func(data []byte) error { return r.split(data, onLine) })
-	used += n
-	if err == nil && whole && len(r.line) > 0 {
-		err = onLine(r.line)
-		r.line = r.line[:0]
-	}
-	return used, whole, err
+	n, whole, err := r.body.feed(b[used:], sink)
+	return used + n, whole, err
 }
 
 // begin reads a whole head; one that only announces another is passed over.
@@ -300,30 +293,5 @@
 	return err
 }
 
-// split cuts the body into lines.
-func (r *response) split(data []byte, onLine func([]byte) error) error {
-	for {
-		n := bytes.IndexByte(data, '\n')
-		if n < 0 {
-			n = len(data)
-		}
-		if len(r.line)+n > r.most {
-			return errors.New("line is too long")
-		}
-		r.line = append(r.line, data[:n]...)
-		if n == len(data) {
-			return nil
-		}
-		data = data[n+1:]
-		err := onLine(bytes.TrimSuffix(r.line, []byte("\r")))
-		r.line = r.line[:0]
-		if err != nil {
-			return err
-		}
-	}
-}
-
 // reset makes ready for the next answer on the connection; buffers are kept.
-func (r *response) reset() {
-	*r = response{head: head{buf: r.head.buf[:0]}, line: r.line[:0], most: r.most}
-}
+func (r *response) reset() { *r = response{head: head{buf: r.head.buf[:0]}} }
--- a/internal/wire/platform/inventory.go
+++ b/internal/wire/platform/inventory.go
@@ -61,10 +61,14 @@
 	return l, nil
 }
 
+// ErrTurnedAway is the error of an answer that is no list.
+var ErrTurnedAway = errors.New("discovery answered")
+
 // Watch reads the inventory: the whole list, where that was asked for first, then the watch on changes.
 type Watch struct {
 	names Names
 	resp  response
+	cut   objects
 	json  fastjson.Parser
 	on    func(List)
 	whole bool // the answer being read is the whole list, and another follows
@@ -73,7 +77,7 @@
 
 // NewWatch makes a reader that hands each list to on; whole says that AppendWhole goes ahead of AppendWatch.
 func NewWatch(names Names, whole bool, on func(List)) *Watch {
-	return &Watch{names: names, resp: response{most: maxList}, whole: whole, on: on}
+	return &Watch{names: names, cut: objects{most: maxList}, whole: whole, on: on}
 }
 
 // AppendWhole appends the request for the whole list.
@@ -97,9 +101,12 @@
 func (w *Watch) Feed(b []byte) (listed bool, err error) {
 	used, over, err := w.resp.feed(b, func() {
 		if w.resp.status != 200 {
-			w.bad = fmt.Errorf("discovery answered %d", w.resp.status)
+			w.bad = fmt.Errorf("%w %d", ErrTurnedAway, w.resp.status)
 		}
-	}, w.line)
+	}, w.body)
+	if err == nil && over {
+		err = w.cut.end()
+	}
 	switch {
 	case w.bad != nil:
 		return false, w.bad
@@ -115,10 +122,18 @@
 	return true, nil
 }
 
-func (w *Watch) line(text []byte) error {
-	if w.bad != nil || len(text) == 0 {
+// Fresh tells whether what was fed last shows that discovery goes on: a blank line does so between lists, but not in the
+// middle of one that never ends.
+func (w *Watch) Fresh() bool { return !w.resp.inBody || w.cut.fresh }
+
+func (w *Watch) body(data []byte) error {
+	if w.bad != nil {
 		return w.bad
 	}
+	return w.cut.feed(data, w.object)
+}
+
+func (w *Watch) object(text []byte) error {
 	v, err := w.json.ParseBytes(text)
 	if err != nil {
 		return fmt.Errorf("malformed list: %w", err)
--- /dev/null
+++ b/internal/wire/platform/pieces.go
@@ -0,0 +1,115 @@
+package platform
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+)
+
+// A body that goes on and on is cut into what is read at once: a relay's into lines, the inventory's into JSON objects.
+
+// lines cuts a body at its line ends.
+type lines struct {
+	line []byte // as far as it has come
+	most int    // bytes of a line
+}
+
+// feed calls on for each line that ends within data, without its end.
+func (l *lines) feed(data []byte, on func([]byte) error) error {
+	for {
+		n := bytes.IndexByte(data, '\n')
+		if n < 0 {
+			n = len(data)
+		}
+		if len(l.line)+n > l.most {
+			return errors.New("line is too long")
+		}
+		l.line = append(l.line, data[:n]...)
+		if n == len(data) {
+			return nil
+		}
+		data = data[n+1:]
+		err := on(bytes.TrimSuffix(l.line, []byte("\r")))
+		l.line = l.line[:0]
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// end calls on for what stands behind the last line end.
+func (l *lines) end(on func([]byte) error) error {
+	if len(l.line) == 0 {
+		return nil
+	}
+	err := on(l.line)
+	l.line = l.line[:0]
+	return err
+}
+
+func (l *lines) reset() { l.line = l.line[:0] }
+
+// objects cuts a body into JSON objects wherever its lines end, since lists may come indented over many of them. It looks
+// at braces and strings alone; whether an object is well formed is its parser's business.
+type objects struct {
+	text            []byte // of the object under way, as far as it has come
+	most            int    // bytes of an object
+	depth           int    // of braces
+	quoted, escaped bool   // within a string, and behind a backslash there
+	fresh           bool   // the latest bytes said something: blank ones do so between objects alone
+}
+
+// feed calls on for each object that ends within data.
+func (o *objects) feed(data []byte, on func([]byte) error) error {
+	begin := 0
+	o.fresh = false
+	for i, c := range data {
+		o.fresh = o.fresh || o.depth == 0 || c > ' '
+		switch {
+		case o.escaped:
+			o.escaped = false
+		case o.quoted:
+			o.escaped, o.quoted = c == '\\', c != '"'
+		case c == '"' && o.depth > 0:
+			o.quoted = true
+		case c == '{':
+			if o.depth++; o.depth == 1 {
+				begin = i
+			}
+		case c == '}' && o.depth > 0:
+			if o.depth--; o.depth > 0 {
+				continue
+			}
+			if err := o.keep(data[begin : i+1]); err != nil {
+				return err
+			}
+			err := on(o.text)
+			o.text = o.text[:0]
+			if err != nil {
+				return err
+			}
+		case o.depth == 0 && c != ' ' && c != '\t' && c != '\r' && c != '\n':
+			return fmt.Errorf("malformed list: %q where an object should begin", c)
+		}
+	}
+	if o.depth > 0 {
+		return o.keep(data[begin:])
+	}
+	return nil
+}
+
+func (o *objects) keep(data []byte) error {
+	if len(o.text)+len(data) > o.most {
+		return errors.New("list is too long")
+	}
+	o.text = append(o.text, data...)
+	return nil
+}
+
+// end tells of an object that was cut off.
+func (o *objects) end() error {
+	if o.depth > 0 {
+		return errors.New("list ends in the middle of an object")
+	}
+	return nil
+}
--- a/internal/wire/platform/platform_test.go
+++ b/internal/wire/platform/platform_test.go
@@ -9,8 +9,8 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 
-	"granitewing/internal/exchange"
 	"granitewing/internal/memory"
+	"granitewing/internal/testing/exchange"
 	"granitewing/logic"
 )
 
@@ -175,7 +175,7 @@
 			Cell: 3, Weight: 1.5, UpSince: 7000, Phase: logic.Ready}}},
 		Settings: logic.Config{
 			Schedulers: 1, Zones: 2, MustAsk: true, FreeConnects: true, OverShare: 1, Progress: 2_000_000, MaxAttempts: 3, ConnectTimeout: 150000, ConnIdle: 30000000,
-			MaxOpen: 9, ZoneNames: []string{"dakar", "saint_louis"}, KindNames: []string{"m1", "m2"},
+			MaxOpen: 9, Pushed: true, ZoneNames: []string{"dakar", "saint_louis"}, KindNames: []string{"m1", "m2"},
 			Tenants: []logic.Tenant{{Name: "coast_guard", Quota: 8}, {Name: "harbour"}},
 			Classes: []logic.Class{
 				{Name: "readings", Aim: 1, Stretch: 2.5, Worth: 1, Repeat: logic.RepeatSafe, WorkerKind: -1},
--- a/internal/wire/platform/relay.go
+++ b/internal/wire/platform/relay.go
@@ -61,6 +61,7 @@
 // Relay reads the answers on one connection to a south side host, one relay at a time.
 type Relay struct {
 	resp  response
+	lines lines
 	json  fastjson.Parser
 	id    string
 	out   bool // a request is out and its answer is not whole
@@ -74,11 +75,12 @@
 )
 
 // NewRelay makes a reader that hands its notes to on.
-func NewRelay(on func(Note)) *Relay { return &Relay{resp: response{most: maxLine}, on: on} }
+func NewRelay(on func(Note)) *Relay { return &Relay{lines: lines{most: maxLine}, on: on} }
 
 // Begin says that the request of a message goes out.
 func (r *Relay) Begin(id string) {
 	r.resp.reset()
+	r.lines.reset()
 	r.id, r.out, r.ended = id, true, false
 }
 
@@ -88,7 +90,10 @@
 	if !r.out {
 		return errStray
 	}
-	used, whole, err := r.resp.feed(b, r.head, r.line)
+	used, whole, err := r.resp.feed(b, r.head, func(data []byte) error { return r.lines.feed(data, r.line) })
+	if err == nil && whole {
+		err = r.lines.end(r.line)
+	}
 	if err != nil || !whole {
 		return err
 	}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -58,6 +58,8 @@
 		ConnectTimeout: s.micros("Limits.ConnectTimeout", 0),
 		ConnIdle:       s.micros("Limits.ConnIdle", 0),
 		MaxOpen:        s.count("Limits.MaxOpen", 0),
+		Pushed:         s["Discovery"] == "automatic",
+		AskWithin:      s.micros("Rules.AskWithin", 0),
 	}
 	// Limits.RetryAfter tells whether the simulator's clients get the advice; it drops it where they do not. On
 	// sockets the header is always allowed, so the advice is always given.
