--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,13 @@
 lint:
 	test -z "$$(gofmt -l .)"
 	go vet ./...
+	go vet -tags check $(INTERLEAVED)
+
+# Packages with tests that run all interleavings of a few goroutines (internal/check).
+INTERLEAVED = ./internal/check ./internal/seam ./internal/latest ./internal/driver ./internal/fleet/limit/rights
 
 test: lint build
+	go test -tags check -count=1 -run 'Interleav|Finds|Alike' $(INTERLEAVED)
 	go test -race -count=1 ./...
 
 run: build
