Run messages as gangs: hosts scored as a whole, slots held together or not at all

Off unless own settings have (gangs …). The module's cost is split so that its value function can be asked for alone; its decisions are as before.

--- a/internal/driver/limits.go
+++ b/internal/driver/limits.go
@@ -50,6 +50,9 @@
 // resign gives up what this dispatcher does for its whole fleet, so that another does it at once.
 func (d *Driver) resign() {
 	if s := d.sharing; s != nil {
+		if s.gangs != nil {
+			s.gangs.Close()
+		}
 		if s.rights != nil {
 			s.Peers.Say(s.rights.part.Leave(d.now()))
 		}
--- a/internal/driver/share.go
+++ b/internal/driver/share.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"granitewing/internal/fleet/court"
+	"granitewing/internal/fleet/gang"
 	"granitewing/internal/fleet/ledger"
 	"granitewing/internal/fleet/limit"
 	"granitewing/internal/fleet/market"
@@ -33,6 +34,7 @@
 	Retries     float64        // attempts beyond the first, as a share of first ones; 0: as many as the site allows
 	Verdicts    bool           // hosts are judged by what all members find of them
 	Slack       bool           // messages are let in by one price of the whole fleet's work
+	Gangs       *gang.Options  // messages that run as parts at many hosts at once; nil: none do. They need Rights
 }
 
 // statusEvery is how many periods apart the figures of the members are written anew.
@@ -59,6 +61,7 @@
 	resigned chan struct{}
 	court    *court.Court   // nil: this dispatcher goes by what it finds itself
 	market   *market.Market // nil: it lets in by what it sees itself
+	gangs    *gang.Part     // nil: there are none
 }
 
 // Share has the driver take part in a fleet; to be called before Run.
@@ -76,6 +79,11 @@
 	if s.Rights != nil {
 		d.sharing.rights = &fleetLimits{part: limit.New(d.now(), *s.Rights), now: d.now, places: map[memory.ID]limit.Places{}}
 		d.core.Limit(d.sharing.rights)
+		if s.Gangs != nil {
+			part := d.sharing.rights.part
+			d.sharing.gangs = gang.New(*s.Gangs, part.Holder(), part.Lease(), d.core.Places)
+			d.core.Gang(d.sharing.gangs)
+		}
 	}
 }
 
@@ -109,6 +117,9 @@
 	if s.rights != nil {
 		s.rights.round(s.Peers)
 	}
+	if s.gangs != nil {
+		d.do(d.core.Gathered(d.now()))
+	}
 	if s.seq%statusEvery == 1 {
 		text := s.text(now)
 		d.figures.more.Store(&text)
@@ -150,6 +161,9 @@
 	if s.rights != nil {
 		s.rights.text(&b, now)
 	}
+	if s.gangs != nil {
+		s.gangText(&b, now)
+	}
 	if s.market != nil {
 		m := s.market.State()
 		fmt.Fprintf(&b, "router_fleet_price %g\nrouter_fleet_asked %g\nrouter_fleet_waits %g\nrouter_fleet_capacity %g\nrouter_fleet_load_heard %d\n",
--- a/internal/driver/south.go
+++ b/internal/driver/south.go
@@ -16,7 +16,8 @@
 	msg   *platform.Message
 	addr  string
 	until int64
-	on    *south // nil while its connection is being made
+	part  *platform.Part // of a gang; else nil
+	on    *south         // nil while its connection is being made
 	timer *time.Timer
 }
 
@@ -106,6 +107,9 @@
 		return // the client has just left; the core is told next and drops the relay
 	}
 	r := &relay{id: c.Relay, msg: n.msg, addr: c.Addr, until: d.now() + c.Timeout}
+	if g := c.Gang; g != nil {
+		r.part = &platform.Part{Rank: g.Rank, Peers: g.Peers, Within: time.Duration(g.Within) * time.Microsecond}
+	}
 	d.relays[r.id] = r
 	r.timer = d.after(time.Duration(c.Timeout)*time.Microsecond, func() { d.timedOut(r) })
 	if s := d.pool.latest(r.addr); s != nil {
@@ -139,7 +143,7 @@
 	switch {
 	case d.relays[r.id] != r:
 		s.rest()
-	case !d.core.May(r.id):
+	case !d.core.May(d.now(), r.id):
 		s.end()
 		d.ended(r, logic.Moot, nil)
 	default:
@@ -156,7 +160,7 @@
 	r.on, s.relay, s.pending, s.counted = s, r, true, false
 	s.parser.Begin(r.msg.Txn)
 	left := time.Duration(r.until-s.d.now()) * time.Microsecond
-	s.write(platform.AppendRelay(nil, r.addr, r.msg, max(left, 0)))
+	s.write(platform.AppendRelay(nil, r.addr, r.msg, max(left, 0), r.part))
 }
 
 // rest keeps the connection for the next relay, and closes it before the host would.
--- a/internal/driver/south_test.go
+++ b/internal/driver/south_test.go
@@ -38,7 +38,7 @@
 // takes no byte before it is read, so the test decides how far the write comes.
 func TestBreakBeforeAndAfterTheLastByte(t *testing.T) {
 	msg := &platform.Message{Method: "POST", Target: "/alert", Txn: "t1", Lane: "alert", Body: []byte("rough"), Close: true}
-	whole := len(platform.AppendRelay(nil, "a", msg, time.Second))
+	whole := len(platform.AppendRelay(nil, "a", msg, time.Second, nil))
 	for _, c := range []struct {
 		name   string
 		takes  int
--- /dev/null
+++ b/internal/fleet/gang/gang.go
@@ -0,0 +1,255 @@
+// Package gang has messages of some classes run as gangs: parts at many hosts, all at once or not at all. Place finds the hosts,
+// limit/hold takes their slots together; this package takes a gang from its arrival to its end. It does no I/O and reads no
+// clock; times are microseconds on the caller's.
+package gang
+
+import (
+	"granitewing/internal/fleet/gang/pattern"
+	"granitewing/internal/fleet/gang/place"
+	"granitewing/internal/fleet/gang/topology"
+	"granitewing/internal/fleet/limit/hold"
+	"granitewing/internal/memory"
+	"granitewing/logic"
+)
+
+// Kind is a class whose messages are gangs.
+type Kind struct {
+	Class        int
+	Parts, Least int
+	Pattern      pattern.Pattern
+	Bytes, Steps float64 // that a part sends in a step, and steps
+	Within       int64   // all parts have to begin within that of being sent, or none goes on
+	Wait         int64   // a gang waits for its slots at most so long
+}
+
+// Weights are what a placement costs beside lateness.
+type Weights = place.Weights
+
+// Options are what the gangs of a process are placed by.
+type Options struct {
+	Kinds    []Kind
+	Topology topology.Topology
+	Weights  Weights
+	Room     int // slots of a host that gangs may have at once
+}
+
+// Hosts tells of those that may be sent a part of some work in seconds.
+type Hosts func(now int64, work float64, tell func(logic.View))
+
+// Counts is what became of gangs.
+type Counts struct {
+	Arrived, Started, Served      int
+	Nowhere, Waited, Half, Failed int // given up: no placement worth it; no slots in time; not all parts began in time; a part failed
+	Crosses                       float64
+	Late, Push, Price, Pieces     float64 // terms of the placements that were started, summed
+}
+
+// state is how far a gang has come.
+type state uint8
+
+const (
+	waits state = iota // for its slots
+	sent
+	runs // all parts have begun
+)
+
+// gang is one under way.
+type gang struct {
+	memory.GangJob
+	kind   *Kind
+	at     state
+	hold   uint64 // its slots, under the present placement
+	p      place.Placement
+	by     int64 // its parts must have been sent, or all have begun
+	looked int64 // when it was placed last
+	ends   int64 // expected
+	began  []bool
+	served []bool
+}
+
+// Part is one process's part in gangs. It must not be used by two goroutines at once.
+type Part struct {
+	o      Options
+	hosts  Hosts
+	holder *hold.Holder
+	lease  int64
+	kinds  map[int]*Kind
+	gangs  map[memory.ID]*gang
+	order  []memory.ID // of gangs, the oldest first
+	last   uint64
+	racks  map[[2]int]int
+	acts   []memory.GangAction
+	counts Counts
+	closed bool
+}
+
+// New makes the part of a process; its slots are those of a holder with that lease.
+func New(o Options, holder *hold.Holder, lease int64, hosts Hosts) *Part {
+	p := &Part{o: o, hosts: hosts, holder: holder, lease: lease, kinds: map[int]*Kind{}, gangs: map[memory.ID]*gang{}, racks: map[[2]int]int{}}
+	for i := range o.Kinds {
+		p.kinds[o.Kinds[i].Class] = &o.Kinds[i]
+	}
+	return p
+}
+
+// Takes implements memory.Gangs, as the calls below do.
+func (p *Part) Takes(class int) bool { return p.kinds[class] != nil }
+
+// Parts is how many parts the gangs of a class have at most.
+func (p *Part) Parts(class int) int { return p.kinds[class].Parts }
+
+// Counts tells what became of gangs so far.
+func (p *Part) Counts() Counts { return p.counts }
+
+// Open counts the gangs that wait for slots, of which parts were sent, and that run.
+func (p *Part) Open() (waiting, half, running int) {
+	for _, g := range p.gangs {
+		switch g.at {
+		case waits:
+			waiting++
+		case sent:
+			half++
+		default:
+			running++
+		}
+	}
+	return waiting, half, running
+}
+
+// The calls below return what is to be done, in order, valid until the next call.
+
+// Arrive takes a message. One that has no placement worth its work is given up at once.
+func (p *Part) Arrive(now int64, j memory.GangJob) []memory.GangAction {
+	p.acts = p.acts[:0]
+	g := &gang{GangJob: j, kind: p.kinds[j.Class]}
+	p.counts.Arrived++
+	p.gangs[j.ID] = g
+	p.order = append(p.order, j.ID)
+	g.by = now + g.kind.Wait
+	if !p.seek(now, g) {
+		p.giveUp(now, g, &p.counts.Nowhere)
+	}
+	return p.acts
+}
+
+// Close has no more gangs started: this process leaves the fleet, and slots can't be had any more. Those that run go on.
+func (p *Part) Close() { p.closed = true }
+
+// Round goes on with all gangs, once the holder has heard what there was to hear. A gang is started, or given up, here alone, so a
+// round comes at least as often as what a gang may be late by.
+func (p *Part) Round(now int64) []memory.GangAction {
+	p.acts = p.acts[:0]
+	for _, id := range p.order {
+		g := p.gangs[id]
+		if g == nil {
+			continue
+		}
+		switch {
+		case g.at == waits && p.holder.Has(now+p.lease/sendPart, g.hold) && p.stands(now, g):
+			p.start(now, g)
+		case g.at == waits && now >= g.by:
+			p.giveUp(now, g, &p.counts.Waited)
+		case g.at == waits && (p.closed || now-g.looked >= lookAgain) && !p.seek(now, g):
+			p.giveUp(now, g, &p.counts.Nowhere)
+		case g.at == sent && (now >= g.by || !p.holder.Has(now, g.hold)):
+			p.giveUp(now, g, &p.counts.Half)
+		}
+	}
+	p.tidy()
+	return p.acts
+}
+
+const (
+	sendPart  = 4       // a gang is sent while at least this part of its lease is left
+	lookAgain = 500_000 // a gang that waits is placed anew so often
+)
+
+// start has the parts sent.
+func (p *Part) start(now int64, g *gang) {
+	n := len(g.p.Hosts)
+	g.at, g.by, g.ends = sent, now+g.kind.Within, now+int64((g.p.Start+g.p.Run)*1e6)
+	g.began, g.served = make([]bool, n), make([]bool, n)
+	a := memory.GangAction{Kind: memory.GangStart, ID: g.ID, Within: g.kind.Within, Run: g.p.Run}
+	for _, h := range g.p.Hosts {
+		a.Hosts = append(a.Hosts, logic.WorkerID(h.ID))
+	}
+	c := &p.counts
+	c.Started++
+	c.Crosses, c.Late, c.Push, c.Price, c.Pieces = c.Crosses+g.p.Crosses, c.Late+g.p.Late, c.Push+g.p.Push, c.Price+g.p.Price, c.Pieces+g.p.Pieces
+	p.acts = append(p.acts, a)
+}
+
+// giveUp ends a gang for a cause that is counted.
+func (p *Part) giveUp(now int64, g *gang, cause *int) {
+	*cause++
+	p.acts = append(p.acts, memory.GangAction{Kind: memory.GangGiveUp, ID: g.ID, After: p.after(now, g)})
+	p.drop(g)
+}
+
+// drop lets go of a gang. Its slots go back with the next round.
+func (p *Part) drop(g *gang) {
+	p.holder.Drop(g.hold)
+	delete(p.gangs, g.ID)
+}
+
+func (p *Part) tidy() {
+	kept := p.order[:0]
+	for _, id := range p.order {
+		if p.gangs[id] != nil {
+			kept = append(kept, id)
+		}
+	}
+	p.order = kept
+}
+
+// May tells whether a part that was to be sent may still be: its slots may not be its gang's own any more.
+func (p *Part) May(now int64, id memory.ID) bool {
+	g := p.gangs[id]
+	return g != nil && g.at != waits && (g.at == runs || p.holder.Has(now, g.hold))
+}
+
+// Began takes the news that a part has begun.
+func (p *Part) Began(now int64, id memory.ID, rank int) {
+	g := p.gangs[id]
+	if g == nil || g.at != sent || rank >= len(g.began) {
+		return
+	}
+	g.began[rank] = true
+	for _, b := range g.began {
+		if !b {
+			return
+		}
+	}
+	g.at, g.ends = runs, now+int64(g.p.Run*1e6)
+	p.holder.Begin(g.hold, g.ends)
+}
+
+// Ended takes the end of a part. One that fails ends the gang.
+func (p *Part) Ended(now int64, id memory.ID, rank int, served bool) []memory.GangAction {
+	p.acts = p.acts[:0]
+	g := p.gangs[id]
+	if g == nil || g.at == waits || rank >= len(g.served) {
+		return nil
+	}
+	if !served {
+		p.giveUp(now, g, &p.counts.Failed)
+		return p.acts
+	}
+	g.served[rank] = true
+	for _, s := range g.served {
+		if !s {
+			return nil
+		}
+	}
+	p.counts.Served++
+	p.acts = append(p.acts, memory.GangAction{Kind: memory.GangServe, ID: id})
+	p.drop(g)
+	return p.acts
+}
+
+// Left takes the news that nobody waits for a gang any more.
+func (p *Part) Left(id memory.ID) {
+	if g := p.gangs[id]; g != nil {
+		p.drop(g)
+	}
+}
--- a/internal/fleet/limit/covers.go
+++ b/internal/fleet/limit/covers.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"granitewing/internal/fleet/limit/cover"
+	"granitewing/internal/fleet/limit/hold"
 	"granitewing/internal/fleet/limit/lease"
 	"granitewing/internal/fleet/limit/rights"
 )
@@ -28,7 +29,10 @@
 // begin opens the books of a post that has just come here, and asks the keepers what an earlier dealer may have given.
 func (p *Part) begin(now int64) {
 	p.since = p.seat.Since()
-	p.dealers = map[uint64]*deal{}
+	p.dealers, p.book = map[uint64]*deal{}, nil
+	if p.o.Room > 0 {
+		p.book = hold.NewBook(now, p.o.Lease, p.o.Room)
+	}
 	for _, o := range p.limits {
 		covers := cover.NewBook(now, len(p.o.Keepers))
 		p.dealers[o.number] = &deal{rights.NewDealer(now, o.Limit.Limit, &p.numbers, covers), covers}
--- /dev/null
+++ b/internal/fleet/limit/hold/book.go
@@ -0,0 +1,167 @@
+package hold
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"granitewing/internal/fleet/limit/lease"
+)
+
+// membersMost bounds the members that a book keeps.
+const membersMost = 4096
+
+// Book is the dealer's: what is given of every host. It must not be used by two goroutines at once.
+type Book struct {
+	lease int64
+	room  int   // slots of a host that gangs may have at once
+	from  int64 // nothing is given before: an earlier book's gifts may be in use
+	given map[key]*set
+	asks  map[lease.Owner]*ask
+}
+
+// set is slots that are given.
+type set struct {
+	spots []Spot
+	until int64 // by then its holder uses it no more, unless it runs
+	free  int64 // when its slots are expected to be free
+}
+
+// ask is the latest that a member has told.
+type ask struct {
+	number int64
+	at     int64
+	items  []Item
+	due    bool // it waits for an answer
+}
+
+// NewBook begins the book of a dealer that has just got the post.
+func NewBook(now, leaseFor int64, room int) *Book {
+	return &Book{lease: leaseFor, room: room, from: now + lapse(leaseFor), given: map[key]*set{}, asks: map[lease.Owner]*ask{}}
+}
+
+// From is when it begins to give.
+func (b *Book) From() int64 { return b.from }
+
+// Ask takes what a member tells. Number is the time of its asking, by its own clock.
+func (b *Book) Ask(now int64, who lease.Owner, number int64, items []Item) {
+	old := b.asks[who]
+	switch {
+	case old != nil && number <= old.number:
+		return // overtaken; what it does not name may have been given since
+	case old == nil && (len(items) == 0 || len(b.asks) >= membersMost):
+		return
+	}
+	b.asks[who] = &ask{number, now, items, true}
+	for k := range b.given {
+		if k.who == who && !slices.ContainsFunc(items, func(i Item) bool { return i.ID == k.id }) {
+			delete(b.given, k)
+		}
+	}
+	for _, i := range items {
+		k := key{who, i.ID}
+		s := b.given[k]
+		if s == nil && (i.State == Runs || i.State == Has && now < b.from) {
+			// A book before this one gave it.
+			s = &set{spots: i.Spots}
+			b.given[k] = s
+		}
+		if s != nil {
+			s.until, s.free = now+lapse(b.lease), now+max(i.Left, 0)
+		}
+	}
+}
+
+// expire forgets what is given to those that have not been heard.
+func (b *Book) expire(now int64) {
+	for k, s := range b.given {
+		if now >= s.until {
+			delete(b.given, k)
+		}
+	}
+	for who, a := range b.asks {
+		if now-a.at >= lapse(b.lease) {
+			delete(b.asks, who)
+		}
+	}
+}
+
+// want is a set that somebody waits for.
+type want struct {
+	key
+	by    int64
+	spots []Spot
+}
+
+// Deal gives what can be given, first to whom the least time is left, and answers all that have asked since it was last called.
+// A set that can't be had yet keeps its slots from those behind it, so a large one is not passed over by small ones for ever: it
+// waits until they are free, or its time is over.
+func (b *Book) Deal(now int64) map[lease.Owner]Answer {
+	b.expire(now)
+	var wants []want
+	for who, a := range b.asks {
+		for _, i := range a.items {
+			k := key{who, i.ID}
+			if i.State != Runs && b.given[k] == nil && now < a.at+i.Left && now >= b.from {
+				wants = append(wants, want{k, a.at + i.Left, i.Spots})
+			}
+		}
+	}
+	slices.SortFunc(wants, func(x, y want) int {
+		return cmp.Or(cmp.Compare(x.by, y.by), strings.Compare(x.who.Name, y.who.Name), cmp.Compare(x.who.Incarnation, y.who.Incarnation), cmp.Compare(x.id, y.id))
+	})
+	used := map[uint32]int{}
+	for _, s := range b.given {
+		for _, p := range s.spots {
+			used[p.Host]++
+		}
+	}
+	for _, w := range wants {
+		if !slices.ContainsFunc(w.spots, func(p Spot) bool { return used[p.Host] >= b.room }) {
+			b.given[w.key] = &set{w.spots, now + lapse(b.lease), w.by}
+		}
+		for _, p := range w.spots {
+			used[p.Host]++
+		}
+	}
+	answers := map[lease.Owner]Answer{}
+	for who, a := range b.asks {
+		if !a.due {
+			continue
+		}
+		a.due = false
+		answer := Answer{}
+		for _, i := range a.items {
+			if b.given[key{who, i.ID}] != nil {
+				answer.Given = append(answer.Given, i.ID)
+			}
+			answer.Told = answer.Told || i.State == Want
+		}
+		if answer.Told {
+			answer.Busy = b.busy(now, who)
+		}
+		answers[who] = answer
+	}
+	return answers
+}
+
+// busy lists the slots that others than one member have.
+func (b *Book) busy(now int64, but lease.Owner) (out []Busy) {
+	for k, s := range b.given {
+		for _, p := range s.spots {
+			if k.who != but && len(out) < SpotsMost {
+				out = append(out, Busy{p, max(s.free-now, 0)})
+			}
+		}
+	}
+	slices.SortFunc(out, func(x, y Busy) int { return cmp.Or(cmp.Compare(x.Host, y.Host), cmp.Compare(x.Left, y.Left)) })
+	return out
+}
+
+// Out counts the sets that are given, and their slots.
+func (b *Book) Out() (sets, slots int) {
+	for _, s := range b.given {
+		slots += len(s.spots)
+	}
+	return len(b.given), slots
+}
--- /dev/null
+++ b/internal/fleet/limit/holds.go
@@ -0,0 +1,137 @@
+package limit
+
+import (
+	"encoding/binary"
+	"math"
+
+	"granitewing/internal/fleet/limit/hold"
+	"granitewing/internal/fleet/limit/lease"
+)
+
+// Slots of hosts that are held together: the dealer's book of them, a member's side, and their form in messages.
+
+// Holder is this member's side of slots that are held together.
+func (p *Part) Holder() *hold.Holder { return p.holder }
+
+// Lease is for how long a right is given, in microseconds.
+func (p *Part) Lease() int64 { return p.o.Lease }
+
+// Held tells what the dealer's book of slots has given, where this process is the dealer.
+func (p *Part) Held(now int64) (sets, slots int, deals bool) {
+	if p.book == nil || p.seat == nil || !p.seat.Holds(now) || p.since != p.seat.Since() {
+		return 0, 0, false
+	}
+	sets, slots = p.book.Out()
+	return sets, slots, now >= p.book.From()
+}
+
+// hold answers what members have told of slots, in the messages that answer them.
+func (p *Part) hold(now int64, answers map[lease.Owner]*Message) {
+	for from, m := range answers {
+		p.book.Ask(now, from, m.Number, p.asks[from].Holds)
+	}
+	for who, a := range p.book.Deal(now) {
+		if m := answers[who]; m != nil {
+			m.Held = &a
+		}
+	}
+}
+
+// appendHolds appends what a message says of slots: of an ask the items, each an ID, a state, the time left and its spots; of a
+// grant whether there is an answer, the IDs, whether others' slots are told, and these. Spots are a host and two 32 bit floats.
+func appendHolds(b []byte, m *Message) []byte {
+	spot := func(s hold.Spot) {
+		b = binary.BigEndian.AppendUint32(b, s.Host)
+		b = binary.BigEndian.AppendUint32(b, math.Float32bits(s.Rack))
+		b = binary.BigEndian.AppendUint32(b, math.Float32bits(s.Zone))
+	}
+	flag := func(on bool) {
+		v := byte(0)
+		if on {
+			v = 1
+		}
+		b = append(b, v)
+	}
+	switch m.Kind {
+	case Ask:
+		b = append(b, byte(len(m.Holds)))
+		for _, i := range m.Holds {
+			b = binary.BigEndian.AppendUint64(b, i.ID)
+			b = append(b, byte(i.State))
+			b = binary.BigEndian.AppendUint64(b, uint64(i.Left))
+			b = binary.BigEndian.AppendUint16(b, uint16(len(i.Spots)))
+			for _, s := range i.Spots {
+				spot(s)
+			}
+		}
+	case Grant:
+		flag(m.Held != nil)
+		if m.Held == nil {
+			break
+		}
+		b = append(b, byte(len(m.Held.Given)))
+		for _, id := range m.Held.Given {
+			b = binary.BigEndian.AppendUint64(b, id)
+		}
+		flag(m.Held.Told)
+		b = binary.BigEndian.AppendUint16(b, uint16(len(m.Held.Busy)))
+		for _, s := range m.Held.Busy {
+			spot(s.Spot)
+			b = binary.BigEndian.AppendUint64(b, uint64(s.Left))
+		}
+	}
+	return b
+}
+
+// holds reads what a message says of slots.
+func (r *reader) holds(m *Message) {
+	spot := func() hold.Spot { return hold.Spot{Host: r.uint32(), Rack: r.load(), Zone: r.load()} }
+	switch m.Kind {
+	case Ask:
+		n, spots := int(r.byte()), 0
+		for i := 0; i < n && !r.bad; i++ {
+			item := hold.Item{ID: r.uint64(), State: hold.State(r.byte()), Left: int64(r.uint64())}
+			k := int(r.uint16())
+			if spots += k; n > hold.ItemsMost || spots > hold.SpotsMost || item.State > hold.Runs || item.Left > leftMost || item.Left < -leftMost {
+				r.bad = true
+			}
+			for j := 0; j < k && !r.bad; j++ {
+				item.Spots = append(item.Spots, spot())
+			}
+			m.Holds = append(m.Holds, item)
+		}
+	case Grant:
+		if r.byte() == 0 {
+			return
+		}
+		m.Held = &hold.Answer{}
+		n := int(r.byte())
+		for i := 0; i < n && !r.bad; i++ {
+			m.Held.Given = append(m.Held.Given, r.uint64())
+		}
+		m.Held.Told = r.byte() == 1
+		k := int(r.uint16())
+		for i := 0; i < k && k <= hold.SpotsMost && !r.bad; i++ {
+			m.Held.Busy = append(m.Held.Busy, hold.Busy{Spot: spot(), Left: int64(r.uint64())})
+		}
+	}
+}
+
+// leftMost bounds the time that a member may tell of its slots: a day.
+const leftMost = 86_400 * 1_000_000
+
+// load is a figure of traffic, which is none below nothing or without end.
+func (r *reader) load() float32 {
+	v := math.Float32frombits(r.uint32())
+	if !(v >= 0 && v < 1e15) {
+		r.bad = true
+	}
+	return v
+}
+
+func (r *reader) uint16() uint16 {
+	if b := r.take(2); b != nil {
+		return binary.BigEndian.Uint16(b)
+	}
+	return 0
+}
--- a/internal/fleet/limit/limit.go
+++ b/internal/fleet/limit/limit.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"granitewing/internal/fleet/limit/cover"
+	"granitewing/internal/fleet/limit/hold"
 	"granitewing/internal/fleet/limit/lease"
 	"granitewing/internal/fleet/limit/rights"
 )
@@ -32,6 +33,7 @@
 	Keepers []string // of whom one deals; the same, in the same order, at every member
 	Lease   int64    // microseconds for which a right and the dealer's post are given
 	Limits  []Limit
+	Room    int // slots of a host that may be held together with others; 0: none ever is
 }
 
 // Times in shares of the lease.
@@ -51,6 +53,8 @@
 	since   int64                    // of the post in which they deal
 	numbers uint64                   // of its sessions so far, in this post and before
 	asks    map[lease.Owner]*Message // that wait for an answer
+	book    *hold.Book               // of slots, while it has the post; nil: none are held
+	holder  *hold.Holder
 
 	dealer   lease.Owner // whom it asks
 	guess    int         // which keeper that is where nobody has said
@@ -72,7 +76,7 @@
 
 // New makes the part of a process that has just started.
 func New(now int64, o Options) *Part {
-	p := &Part{o: o, asks: map[lease.Owner]*Message{}, shelves: map[uint64]*cover.Shelf{}, answered: now}
+	p := &Part{o: o, asks: map[lease.Owner]*Message{}, shelves: map[uint64]*cover.Shelf{}, answered: now, holder: hold.NewHolder(o.Lease)}
 	if slices.Contains(o.Keepers, o.Self.Name) {
 		p.seat = lease.New(now, o.Self, o.Keepers, o.Lease)
 	}
--- a/internal/fleet/limit/message.go
+++ b/internal/fleet/limit/message.go
@@ -10,6 +10,7 @@
 	"slices"
 
 	"granitewing/internal/fleet/limit/cover"
+	"granitewing/internal/fleet/limit/hold"
 	"granitewing/internal/fleet/limit/lease"
 	"granitewing/internal/fleet/limit/rights"
 )
@@ -41,6 +42,9 @@
 	Grants   []ItemGrant
 	Dealer   lease.Owner // of Elsewhere, and the heir of SeatFree
 	Cover    *Cover      // of the kinds about covers
+
+	Holds []hold.Item  // of an ask: slots that the member wants or has
+	Held  *hold.Answer // of a grant: the answer to that; nil where the dealer has no book of slots
 }
 
 // ItemAsk is what is asked of one limit.
@@ -75,7 +79,7 @@
 }
 
 // Append appends a message's bytes, big endian: version, kind, the three processes, the number, and the items after
-// their number. Demand is a 32 bit float. A cover is the limit, the keeper's turn, whether it is known, and its entries after
+// their number. Demand is a 32 bit float. Slots follow (appendHolds). A cover is the limit, the keeper's turn, whether it is known, and its entries after
 // their number.
 func Append(b []byte, m *Message) []byte {
 	b = append(b, Version, byte(m.Kind))
@@ -100,6 +104,7 @@
 		b = binary.BigEndian.AppendUint64(b, uint64(g.Granted))
 		b = binary.BigEndian.AppendUint64(b, uint64(g.Keep))
 	}
+	b = appendHolds(b, m)
 	if c := m.Cover; c != nil {
 		known := byte(0)
 		if c.Known {
@@ -140,6 +145,7 @@
 			r.bad = true
 		}
 	}
+	r.holds(m)
 	if m.Kind >= CoverAsk && m.Kind < kinds {
 		m.Cover = r.cover()
 	}
--- a/internal/fleet/limit/talk.go
+++ b/internal/fleet/limit/talk.go
@@ -66,7 +66,10 @@
 		p.refusals.Late++ // by one that was left; what it gave stays with it until its lease is over
 		return
 	}
-	p.dealer, p.answered, p.nothing = m.From, now, len(m.Grants) == 0
+	p.dealer, p.answered, p.nothing = m.From, now, len(m.Grants) == 0 && m.Held == nil
+	if m.Held != nil {
+		p.holder.Granted(now, m.Number, *m.Held)
+	}
 	for _, g := range m.Grants {
 		for _, o := range p.limits {
 			if o.number == g.Limit {
@@ -148,6 +151,9 @@
 			}
 		}
 	}
+	if p.book != nil {
+		p.hold(now, answers)
+	}
 	var out []*Message
 	for _, from := range askers {
 		if from == p.o.Self {
@@ -188,7 +194,8 @@
 			m.Asks = append(m.Asks, ItemAsk{o.number, a})
 		}
 	}
-	if len(m.Asks) == 0 || p.dealer.Name == p.o.Self.Name && !deals {
+	holds, any := p.holder.Ask(now)
+	if m.Holds = holds; len(m.Asks) == 0 && !any || p.dealer.Name == p.o.Self.Name && !deals {
 		return nil
 	}
 	p.asked = now
--- a/internal/lab/emulate/emulate_test.go
+++ b/internal/lab/emulate/emulate_test.go
@@ -85,7 +85,7 @@
 	t.Helper()
 	body := Work{Micros: float64(work), Slots: 1}.Append(nil)
 	m := &platform.Message{Method: "POST", Target: "/a", Txn: name, Lane: "a", Body: body}
-	if _, err := p.Write(platform.AppendRelay(nil, "h", m, time.Second)); err != nil {
+	if _, err := p.Write(platform.AppendRelay(nil, "h", m, time.Second, nil)); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/internal/lifecycle/fleet.go
+++ b/internal/lifecycle/fleet.go
@@ -29,6 +29,7 @@
 	Retries   float64       `sexp:"retries" min:"0" max:"2"`  // attempts beyond the first, as a share of first ones; 0: as many as the site allows
 	Verdicts  string        `sexp:"verdicts" one-of:"on|off"` // hosts are judged by what all members find of them
 	Slack     string        `sexp:"slack" one-of:"on|off"`    // jobs are let in by one price of the whole fleet's work
+	Gangs     *Gangs        `sexp:"gangs"`                    // classes that run as parts at many hosts at once
 	Where     settings.Pos  `sexp:",pos"`
 }
 
@@ -153,6 +154,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUsage, err)
 	}
+	gangs, err := f.gangs(cfg)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUsage, err)
+	}
+	if gangs != nil {
+		rights.Room = gangs.Room
+	}
 	p := &place{}
 	peers, err := JoinFleet(f, cfg.Name, incarnation, log)
 	switch {
@@ -176,7 +184,7 @@
 	default:
 		return nil, fmt.Errorf("%w: %w", ErrUsage, err)
 	}
-	d.Share(driver.Sharing{Peers: p, Every: f.Every, Incarnation: incarnation, Rights: rights, Verdicts: f.Verdicts == "on", Slack: f.Slack == "on", Retries: f.Retries,
+	d.Share(driver.Sharing{Peers: p, Every: f.Every, Incarnation: incarnation, Rights: rights, Gangs: gangs, Verdicts: f.Verdicts == "on", Slack: f.Slack == "on", Retries: f.Retries,
 		Limits: ledger.Limits{Believe: f.Believe.Microseconds(), Quorum: f.Quorum, Gap: f.Every.Microseconds() / 4,
 			Hubs: f.Hubs, Deaf: max(deaf, 6*f.Every).Microseconds()}})
 	return p, nil
--- /dev/null
+++ b/internal/lifecycle/gangs.go
@@ -0,0 +1,130 @@
+package lifecycle
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"time"
+
+	"granitewing/internal/fleet/gang"
+	"granitewing/internal/fleet/gang/pattern"
+	"granitewing/internal/fleet/gang/topology"
+	"granitewing/internal/settings"
+	"granitewing/internal/wire/platform"
+)
+
+// Gangs are classes whose messages run as parts at many hosts at once.
+type Gangs struct {
+	Room   int           `sexp:"slots" min:"1" max:"64"` // of a host that gangs may have at once
+	Host   settings.Size `sexp:"host-link"`              // bytes a second of a host's link
+	Rack   settings.Size `sexp:"rack-link"`              // of a rack's uplink, for all of its hosts
+	Zone   settings.Size `sexp:"zone-link"`              // of a zone's uplink, for all of its racks
+	Near   time.Duration `sexp:"near-delay" min:"0"`     // within a rack
+	Apart  time.Duration `sexp:"rack-delay" min:"0"`     // between racks of a zone
+	Far    time.Duration `sexp:"zone-delay" min:"0"`
+	Fails  time.Duration `sexp:"rack-fails" min:"1"` // mean time between a rack's failures
+	Pieces float64       `sexp:"pieces" min:"0" max:"1"`
+	Gangs  []Gang        `sexp:"gang"`
+	Where  settings.Pos  `sexp:",pos"`
+}
+
+// Gang is one such class.
+type Gang struct {
+	Class    string        `sexp:",arg,required"`
+	Parts    int           `sexp:"parts,required" min:"2" max:"256"`
+	Least    int           `sexp:"least" min:"0" max:"256"` // 0: all
+	Exchange string        `sexp:"exchange,required"`
+	Bytes    settings.Size `sexp:"bytes"` // that a part sends in a step
+	Steps    float64       `sexp:"steps" min:"0" max:"1e9"`
+	Within   time.Duration `sexp:"within" min:"0.05" max:"60"` // all parts have to begin so soon after they are sent
+	Wait     time.Duration `sexp:"wait" min:"0.05" max:"600"`  // for slots
+	Where    settings.Pos  `sexp:",pos"`
+}
+
+// SetDefaults implements settings.Defaulter.
+func (g *Gangs) SetDefaults() {
+	g.Room, g.Host, g.Rack, g.Zone = 1, 1250<<20, 5000<<20, 20000<<20
+	g.Near, g.Apart, g.Far, g.Fails, g.Pieces = 20*time.Microsecond, 60*time.Microsecond, time.Millisecond, 720*time.Hour, 0.01
+}
+
+// SetDefaults implements settings.Defaulter.
+func (g *Gang) SetDefaults() { g.Within, g.Wait = time.Second, 10*time.Second }
+
+func (g *Gang) at(key, why string, args ...any) error {
+	return &settings.Error{Pos: g.Where, Path: "fleet.gangs.gang." + key, Why: fmt.Sprintf(why, args...)}
+}
+
+// Check implements settings.Checker.
+func (g *Gangs) Check() error {
+	for key, v := range map[string]settings.Size{"host-link": g.Host, "rack-link": g.Rack, "zone-link": g.Zone} {
+		if v <= 0 {
+			return &settings.Error{Pos: g.Where, Path: "fleet.gangs." + key, Why: "a link that carries nothing"}
+		}
+	}
+	seen := map[string]bool{}
+	for i := range g.Gangs {
+		c := &g.Gangs[i]
+		if seen[c.Class] {
+			return c.at("", "the class %q is declared twice", c.Class)
+		}
+		seen[c.Class] = true
+		if _, err := pattern.Parse(c.Exchange); err != nil {
+			return c.at("exchange", "%v", err)
+		}
+		if c.Least > c.Parts {
+			return c.at("least", "%d of %d parts", c.Least, c.Parts)
+		}
+	}
+	return nil
+}
+
+// gangs brings the settings to the platform's classes; nil where there are none.
+func (f *FleetSettings) gangs(cfg *platform.Config) (*gang.Options, error) {
+	g := f.Gangs
+	if g == nil {
+		return nil, nil
+	}
+	if f.Limits == nil {
+		return nil, &settings.Error{Pos: g.Where, Path: "fleet.gangs", Why: "slots are dealt by one of (limits (keepers …)), and there are none"}
+	}
+	o := &gang.Options{Room: g.Room, Weights: gang.Weights{Pieces: g.Pieces, Fails: 1 / g.Fails.Seconds()},
+		Topology: topology.Topology{Host: float64(g.Host), Rack: float64(g.Rack), Zone: float64(g.Zone), Near: g.Near.Seconds(), Apart: g.Apart.Seconds(), Far: g.Far.Seconds()}}
+	for i := range g.Gangs {
+		c := &g.Gangs[i]
+		lane, known := cfg.Lanes()[c.Class]
+		if !known {
+			return nil, c.at("", "the configuration has no class %q", c.Class)
+		}
+		if n := len(cfg.Known.Hosts); n > 0 && max(c.Least, 1) > n || c.Least == 0 && n > 0 && c.Parts > n {
+			return nil, c.at("parts", "%d parts on %d hosts", max(c.Least, c.Parts), n)
+		}
+		p, _ := pattern.Parse(c.Exchange)
+		k := gang.Kind{Class: lane.Class, Parts: c.Parts, Least: c.Least, Pattern: p, Bytes: float64(c.Bytes), Steps: c.Steps,
+			Within: c.Within.Microseconds(), Wait: c.Wait.Microseconds()}
+		if k.Least == 0 {
+			k.Least = k.Parts
+		}
+		o.Kinds = append(o.Kinds, k)
+	}
+	return o, nil
+}
+
+// describeGangs says what the settings mean.
+func (f *FleetSettings) describeGangs(w io.Writer, cfg *platform.Config) error {
+	o, err := f.gangs(cfg)
+	if o == nil || err != nil {
+		return err
+	}
+	for i, k := range o.Kinds {
+		c := &f.Gangs.Gangs[i]
+		x := topology.Traffic{}
+		x.Count(k.Pattern.Edges(k.Parts), k.Bytes, make([]topology.Spot, k.Parts))
+		step := 0.0
+		if k.Steps > 0 {
+			step = o.Topology.Step(&x, &topology.Loads{})
+		}
+		fmt.Fprintf(w, "gang %s: %d to %d parts at once, all begun within %v or none goes on; %v of exchange in one rack; waits %v for slots at most\n",
+			c.Class, k.Least, k.Parts, c.Within, time.Duration(math.Round(step*k.Steps*1e3))*time.Millisecond, c.Wait)
+	}
+	return nil
+}
--- a/internal/lifecycle/log.go
+++ b/internal/lifecycle/log.go
@@ -97,6 +97,9 @@
 				return err
 			}
 		}
+		if err := f.describeGangs(w, cfg); err != nil {
+			return err
+		}
 	}
 	if own == nil || own.Records == nil {
 		return nil
--- a/internal/memory/core.go
+++ b/internal/memory/core.go
@@ -80,6 +80,7 @@
 	After   int64
 	Content []byte
 	At      int64
+	Gang    *GangPart // of a Send that is one part of several; else nil
 }
 
 // message is an open message.
@@ -90,6 +91,9 @@
 	free     int  // relays that never reached their host, where those do not count as attempts
 	ran      bool // one of them may have run
 	answered bool // it has its final answer, or nobody waits for one
+	class    int
+	deadline int64
+	crew     *crew // nil: it is no gang
 }
 
 // relay is one attempt.
@@ -123,6 +127,7 @@
 	evidence Evidence            // nil: nobody asks for it
 	prices   Prices              // of the fleet; nil: there are none
 	retries  retries             // rights to attempts beyond the first
+	gangs    Gangs               // nil: no class runs as gangs
 }
 
 // New makes a core.
@@ -164,10 +169,14 @@
 		return id, c.out
 	}
 	c.retries.first()
-	c.messages[id] = &message{name: m.Name}
+	c.messages[id] = &message{name: m.Name, class: m.Class, deadline: deadline}
 	if m.Name != "" {
 		c.names[m.Name] = id
 	}
+	if c.gangs != nil && c.gangs.Takes(m.Class) {
+		c.muster(now, id, m, deadline, share)
+		return id, c.finish(now)
+	}
 	c.acts = c.sched.Arrive(now, logic.Job{
 		ID: id, Key: m.Subject, Class: m.Class, Tenant: m.Tenant, Hint: m.Hint, Slots: m.Slots, Memory: m.Memory,
 		Deadline: deadline, Repeated: m.Repeated, Share: share, Price: c.price(),
@@ -179,7 +188,12 @@
 // Started takes the news that a relay's host has begun to run it.
 func (c *Core) Started(now int64, r RelayID) []Command {
 	c.begin()
-	if c.find(r) != nil {
+	if c.find(r) == nil {
+		return c.out
+	}
+	if m := c.messages[r.Message]; m.crew != nil {
+		c.begun(now, r, m)
+	} else {
 		c.acts = c.sched.Started(now, r.Message, r.Attempt, c.acts)
 	}
 	return c.finish(now)
@@ -200,7 +214,12 @@
 // Ended takes the end of a relay; content is the result where it was served.
 func (c *Core) Ended(now int64, r RelayID, result logic.Result, content []byte) []Command {
 	c.begin()
-	if c.find(r) != nil {
+	if c.find(r) == nil {
+		return c.out
+	}
+	if m := c.messages[r.Message]; m.crew != nil {
+		c.partEnded(now, r, m, result, content)
+	} else {
 		c.end(now, r, result, content)
 	}
 	return c.finish(now)
@@ -260,9 +279,9 @@
 
 // May tells whether a relay that was sent may still be begun: its host may have begun to drain, gone or been cordoned while
 // a connection was made, and the rules count from a request's first byte.
-func (c *Core) May(r RelayID) bool {
+func (c *Core) May(now int64, r RelayID) bool {
 	a := c.find(r)
-	return a != nil && c.takes(c.hosts[a.worker])
+	return a != nil && c.takes(c.hosts[a.worker]) && (c.messages[r.Message].crew == nil || c.gangs.May(now, r.Message))
 }
 
 // finish turns actions into commands; an action may bring an outcome at once, which may bring more actions.
@@ -296,11 +315,14 @@
 }
 
 func (c *Core) finishMessage(now int64, id ID) []Command {
-	out := c.finish(now)
+	if m := c.messages[id]; m != nil && m.crew != nil && m.answered {
+		c.disband(now, id, m)
+	}
+	c.finish(now)
 	if m := c.messages[id]; m != nil {
 		c.forget(id, m)
 	}
-	return out
+	return c.out
 }
 
 // send starts a relay. What the rules forbid is not sent whatever was decided: it ends as one that never was.
--- a/internal/memory/core_test.go
+++ b/internal/memory/core_test.go
@@ -198,7 +198,7 @@
 			t.Fatalf("%s: nothing was sent: %v", name, cmds)
 		}
 		change(c, now+1)
-		if got, want := c.May(RelayID{id, 0}), name == "nothing changed"; got != want {
+		if got, want := c.May(0, RelayID{id, 0}), name == "nothing changed"; got != want {
 			t.Errorf("%s: may be begun %t, want %t", name, got, want)
 		}
 	}
--- a/internal/wire/platform/platform_test.go
+++ b/internal/wire/platform/platform_test.go
@@ -136,7 +136,7 @@
 
 func TestRelayRequestPassesOnByteForByte(t *testing.T) {
 	m := &Message{Method: "POST", Target: "/ingest/a%20b?user=7&x=%2F", Txn: "t 1", Lane: "ingest", Key: "k,1", Body: []byte("\x00\r\n\xff")}
-	got := string(AppendRelay(nil, "127.0.0.9:9000", m, 1_250_000_000))
+	got := string(AppendRelay(nil, "127.0.0.9:9000", m, 1_250_000_000, nil))
 	want := "POST /ingest/a%20b?user=7&x=%2F HTTP/1.1\r\nHost: 127.0.0.9:9000\r\nX-Txn: t 1\r\nX-Lane: ingest\r\n" +
 		"X-Remaining: 1.250000\r\nIdempotency-Key: k,1\r\nContent-Length: 4\r\n\r\n\x00\r\n\xff"
 	if diff := cmp.Diff(want, got); diff != "" {
--- a/internal/wire/platform/relay.go
+++ b/internal/wire/platform/relay.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/valyala/fastjson"
@@ -34,9 +36,16 @@
 	Keep    bool
 }
 
-// AppendRelay appends the request that relays a message to a south side host. Method, target, body, X-Txn
-// and Idempotency-Key go out as they came.
-func AppendRelay(b []byte, host string, m *Message, remaining time.Duration) []byte {
+// Part is what the relay of one part of several tells its host, in headers that the protocol leaves free.
+type Part struct {
+	Rank   int
+	Peers  []string      // addresses of the hosts of all parts, by rank
+	Within time.Duration // all have to begin within that, or none is to go on
+}
+
+// AppendRelay appends the request that relays a message to a south side host, or a part of it where it is not nil. Method, target,
+// body, X-Txn and Idempotency-Key go out as they came.
+func AppendRelay(b []byte, host string, m *Message, remaining time.Duration, part *Part) []byte {
 	b = append(b, m.Method...)
 	b = append(b, ' ')
 	b = append(b, m.Target...)
@@ -52,6 +61,9 @@
 		b = append(b, "\r\nIdempotency-Key: "...)
 		b = append(b, m.Key...)
 	}
+	if part != nil {
+		b = fmt.Appendf(b, "\r\nX-Gang-Part: %d/%d\r\nX-Gang-Within: %.3f\r\nX-Gang-Peers: %s", part.Rank, len(part.Peers), part.Within.Seconds(), strings.Join(part.Peers, ","))
+	}
 	b = append(b, "\r\nContent-Length: "...)
 	b = strconv.AppendInt(b, int64(len(m.Body)), 10)
 	b = append(b, "\r\n\r\n"...)
--- a/logic/backlog.go
+++ b/logic/backlog.go
@@ -12,8 +12,7 @@
 	newsSpan  = 2_000_000 // us for which what the other schedulers tell counts as seeing the whole
 )
 
-// backlog is u: own outstanding work and an estimate of the others', which returns from what was last seen to the mean
-// as jobs turn over.
+// backlog is u: own outstanding work and an estimate of the others', which returns from what was last seen to the mean as jobs turn over.
 func (s *Scheduler) backlog(w *worker) float64 {
 	own := w.own * w.drain
 	n := float64(s.cfg.Schedulers)
--- a/logic/cost.go
+++ b/logic/cost.go
@@ -10,9 +10,8 @@
 	missPrice = 1.0  // mean jobs that a fetch costs beyond its time: it pushes out a set that is asked for again
 )
 
-// lateChance is the paper's 1(u >= tau) averaged over the error of the estimated backlog, taken as a gamma law of shape
-// 2 around it.
-func lateChance(tau, u float64) float64 {
+// LateChance is the paper's 1(u >= tau) averaged over the error of the estimated backlog, taken as a gamma law of shape 2 around it.
+func LateChance(tau, u float64) float64 {
 	if tau <= 0 {
 		return 1
 	}
@@ -25,17 +24,12 @@
 	s.derive(w)
 	miss := s.missChance(j, w)
 	fetch := miss * s.fetch
-	c := &s.cfg.Classes[j.class]
 	u := s.backlog(w)
 	run := w.pace*j.work + fetch
 	tau := seconds(j.aimAt-s.now) - s.base[w.info.Zone]*1.5 - run + w.room(j.slots, s.meanWork)
-	late = lateChance(tau, u)
-	x := j.slots * (j.work + fetch/w.pace) / s.meanWork
-	for i, h := range s.weight {
-		q := (w.tau[i] - u) / w.d
-		total += h * (s.table.At(q-x) - s.table.At(q) + w.slope[i]*x)
-	}
-	total += j.worth*max(late*(1-c.LateWorth), s.failChance(w)) + s.crossing(w) + missPrice*miss
+	late = LateChance(tau, u)
+	total = s.pushes(w, u, j.slots*(j.work+fetch/w.pace)/s.meanWork)
+	total += j.worth*max(late*(1-s.cfg.Classes[j.class].LateWorth), s.failChance(w)) + s.crossing(w) + missPrice*miss
 	if s.now < w.ejected {
 		total += ejectCost * j.worth
 	}
@@ -45,6 +39,15 @@
 	return total, late
 }
 
+// pushes is what so many mean jobs more at a worker cost those that come after: v(u+x)-v(u), summed over the classes.
+func (s *Scheduler) pushes(w *worker, u, x float64) (total float64) {
+	for i, h := range s.weight {
+		q := (w.tau[i] - u) / w.d
+		total += h * (s.table.At(q-x) - s.table.At(q) + w.slope[i]*x)
+	}
+	return total
+}
+
 // crossing is the price of leaving the zone, in mean jobs.
 func (s *Scheduler) crossing(w *worker) float64 {
 	if w.info.Zone == s.cfg.Zone {
--- a/logic/rules.go
+++ b/logic/rules.go
@@ -82,8 +82,7 @@
 	s.do(Action{Kind: ActCancel, Job: j.id, Attempt: k})
 }
 
-// vain tells whether a job so likely late only keeps others waiting. One that can't be refused is failed where most jobs
-// wait, of which each of many schedulers sees a part.
+// vain tells whether a job so likely late only keeps others waiting. One that can't be refused is failed where most jobs wait, of which each of many schedulers sees a part.
 func (s *Scheduler) vain(j *job, late float64) bool {
 	doubt := late
 	if s.cfg.Classes[j.class].Repeat == RepeatUnsafe {
--- a/logic/state.go
+++ b/logic/state.go
@@ -228,6 +228,39 @@
 	return work, capacity
 }
 
+// View is a worker as those see it that place the parts of one job at several. Times are seconds.
+type View struct {
+	ID         WorkerID
+	Zone, Cell int
+	Trusted    bool    // it is not ejected
+	Warm       bool    // and has its full capacity
+	Backlog    float64 // to drain
+	Room       float64 // with which a job still starts at once, on average
+	Pace       float64 // running time for a second of work
+	Push       float64 // worth, as the settings count it, that a second of one slot here costs those that come after
+}
+
+// View gives the ready workers in the order of their ids, as they are to a job of some work in seconds.
+func (s *Scheduler) View(now int64, work float64, tell func(View)) {
+	s.now = max(s.now, now)
+	s.update()
+	work = max(work, 1e-3)
+	for _, i := range s.ready {
+		w := &s.workers[i]
+		s.derive(w)
+		u := s.backlog(w)
+		tell(View{ID: w.info.ID, Zone: w.info.Zone, Cell: w.info.Cell, Trusted: s.now >= w.ejected, Warm: s.warmth(w) == 1, Backlog: u,
+			Room: w.room(1, s.meanWork), Pace: w.pace, Push: s.pushes(w, u, work/s.meanWork) * s.meanWorth / (work * w.pace)})
+	}
+}
+
+// Occupy adds slot-work in seconds that was not placed here to what this scheduler has at a worker, or takes it off (below 0).
+func (s *Scheduler) Occupy(id WorkerID, work float64) {
+	if i, ok := s.byID[id]; ok {
+		s.workers[i].own = max(s.workers[i].own+work, 0)
+	}
+}
+
 // Demand gives the slots a second for which this scheduler is asked with each data set, as of now. Soon after its start it
 // has seen little, and says so much more for it; but no job alone counts as many.
 func (s *Scheduler) Demand(now int64, tell func(key uint64, load float64)) {
