Play gangs in the laboratory: hosts that run parts together, ways of placing compared

The laboratory's hosts run a part once all of its gang have begun, exchange over links that gangs share, and end a half gang by its time limit, whatever its dispatcher does. Virtual time plays the product's own parts; gwlab run gangs compares the score with racks alone, lateness alone, first and random. Found by it, and mended: a placement that is in time cost nothing more however long it ran, so gangs crossed racks and filled uplinks (now a slot-second costs by the share of gang slots in use); the first placement was made without news of others' slots (a gang looks first where its news is old); the module's law of waits is off by a factor, of which the last of eight starts makes everything (a factor learned from parts that began); the value function at the load of a run priced a slot-second over the work that it could do, so gangs of eight times the worth were refused (capped). Placements within a tenth of each other were exchanged each half second while waiting: now only where another gang got a host, or a fiftieth of the worth is saved.

--- a/internal/fleet/gang/gang.go
+++ b/internal/fleet/gang/gang.go
@@ -31,6 +31,9 @@
 	Topology topology.Topology
 	Weights  Weights
 	Room     int // slots of a host that gangs may have at once
+
+	// Choose finds a placement; nil is place.Search. Another is for comparison.
+	Choose func([]place.Host, place.Job, *topology.Topology, *topology.Loads, Weights) (place.Placement, bool)
 }
 
 // Hosts tells of those that may be sent a part of some work in seconds.
@@ -63,6 +66,9 @@
 	by     int64 // its parts must have been sent, or all have begun
 	looked int64 // when it was placed last
 	ends   int64 // expected
+	came   int64
+	sent   int64
+	truth  float64 // by which its hosts' backlogs were taken
 	began  []bool
 	served []bool
 }
@@ -81,6 +87,8 @@
 	acts   []memory.GangAction
 	counts Counts
 	closed bool
+
+	saw, foresaw float64 // seconds that parts waited at their hosts, and were expected to
 }
 
 // New makes the part of a process; its slots are those of a holder with that lease.
@@ -125,8 +133,11 @@
 	p.counts.Arrived++
 	p.gangs[j.ID] = g
 	p.order = append(p.order, j.ID)
-	g.by = now + g.kind.Wait
-	if !p.seek(now, g) {
+	g.by, g.came = now+g.kind.Wait, now
+	if _, at := p.holder.Busy(); now-at > p.lease/freshPart {
+		// Placed by old news most would ask for slots that others have; the answer is there with the next rounds.
+		p.holder.Look()
+	} else if !p.seek(now, g) {
 		p.giveUp(now, g, &p.counts.Nowhere)
 	}
 	return p.acts
@@ -144,12 +155,17 @@
 		if g == nil {
 			continue
 		}
+		_, heard := p.holder.Busy()
 		switch {
+		case g.hold == 0 && heard <= g.came && now < g.came+p.lease/lookMost && !p.closed:
+			// It waits for the news that it has asked for.
+		case g.hold == 0 && !p.seek(now, g):
+			p.giveUp(now, g, &p.counts.Nowhere)
 		case g.at == waits && p.holder.Has(now+p.lease/sendPart, g.hold) && p.stands(now, g):
 			p.start(now, g)
 		case g.at == waits && now >= g.by:
 			p.giveUp(now, g, &p.counts.Waited)
-		case g.at == waits && (p.closed || now-g.looked >= lookAgain) && !p.seek(now, g):
+		case g.at == waits && (p.closed || now-g.looked >= lookAgain || p.conflicts(g)) && !p.seek(now, g):
 			p.giveUp(now, g, &p.counts.Nowhere)
 		case g.at == sent && (now >= g.by || !p.holder.Has(now, g.hold)):
 			p.giveUp(now, g, &p.counts.Half)
@@ -160,13 +176,29 @@
 }
 
 const (
-	sendPart  = 4       // a gang is sent while at least this part of its lease is left
-	lookAgain = 500_000 // a gang that waits is placed anew so often
+	freshPart = 8         // news of others' slots is new for that part of a lease
+	lookMost  = 4         // a gang is placed without news after that part of a lease
+	sendPart  = 4         // a gang is sent while at least this part of its lease is left
+	lookAgain = 1_000_000 // a gang that waits is placed anew so often
 )
 
+// Parts that began teach how long a backlog really keeps one waiting.
+const (
+	learnKeep  = 0.99
+	learnFirst = 3.0 // seconds of waiting that weigh as much as what was seen
+	learnMost  = 4.0 // times
+)
+
+// truth is how long parts wait at their hosts, as a multiple of what the module's law says. The law is for choosing between hosts
+// and may be wrong by a factor; of a gang the last of many starts counts, where a factor is the whole answer.
+func (p *Part) truth() float64 {
+	return min(max((p.saw+learnFirst)/(p.foresaw+learnFirst), 1/learnMost), learnMost)
+}
+
 // start has the parts sent.
 func (p *Part) start(now int64, g *gang) {
 	n := len(g.p.Hosts)
+	g.sent = now
 	g.at, g.by, g.ends = sent, now+g.kind.Within, now+int64((g.p.Start+g.p.Run)*1e6)
 	g.began, g.served = make([]bool, n), make([]bool, n)
 	a := memory.GangAction{Kind: memory.GangStart, ID: g.ID, Within: g.kind.Within, Run: g.p.Run}
@@ -214,6 +246,10 @@
 	if g == nil || g.at != sent || rank >= len(g.began) {
 		return
 	}
+	if h := g.p.Hosts[rank]; !g.began[rank] && h.After == 0 {
+		h.Backlog /= g.truth
+		p.saw, p.foresaw = p.saw*learnKeep+float64(now-g.sent)/1e6, p.foresaw*learnKeep+h.Wait()
+	}
 	g.began[rank] = true
 	for _, b := range g.began {
 		if !b {
--- a/internal/fleet/gang/place/place.go
+++ b/internal/fleet/gang/place/place.go
@@ -22,6 +22,15 @@
 	Push    float64 // worth that a slot-second taken here costs those that come after
 }
 
+// Wait is how long a part waits there for its start, in the mean of the module's law.
+func (h *Host) Wait() float64 {
+	if h.Backlog <= 0 {
+		return 0
+	}
+	z := 2 * max(h.Room, 0) / h.Backlog
+	return h.Backlog / 2 * (2 + z) * math.Exp(-z)
+}
+
 // Job is a gang to be placed. Times are seconds.
 type Job struct {
 	Parts, Least int
@@ -30,9 +39,11 @@
 	Bytes        float64 // that a part sends in a step
 	Pattern      pattern.Pattern
 	Slack        float64 // until it is late
+	Stretch      float64 // seconds by which that is later for each second of work more than is told
 	Worth        float64
 	LateWorth    float64 // share that it still earns late
 	Price        float64 // worth of a slot-second that the fleet has no room for
+	Crowd        float64 // share of the slots for gangs that are taken: so likely this one keeps a like one waiting
 }
 
 // Weights of what a placement costs beside lateness.
@@ -43,7 +54,7 @@
 
 // Why is the score of a placement by its terms, in worth, and what it rests on.
 type Why struct {
-	Late, Push, Price, Pieces, Risk float64
+	Late, Push, Price, Crowd, Pieces, Risk float64
 
 	Chance  float64 // of being late
 	Run     float64 // seconds from the last start to the end
@@ -53,7 +64,7 @@
 }
 
 // Total is the score: the lower the better.
-func (w *Why) Total() float64 { return w.Late + w.Push + w.Price + w.Pieces + w.Risk }
+func (w *Why) Total() float64 { return w.Late + w.Push + w.Price + w.Crowd + w.Pieces + w.Risk }
 
 // Placement is hosts by rank.
 type Placement struct {
@@ -62,6 +73,9 @@
 	Leaves, Zoned []float64 // bytes a second of each rank beyond its rack, and beyond its zone
 }
 
+// guesses are what the work may be, as multiples of what is told, each as likely.
+var guesses = [...]float64{0.75, 1, 1.3}
+
 // grid is how many times the law of a start is kept at.
 const grid = 12
 
@@ -78,6 +92,7 @@
 	racks  []rack
 	rackOf []int32   // of each host: its place in racks
 	keys   []float64 // what each costs alone
+	crowd  float64   // worth of a slot-second to other gangs
 	parts  [][]part  // racks by their hosts up to some cost alone
 
 	k       int
@@ -172,16 +187,21 @@
 	for g := 1; g < grid; g++ {
 		w.Start += (s.times[g] - s.times[g-1]) * (1 - (math.Exp(sum[g-1])+math.Exp(sum[g]))/2)
 	}
-	w.Chance = 1 - math.Exp(s.at(&sum, s.job.Slack-w.Run))
+	// The work that is told is a guess: what a gang has more of it takes longer, and is late later.
+	for _, e := range guesses {
+		more := (e - 1) * s.work()
+		w.Chance += (1 - math.Exp(s.at(&sum, s.job.Slack-w.Run+(s.job.Stretch*float64(s.k)/float64(s.job.Parts)-pace)*more))) / float64(len(guesses))
+	}
 	w.Late = s.job.Worth * (1 - s.job.LateWorth) * w.Chance
 	// A slot is taken from its own start to the end of all: who starts first waits for the last.
 	own := 0.0
 	for _, i := range chosen {
-		own += min(max(s.hosts[i].Backlog-s.hosts[i].Room, 0)+s.hosts[i].After, w.Start)
+		own += min(s.hosts[i].Wait()+s.hosts[i].After, w.Start)
 	}
 	idle := max(w.Start-own/float64(s.k), 0)
 	w.Push = push * (w.Run + idle)
 	w.Price = s.job.Price * float64(s.k) * (w.Run + idle)
+	w.Crowd = s.crowd * float64(s.k) * (w.Run + idle)
 	racks := 0
 	for at := 0; at < len(chosen); {
 		r, n := s.rackOf[chosen[at]], 0
--- a/internal/fleet/gang/place/search.go
+++ b/internal/fleet/gang/place/search.go
@@ -36,6 +36,18 @@
 	return best, ok
 }
 
+// Fixed is the placement of hosts that were chosen by rank in another way.
+func Fixed(hosts []Host, j Job, t *topology.Topology, others *topology.Loads, w Weights) Placement {
+	s := newSearch(hosts, j, t, others, w)
+	s.size(len(hosts))
+	s.orders = s.orders[:1]
+	for i := range hosts {
+		s.chosen = append(s.chosen, int32(i))
+	}
+	s.best = s.score(s.chosen)
+	return s.placement()
+}
+
 // sizes are the numbers of parts worth a look: all, the least, and one between.
 func (s *search) sizes() (out []int) {
 	most, least := min(s.job.Parts, len(s.hosts)), max(s.job.Least, 1)
@@ -56,6 +68,7 @@
 		x := float64(g) / (grid - 1)
 		s.times[g] = max(j.Slack, 1e-3) * x * x
 	}
+	s.crowd = j.Worth * j.Crowd / s.least()
 	numbers := map[int]int32{}
 	for i := range hosts {
 		h := &hosts[i]
@@ -71,7 +84,7 @@
 			s.racks[r].free++
 		}
 		run := j.Work * h.Pace
-		s.keys[i] = j.Worth*(1-j.LateWorth)*s.late(h, j.Slack-run) + h.Push*run + j.Price*run + 1e-6*(h.Backlog+h.After)
+		s.keys[i] = j.Worth*(1-j.LateWorth)*s.late(h, j.Slack-run) + (h.Push+j.Price+s.crowd)*run + 1e-6*(h.Backlog+h.After)
 	}
 	for r := range s.racks {
 		slices.SortFunc(s.racks[r].hosts, s.order)
@@ -79,6 +92,19 @@
 	return s
 }
 
+// least is the fewest slot-seconds that the whole takes.
+func (s *search) least() float64 {
+	pace := math.Inf(1)
+	for i := range s.hosts {
+		pace = min(pace, s.hosts[i].Pace)
+	}
+	step := 0.0
+	if s.job.Steps > 0 && s.job.Bytes > 0 {
+		step = s.topo.Alone(s.job.Pattern.Edges(s.job.Parts), s.job.Bytes, s.job.Parts)
+	}
+	return max(float64(s.job.Parts)*(s.job.Work*pace+s.job.Steps*step), 1e-6)
+}
+
 // order puts hosts by what each would cost alone.
 func (s *search) order(a, b int32) int {
 	switch ka, kb := s.keys[a], s.keys[b]; {
@@ -369,8 +395,12 @@
 			step = t.Alone(s.edges, j.Bytes, k)
 		}
 		run := s.work()*paces[k-1] + j.Steps*step
+		slack := 0.0 // of the guess that has most
+		for _, e := range guesses {
+			slack = max(slack, j.Slack-run+max(j.Stretch*float64(k)/float64(j.Parts)*(e-1)*s.work(), 0)-min((e-1)*s.work()*paces[0], 0))
+		}
 		for i := range hosts {
-			laws = append(laws, s.at(s.law(int32(i)), j.Slack-run))
+			laws = append(laws, s.at(s.law(int32(i)), slack))
 		}
 		slices.SortFunc(laws, func(a, b float64) int { return cmp.Compare(b, a) })
 		sum, push := 0.0, 0.0
@@ -378,7 +408,7 @@
 			sum += laws[n]
 			push += pushes[n]
 		}
-		least = min(least, j.Worth*(1-j.LateWorth)*(1-math.Exp(sum))+(push+j.Price*float64(k))*run+j.Worth*w.Fails*run)
+		least = min(least, j.Worth*(1-j.LateWorth)*(1-math.Exp(sum))+(push+(j.Price+s.crowd)*float64(k))*run+j.Worth*w.Fails*run)
 	}
 	return least
 }
--- a/internal/fleet/gang/seek.go
+++ b/internal/fleet/gang/seek.go
@@ -51,7 +51,7 @@
 		}
 		ends := g.ends
 		if g.at == waits {
-			ends = g.by + int64(g.p.Run*1e6)
+			ends = now + int64((g.p.Start+g.p.Run)*1e6)
 		}
 		for _, s := range spotsOf(&g.p) {
 			add(s, ends-now)
@@ -79,9 +79,10 @@
 	if len(p.racks) > racksMost {
 		clear(p.racks) // of hosts long replaced
 	}
+	truth := p.truth()
 	p.hosts(now, g.Work, func(v logic.View) {
 		h := place.Host{ID: uint32(v.ID), Spot: topology.Spot{Rack: p.rack(v.Zone, v.Cell), Zone: v.Zone},
-			Backlog: v.Backlog, Room: v.Room, Pace: v.Pace, Push: v.Push}
+			Backlog: v.Backlog * truth, Room: v.Room, Pace: v.Pace, Push: v.Push}
 		if u := taken[h.ID]; u != nil {
 			others.Add(h.Spot, float64(u.Rack), float64(u.Zone))
 			if over := len(u.left) - p.o.Room; over >= 0 {
@@ -97,7 +98,13 @@
 // racksMost bounds the racks that are numbered.
 const racksMost = 1 << 16
 
-// seek places a gang, anew where it has a placement, and asks for its slots; false where there is none worth its work.
+// soonest is the share of its expected run that a gang may take, its work being told by a guess.
+const soonest = 0.75
+
+// better is the share of its worth that another placement must save a gang that waits: each change is asked for anew.
+const better = 0.02
+
+// seek places a gang, or looks whether its placement still does, and asks for the slots; false where there is none worth its work.
 func (p *Part) seek(now int64, g *gang) bool {
 	if p.closed {
 		return false
@@ -105,21 +112,88 @@
 	hosts, others := p.look(now, g)
 	k := g.kind
 	job := place.Job{Parts: k.Parts, Least: k.Least, Work: g.Work, Steps: k.Steps, Bytes: k.Bytes, Pattern: k.Pattern,
-		Slack: float64(g.Late-now) / 1e6, Worth: g.Worth, LateWorth: g.LateWorth, Price: g.Price}
-	best, ok := place.Search(hosts, job, &p.o.Topology, others, p.o.Weights)
+		Slack: float64(g.Late-now) / 1e6, Stretch: g.Stretch, Worth: g.Worth, LateWorth: g.LateWorth, Price: g.Price, Crowd: p.crowd(hosts)}
+	var old *place.Placement
+	if g.hold != 0 {
+		old = p.again(g, hosts, job, others)
+	}
 	g.looked = now
-	if !ok || best.Chance >= hopeless && g.LateWorth <= 0 || g.Worth-best.Late < best.Push+best.Price {
-		return false
+	if old != nil && p.o.Choose != nil {
+		return true // another way of choosing scores nothing
 	}
-	if g.hold != 0 && same(best.Hosts, g.p.Hosts) {
-		return true
+	best, ok := p.choose(hosts, job, others)
+	if old != nil && (!ok || old.Total() <= best.Total()+better*g.Worth) {
+		return !hopelessly(g, old)
+	}
+	if !ok || hopelessly(g, &best) {
+		return false
 	}
 	// What it waits for is another set now, and the dealer's word on the former one must not be taken for it.
 	p.holder.Drop(g.hold)
 	p.last++
-	g.p, g.hold = best, p.last
-	g.by = min(g.by, max(g.Deadline-int64(best.Run*1e6), now+1))
-	return p.holder.Want(g.hold, spotsOf(&g.p), g.by)
+	g.p, g.hold, g.truth = best, p.last, p.truth()
+	// Whoever has least time left is served first, and nobody waits for what would be late.
+	last := g.Late
+	if g.LateWorth > 0 {
+		last = g.Deadline
+	}
+	g.by = min(g.came+g.kind.Wait, max(last-int64(best.Run*soonest*1e6), now+1))
+	return p.holder.Want(g.hold, spotsOf(&g.p), g.by, int64(best.Run*1e6))
+}
+
+func (p *Part) choose(hosts []place.Host, j place.Job, others *topology.Loads) (place.Placement, bool) {
+	if p.o.Choose != nil {
+		return p.o.Choose(hosts, j, &p.o.Topology, others, p.o.Weights)
+	}
+	return place.Search(hosts, j, &p.o.Topology, others, p.o.Weights)
+}
+
+// hopelessly tells whether a gang is not worth its work where it is placed.
+func hopelessly(g *gang, p *place.Placement) bool {
+	return p.Chance >= hopeless && g.LateWorth <= 0 || g.Worth-p.Late < p.Push+p.Price
+}
+
+// again scores a gang's placement by what is known now; nil where a host of it may not be sent to, or another gang got it first.
+func (p *Part) again(g *gang, hosts []place.Host, j place.Job, others *topology.Loads) *place.Placement {
+	at := map[uint32]int{}
+	for i := range hosts {
+		at[hosts[i].ID] = i
+	}
+	mine := make([]place.Host, len(g.p.Hosts))
+	for rank, h := range g.p.Hosts {
+		i, there := at[h.ID]
+		if !there || hosts[i].After > h.After+afterMore {
+			return nil
+		}
+		mine[rank] = hosts[i]
+	}
+	fixed := place.Fixed(mine, j, &p.o.Topology, others, p.o.Weights)
+	return &fixed
+}
+
+// afterMore is by how many seconds more than when a gang was placed another may have a host for the placement to stand.
+const afterMore = 0.2
+
+// crowd is the share of the slots for gangs that are taken.
+func (p *Part) crowd(hosts []place.Host) float64 {
+	n := 0
+	for i := range hosts {
+		if hosts[i].After > 0 {
+			n++
+		}
+	}
+	return float64(n) / float64(max(len(hosts), 1))
+}
+
+// conflicts tells whether the dealer has told since a gang was placed that another has one of its hosts.
+func (p *Part) conflicts(g *gang) bool {
+	list, at := p.holder.Busy()
+	if at <= g.looked {
+		return false
+	}
+	return slices.ContainsFunc(list, func(b hold.Busy) bool {
+		return slices.ContainsFunc(g.p.Hosts, func(h place.Host) bool { return h.ID == b.Host && h.After == 0 })
+	})
 }
 
 // stands tells whether all hosts of a placement may still be sent a part. Where one may not, the gang is placed anew at once.
@@ -133,10 +207,6 @@
 	return !gone
 }
 
-func same(a, b []place.Host) bool {
-	return slices.EqualFunc(a, b, func(x, y place.Host) bool { return x.ID == y.ID })
-}
-
 // spotsOf is what a placement takes, with what it sends beyond racks and zones.
 func spotsOf(p *place.Placement) []hold.Spot {
 	out := make([]hold.Spot, len(p.Hosts))
--- a/internal/fleet/limit/hold/book.go
+++ b/internal/fleet/limit/hold/book.go
@@ -13,11 +13,12 @@
 
 // Book is the dealer's: what is given of every host. It must not be used by two goroutines at once.
 type Book struct {
-	lease int64
-	room  int   // slots of a host that gangs may have at once
-	from  int64 // nothing is given before: an earlier book's gifts may be in use
-	given map[key]*set
-	asks  map[lease.Owner]*ask
+	lease  int64
+	room   int   // slots of a host that gangs may have at once
+	from   int64 // nothing is given before: an earlier book's gifts may be in use
+	given  map[key]*set
+	claims map[key]*set // what waits, as of the last dealing
+	asks   map[lease.Owner]*ask
 }
 
 // set is slots that are given.
@@ -32,6 +33,7 @@
 	number int64
 	at     int64
 	items  []Item
+	look   bool
 	due    bool // it waits for an answer
 }
 
@@ -43,16 +45,17 @@
 // From is when it begins to give.
 func (b *Book) From() int64 { return b.from }
 
-// Ask takes what a member tells. Number is the time of its asking, by its own clock.
-func (b *Book) Ask(now int64, who lease.Owner, number int64, items []Item) {
+// Ask takes what a member tells. Number is the time of its asking, by its own clock; look says that it wants to know what others
+// have, though it wants nothing yet.
+func (b *Book) Ask(now int64, who lease.Owner, number int64, items []Item, look bool) {
 	old := b.asks[who]
 	switch {
 	case old != nil && number <= old.number:
 		return // overtaken; what it does not name may have been given since
-	case old == nil && (len(items) == 0 || len(b.asks) >= membersMost):
+	case old == nil && (len(items) == 0 && !look || len(b.asks) >= membersMost):
 		return
 	}
-	b.asks[who] = &ask{number, now, items, true}
+	b.asks[who] = &ask{number, now, items, look, true}
 	for k := range b.given {
 		if k.who == who && !slices.ContainsFunc(items, func(i Item) bool { return i.ID == k.id }) {
 			delete(b.given, k)
@@ -67,7 +70,10 @@
 			b.given[k] = s
 		}
 		if s != nil {
-			s.until, s.free = now+lapse(b.lease), now+max(i.Left, 0)
+			s.until, s.free = now+lapse(b.lease), now+i.Run
+			if i.State == Runs {
+				s.free = now + max(i.Left, 0)
+			}
 		}
 	}
 }
@@ -90,6 +96,7 @@
 type want struct {
 	key
 	by    int64
+	run   int64
 	spots []Spot
 }
 
@@ -103,25 +110,35 @@
 		for _, i := range a.items {
 			k := key{who, i.ID}
 			if i.State != Runs && b.given[k] == nil && now < a.at+i.Left && now >= b.from {
-				wants = append(wants, want{k, a.at + i.Left, i.Spots})
+				wants = append(wants, want{k, a.at + i.Left, i.Run, i.Spots})
 			}
 		}
 	}
 	slices.SortFunc(wants, func(x, y want) int {
 		return cmp.Or(cmp.Compare(x.by, y.by), strings.Compare(x.who.Name, y.who.Name), cmp.Compare(x.who.Incarnation, y.who.Incarnation), cmp.Compare(x.id, y.id))
 	})
-	used := map[uint32]int{}
+	used, free := map[uint32]int{}, map[uint32]int64{}
 	for _, s := range b.given {
 		for _, p := range s.spots {
 			used[p.Host]++
+			free[p.Host] = max(free[p.Host], s.free)
 		}
 	}
+	b.claims = map[key]*set{}
 	for _, w := range wants {
-		if !slices.ContainsFunc(w.spots, func(p Spot) bool { return used[p.Host] >= b.room }) {
-			b.given[w.key] = &set{w.spots, now + lapse(b.lease), w.by}
+		s, from := &set{spots: w.spots, until: now + lapse(b.lease)}, now
+		if slices.ContainsFunc(w.spots, func(p Spot) bool { return used[p.Host] >= b.room }) {
+			b.claims[w.key] = s
+			for _, p := range w.spots {
+				from = max(from, free[p.Host])
+			}
+		} else {
+			b.given[w.key] = s
 		}
+		s.free = from + w.run
 		for _, p := range w.spots {
 			used[p.Host]++
+			free[p.Host] = max(free[p.Host], s.free)
 		}
 	}
 	answers := map[lease.Owner]Answer{}
@@ -130,7 +147,7 @@
 			continue
 		}
 		a.due = false
-		answer := Answer{}
+		answer := Answer{Told: a.look}
 		for _, i := range a.items {
 			if b.given[key{who, i.ID}] != nil {
 				answer.Given = append(answer.Given, i.ID)
@@ -145,12 +162,14 @@
 	return answers
 }
 
-// busy lists the slots that others than one member have.
+// busy lists the slots that others than one member have, or will get first.
 func (b *Book) busy(now int64, but lease.Owner) (out []Busy) {
-	for k, s := range b.given {
-		for _, p := range s.spots {
-			if k.who != but && len(out) < SpotsMost {
-				out = append(out, Busy{p, max(s.free-now, 0)})
+	for _, sets := range []map[key]*set{b.given, b.claims} {
+		for k, s := range sets {
+			for _, p := range s.spots {
+				if k.who != but && len(out) < SpotsMost {
+					out = append(out, Busy{p, max(s.free-now, 0)})
+				}
 			}
 		}
 	}
--- a/internal/fleet/limit/hold/hold.go
+++ b/internal/fleet/limit/hold/hold.go
@@ -29,13 +29,14 @@
 	ID    uint64
 	State State
 	Left  int64 // until its parts must have begun, where it wants them; until they are done, where they run
+	Run   int64 // for how long its parts will run
 	Spots []Spot
 }
 
-// Busy is a slot that a gang has.
+// Busy is a slot that a gang has, or has asked for and will get first.
 type Busy struct {
 	Spot
-	Left int64 // until it is free, as its holder expects
+	Left int64 // until it is free, as holders expect
 }
 
 // Answer is what the book gives a member: which of the sets that it told are its own for a lease from when it asked, and what
--- a/internal/fleet/limit/hold/holder.go
+++ b/internal/fleet/limit/hold/holder.go
@@ -7,6 +7,7 @@
 	changed bool // since it was last told
 	asked   int64
 	silent  bool // nothing it has told has been answered
+	look    bool // it wants to know what others have
 	busy    []Busy
 	busyAt  int64
 }
@@ -20,8 +21,8 @@
 // NewHolder makes the side of a member that has nothing.
 func NewHolder(leaseFor int64) *Holder { return &Holder{lease: leaseFor} }
 
-// Want asks for slots, all of them, by a time; false where it has too much to tell already.
-func (h *Holder) Want(id uint64, spots []Spot, by int64) bool {
+// Want asks for slots, all of them, by a time, for parts that will run for so long; false where it has too much to tell already.
+func (h *Holder) Want(id uint64, spots []Spot, by, run int64) bool {
 	n := len(spots)
 	for _, i := range h.items {
 		n += len(i.Spots)
@@ -29,7 +30,7 @@
 	if len(h.items) >= ItemsMost || n > SpotsMost {
 		return false
 	}
-	h.items = append(h.items, &held{Item: Item{ID: id, Spots: spots}, ends: by})
+	h.items = append(h.items, &held{Item: Item{ID: id, Spots: spots, Run: run}, ends: by})
 	h.changed = true
 	return true
 }
@@ -68,10 +69,14 @@
 	}
 }
 
-// Ask gives what is to be told now; any is false where nothing need be. What was dropped is told by its absence.
-func (h *Holder) Ask(now int64) (items []Item, any bool) {
-	if !h.changed && !h.silent && len(h.items) == 0 {
-		return nil, false
+// Look has it ask what others have.
+func (h *Holder) Look() { h.look = true }
+
+// Ask gives what is to be told now, and whether it is to be told what others have; any is false where nothing need be said. What was
+// dropped is told by its absence.
+func (h *Holder) Ask(now int64) (items []Item, look, any bool) {
+	if !h.changed && !h.silent && !h.look && len(h.items) == 0 {
+		return nil, false, false
 	}
 	for _, i := range h.items {
 		if i.State != Runs {
@@ -84,7 +89,7 @@
 		items = append(items, i.Item)
 	}
 	h.changed, h.silent, h.asked = false, true, now
-	return items, true
+	return items, h.look, true
 }
 
 // Granted takes an answer to what was told at a time. What is given counts from then, not from now: the dealer heard of it
@@ -97,7 +102,7 @@
 		}
 	}
 	if a.Told {
-		h.busy, h.busyAt = a.Busy, now
+		h.busy, h.busyAt, h.look = a.Busy, now, false
 	}
 }
 
--- a/internal/fleet/limit/holds.go
+++ b/internal/fleet/limit/holds.go
@@ -28,7 +28,7 @@
 // hold answers what members have told of slots, in the messages that answer them.
 func (p *Part) hold(now int64, answers map[lease.Owner]*Message) {
 	for from, m := range answers {
-		p.book.Ask(now, from, m.Number, p.asks[from].Holds)
+		p.book.Ask(now, from, m.Number, p.asks[from].Holds, p.asks[from].Look)
 	}
 	for who, a := range p.book.Deal(now) {
 		if m := answers[who]; m != nil {
@@ -37,7 +37,7 @@
 	}
 }
 
-// appendHolds appends what a message says of slots: of an ask the items, each an ID, a state, the time left and its spots; of a
+// appendHolds appends what a message says of slots: of an ask whether it looks, and the items, each an ID, a state, the time left, the run and its spots; of a
 // grant whether there is an answer, the IDs, whether others' slots are told, and these. Spots are a host and two 32 bit floats.
 func appendHolds(b []byte, m *Message) []byte {
 	spot := func(s hold.Spot) {
@@ -54,11 +54,13 @@
 	}
 	switch m.Kind {
 	case Ask:
+		flag(m.Look)
 		b = append(b, byte(len(m.Holds)))
 		for _, i := range m.Holds {
 			b = binary.BigEndian.AppendUint64(b, i.ID)
 			b = append(b, byte(i.State))
 			b = binary.BigEndian.AppendUint64(b, uint64(i.Left))
+			b = binary.BigEndian.AppendUint64(b, uint64(i.Run))
 			b = binary.BigEndian.AppendUint16(b, uint16(len(i.Spots)))
 			for _, s := range i.Spots {
 				spot(s)
@@ -88,11 +90,12 @@
 	spot := func() hold.Spot { return hold.Spot{Host: r.uint32(), Rack: r.load(), Zone: r.load()} }
 	switch m.Kind {
 	case Ask:
+		m.Look = r.byte() == 1
 		n, spots := int(r.byte()), 0
 		for i := 0; i < n && !r.bad; i++ {
-			item := hold.Item{ID: r.uint64(), State: hold.State(r.byte()), Left: int64(r.uint64())}
+			item := hold.Item{ID: r.uint64(), State: hold.State(r.byte()), Left: int64(r.uint64()), Run: int64(r.uint64())}
 			k := int(r.uint16())
-			if spots += k; n > hold.ItemsMost || spots > hold.SpotsMost || item.State > hold.Runs || item.Left > leftMost || item.Left < -leftMost {
+			if spots += k; n > hold.ItemsMost || spots > hold.SpotsMost || item.State > hold.Runs || item.Left > leftMost || item.Left < -leftMost || item.Run > leftMost || item.Run < 0 {
 				r.bad = true
 			}
 			for j := 0; j < k && !r.bad; j++ {
--- a/internal/fleet/limit/message.go
+++ b/internal/fleet/limit/message.go
@@ -44,6 +44,7 @@
 	Cover    *Cover      // of the kinds about covers
 
 	Holds []hold.Item  // of an ask: slots that the member wants or has
+	Look  bool         // it wants to be told of others'
 	Held  *hold.Answer // of a grant: the answer to that; nil where the dealer has no book of slots
 }
 
--- a/internal/fleet/limit/talk.go
+++ b/internal/fleet/limit/talk.go
@@ -194,8 +194,8 @@
 			m.Asks = append(m.Asks, ItemAsk{o.number, a})
 		}
 	}
-	holds, any := p.holder.Ask(now)
-	if m.Holds = holds; len(m.Asks) == 0 && !any || p.dealer.Name == p.o.Self.Name && !deals {
+	var any bool
+	if m.Holds, m.Look, any = p.holder.Ask(now); len(m.Asks) == 0 && !any || p.dealer.Name == p.o.Self.Name && !deals {
 		return nil
 	}
 	p.asked = now
--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -51,6 +51,8 @@
 	ended      int64
 	end        End
 	answer     string
+	rank       int // of a part of a gang
+	parts      int // of the gang; 0: it is none
 }
 
 // try is one of a client's requests.
@@ -144,6 +146,16 @@
 	return len(t.attempts) - 1
 }
 
+// CamePart books an attempt that is one part of several.
+func (l *Log) CamePart(first, last int64, name, host string, cell, dispatcher, rank, parts int) int {
+	n := l.Came(first, last, name, host, cell, dispatcher)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := &l.get(name).attempts[n]
+	a.rank, a.parts = rank, parts
+	return n
+}
+
 // Finish books the end of an attempt; only the first counts.
 func (l *Log) Finish(at int64, name string, handle int, end End, answer string) {
 	l.mu.Lock()
--- a/internal/lab/emulate/emulate.go
+++ b/internal/lab/emulate/emulate.go
@@ -31,6 +31,9 @@
 	mu        sync.Mutex // guards all below, the models included
 	hosts     []*host
 	watch     *spread.Watch
+	fabric    *model.Fabric
+	gangTimer *time.Timer
+	stepping  bool // gangs are being ended
 	dir       *model.Directory
 	dirTimer  *time.Timer
 	discovery []*discovery // by dispatcher
@@ -77,7 +80,7 @@
 			len(day.Machines), day.Dispatchers, n, linksMost)
 	}
 	e := &Emulator{day: day, log: log, start: time.Now(), conns: map[net.Conn]struct{}{}, parted: map[[2]int]bool{},
-		watch: spread.New(day.Machines, day.End.Microseconds())}
+		watch: spread.New(day.Machines, day.End.Microseconds()), fabric: model.NewFabric(day.Fleet.Links.Model())}
 	cells := map[int]*model.Cell{}
 	store := &model.Store{Room: day.Sets.Store}
 	window := int64(0)
@@ -93,6 +96,7 @@
 		}
 		h := &host{e: e, number: i, m: model.NewHost(m, cells[m.Cell], store, 0, false), streams: map[uint64]*stream{}, up: i < day.Fleet.Hosts}
 		h.m.Keep(day.Kept[i])
+		h.m.Exchange(e.fabric)
 		if h.up {
 			members = append(members, day.Member(i, model.Ready, 0))
 			log.Listed(0, m.Name, true)
@@ -316,6 +320,9 @@
 	if e.dirTimer != nil {
 		e.dirTimer.Stop()
 	}
+	if e.gangTimer != nil {
+		e.gangTimer.Stop()
+	}
 	for _, h := range e.hosts {
 		if h.timer != nil {
 			h.timer.Stop()
--- a/internal/lab/emulate/hosts.go
+++ b/internal/lab/emulate/hosts.go
@@ -150,6 +150,7 @@
 		h.timer.Stop()
 	}
 	h.look(now)
+	h.e.step()
 }
 
 func (h *host) accept(ln net.Listener) {
@@ -205,4 +206,5 @@
 	}
 	h.look(h.e.now())
 	h.arm()
+	h.e.step()
 }
--- a/internal/lab/emulate/serve.go
+++ b/internal/lab/emulate/serve.go
@@ -154,7 +154,12 @@
 	defer e.mu.Unlock()
 	now := e.now()
 	// What was long on its way counts from when it was sent.
-	s.handle = e.log.Came(first, c.Sent().Sub(e.start).Microseconds(), s.name, h.m.Name, h.m.Cell, p.dispatcher)
+	part := e.part(req, now)
+	if part != nil {
+		s.handle = e.log.CamePart(first, c.Sent().Sub(e.start).Microseconds(), s.name, h.m.Name, h.m.Cell, p.dispatcher, part.Rank, part.Parts)
+	} else {
+		s.handle = e.log.Came(first, c.Sent().Sub(e.start).Microseconds(), s.name, h.m.Name, h.m.Cell, p.dispatcher)
+	}
 	v.current = s
 	if gone := c.Gone(); !gone.IsZero() {
 		e.log.Finish(gone.Sub(e.start).Microseconds(), s.name, s.handle, audit.Closed, "")
@@ -168,7 +173,7 @@
 	s.attempt = e.attempts
 	h.streams[s.attempt] = s
 	w := parseWork(body)
-	job := model.Job{Attempt: s.attempt, Key: req.Header.Get("Idempotency-Key"), Work: w.Micros, Slots: w.Slots, Memory: w.Memory, Set: w.Set}
+	job := model.Job{Attempt: s.attempt, Key: req.Header.Get("Idempotency-Key"), Work: w.Micros, Slots: w.Slots, Memory: w.Memory, Set: w.Set, Part: part}
 	out := s.out
 	e.wait.Go(func() { s.write(c, out) })
 	offer := func() {
--- a/internal/lab/experiment/compare.go
+++ b/internal/lab/experiment/compare.go
@@ -408,6 +408,10 @@
 		for _, n := range p.Notes {
 			fmt.Fprintln(w, "note:", n)
 		}
+		if g := p.Gangs; g != nil {
+			fmt.Fprintf(w, "gangs: %d whole, %d broken, longest half %.2f s, %d parts doubled; an exchange %.2f ms, a run %.2f s, %.1f racks, %.1f%% of bytes across\n",
+				g.Whole, g.Broken, g.LongestHalf, g.Doubled, g.Step, g.Run, g.Spans, 100*g.Crossed)
+		}
 		if p.Spread != nil {
 			fmt.Fprint(w, "use of the hosts, from their own records:\n", p.Spread)
 		}
--- a/internal/lab/experiment/play.go
+++ b/internal/lab/experiment/play.go
@@ -14,6 +14,7 @@
 	"granitewing/internal/lab/emulate"
 	"granitewing/internal/lab/load"
 	"granitewing/internal/lab/measure"
+	"granitewing/internal/lab/model"
 	"granitewing/internal/lab/spread"
 	"granitewing/internal/lab/stage"
 	"granitewing/internal/lab/virtual"
@@ -44,6 +45,7 @@
 	Hosts      []audit.HostLoad   `json:"hosts"`
 	Crowds     []audit.Crowd      `json:"crowds,omitempty"` // by class; of real processes
 	Spread     *spread.Report     `json:"spread,omitempty"`
+	Gangs      *model.GangReport  `json:"gangs,omitempty"` // where a class is run in parts
 	Notes      []string           `json:"notes,omitempty"`
 	Resent     int                `json:"resent_by_clients"`
 	CPU        []float64          `json:"dispatcher_cpu_s,omitempty"`
@@ -163,6 +165,7 @@
 		o.Audit.Rules = append(o.Audit.Rules, log.CheckRecords(list), log.CheckHistory(list))
 	}
 	o.Hosts, o.Crowds, o.Spread = log.HostLoads(), log.Crowds(), fleet.Spread()
+	o.Gangs = gangs(day, fleet.Gangs())
 	if res.Foreign > 0 {
 		o.Audit.Rules[0].Broken += res.Foreign
 	}
@@ -193,7 +196,7 @@
 	}
 	o.Virtual, o.Cut, o.Wall, o.Heap = true, res.Cut, time.Since(began).Seconds(), float64(res.Heap)
 	o.Verdict.Valid = true
-	o.Length, o.Spread = res.Length.Seconds(), res.Spread
+	o.Length, o.Spread, o.Gangs = res.Length.Seconds(), res.Spread, gangs(day, res.Gangs)
 	if v.Share != nil {
 		per := 1 / (o.Length * float64(day.Dispatchers))
 		o.Talk = &Talk{Datagrams: float64(res.Talk.Datagrams) * per, Bytes: float64(res.Talk.Bytes) * per}
@@ -207,6 +210,16 @@
 	return o, nil
 }
 
+// gangs gives what was seen of gangs where a day has any.
+func gangs(day *world.Day, r *model.GangReport) *model.GangReport {
+	for _, c := range day.Classes {
+		if c.Gang != nil {
+			return r
+		}
+	}
+	return nil
+}
+
 // newOutcome begins an outcome with what all plays have.
 func newOutcome(spec *world.Spec, v world.Variant, seed uint64, day *world.Day, rec *measure.Recorder) *Outcome {
 	o := &Outcome{Experiment: spec.Name, Variant: v.Name, Seed: seed, Recorder: rec, Rows: rec.Rows(), Series: rec.Series(), Notes: day.Notes}
--- a/internal/lab/virtual/dispatcher.go
+++ b/internal/lab/virtual/dispatcher.go
@@ -58,6 +58,7 @@
 	courted *memory.Core
 	market  *market.Market // of the process whose core it is
 	traded  *memory.Core
+	gangs   *gangs // nil: no class runs in parts
 }
 
 // boot starts its process.
@@ -72,6 +73,7 @@
 		return err
 	}
 	d.newLedger()
+	d.muster()
 	d.names, d.classes = cfg.Names(), cfg.Settings.Classes
 	d.dead, d.watching, d.listed = false, false, cfg.Known.Revision
 	d.messages, d.relays, d.mirror = map[memory.ID]*try{}, map[memory.RelayID]*attempt{}, map[string]bool{}
@@ -194,7 +196,7 @@
 	if t == nil || h == nil {
 		return
 	}
-	a := &attempt{t: t, id: c.Relay, d: d, gen: d.gen, h: h}
+	a := &attempt{t: t, id: c.Relay, d: d, gen: d.gen, h: h, gang: c.Gang}
 	d.relays[c.Relay] = a
 	t.relays[c.Relay.Attempt] = a
 	d.p.after(d.p.delay(d, h), func() {
--- a/internal/lab/world/spec.go
+++ b/internal/lab/world/spec.go
@@ -61,6 +61,7 @@
 	Progress time.Duration  `sexp:"progress" min:"0"`
 	Memory   bool           `sexp:"count-memory"`
 	CellSize int            `sexp:"rack" min:"1"`
+	Links    Links          `sexp:"links"`
 }
 
 // HostKind is one kind of host.
@@ -96,6 +97,7 @@
 	Window  time.Duration  `sexp:"repeat-window" min:"0"`
 	Slots   []float64      `sexp:"slots" min:"0"` // shares of jobs with 1, 2, … slots
 	Memory  settings.Range `sexp:"memory" min:"0"`
+	Gang    *GangSpec      `sexp:"gang"`
 }
 
 // SetDefaults implements settings.Defaulter.
@@ -176,6 +178,8 @@
 	Verdicts string `sexp:"verdicts" one-of:"on|off"`
 	// Slack has them let jobs in by one price of the whole fleet.
 	Slack string `sexp:"slack" one-of:"on|off"`
+	// Gangs has them run the classes that are gangs in parts, at hosts chosen in this way.
+	Gangs string `sexp:"gangs" one-of:"scored|first|random|racks|late"`
 }
 
 // For gives the deployment as a variant has it.
@@ -250,6 +254,7 @@
 	s.Load.Process.SetDefaults()
 	s.Fleet = Fleet{Hosts: 9, Start: settings.Range{Lo: 0.13, Hi: 0.35}, WarmUp: 24 * time.Second, Window: 2 * time.Second,
 		Multiple: 3, Queue: settings.Range{Lo: 9, Hi: 17}, Knee: 10, Thrash: 0.02, Progress: 2 * time.Second, CellSize: 8, Returns: true, Memory: true}
+	s.Fleet.Links.SetDefaults()
 	s.Sets = DataSets{Count: 40, Zipf: 1, Kept: 5, Fetch: settings.Span{Lo: 1100 * time.Millisecond, Hi: 2200 * time.Millisecond}, Store: 40}
 	s.Discovery.Lag = settings.Span{Lo: 500 * time.Millisecond, Hi: 2500 * time.Millisecond}
 	s.Generator = Generator{Lag: 10 * time.Millisecond, CPU: 0.85, Sched: 10 * time.Millisecond}
--- a/internal/memory/gangs.go
+++ b/internal/memory/gangs.go
@@ -27,6 +27,7 @@
 	Class     int
 	Work      float64 // seconds of each part on a standard core, where there are all parts
 	Late      int64   // from when on it is late
+	Stretch   float64 // by how much later for each second of work
 	Deadline  int64
 	Worth     float64
 	LateWorth float64 // share that it earns late
@@ -88,7 +89,7 @@
 		deadline = now + class.Deadline
 	}
 	work := max(float64(m.Hint)/1e6, 1e-3)
-	j := GangJob{ID: id, Class: m.Class, Work: work, Deadline: deadline, Worth: class.Worth, LateWorth: class.LateWorth, Price: c.price()}
+	j := GangJob{ID: id, Class: m.Class, Work: work, Deadline: deadline, Worth: class.Worth, LateWorth: class.LateWorth, Stretch: class.Stretch, Price: c.price()}
 	j.Late = min(now+class.Aim+int64(class.Stretch*work*1e6), deadline)
 	slots := work * float64(c.gangs.Parts(m.Class))
 	if c.cfg.WorthByWork {
--- /dev/null
+++ b/lab/gangs.sexp
@@ -0,0 +1,31 @@
+; Gangs beside ordinary load, on hosts of two speeds in racks whose uplinks are as wide as one host's, while a zone has half of
+; the load and some hosts are slow: hosts found by the score of the whole, by racks alone, by lateness alone, the first that no
+; gang has, and random ones.
+(experiment gangs
+  (about "20 dispatchers by 96 hosts in 12 racks, gangs of 4 and 8, 60 s; the dealer is there after 5 s")
+  (seed 41)
+  (pairs 3)
+  (virtual)
+  (dispatchers 20)
+  (fleet (hosts 96) (rack 24)
+    (host-kind new (share 0.5) (cores 4) (speed 1.1 1.4))
+    (host-kind old (share 0.5) (cores 4) (speed 0.7 0.9))
+    (links (host 1250MiB) (rack 1250MiB) (zone 2500MiB)))
+  (data-sets (count 0))
+  (clients (retries 0))
+  (class reading (share 0.9) (work 500ms) (spread 0.5) (aim 1s) (stretch 2) (give-up 6s) (repeat safe) (worth 1))
+  (class train (share 0.1) (work 2s) (spread 0.3) (aim 4s) (stretch 2) (give-up 40s) (repeat safe) (worth 8)
+    (gang (parts 4) (exchange all) (bytes 80MiB) (steps 40)))
+  (class halo (share 0.1) (work 2s) (spread 0.3) (aim 4s) (stretch 2) (give-up 40s) (repeat safe) (worth 8)
+    (gang (parts 8) (least 6) (exchange halo) (bytes 80MiB) (steps 40)))
+  (load
+    (stream (class reading) (zone dakar) (programme (constant (for 60s) (rate 200))))
+    (stream (class reading) (programme (constant (for 60s) (rate 250))))
+    (stream (class train) (programme (constant (for 6s) (rate 0)) (constant (for 54s) (rate 1))))
+    (stream (class halo) (programme (constant (for 6s) (rate 0)) (constant (for 54s) (rate 0.5)))))
+  (slow (at 20s) (for 20s) (share 10%) (factor 3))
+  (variant scored (share (every 100ms) (late 5ms 50ms) (gangs scored)))
+  (variant racks (share (every 100ms) (late 5ms 50ms) (gangs racks)))
+  (variant late (share (every 100ms) (late 5ms 50ms) (gangs late)))
+  (variant first (share (every 100ms) (late 5ms 50ms) (gangs first)))
+  (variant random (share (every 100ms) (late 5ms 50ms) (gangs random))))
--- a/logic/state.go
+++ b/logic/state.go
@@ -237,7 +237,9 @@
 	Backlog    float64 // to drain
 	Room       float64 // with which a job still starts at once, on average
 	Pace       float64 // running time for a second of work
-	Push       float64 // worth, as the settings count it, that a second of one slot here costs those that come after
+	// Push is the worth, as the settings count it, that a second of one slot here costs those that come after: by the value
+	// function, but no more than that of the work which the slot could do, since so much can be refused instead.
+	Push float64
 }
 
 // View gives the ready workers in the order of their ids, as they are to a job of some work in seconds.
@@ -250,7 +252,7 @@
 		s.derive(w)
 		u := s.backlog(w)
 		tell(View{ID: w.info.ID, Zone: w.info.Zone, Cell: w.info.Cell, Trusted: s.now >= w.ejected, Warm: s.warmth(w) == 1, Backlog: u,
-			Room: w.room(1, s.meanWork), Pace: w.pace, Push: s.pushes(w, u, work/s.meanWork) * s.meanWorth / (work * w.pace)})
+			Room: w.room(1, s.meanWork), Pace: w.pace, Push: s.meanWorth / w.pace * min(s.pushes(w, u, work/s.meanWork)/work, 1/s.meanWork)})
 	}
 }
 
