--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	go vet -tags check $(INTERLEAVED)
 
 # Packages with tests that run all interleavings of a few goroutines (internal/check).
-INTERLEAVED = ./internal/check ./internal/seam ./internal/latest ./internal/driver ./internal/fleet/limit/rights
+INTERLEAVED = ./internal/check ./internal/seam ./internal/latest ./internal/driver ./internal/fleet/limit/rights ./internal/fleet/limit/hold
 
 test: lint build
 	go test -tags check -count=1 -run 'Interleav|Finds|Alike' $(INTERLEAVED)
--- a/internal/fleet/limit/play_test.go
+++ b/internal/fleet/limit/play_test.go
@@ -77,6 +77,7 @@
 	cut    func(from, to int) bool
 	hold   int64  // how long a job runs at most
 	broken string // the rule that this play goes without
+	room   int    // slots of a host that may be held together
 
 	wanted, in        int
 	over, rate, burst float64 // how far admissions are beyond the rate; the most so far is burst
@@ -115,7 +116,7 @@
 	case "a new keeper promises nothing for a lease":
 		since -= leaseUs
 	}
-	n.part = New(since, Options{Self: lease.Owner{Name: n.name, Incarnation: n.inc}, Keepers: keep, Lease: leaseUs, Limits: s.limits})
+	n.part = New(since, Options{Self: lease.Owner{Name: n.name, Incarnation: n.inc}, Keepers: keep, Lease: leaseUs, Limits: s.limits, Room: s.room})
 	if s.broken == knows {
 		empty := &cover.Shelf{}
 		empty.Put(0, 0, 1, nil)
