Have a dealer that ends in order leave its book of slots to the next, which gives at once

Need: every release of the keepers stopped gangs for two leases. The book goes with the post (SlotsOver), and names the word of the heir that the former dealer had heard last: a dealer in between would have given nothing for a lease from then on, so a list that is older than that is not taken. Found while reading: the numbers of members' asks have to go with it, or an overtaken ask undoes what was given; sets may have been renewed by one in between, so each counts for a whole lease anew.

--- a/internal/fleet/limit/covers.go
+++ b/internal/fleet/limit/covers.go
@@ -32,6 +32,7 @@
 	p.dealers, p.book = map[uint64]*deal{}, nil
 	if p.o.Room > 0 {
 		p.book = hold.NewBook(now, p.o.Lease, p.o.Room)
+		p.inherit(now)
 	}
 	for _, o := range p.limits {
 		covers := cover.NewBook(now, len(p.o.Keepers))
@@ -129,6 +130,7 @@
 	if !held {
 		return nil
 	}
+	out = p.bequeath(now, heir)
 	p.seat.Free(now, p.o.Self, heir)
 	for _, k := range p.o.Keepers {
 		if k != p.o.Self.Name {
--- a/internal/fleet/limit/hold/book.go
+++ b/internal/fleet/limit/hold/book.go
@@ -177,6 +177,50 @@
 	return out
 }
 
+// Hand gives all that is given, for the dealer that follows; nothing where this book does not give yet, or there is too much to tell.
+func (b *Book) Hand(now int64) (out []Holding) {
+	b.expire(now)
+	if now < b.from {
+		return nil
+	}
+	spots := 0
+	for who, a := range b.asks {
+		h := Holding{Who: who, Number: a.number}
+		for _, i := range a.items {
+			if s := b.given[key{who, i.ID}]; s != nil {
+				i.Left = s.free - now
+				h.Items = append(h.Items, i)
+				spots += len(i.Spots)
+			}
+		}
+		if len(h.Items) > 0 {
+			out = append(out, h)
+		}
+	}
+	if spots > HandMost {
+		return nil
+	}
+	slices.SortFunc(out, func(x, y Holding) int {
+		return cmp.Or(strings.Compare(x.Who.Name, y.Who.Name), cmp.Compare(x.Who.Incarnation, y.Who.Incarnation))
+	})
+	return out
+}
+
+// Inherit takes what the dealer just before has given, and begins to give at once. The numbers of what members told that one go on:
+// one that told more before must not undo it. What the members have of those sets may have been renewed since.
+func (b *Book) Inherit(now int64, all []Holding) {
+	b.from = now
+	for _, h := range all {
+		if a := b.asks[h.Who]; a != nil && a.number >= h.Number {
+			continue // it has told this one more
+		}
+		b.asks[h.Who] = &ask{number: h.Number, at: now, items: h.Items}
+		for _, i := range h.Items {
+			b.given[key{h.Who, i.ID}] = &set{i.Spots, now + lapse(b.lease), now + max(i.Left, 0)}
+		}
+	}
+}
+
 // Out counts the sets that are given, and their slots.
 func (b *Book) Out() (sets, slots int) {
 	for _, s := range b.given {
--- a/internal/fleet/limit/hold/hold.go
+++ b/internal/fleet/limit/hold/hold.go
@@ -47,10 +47,18 @@
 	Busy  []Busy
 }
 
+// Holding is what a book has given to one member, by what that told last.
+type Holding struct {
+	Who    lease.Owner
+	Number int64 // of that telling
+	Items  []Item
+}
+
 // Bounds of what a member may tell.
 const (
 	ItemsMost = 32
 	SpotsMost = 2048 // of all its items
+	HandMost  = 4096 // spots of a book that is handed over
 )
 
 // LapseShare is by how much longer than the lease the book counts what it gave, and a new one what an earlier one may have
--- a/internal/fleet/limit/holds.go
+++ b/internal/fleet/limit/holds.go
@@ -37,8 +37,33 @@
 	}
 }
 
+// heirloom is what a dealer that has left has given of slots, and by when at the earliest it left.
+type heirloom struct {
+	after int64 // on this process's clock: it has heard what this one said then
+	all   []hold.Holding
+}
+
+// bequeath tells the heir of the post what is given of slots.
+func (p *Part) bequeath(now int64, heir lease.Owner) []*Message {
+	if p.book == nil || p.since != p.seat.Since() || now < p.book.From() || p.words[heir.Name].who != heir {
+		return nil
+	}
+	m := p.say(SlotsOver, heir, p.words[heir.Name].at)
+	m.Table = p.book.Hand(now)
+	return []*Message{m, m} // it is said but once, and a link may lose it
+}
+
+// inherit has a book that begins take what the dealer just before left, if this is that one's heir. It left after it had heard a
+// word of this process's, and a dealer in between would have given nothing for a lease from then on.
+func (p *Part) inherit(now int64) {
+	if h := p.left; h != nil && p.since-h.after < p.o.Lease {
+		p.book.Inherit(now, h.all)
+	}
+	p.left = nil
+}
+
 // appendHolds appends what a message says of slots: of an ask whether it looks, and the items, each an ID, a state, the time left, the run and its spots; of a
-// grant whether there is an answer, the IDs, whether others' slots are told, and these. Spots are a host and two 32 bit floats.
+// grant whether there is an answer, the IDs, whether others' slots are told, and these; of a book that is handed over each member, its number and its items. Spots are a host and two 32 bit floats.
 func appendHolds(b []byte, m *Message) []byte {
 	spot := func(s hold.Spot) {
 		b = binary.BigEndian.AppendUint32(b, s.Host)
@@ -52,11 +77,9 @@
 		}
 		b = append(b, v)
 	}
-	switch m.Kind {
-	case Ask:
-		flag(m.Look)
-		b = append(b, byte(len(m.Holds)))
-		for _, i := range m.Holds {
+	items := func(list []hold.Item) {
+		b = append(b, byte(len(list)))
+		for _, i := range list {
 			b = binary.BigEndian.AppendUint64(b, i.ID)
 			b = append(b, byte(i.State))
 			b = binary.BigEndian.AppendUint64(b, uint64(i.Left))
@@ -66,6 +89,20 @@
 				spot(s)
 			}
 		}
+	}
+	switch m.Kind {
+	case Ask:
+		flag(m.Look)
+		items(m.Holds)
+	case SlotsOver:
+		b = binary.BigEndian.AppendUint16(b, uint16(len(m.Table)))
+		for _, h := range m.Table {
+			b = append(b, byte(len(h.Who.Name)))
+			b = append(b, h.Who.Name...)
+			b = binary.BigEndian.AppendUint64(b, h.Who.Incarnation)
+			b = binary.BigEndian.AppendUint64(b, uint64(h.Number))
+			items(h.Items)
+		}
 	case Grant:
 		flag(m.Held != nil)
 		if m.Held == nil {
@@ -88,20 +125,33 @@
 // holds reads what a message says of slots.
 func (r *reader) holds(m *Message) {
 	spot := func() hold.Spot { return hold.Spot{Host: r.uint32(), Rack: r.load(), Zone: r.load()} }
-	switch m.Kind {
-	case Ask:
-		m.Look = r.byte() == 1
+	items := func(most int) (list []hold.Item) {
 		n, spots := int(r.byte()), 0
 		for i := 0; i < n && !r.bad; i++ {
 			item := hold.Item{ID: r.uint64(), State: hold.State(r.byte()), Left: int64(r.uint64()), Run: int64(r.uint64())}
 			k := int(r.uint16())
-			if spots += k; n > hold.ItemsMost || spots > hold.SpotsMost || item.State > hold.Runs || item.Left > leftMost || item.Left < -leftMost || item.Run > leftMost || item.Run < 0 {
+			if spots += k; n > hold.ItemsMost || spots > most || item.State > hold.Runs || item.Left > leftMost || item.Left < -leftMost || item.Run > leftMost || item.Run < 0 {
 				r.bad = true
 			}
 			for j := 0; j < k && !r.bad; j++ {
 				item.Spots = append(item.Spots, spot())
 			}
-			m.Holds = append(m.Holds, item)
+			list = append(list, item)
+		}
+		return list
+	}
+	switch m.Kind {
+	case Ask:
+		m.Look = r.byte() == 1
+		m.Holds = items(hold.SpotsMost)
+	case SlotsOver:
+		n := int(r.uint16())
+		for i := 0; i < n && !r.bad; i++ {
+			h := hold.Holding{}
+			h.Who.Name = string(r.take(min(int(r.byte()), nameMost)))
+			h.Who.Incarnation, h.Number = r.uint64(), int64(r.uint64())
+			h.Items = items(hold.SpotsMost)
+			m.Table = append(m.Table, h)
 		}
 	case Grant:
 		if r.byte() == 0 {
--- a/internal/fleet/limit/holds_test.go
+++ b/internal/fleet/limit/holds_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"granitewing/internal/fleet/limit/hold"
+	"granitewing/internal/fleet/limit/lease"
 )
 
 // Rules of slots held together that a play can go without.
@@ -155,15 +156,74 @@
 	}
 }
 
+// A dealer that ends in order tells the next what it has given, and that one gives at once; after one that dies the next waits.
+func TestSlotsHandover(t *testing.T) {
+	for seed := range uint64(5) {
+		for name, end := range map[string]func(s *troupe, i int){
+			"in order": func(s *troupe, i int) { s.resign(i, 20*sec) },
+			"killed":   func(s *troupe, i int) { s.kill(i, 20*sec) },
+		} {
+			s := newTroupe(seed, 12, "")
+			s.run(12 * sec)
+			end(s, s.dealer())
+			s.begun = 0
+			s.run(s.at + sec)
+			dealt := false
+			for _, n := range s.nodes {
+				_, _, deals := n.part.Held(n.now(s.at))
+				dealt = dealt || deals && !n.down
+			}
+			if dealt != (name == "in order") {
+				t.Errorf("seed %d, %s: slots are dealt a second later: %t", seed, name, dealt)
+			}
+			s.run(s.at + 10*sec)
+			if s.doubled > 0 || s.begun < 5 {
+				t.Errorf("seed %d, %s: %d sets had in 11 s, a slot was in two hands at %d looks", seed, name, s.begun, s.doubled)
+			}
+		}
+	}
+}
+
+// What a dealer left counts for the one just after it alone: another may have given since, where the post comes a lease after the
+// word that the former had heard.
+func TestHeirloom(t *testing.T) {
+	for _, c := range []struct {
+		late  int64 // from that word to the post
+		waits bool
+	}{{leaseUs / 2, false}, {leaseUs - 1, false}, {leaseUs, true}, {3 * leaseUs, true}} {
+		self, former, member := lease.Owner{Name: "n0", Incarnation: 2}, lease.Owner{Name: "n1", Incarnation: 1}, lease.Owner{Name: "m", Incarnation: 1}
+		p := New(0, Options{Self: self, Keepers: []string{"n0"}, Lease: leaseUs, Room: 1})
+		now := leaseUs + 1 // the post is its own from here on
+		p.o.Keepers = append(p.o.Keepers, "n1")
+		p.Hear(now, &Message{Kind: SlotsOver, From: former, To: self, Number: now - c.late,
+			Table: []hold.Holding{{Who: member, Number: 7, Items: []hold.Item{{ID: 1, Run: sec, Left: sec, Spots: []hold.Spot{{Host: 1}}}}}}})
+		p.Round(now)
+		if sets, _, deals := p.Held(now); deals == c.waits || (sets == 1) == c.waits {
+			t.Errorf("%d us after the word: deals %t, with %d sets", c.late, deals, sets)
+		}
+		if c.waits {
+			continue
+		}
+		// What the member had told the former dealer before that is overtaken, and does not undo what was given.
+		p.Hear(now, &Message{Kind: Ask, From: member, To: self, Number: 6})
+		p.Round(now + 1)
+		if sets, _, _ := p.Held(now + 1); sets != 1 {
+			t.Errorf("an ask that was overtaken undid what was given: %d sets", sets)
+		}
+	}
+}
+
 // A message that is no message, or tells more than there may be, is not taken.
 func TestHoldsForm(t *testing.T) {
 	m := &Message{Kind: Ask, Look: true, Holds: []hold.Item{{ID: 7, State: hold.Runs, Left: 5, Run: 9, Spots: []hold.Spot{{Host: 1, Rack: 2.5}, {Host: 3, Zone: 1}}}}}
 	m.From.Name, m.To.Name = "a", "b"
 	g := &Message{Kind: Grant, From: m.To, To: m.From, Held: &hold.Answer{Given: []uint64{7}, Told: true, Busy: []hold.Busy{{Spot: hold.Spot{Host: 4}, Left: 11}}}}
-	for _, m := range []*Message{m, g} {
+	over := &Message{Kind: SlotsOver, From: m.To, To: m.From, Table: []hold.Holding{{Who: m.From, Number: 3, Items: m.Holds}}}
+	said := func(m *Message) string { return fmt.Sprintf("%+v %+v %+v %t", m.Holds, m.Held, m.Table, m.Look) }
+	for _, m := range []*Message{m, g, over} {
 		b := Append(nil, m)
 		got, err := Parse(b)
-		if err != nil || fmt.Sprintf("%+v", got.Holds)+fmt.Sprintf("%+v", got.Held) != fmt.Sprintf("%+v", m.Holds)+fmt.Sprintf("%+v", m.Held) || got.Look != m.Look {
+		if err != nil || said(got) != said(m) {
 			t.Errorf("%+v, %v", got, err)
 		}
 		for n := range b {
--- a/internal/fleet/limit/limit.go
+++ b/internal/fleet/limit/limit.go
@@ -55,6 +55,8 @@
 	asks    map[lease.Owner]*Message // that wait for an answer
 	book    *hold.Book               // of slots, while it has the post; nil: none are held
 	holder  *hold.Holder
+	words   map[string]word // of keepers, by name
+	left    *heirloom       // of a dealer that has left; nil: none did
 
 	dealer   lease.Owner // whom it asks
 	guess    int         // which keeper that is where nobody has said
@@ -67,6 +69,12 @@
 // Refusals counts what was heard and not taken.
 type Refusals struct{ Strange, Late, Full int }
 
+// word is when a keeper promised this process the post last, on its own clock.
+type word struct {
+	who lease.Owner
+	at  int64
+}
+
 // own is a limit as this member has it.
 type own struct {
 	Limit
@@ -76,7 +84,7 @@
 
 // New makes the part of a process that has just started.
 func New(now int64, o Options) *Part {
-	p := &Part{o: o, asks: map[lease.Owner]*Message{}, shelves: map[uint64]*cover.Shelf{}, answered: now, holder: hold.NewHolder(o.Lease)}
+	p := &Part{o: o, asks: map[lease.Owner]*Message{}, shelves: map[uint64]*cover.Shelf{}, answered: now, holder: hold.NewHolder(o.Lease), words: map[string]word{}}
 	if slices.Contains(o.Keepers, o.Self.Name) {
 		p.seat = lease.New(now, o.Self, o.Keepers, o.Lease)
 	}
--- a/internal/fleet/limit/message.go
+++ b/internal/fleet/limit/message.go
@@ -30,6 +30,7 @@
 	CoverIs               // the keeper answers, with its turn
 	CoverPut              // the dealer tells a cover, whose version is the number
 	CoverHas              // the keeper has it
+	SlotsOver             // a dealer that leaves tells its heir what is given of slots; the number is the heir's own, of its last word
 	kinds
 )
 
@@ -38,13 +39,15 @@
 	Kind     Kind
 	From, To lease.Owner // To.Incarnation is 0 where it is not known
 	Number   int64
+	Clock    int64 // of a promise of the post: when it was given, on the promiser's clock
 	Asks     []ItemAsk
 	Grants   []ItemGrant
 	Dealer   lease.Owner // of Elsewhere, and the heir of SeatFree
 	Cover    *Cover      // of the kinds about covers
 
-	Holds []hold.Item  // of an ask: slots that the member wants or has
-	Look  bool         // it wants to be told of others'
+	Holds []hold.Item // of an ask: slots that the member wants or has
+	Look  bool        // it wants to be told of others'
+	Table []hold.Holding
 	Held  *hold.Answer // of a grant: the answer to that; nil where the dealer has no book of slots
 }
 
@@ -79,7 +82,7 @@
 	return h.Sum64()
 }
 
-// Append appends a message's bytes, big endian: version, kind, the three processes, the number, and the items after
+// Append appends a message's bytes, big endian: version, kind, the three processes, the number and the clock, and the items after
 // their number. Demand is a 32 bit float. Slots follow (appendHolds). A cover is the limit, the keeper's turn, whether it is known, and its entries after
 // their number.
 func Append(b []byte, m *Message) []byte {
@@ -90,6 +93,7 @@
 		b = binary.BigEndian.AppendUint64(b, o.Incarnation)
 	}
 	b = binary.BigEndian.AppendUint64(b, uint64(m.Number))
+	b = binary.BigEndian.AppendUint64(b, uint64(m.Clock))
 	b = append(b, byte(max(len(m.Asks), len(m.Grants))))
 	for _, a := range m.Asks {
 		b = binary.BigEndian.AppendUint64(b, a.Limit)
@@ -134,7 +138,7 @@
 		o.Name = string(r.take(min(int(r.byte()), nameMost)))
 		o.Incarnation = r.uint64()
 	}
-	m.Number = int64(r.uint64())
+	m.Number, m.Clock = int64(r.uint64()), int64(r.uint64())
 	n := int(r.byte())
 	for i := 0; i < n && !r.bad; i++ {
 		switch m.Kind {
@@ -147,7 +151,7 @@
 		}
 	}
 	r.holds(m)
-	if m.Kind >= CoverAsk && m.Kind < kinds {
+	if m.Kind >= CoverAsk && m.Kind <= CoverHas {
 		m.Cover = r.cover()
 	}
 	if r.bad || len(r.b) > 0 || m.Kind >= kinds || n > itemsMost || m.From.Name == "" {
--- a/internal/fleet/limit/talk.go
+++ b/internal/fleet/limit/talk.go
@@ -23,16 +23,28 @@
 	switch m.Kind {
 	case SeatAsk:
 		if p.seat != nil && p.seat.Ask(now, m.From) {
-			return p.say(SeatYes, m.From, m.Number)
+			yes := p.say(SeatYes, m.From, m.Number)
+			yes.Clock = now
+			return yes
 		}
 	case SeatYes:
 		if p.seat != nil {
 			p.seat.Yes(now, m.From, m.Number)
+			if slices.Contains(p.o.Keepers, m.From.Name) {
+				p.words[m.From.Name] = word{m.From, m.Clock}
+			}
 		}
 	case SeatFree:
 		if p.seat != nil {
 			p.seat.Free(now, m.From, m.Dealer)
 		}
+	case SlotsOver:
+		if slices.Contains(p.o.Keepers, m.From.Name) && m.Number <= now {
+			p.left = &heirloom{m.Number, m.Table}
+			if p.book != nil && p.seat.Holds(now) && p.since == p.seat.Since() && now < p.book.From() {
+				p.inherit(now) // the post was here before the word of what it has given
+			}
+		}
 	case CoverAsk, CoverPut:
 		return p.keep(now, m)
 	case CoverIs, CoverHas:
