Let a dealer come to be after a split vote, and tell keepers that were started anew

Seen: in drawn plays of faults a fleet went without a dealer, or without rights, for good once the faults were over (12 of 400 plays of limits; 0 sets in 30 s of calm in several of 400 of slots). No rule was broken, so no test had said so: plays ended with their faults. Causes, found by printing the seats and books of such plays (seeds 223 and 141 of TestHolds, o3 of TestFaults). 1. lease.Seat.Round: keepers that had asked at once each renewed the promise to themselves at every ask, so none ever got a majority. Now one whose ask has brought none within a quarter of the length takes its word back, and asks again after its rank's time; late answers to that ask count no more. 2. cover.Book.Round: what was written to a keeper's former process was written to it for ever; once a majority of keepers had been started anew under one dealer no cover could grow. Now one that does not answer is asked who it is. The mutant that counts rights from when they are heard of gets a play of its own, since drawn ones no longer find it within 40 seeds.

--- a/internal/fleet/limit/cases_test.go
+++ b/internal/fleet/limit/cases_test.go
@@ -57,13 +57,35 @@
 	s.run(80 * sec)
 }
 
+// unheard has half of the members hear late of what they are given, and then be heard no more.
+func (s *stage) unheard() {
+	some := len(s.nodes) / 2
+	s.run(10 * sec)
+	s.late = func(from, to int) int64 {
+		if from < 3 && to >= some {
+			return 4 * sec / 5
+		}
+		return 0
+	}
+	s.run(14 * sec)
+	s.cut = func(from, to int) bool { return from >= some && to < 3 }
+	s.run(20 * sec)
+}
+
 // Each rule is needed: a play that goes without it is over the bound before long.
 func TestFaultsWithoutARule(t *testing.T) {
 	drawn := func(seed uint64, rule string) *stage { return faulty(seed, atOnce(20, sec/2), rule) }
 	for rule, play := range map[string]func(seed uint64, rule string) *stage{
-		"a later process has a higher incarnation":   drawn,
-		"a majority of keepers":                      drawn,
-		"rights count from when they were asked for": drawn,
+		"a later process has a higher incarnation": drawn,
+		"a majority of keepers":                    drawn,
+		"rights count from when they were asked for": func(seed uint64, rule string) *stage {
+			s := busy(seed, 12, atOnce(20, sec/10), rule)
+			for _, n := range s.nodes {
+				n.load *= 8
+			}
+			s.unheard()
+			return s
+		},
 		"a new keeper promises nothing for a lease": func(seed uint64, rule string) *stage {
 			s := busy(seed, 10, atOnce(20, sec/10), rule)
 			for _, n := range s.nodes {
@@ -206,6 +228,34 @@
 	}
 }
 
+// The keepers beside the dealer start anew one after the other, as in a release, and then more is wanted: the dealer tells the new
+// processes what each may hold, and gives it.
+func TestKeepersAnew(t *testing.T) {
+	t.Parallel()
+	s := busy(1, 30, atOnce(60, sec), "")
+	for _, n := range s.nodes {
+		n.load /= 1000
+	}
+	s.run(20 * sec)
+	d := s.dealer()
+	for i := range 3 {
+		if i != d {
+			s.kill(i, sec/5)
+			s.run(s.at + 3*leaseUs)
+		}
+	}
+	for _, n := range s.nodes {
+		n.load *= 1000
+	}
+	s.run(s.at + 5*sec)
+	s.in = 0
+	s.run(s.at + 5*sec)
+	if s.in < 400 {
+		t.Errorf("%d in, of 600", s.in)
+	}
+	s.bounded(t)
+}
+
 // dealer is the node that deals.
 func (s *stage) dealer() int {
 	for i, n := range s.nodes {
--- a/internal/fleet/limit/cover/book.go
+++ b/internal/fleet/limit/cover/book.go
@@ -98,7 +98,8 @@
 }
 
 // Round says which keepers to ask for their turn and what they know, and which to tell the table. What gets no answer is said
-// again after a gap; keepers that are behind where a majority is not, after eight.
+// again after a gap; keepers that are behind where a majority is not, after eight. One that has not answered is asked as well: it
+// may be another process by now, which takes nothing that was written to the former one.
 func (b *Book) Round(now, gap int64, keepers []string) (ask, tell []string) {
 	switch {
 	case b.settled && b.whole && now-b.late >= 8*gap:
@@ -106,6 +107,7 @@
 	case b.settled && b.whole || b.sent > 0 && now-b.sent < gap:
 		return nil, nil
 	}
+	again := b.sent > 0
 	b.sent = now
 	for _, k := range keepers {
 		_, known := b.places[k]
@@ -114,7 +116,9 @@
 		case !known || !b.settled && !found:
 			ask = append(ask, k)
 		case b.settled && !b.has[k]:
-			tell = append(tell, k)
+			if tell = append(tell, k); again {
+				ask = append(ask, k)
+			}
 		}
 	}
 	return ask, tell
--- a/internal/fleet/limit/lease/lease.go
+++ b/internal/fleet/limit/lease/lease.go
@@ -34,6 +34,7 @@
 	turn     int64 // how often it has promised the post to another than before
 
 	asked int64 // when it asked last; the number of that ask
+	again int64 // it asks no more before then
 	yes   map[string]bool
 	heir  Owner // the keeper that promised it last
 	holds int64 // it holds the post till then
@@ -91,12 +92,18 @@
 }
 
 // Round tells whether to ask the other keepers now; the number of the ask is now. Its own word comes first: who has promised
-// the post to another does not ask. Those of higher rank wait a little longer once a promise has lapsed.
+// the post to another does not ask. Those of higher rank wait a little longer once a promise has lapsed, and once an ask has
+// brought no majority: where each of some keepers has promised the post to itself nobody would ever get it.
 func (s *Seat) Round(now int64) bool {
-	switch {
-	case s.left:
+	if s.left || s.asked > 0 && now-s.asked < s.length/askPart {
 		return false
-	case s.asked > 0 && now-s.asked < s.length/askPart:
+	}
+	if s.asked > 0 && !s.Holds(now) && s.promised == s.self && now < s.until {
+		// It takes back its own word, and what others answer to that ask counts no more.
+		s.until, s.asked, s.again = now, 0, now+int64(s.rank)*s.length/askPart
+	}
+	switch {
+	case now < s.again:
 		return false
 	case !s.Holds(now) && s.promised != s.self && now < max(s.until, s.free)+int64(s.rank)*s.length/askPart:
 		return false
--- a/internal/fleet/limit/limit_test.go
+++ b/internal/fleet/limit/limit_test.go
@@ -161,6 +161,11 @@
 				if s.in < 50 {
 					t.Errorf("%d of %d in: the limit is hardly used", s.in, s.wanted)
 				}
+				s.in = 0
+				s.run(90 * sec)
+				if s.in < 300 {
+					t.Errorf("%d in through the 30 s after the faults", s.in)
+				}
 			})
 		}
 	}
--- a/internal/fleet/limit/play_test.go
+++ b/internal/fleet/limit/play_test.go
@@ -75,9 +75,10 @@
 	delay  int64
 	spread int64
 	cut    func(from, to int) bool
-	hold   int64  // how long a job runs at most
-	broken string // the rule that this play goes without
-	room   int    // slots of a host that may be held together
+	late   func(from, to int) int64 // beyond the delay of all links; nil: none
+	hold   int64                    // how long a job runs at most
+	broken string                   // the rule that this play goes without
+	room   int                      // slots of a host that may be held together
 
 	wanted, in        int
 	over, rate, burst float64 // how far admissions are beyond the rate; the most so far is burst
@@ -159,7 +160,11 @@
 			if copies == 1 && s.rng.Float64() < s.twice {
 				copies++
 			}
-			s.after(s.delay+s.rng.Int64N(s.spread), func() {
+			late := s.delay + s.rng.Int64N(s.spread)
+			if s.late != nil {
+				late += s.late(from, to)
+			}
+			s.after(late, func() {
 				got, err := Parse(b)
 				if err != nil {
 					panic(err)
