--- /dev/null
+++ b/internal/fleet/gang/place/candidates.go
@@ -0,0 +1,152 @@
+package place
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// The choices that a search looks at first.
+
+// candidates scores choices of which one is near the best: the racks that can take the whole alone; the fewest racks of a zone,
+// and of all, by hosts of several qualities; and the best hosts wherever they are.
+func (s *search) candidates() {
+	j := &s.job
+	type sum struct {
+		rack int
+		cost float64
+	}
+	var alone []sum
+	for r := range s.racks {
+		if hosts := s.racks[r].hosts; len(hosts) >= s.k {
+			c := 0.0
+			for _, i := range hosts[:s.k] {
+				c += s.keys[i]
+			}
+			alone = append(alone, sum{r, c + j.Worth*s.w.Pieces*float64(max(s.racks[r].free-s.k, 0))/float64(len(hosts))})
+		}
+	}
+	slices.SortFunc(alone, func(a, b sum) int { return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.rack, b.rack)) })
+	for _, a := range alone[:min(len(alone), racksMost)] {
+		s.try(s.racks[a.rack].hosts[:s.k])
+	}
+	var zones []int
+	for _, r := range s.racks {
+		if !slices.Contains(zones, r.zone) {
+			zones = append(zones, r.zone)
+		}
+	}
+	if s.parts == nil {
+		for _, most := range s.qualities() {
+			s.parts = append(s.parts, s.goodOnes(most))
+		}
+	}
+	for _, parts := range s.parts {
+		for _, z := range zones {
+			s.fewest(parts, z, false)
+		}
+		if len(zones) > 1 {
+			s.fewest(parts, 0, true)
+		}
+	}
+	s.cheapest()
+}
+
+// qualities are costs of a host alone up to which it is looked at, from some of the hosts.
+func (s *search) qualities() []float64 {
+	var sample []float64
+	for i := 0; i < len(s.keys); i += max(len(s.keys)/256, 1) {
+		sample = append(sample, s.keys[i])
+	}
+	slices.Sort(sample)
+	var out []float64
+	for _, part := range []float64{0.15, 0.5, 1} {
+		v := sample[int(part*float64(len(sample)-1))]
+		if part == 1 {
+			v = math.Inf(1)
+		}
+		if len(out) == 0 || v > out[len(out)-1] {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// part is some hosts of a rack, the best.
+type part struct{ rack, n int }
+
+// goodOnes counts the hosts of each rack up to a cost, the racks with most first.
+func (s *search) goodOnes(most float64) (out []part) {
+	for r := range s.racks {
+		n := 0
+		for _, i := range s.racks[r].hosts {
+			if s.keys[i] > most {
+				break
+			}
+			n++
+		}
+		if n > 0 {
+			out = append(out, part{r, n})
+		}
+	}
+	slices.SortFunc(out, func(a, b part) int {
+		if a.n != b.n {
+			return b.n - a.n
+		}
+		return s.order(s.racks[a.rack].hosts[0], s.racks[b.rack].hosts[0])
+	})
+	return out
+}
+
+// fewest takes whole racks, of a zone if one is named, those with most hosts first, and for the rest the rack that has just
+// enough.
+func (s *search) fewest(parts []part, zone int, any bool) {
+	var chosen []int32
+	for at := 0; at < len(parts) && len(chosen) < s.k; at++ {
+		p := parts[at]
+		if !any && s.racks[p.rack].zone != zone {
+			continue
+		}
+		left := s.k - len(chosen)
+		if p.n >= left {
+			// Of those that have enough, the one that is left with least.
+			for _, o := range parts[at+1:] {
+				if o.n < left {
+					break
+				}
+				if any || s.racks[o.rack].zone == zone {
+					p = o
+				}
+			}
+		}
+		chosen = append(chosen, s.racks[p.rack].hosts[:min(p.n, left)]...)
+	}
+	if len(chosen) == s.k {
+		s.try(chosen)
+	}
+}
+
+// cheapest takes the best hosts wherever they are.
+func (s *search) cheapest() {
+	var chosen []int32
+	heads := make([]int, len(s.racks))
+	for range s.k {
+		best := int32(-1)
+		for r, at := range heads {
+			if hosts := s.racks[r].hosts; at < len(hosts) && (best < 0 || s.order(hosts[at], best) < 0) {
+				best = hosts[at]
+			}
+		}
+		chosen = append(chosen, best)
+		heads[s.rackOf[best]]++
+	}
+	s.byRack(chosen)
+	s.try(chosen)
+}
+
+func (s *search) byRack(chosen []int32) {
+	slices.SortFunc(chosen, func(a, b int32) int {
+		ra, rb := s.rackOf[a], s.rackOf[b]
+		return cmp.Or(cmp.Compare(s.racks[ra].zone, s.racks[rb].zone), cmp.Compare(ra, rb), s.order(a, b))
+	})
+}
