Begin no repeat of a keyed message whose connection comes up after the window of the first

The module checks window and group when it decides (mayRepeat); the request goes out when its connection is up, up to the connect timeout later, and Core.May looked at the host alone. Change: a repeat is begun only within the window of every attempt before it that may have run; else it ends as one that never was, and the module answers by the class's rules. Shown by TestRepeatBegunLate, which fails without. Found beside it: nothing else on the way of a repeat waits between decision and first byte; idle connections are written at once.

--- a/internal/memory/core.go
+++ b/internal/memory/core.go
@@ -101,6 +101,7 @@
 	worker logic.WorkerID
 	sent   int64
 	out    bool
+	ran    bool // it has ended, and may have run
 }
 
 // host is a known south side host.
@@ -281,7 +282,22 @@
 // a connection was made, and the rules count from a request's first byte.
 func (c *Core) May(now int64, r RelayID) bool {
 	a := c.find(r)
-	return a != nil && c.takes(c.hosts[a.worker]) && (c.messages[r.Message].crew == nil || c.gangs.May(now, r.Message))
+	return a != nil && c.takes(c.hosts[a.worker]) && c.within(now, r) && (c.messages[r.Message].crew == nil || c.gangs.May(now, r.Message))
+}
+
+// within tells whether a keyed message's relay would still be dropped as a repeat of those before it: while its connection was
+// made the window of the first that may have run may have ended.
+func (c *Core) within(now int64, r RelayID) bool {
+	m := c.messages[r.Message]
+	if m.crew != nil || m.class < 0 || m.class >= len(c.cfg.Classes) || c.cfg.Classes[m.class].Repeat != logic.RepeatKeyed {
+		return true
+	}
+	for _, b := range m.relays[:r.Attempt] {
+		if (b.out || b.ran) && now-b.sent > c.cfg.Classes[m.class].Window-4*c.cfg.Resolution {
+			return false
+		}
+	}
+	return true
 }
 
 // finish turns actions into commands; an action may bring an outcome at once, which may bring more actions.
@@ -359,7 +375,8 @@
 	a.out = false
 	m.out--
 	c.note(now, a.worker, result)
-	m.ran = m.ran || result != logic.ConnectFailed && result != logic.Refused && result != logic.Moot
+	a.ran = result != logic.ConnectFailed && result != logic.Refused && result != logic.Moot
+	m.ran = m.ran || a.ran
 	if c.cfg.FreeConnects && result == logic.ConnectFailed {
 		m.free++
 	}
--- a/internal/memory/core_test.go
+++ b/internal/memory/core_test.go
@@ -204,6 +204,30 @@
 	}
 }
 
+// A repeat of a keyed message whose connection comes up after the window of the first is not begun: nobody would drop it any more.
+func TestRepeatBegunLate(t *testing.T) {
+	cfg := testConfig()
+	cfg.Classes[0].Repeat, cfg.Classes[0].Group, cfg.Classes[0].Window, cfg.MaxAttempts = logic.RepeatKeyed, logic.GroupAll, 100_000, 3
+	for ended, never := range map[logic.Result]bool{logic.Broken: false, logic.Refused: true} {
+		c, err := New(cfg, 7)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := int64(1_000_000_000)
+		c.Inventory(now, logic.ListFull, []Host{{Name: "s-a", Addr: "a", Phase: logic.Ready}, {Name: "s-b", Addr: "b", Phase: logic.Ready}})
+		id, _ := c.Arrive(now, Message{}, now+2_000_000)
+		if cmds := c.Ended(now+20_000, RelayID{id, 0}, ended, nil); !slices.ContainsFunc(cmds, func(k Command) bool { return k.Kind == Send }) {
+			t.Fatalf("after %v it was not sent again: %v", ended, cmds)
+		}
+		if !c.May(now+80_000, RelayID{id, 1}) {
+			t.Errorf("after %v the repeat may not be begun within the window", ended)
+		}
+		if got := c.May(now+101_000, RelayID{id, 1}); got != never {
+			t.Errorf("after %v the repeat may be begun past the window: %t", ended, got)
+		}
+	}
+}
+
 // Dispatchers that share nothing agree on hosts by their numbers.
 func TestNumbers(t *testing.T) {
 	for name, want := range map[string]logic.WorkerID{"s-5be2a07c": 0x5be2a07c, "s-0a": 10, "buoy": 0x6542249c} {
