Lose nothing that was read at a close; hold windows, starts and files over clock steps

An idle connection was closed over a request that its reader had read and not yet posted; a listener was closed over its queue; a client that closed behind bytes sent ahead was not seen to leave, and attempts began for it; what was left to the client was worked out at the decision; a keyed repeat might be decided on 8 ms before its window's end; a server's age came from the wall clock; a start and cordons were told once, and never again after a write that failed; a second SIGTERM ended the process at once; a shortage of this machine's descriptors or ports counted as the server's failure; with N from 30 to 34 the budget of slow start was 0.8 N + 3 root N + 3, over the N + 2 root N + 2 that is allowed.

Now readers stand still before a connection is closed, the queue is emptied before the listener is closed, clients are read up to 80 KiB ahead with the time of each piece, X-Remaining is rendered by the writer, 0.15 s are left before a window's end, starts are turned into the dispatcher's own time once, files are replaced whole and tried again.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -3,14 +3,14 @@
 package driver
 
 import (
-	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
+	"os"
 	"sync/atomic"
 	"time"
 
+	"granitewing/internal/inventory"
 	"granitewing/internal/latest"
 	"granitewing/internal/memory"
 	"granitewing/internal/seam"
@@ -55,24 +55,33 @@
 	relays  map[memory.RelayID]*relay
 	pool    pool
 	watches watches
+	starts  inventory.Starts // of the hosts
 	wake    *time.Timer
 	limits  limits
 	bytes   int           // of messages that clients have sent
 	full    chan struct{} // closed once another connection may be accepted
 	journal *journal      // nil where nothing is recorded
 	stopped time.Time     // SIGTERM; zero while serving
+	refuse  chan struct{} // closed once the listener is to take no more
+	refused bool          // and it takes no more
 	arrived time.Time     // the last connection
 
 	quiesced   time.Time   // the operators' drain; zero while clients are taken
 	checking   bool        // check runs, as it does while stopping or drained
-	shut       bool        // the listener is closed
+	shut       bool        // the listener takes only what is in its queue, or nothing more
 	ending     ending      // what SIGTERM begins, when no later process takes over
 	serving    atomic.Bool // the door's health: hosts are known and clients are taken
 	figures    *figures
 	cordonsOut latest.Place[[]string] // to the keeper of the file of cordons
-	started    time.Time              // of this process, as told to a next one
-	sharing    *sharing               // nil where nothing is shared
-	successor  atomic.Bool            // a later process of this dispatcher has started, as found at SIGTERM
+	started    time.Time              // of this process
+	files      files
+	mark       string       // of this process, in names of files that are not in place yet
+	former     start        // the start told before this one's
+	number     atomic.Int64 // of this start, as told to the other process of an upgrade
+	announced  atomic.Bool  // it was told
+	sharing    *sharing     // nil where nothing is shared
+	dial       func(addr string, limit time.Duration) (net.Conn, error)
+	successor  atomic.Bool // a later process of this dispatcher has started, as found at SIGTERM
 }
 
 // limits shares out descriptors and memory.
@@ -101,19 +110,20 @@
 	return &Driver{
 		cfg: cfg, core: core, clock: newClock(), log: log, ln: ln, lanes: cfg.Lanes(), tenants: cfg.Tenants(), ending: endingFor(cfg.Settings.Classes),
 		events: make(chan func(), eventsMost), done: make(chan struct{}),
+		refuse: make(chan struct{}), dial: dialTCP,
 		norths: map[*north]struct{}{}, open: map[memory.ID]*north{}, relays: map[memory.RelayID]*relay{},
 		pool: pool{hosts: map[string]*hostConns{}}, limits: limitsFor(cfg.Sockets, cfg.MemoryMB),
 		figures: newFigures(cfg.Settings.Classes), cordonsOut: latest.New[[]string](), started: time.Now(),
+		files: systemFiles{}, mark: fmt.Sprintf("%d-%x", os.Getpid(), time.Now().UnixNano()),
 	}, nil
 }
 
 // Run serves until stop is closed and nothing is held any more.
 func (d *Driver) Run(stop <-chan struct{}) {
 	defer close(d.done)
-	d.announce()
 	go d.accept()
 	d.watches = newWatches(d.cfg, d.now())
-	d.do(d.core.Inventory(d.now(), logic.ListCached, d.cfg.Known.Hosts))
+	d.takeHosts(logic.ListCached, d.cfg.Known.Hosts)
 	d.startCordons()
 	d.census()
 	if d.sharing != nil {
@@ -211,157 +221,3 @@
 		d.do(d.core.Wake(now))
 	})
 }
-
-// ---- Sockets ----
-
-// conn is one connection with its reader and its writer.
-type conn struct {
-	d      *Driver
-	c      net.Conn
-	out    chan []byte
-	more   chan bool // whether what comes still matters
-	closed chan struct{}
-	gone   bool // closed here; like what follows, for the owner alone
-	paused bool // the reader waits for resume
-	drains bool // what comes matters no more, only its end does
-}
-
-// newConn starts the reader and the writer. read runs on the owner for each piece that comes, or for the
-// error that ends it; what it is given is valid until it returns, and false keeps the reader waiting for
-// resume. wrote runs on the owner after each write.
-func (d *Driver) newConn(c net.Conn, queue int, read func(b []byte, at int64, err error) bool, wrote func(error)) *conn {
-	k := &conn{d: d, c: c, out: make(chan []byte, queue), more: make(chan bool, 1), closed: make(chan struct{})}
-	go k.reading(read)
-	go k.writing(wrote)
-	return k
-}
-
-func (k *conn) reading(read func([]byte, int64, error) bool) {
-	buf := make([]byte, 4096)
-	tell := func(n int, err error) {
-		at := k.d.now()
-		k.d.post(func() {
-			// What comes late from a connection that was closed here concerns nobody.
-			if k.gone {
-				return
-			}
-			k.paused = true
-			if read(buf[:n], at, err) {
-				k.resume()
-			}
-		})
-	}
-	for {
-		n, err := k.c.Read(buf)
-		tell(n, err)
-		if err != nil {
-			return
-		}
-		select {
-		case matters := <-k.more:
-			if !matters {
-				// However much it is, the owner has no work with it.
-				io.Copy(io.Discard, k.c)
-				tell(0, io.EOF)
-				return
-			}
-		case <-k.closed:
-			return
-		case <-k.d.done:
-			return
-		}
-	}
-}
-
-func (k *conn) writing(wrote func(error)) {
-	for {
-		select {
-		case b := <-k.out:
-			k.c.SetWriteDeadline(time.Now().Add(writeLimit))
-			_, err := k.c.Write(b) // an error means that less than all was written
-			k.d.post(func() { wrote(err) })
-			if err != nil {
-				return
-			}
-		case <-k.closed:
-			return
-		case <-k.d.done:
-			return
-		}
-	}
-}
-
-// resume lets the reader read on. It does so only for one that waits: the reader's buffer is the owner's
-// until then.
-func (k *conn) resume() {
-	if k.paused {
-		k.paused = false
-		k.more <- !k.drains
-	}
-}
-
-// drain lets go of what still comes: a connection that is closed with bytes unread is reset, and the peer may
-// lose what was written to it.
-func (k *conn) drain() {
-	k.drains = true
-	k.resume()
-}
-
-// write queues bytes; false if the peer takes them so slowly that the queue is full.
-func (k *conn) write(b []byte) bool {
-	select {
-	case k.out <- b:
-		return true
-	default:
-		return false
-	}
-}
-
-func (k *conn) close() {
-	if !k.gone {
-		k.gone = true
-		close(k.closed)
-		k.c.Close()
-	}
-}
-
-// accept takes connections until the listener is closed. Only while as many as may be open are all owed
-// something do the others wait in the listener's queue.
-func (d *Driver) accept() {
-	for {
-		c, err := d.ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			// Out of descriptors, most likely: those already taken must be served on.
-			d.log.Error("accept", "cause", err)
-			retry := time.NewTimer(acceptRetry)
-			select {
-			case <-retry.C:
-			case <-d.done:
-				return
-			}
-			continue
-		}
-		next := make(chan struct{})
-		d.post(func() {
-			d.take(c)
-			d.full = next
-			d.room()
-		})
-		select {
-		case <-next:
-		case <-d.done:
-			return
-		}
-	}
-}
-
-// room lets the next connection in if there is room for it.
-func (d *Driver) room() {
-	if d.full != nil && len(d.norths) < d.limits.most {
-		close(d.full)
-		d.full = nil
-	}
-}
--- a/internal/driver/inventory.go
+++ b/internal/driver/inventory.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"granitewing/internal/inventory"
+	"granitewing/internal/memory"
 	"granitewing/internal/wire/platform"
 	"granitewing/logic"
 )
@@ -138,7 +139,7 @@
 			return false
 		}
 		if whole {
-			w.write(platform.AppendWatch(nil, address, listed))
+			w.send(platform.AppendWatch(nil, address, listed))
 		}
 		d.keep()
 		return !w.gone
@@ -148,10 +149,10 @@
 		}
 	})
 	if index == inventory.All {
-		w.write(platform.AppendWhole(nil, address))
+		w.send(platform.AppendWhole(nil, address))
 		return
 	}
-	w.write(platform.AppendWatch(nil, address, index))
+	w.send(platform.AppendWatch(nil, address, index))
 }
 
 // list hands a list to the core.
@@ -166,10 +167,29 @@
 			}
 		}()
 	}
-	d.do(d.core.Inventory(d.now(), how, l.Hosts))
+	d.takeHosts(how, l.Hosts)
 	d.census()
 }
 
+// takeHosts hands hosts to the core, with their starts in the dispatcher's own time.
+func (d *Driver) takeHosts(how logic.ListKind, hosts []memory.Host) {
+	now, wall := d.now(), d.clock.wall().UnixMicro()
+	for i := range hosts {
+		hosts[i].UpSince = d.starts.Own(hosts[i].Name, hosts[i].UpSince, wall, now)
+		if hosts[i].Phase == logic.Gone {
+			d.starts.Forget(hosts[i].Name)
+		}
+	}
+	d.do(d.core.Inventory(now, how, hosts))
+	if how != logic.ListDelta {
+		listed := map[string]bool{}
+		for _, h := range hosts {
+			listed[h.Name] = true
+		}
+		d.starts.Keep(func(name string) bool { return listed[name] })
+	}
+}
+
 // lost tells the keeper that a connection to discovery is over.
 func (d *Driver) lost(id inventory.Call, err error, how inventory.How) {
 	if d.watches.calls[id] == nil {
--- a/internal/driver/north.go
+++ b/internal/driver/north.go
@@ -9,13 +9,18 @@
 	"granitewing/internal/wire/platform"
 )
 
+// aheadMost is how many bytes a client may send ahead of an answer before it is read no further: a whole request
+// more. It is read on until then, since the end of its connection can't be seen behind bytes that are left unread.
+const aheadMost = 80 << 10
+
 // north is a connection from a client. It carries one message at a time; what the client sends ahead of an
-// answer waits unread but for one piece, so that nothing here grows.
+// answer waits, up to aheadMost.
 type north struct {
 	*conn
 	parser  *platform.North
 	rest    []byte            // read behind the message
-	at      int64             // when the latest piece came
+	pieces  arrivals          // when what is in rest came
+	at      int64             // when the last byte of the message came
 	msg     *platform.Message // not yet answered
 	id      memory.ID         // of the message, while the core has it
 	held    bool              // the core has the message
@@ -27,6 +32,7 @@
 	bytes   int               // that it holds of the driver's
 	since   time.Time         // of the latest answer, or of the connection
 	begun   time.Time         // of the message awaited, the first one's is the connection's; zero for none
+	evicted bool              // it makes room for another connection
 	timer   *time.Timer       // for what is awaited from the client
 	expiry  *time.Timer       // backs up the decisions' own deadline
 }
@@ -36,6 +42,7 @@
 	d.arrived = time.Now()
 	n := &north{parser: platform.NewNorth(d.lanes, d.tenants), since: d.arrived, begun: d.arrived}
 	n.conn = d.newConn(c, 3, n.read, n.wrote) // at most a go-ahead and an answer wait for the writer
+	n.conn.halted = n.halted
 	d.norths[n] = struct{}{}
 	n.await()
 	if len(d.norths) >= d.limits.most {
@@ -49,14 +56,31 @@
 func (d *Driver) evictNorth() {
 	var least *north
 	for n := range d.norths {
-		if n.missed() < owed && (least == nil || n.missed() < least.missed() ||
+		if !n.evicted && n.missed() < owed && (least == nil || n.missed() < least.missed() ||
 			n.missed() == least.missed() && n.since.Before(least.since)) {
 			least = n
 		}
 	}
-	if least != nil {
+	switch {
+	case least == nil:
+	case least.closing:
 		least.end()
+	default:
+		least.evicted = true
+		least.retire()
+	}
+}
+
+// halted follows retire: the reader has stopped and all that it read was taken. It tells whether the connection was closed;
+// one on which a message has begun meanwhile goes on.
+func (n *north) halted() bool {
+	if n.closing || !n.idle() && !(n.evicted && n.msg == nil && n.writes == 0) {
+		n.evicted = false
+		n.await()
+		return false
 	}
+	n.end()
+	return true
 }
 
 // owed is how much those are missed that must stay.
@@ -92,7 +116,7 @@
 	default:
 		n.timer = n.d.after(northIdle, func() {
 			if n.idle() {
-				n.end()
+				n.retire()
 			}
 		})
 	}
@@ -106,7 +130,7 @@
 	case n.parser.Partial():
 		n.fault(&platform.Fault{Status: 408, Why: "message not whole in time"})
 	default:
-		n.end()
+		n.retire()
 	}
 }
 
@@ -116,16 +140,17 @@
 		n.end()
 		return false
 	}
-	n.at = at
+	n.pieces.add(len(b), at)
 	n.rest = append(n.rest, b...)
 	return n.parse()
 }
 
-// parse takes the next message out of what was read; false while bytes are left that have to wait.
+// parse takes the next message out of what was read; false while too much is left that has to wait.
 func (n *north) parse() bool {
 	for n.msg == nil && len(n.rest) > 0 && !n.closing && !n.gone {
 		used, m, fault := n.parser.Feed(n.rest)
 		n.rest = n.rest[:copy(n.rest, n.rest[used:])]
+		n.at = n.pieces.take(used)
 		switch {
 		case fault != nil:
 			n.fault(fault)
@@ -137,14 +162,14 @@
 		}
 	}
 	if n.closing {
-		n.rest = nil
+		n.rest, n.pieces = nil, nil
 	}
 	n.weigh()
 	if n.begun.IsZero() && n.parser.Partial() {
 		n.begun = time.Now()
 		n.await()
 	}
-	return len(n.rest) == 0
+	return len(n.rest) == 0 || len(n.rest) < aheadMost && n.d.bytes <= n.d.limits.bytes
 }
 
 // weigh books the bytes that the client has sent of a message and turns it away if all hold too many.
@@ -153,7 +178,7 @@
 	switch {
 	case n.gone || n.closing:
 	case n.msg != nil:
-		bytes = len(n.msg.Body)
+		bytes = len(n.msg.Body) + len(n.rest)
 	default:
 		bytes = n.parser.Size()
 	}
@@ -253,7 +278,9 @@
 	if m := n.msg; m.Fault == nil && !m.Health && !n.faulty {
 		n.d.figures.answered(m.Class, status)
 	}
-	n.closing = n.closing || n.msg.Close || n.msg.Health && !n.d.taking() || n.d.parting()
+	// A client that is sent away has its answer to all that was read from it.
+	away := n.msg.Health && !n.d.taking() || n.d.parting()
+	n.closing = n.closing || n.msg.Close || away && len(n.rest) == 0
 	n.msg, n.used, n.since, n.begun = nil, true, time.Now(), time.Time{}
 	n.put(platform.AppendAnswer(nil, status, content, after, n.closing))
 	n.await()
@@ -271,7 +298,7 @@
 		return
 	}
 	n.writes++
-	if !n.write(b) {
+	if !n.write(func() []byte { return b }) {
 		n.end()
 	}
 }
--- a/internal/driver/south.go
+++ b/internal/driver/south.go
@@ -106,12 +106,16 @@
 	if n == nil {
 		return // the client has just left; the core is told next and drops the relay
 	}
-	r := &relay{id: c.Relay, msg: n.msg, addr: c.Addr, until: d.now() + c.Timeout}
+	if n.left() {
+		n.end()
+		return
+	}
+	r := &relay{id: c.Relay, msg: n.msg, addr: c.Addr, until: c.Until}
 	if g := c.Gang; g != nil {
 		r.part = &platform.Part{Rank: g.Rank, Peers: g.Peers, Within: time.Duration(g.Within) * time.Microsecond}
 	}
 	d.relays[r.id] = r
-	r.timer = d.after(time.Duration(c.Timeout)*time.Microsecond, func() { d.timedOut(r) })
+	r.timer = d.after(time.Duration(r.until-d.now())*time.Microsecond, func() { d.timedOut(r) })
 	if s := d.pool.latest(r.addr); s != nil {
 		s.begin(r)
 		return
@@ -124,7 +128,7 @@
 	d.pool.add(r.addr, 1)
 	limit := micros(d.cfg.Settings.ConnectTimeout, dialDefault)
 	go func() {
-		c, err := net.DialTimeout("tcp", r.addr, limit)
+		c, err := d.dial(r.addr, limit)
 		d.post(func() { d.dialled(r, c, err) })
 	}()
 }
@@ -134,14 +138,19 @@
 func (d *Driver) dialled(r *relay, c net.Conn, err error) {
 	if err != nil {
 		d.pool.add(r.addr, -1)
-		d.ended(r, logic.ConnectFailed, nil)
+		d.ended(r, dialResult(err), nil)
 		return
 	}
 	s := &south{addr: r.addr}
 	s.parser = platform.NewRelay(s.note)
 	s.conn = d.newConn(c, 1, s.read, s.wrote)
+	n := d.open[r.id.Message]
+	left := n != nil && n.left()
+	if left {
+		n.end()
+	}
 	switch {
-	case d.relays[r.id] != r:
+	case left || d.relays[r.id] != r:
 		s.rest()
 	case !d.core.May(d.now(), r.id):
 		s.end()
@@ -159,8 +168,11 @@
 	s.uses++
 	r.on, s.relay, s.pending, s.counted = s, r, true, false
 	s.parser.Begin(r.msg.Txn)
-	left := time.Duration(r.until-s.d.now()) * time.Microsecond
-	s.write(platform.AppendRelay(nil, r.addr, r.msg, max(left, 0), r.part))
+	s.write(func() []byte {
+		// What is left to the client counts from the moment of the writing, however long the writer has waited.
+		left := time.Duration(r.until-s.d.now()) * time.Microsecond
+		return platform.AppendRelay(nil, r.addr, r.msg, max(left, 0), r.part)
+	})
 }
 
 // rest keeps the connection for the next relay, and closes it before the host would.
--- a/internal/driver/stop.go
+++ b/internal/driver/stop.go
@@ -39,8 +39,7 @@
 func (d *Driver) stop() {
 	d.stopped = time.Now()
 	if d.successor.Load() {
-		d.shut = true
-		d.ln.Close()
+		d.shutListener()
 	}
 	d.log.Info("stopping", "open", d.core.Open(), "successor", d.shut)
 	d.census()
@@ -88,7 +87,7 @@
 	if d.parting() && time.Since(since) > lingerIdle {
 		for n := range d.norths {
 			if n.idle() && time.Since(n.since) > lingerIdle {
-				n.end()
+				n.retire()
 			}
 		}
 	}
@@ -97,8 +96,7 @@
 			d.giveUp()
 		}
 		if !d.shut && (len(d.norths) == 0 || d.parting()) && time.Since(d.stopped) > arriveLimit && time.Since(d.arrived) > arriveLimit/2 {
-			d.shut = true
-			d.ln.Close()
+			d.shutListener()
 		}
 	}
 	d.after(quietCheck, d.check)
@@ -113,18 +111,14 @@
 	}
 }
 
-// quiet tells whether the listener is closed and nothing is held any more. check closes the listener: at once where a
-// successor shares the address, else once no connection came for a while, since one that the machine accepted must not be
-// left in the listener's queue.
+// quiet tells whether the listener is closed and nothing is held any more. check shuts the listener: at once where a
+// successor shares the address, else once no connection came for a while.
 func (d *Driver) quiet() bool {
-	return d.shut && len(d.events) == 0 && len(d.norths) == 0 && d.core.Open() == 0 && (d.journal == nil || d.journal.settled())
+	return d.refused && len(d.events) == 0 && len(d.norths) == 0 && d.core.Open() == 0 && (d.journal == nil || d.journal.settled())
 }
 
 // leave lets go of what is left.
 func (d *Driver) leave() {
-	if !d.shut {
-		d.ln.Close()
-	}
 	d.watches.leave()
 	for addr := range d.pool.hosts {
 		d.pool.leave(addr)
--- a/internal/driver/upgrade.go
+++ b/internal/driver/upgrade.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
-	"strings"
 	"syscall"
 )
 
@@ -14,49 +12,74 @@
 // listener at once, and every connection that arrives after goes to the new process, where otherwise it would wait in
 // the old one's queue and be reset when that is closed.
 
-// fileOf names a file of this dispatcher in $TMPDIR; both processes of one dispatcher have its name.
-func (d *Driver) fileOf(kind string) string {
-	name := strings.Map(func(r rune) rune {
-		if r == '/' || r == 0 || r == '\\' {
-			return '_'
-		}
-		return r
-	}, d.cfg.Name)
-	return filepath.Join(os.TempDir(), "granitewing-"+name+"."+kind)
-}
-
-// announce tells of this process's start; a failure is logged, and an upgrade then ends as a plain SIGTERM does.
-func (d *Driver) announce() {
-	if err := os.WriteFile(d.fileOf("start"), fmt.Appendf(nil, "%d %d\n", os.Getpid(), d.started.UnixNano()), 0o600); err != nil {
-		d.log.Error("start not told to an older process", "cause", err)
+// start is what a process tells of its start: its number, which is greater than that of the one before. It is the wall
+// clock's time in nanoseconds where that is greater, as it is unless the clock was stepped back.
+type start struct {
+	pid    int
+	number int64
+}
+
+// Announce tells of this process's start, once it listens and before it says so. A failure is logged and tried again
+// (announceAgain); until then an upgrade ends as a plain SIGTERM does. To be called before Run.
+func (d *Driver) Announce() {
+	d.StartNumber()
+	if err := d.writeStart(); err != nil {
+		d.log.Error("start not told to an older process yet", "cause", err)
+	}
+}
+
+// StartNumber is the number of this start: greater than that of every earlier one of this dispatcher that $TMPDIR tells of,
+// however the wall clock was stepped between them. To be called before Run.
+func (d *Driver) StartNumber() int64 {
+	if d.number.Load() == 0 {
+		d.former, _ = d.toldStart()
+		d.number.Store(max(d.started.UnixNano(), d.former.number+1))
 	}
+	return d.number.Load()
+}
+
+// announceAgain tells of the start if that has failed so far, unless another process has told of its own since. It is
+// called beside the owner.
+func (d *Driver) announceAgain() {
+	if d.announced.Load() {
+		return
+	}
+	if last, _ := d.toldStart(); last == d.former {
+		d.writeStart()
+	}
+}
+
+func (d *Driver) writeStart() error {
+	err := d.replaceFile(d.fileOf("start"), fmt.Appendf(nil, "%d %d\n", os.Getpid(), d.number.Load()))
+	if err == nil {
+		d.announced.Store(true)
+	}
+	return err
 }
 
 // Succeeded tells whether another process of this dispatcher started after this one, from its file in $TMPDIR. It reads
 // the file, so it is called beside the owner, when SIGTERM comes; what it found is kept for the owner's stop.
 func (d *Driver) Succeeded() bool {
-	later := d.succeeded()
+	last, told := d.toldStart()
+	later := told && last.number > d.number.Load()
 	d.successor.Store(later)
 	return later
 }
 
-func (d *Driver) succeeded() bool {
-	pid, at, ok := d.told()
-	return ok && pid != os.Getpid() && at > d.started.UnixNano()
-}
-
 // Former tells whether the process of this dispatcher that told of its start last still runs; to be called before Run.
 func (d *Driver) Former() bool {
-	pid, _, ok := d.told()
-	return ok && pid > 0 && pid != os.Getpid() && syscall.Kill(pid, 0) == nil
+	last, told := d.toldStart()
+	return told && last.pid > 0 && last.pid != os.Getpid() && syscall.Kill(last.pid, 0) == nil
 }
 
-// told reads the process that told of its start last, and when.
-func (d *Driver) told() (pid int, at int64, ok bool) {
-	text, err := os.ReadFile(d.fileOf("start"))
+// toldStart reads the start that was told last.
+func (d *Driver) toldStart() (s start, told bool) {
+	text, err := d.files.ReadFile(d.fileOf("start"))
 	if err != nil {
-		return 0, 0, false
+		return start{}, false
+	}
+	if _, err := fmt.Sscan(string(text), &s.pid, &s.number); err != nil {
+		return start{}, false
 	}
-	_, err = fmt.Sscan(string(text), &pid, &at)
-	return pid, at, err == nil
+	return s, true
 }
--- a/internal/lab/virtual/dispatcher.go
+++ b/internal/lab/virtual/dispatcher.go
@@ -204,7 +204,7 @@
 			d.p.offer(a)
 		}
 	})
-	d.p.after(c.Timeout, func() {
+	d.p.after(c.Until-d.p.now, func() {
 		if !a.over && d.gen == a.gen && !d.dead {
 			d.p.cancel(a)
 			d.ended(a, logic.TimedOut, "")
--- a/internal/lab/virtual/policy.go
+++ b/internal/lab/virtual/policy.go
@@ -108,7 +108,7 @@
 	}
 	m.on = h
 	h.held++
-	c.do(memory.Command{Kind: memory.Send, Relay: memory.RelayID{Message: id, Attempt: m.tried}, Addr: h.Addr, Timeout: max(m.deadline-now, 1)})
+	c.do(memory.Command{Kind: memory.Send, Relay: memory.RelayID{Message: id, Attempt: m.tried}, Addr: h.Addr, Until: max(m.deadline, now+1)})
 	m.tried++
 }
 
--- a/internal/lifecycle/fleet.go
+++ b/internal/lifecycle/fleet.go
@@ -148,8 +148,9 @@
 // joinFleet has a driver share. Where the former process of the same dispatcher still has the place, as in an upgrade, this
 // one serves alone until that one has left.
 func joinFleet(cfg *platform.Config, f *FleetSettings, d *driver.Driver, log *slog.Logger) (*place, error) {
-	// A later process of the name has a higher one, as long as its clock was not set back by more than it was down.
-	incarnation := uint64(time.Now().UnixNano())
+	// A later process of the name has a higher one: where $TMPDIR lasts whatever its clock says, else as long as that was not
+	// set back by more than the process was down.
+	incarnation := uint64(d.StartNumber())
 	rights, err := f.rights(cfg, incarnation)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUsage, err)
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -82,10 +82,15 @@
 	}
 	go func() {
 		<-signals
-		signal.Stop(signals)
 		// Read here, since the owner waits for no file: a next version that shares the address takes over.
 		d.Succeeded()
 		close(stop)
+		for s := range signals {
+			// A second SIGTERM must not cut off what the first one has begun to end in order; one at the keyboard may.
+			if s == syscall.SIGINT {
+				os.Exit(interrupted)
+			}
+		}
 	}()
 	go func() {
 		for range hangups {
@@ -101,11 +106,15 @@
 			}
 		}
 	}()
+	d.Announce()
 	log.Info("listening", "addr", ln.Addr().String())
 	d.Run(stop)
 	return nil
 }
 
+// interrupted is the exit status after a second interrupt.
+const interrupted = 130
+
 // How long an end waits for the fleet to be told of it: for the owner's word on what it gives up, and for all of it.
 const (
 	resignLimit = 300 * time.Millisecond
--- a/internal/memory/core.go
+++ b/internal/memory/core.go
@@ -51,7 +51,7 @@
 
 // The kinds of command and the fields of Command that each uses.
 const (
-	Send   CommandKind = iota // Relay, Addr, Timeout: relay the message to the host at Addr
+	Send   CommandKind = iota // Relay, Addr, Until: relay the message to the host at Addr, which may take till then
 	Drop                      // Relay: stop the relay; it must be gone before the next command
 	Answer                    // Relay.Message, Verdict, After, Content: the final answer
 	Wake                      // At: call Core.Wake then
@@ -75,7 +75,7 @@
 	Kind    CommandKind
 	Relay   RelayID
 	Addr    string
-	Timeout int64
+	Until   int64 // microseconds; the deadline of what the client waits for
 	Verdict Verdict
 	After   int64
 	Content []byte
--- a/internal/memory/gangs.go
+++ b/internal/memory/gangs.go
@@ -151,7 +151,7 @@
 		m.crew.work = append(m.crew.work, a.Run)
 		m.out++
 		c.sched.Occupy(id, a.Run)
-		c.do(Command{Kind: Send, Relay: RelayID{a.ID, rank}, Addr: peers[rank], Timeout: max(m.deadline-now, 1), Gang: &GangPart{rank, peers, a.Within}})
+		c.do(Command{Kind: Send, Relay: RelayID{a.ID, rank}, Addr: peers[rank], Until: max(m.deadline, now+1), Gang: &GangPart{rank, peers, a.Within}})
 	}
 }
 
--- a/internal/memory/rules.go
+++ b/internal/memory/rules.go
@@ -19,7 +19,7 @@
 		return true
 	}
 	for _, b := range m.relays[:r.Attempt] {
-		if (b.out || b.ran) && now-b.sent > c.cfg.Classes[m.class].Window-4*c.cfg.Resolution {
+		if (b.out || b.ran) && now-b.sent > c.cfg.RepeatWithin(m.class) {
 			return false
 		}
 	}
@@ -50,5 +50,9 @@
 		}
 		return
 	}
-	c.do(Command{Kind: Send, Relay: r, Addr: h.Addr, Timeout: a.Timeout})
+	until := now + a.Timeout
+	if m.deadline > 0 {
+		until = min(until, max(m.deadline, now+1))
+	}
+	c.do(Command{Kind: Send, Relay: r, Addr: h.Addr, Until: until})
 }
--- a/logic/cold.go
+++ b/logic/cold.go
@@ -5,15 +5,16 @@
 // Workers that have just started: how much of their capacity they have, and how much of it may be used.
 
 const (
-	coldSafety = 0.4 // share of what a window allows that is used in a slot
+	coldSafety = 0.4  // share of what a window allows that is used in a slot
+	coldFew    = 30.0 // requests of mean work below which a window allows more beside them
 )
 
 // coldAllows keeps a worker that has just started from being pushed over by the sum of all schedulers, and from more work than
-// it can do. With N the requests of mean work that the settings allow it in a FallWindow, it falls beyond N + 3 root N + 3 of
+// it can do. With N the requests of mean work that the settings allow it in a FallWindow, it falls beyond N + coldSlack(N) of
 // them in any window. Time is cut into slots as long as a window; in each a few schedulers, the same to all by a hash, may send it
-// an equal part of coldSafety N. The first job in a turn may be larger by an equal part of (3 root N + 3) / 2, else jobs larger
+// an equal part of coldSafety N. The first job in a turn may be larger by an equal part of coldSlack(N) / 2, else jobs larger
 // than a part would go to no cold worker. A few schedulers that each see enough jobs find small ones among them, which a slow
-// worker ends in time. Since a window meets two slots, the sum stays under 2 coldSafety N + 3 root N + 3 whatever comes to whom.
+// worker ends in time. Since a window meets two slots, the sum stays under 2 coldSafety N + coldSlack(N) whatever comes to whom.
 func (s *Scheduler) coldAllows(w *worker, work float64) bool {
 	if s.warmth(w) >= 1 {
 		return true
@@ -32,11 +33,20 @@
 	}
 	more := 0.0
 	if s.cfg.Schedulers > fewSeers {
-		more = (3*math.Sqrt(n) + 3) / 2 * s.meanWork / float64(turns)
+		more = coldSlack(n) / 2 * s.meanWork / float64(turns)
 	}
 	return w.coldUsed+work <= part || w.coldUsed == 0 && work <= part+more
 }
 
+// coldSlack is by how many requests of mean work a worker that has just started may be given more than the n that are allowed
+// in a window: few come more unevenly than many.
+func coldSlack(n float64) float64 {
+	if n < coldFew {
+		return 3*math.Sqrt(n) + 3
+	}
+	return 2*math.Sqrt(n) + 2
+}
+
 // warmth is the share of its capacity that a worker is taken to have. It lags behind time, since work is what warms it.
 func (s *Scheduler) warmth(w *worker) float64 {
 	if s.cfg.Cold <= 0 || w.info.UpSince <= 0 || s.now-w.info.UpSince >= s.cfg.Cold {
--- /dev/null
+++ b/logic/cold_test.go
@@ -0,0 +1,84 @@
+package logic
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"testing"
+)
+
+// The budget of a worker that has just started holds for the sum of all schedulers, however many they are, whatever comes to
+// whom and when: every scheduler always has work for it, of drawn sizes, and sends all that it may at drawn moments. In any
+// window the sum stays within N + 2 root N + 2 requests of mean work (under 30: N + 3 root N + 3), N being what is allowed at
+// the window's beginning.
+func TestColdBudgetOfAnyNumberOfSchedulers(t *testing.T) {
+	for _, n := range []int{1, 2, 4, 5, 80, 900} {
+		for _, multiple := range []float64{1, 3, 9, 40} { // N from under 1 to over 100
+			t.Run(fmt.Sprintf("%d schedulers, multiple %g", n, multiple), func(t *testing.T) {
+				playColdBudget(t, n, multiple)
+			})
+		}
+	}
+}
+
+type coldSent struct {
+	at   int64
+	work float64
+}
+
+func playColdBudget(t *testing.T, n int, multiple float64) {
+	const window, moments = 2_000_000, 40
+	c := testConfig()
+	c.Schedulers, c.Cold, c.StartCapacity, c.FallWindow, c.FallMultiple = n, 24_000_000, 0.3, window, multiple
+	list := readyWorkers(1)
+	list[0].UpSince = t0
+	fleet := newFleet(t, c, list)
+	r := rand.New(rand.NewSource(int64(n)*100 + int64(multiple)))
+	var sent []coldSent
+	for slot := int64(0); slot < 6; slot++ {
+		for m := range moments {
+			at := t0 - t0%window + slot*window + int64(m)*window/moments + r.Int63n(window/moments)
+			if at < t0 {
+				continue
+			}
+			for _, k := range r.Perm(n) {
+				s := fleet[k]
+				s.now, s.meanWork = max(s.now, at), 1
+				for _, work := range []float64{r.ExpFloat64() * 4, r.ExpFloat64(), r.Float64() / 4} {
+					for w := &s.workers[0]; s.coldAllows(w, work); {
+						w.coldUsed += work
+						sent = append(sent, coldSent{at, work})
+						if work < 0.01 {
+							break
+						}
+					}
+				}
+			}
+		}
+	}
+	if len(sent) == 0 {
+		t.Error("nobody may send to it, it would never warm up")
+	}
+	allowed := func(at int64) float64 {
+		x := float64(at-t0) / 24e6
+		return multiple * (0.3 + 0.7*x*x) * firstSlots * 2
+	}
+	from, sum := 0, 0.0
+	for _, o := range sent {
+		sum += o.work
+		for o.at-sent[from].at >= window {
+			sum -= sent[from].work
+			from++
+		}
+		// The worker grows warmer in the window; what it is allowed at the end is the most that the settings give.
+		limit := allowed(o.at)
+		if limit < 30 {
+			limit += 3*math.Sqrt(limit) + 3
+		} else {
+			limit += 2*math.Sqrt(limit) + 2
+		}
+		if sum > limit+1e-6 {
+			t.Fatalf("%.2f requests of mean work in a window, %.2f may come", sum, limit)
+		}
+	}
+}
--- a/logic/rules.go
+++ b/logic/rules.go
@@ -10,6 +10,15 @@
 	crowdFrom = 0.5  // share of attempts that find no free slot from which slow starts are nobody's fault
 )
 
+// HeldUp is for how many microseconds a dispatcher may be held up between a decision and the writing that follows from it.
+const HeldUp = 150_000
+
+// RepeatWithin is how long after the first sending of a keyed job that may have run another may be decided on, so that it is
+// still dropped as a repeat when its bytes are written.
+func (c *Config) RepeatWithin(class int) int64 {
+	return c.Classes[class].Window - 4*c.Resolution - HeldUp
+}
+
 // mayRepeat guards against a second effect: every attempt, first or further, passes it.
 func (s *Scheduler) mayRepeat(j *job, w *worker) bool {
 	if s.spent(j) || j.done {
@@ -27,7 +36,7 @@
 		switch c.Repeat {
 		case RepeatSafe:
 		case RepeatKeyed:
-			if s.now-a.sent > c.Window-4*s.cfg.Resolution || !sameGroup(c.Group, a, w) {
+			if s.now-a.sent > s.cfg.RepeatWithin(j.class) || !sameGroup(c.Group, a, w) {
 				return false
 			}
 		default:
