--- a/internal/driver/crossing_test.go
+++ b/internal/driver/crossing_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -171,16 +172,14 @@
 	x.t.Helper()
 	got := make(chan string, 1)
 	go func() {
-		text, r := "", bufio.NewReader(c)
-		for !strings.HasSuffix(text, "\r\n\r\n") {
-			line, err := r.ReadString('\n')
-			if text += line; err != nil {
-				got <- fmt.Sprintf("%s(%v)", text, err)
-				return
-			}
+		r := bufio.NewReader(c)
+		answer, err := http.ReadResponse(r, nil)
+		if err != nil {
+			got <- err.Error()
+			return
 		}
-		status, _, _ := strings.Cut(text, "\r\n")
-		got <- status
+		io.Copy(io.Discard, answer.Body)
+		got <- answer.Proto + " " + answer.Status
 	}()
 	result := ""
 	x.until(func() bool {
@@ -258,6 +257,40 @@
 	x.untouched("s-a")
 }
 
+// Clients that are sent away get an answer to all that was read from them.
+func TestRequestsReadAheadOfTheEnd(t *testing.T) {
+	x := newCrossing(t)
+	x.serve("s-a")
+	c, n := x.client()
+	io.WriteString(c, request("t1")+request("t2")+request("t3"))
+	x.until(func() bool { return len(x.d.open) == 1 && len(n.rest) > 0 })
+	x.d.quiesce()
+	server, _ := x.server("s-a")
+	for i, name := range []string{"t1", "t2", "t3"} {
+		io.WriteString(server, served(name))
+		if got := x.answer(c); got != "HTTP/1.1 200 OK" {
+			t.Fatalf("%s is answered %q", name, got)
+		}
+		if i < 2 {
+			x.until(func() bool { return len(x.d.relays) == 1 })
+			readRequest(t, server)
+		}
+	}
+	x.until(func() bool { return n.closing })
+}
+
+// readRequest reads a whole request that has no body.
+func readRequest(t *testing.T, c net.Conn) {
+	t.Helper()
+	text, one := "", make([]byte, 1)
+	for !strings.HasSuffix(text, "\r\n\r\n") {
+		if _, err := c.Read(one); err != nil {
+			t.Fatal(err)
+		}
+		text += string(one)
+	}
+}
+
 // A client that has sent more than one request and leaves is seen to leave, though the others still wait.
 func TestClientLeavesBehindRequestsSentAhead(t *testing.T) {
 	for _, ahead := range []int{aheadMost, 100} { // read to the end, or left unread
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -162,6 +162,9 @@
 
 func (d *Driver) now() int64 { return d.clock.now() }
 
+// Now is the driver's own time: Unix microseconds as of its start, and real time since. Any goroutine may ask.
+func (d *Driver) Now() int64 { return d.clock.now() }
+
 // taking tells whether new clients are asked for: neither SIGTERM nor the operators' drain came.
 func (d *Driver) taking() bool { return d.stopped.IsZero() && d.quiesced.IsZero() }
 
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -78,7 +78,7 @@
 	}
 	if records != nil {
 		d.Keep(*records)
-		go prune(own.Records, records.Store, log, stop)
+		go prune(own.Records, records.Store, d.Now, log, stop)
 	}
 	go func() {
 		<-signals
--- a/internal/lifecycle/records.go
+++ b/internal/lifecycle/records.go
@@ -136,8 +136,9 @@
 	pruneBatch = 2000 // records of one deletion, so that writes don't wait long behind it
 )
 
-// prune deletes what is older than the settings keep, until stop is closed.
-func prune(r *RecordSettings, store record.Store, log *slog.Logger, stop <-chan struct{}) {
+// prune deletes what is older than the settings keep, until stop is closed. now is the dispatcher's own clock, in which the
+// records' times are: a step of the wall clock makes no record older.
+func prune(r *RecordSettings, store record.Store, now func() int64, log *slog.Logger, stop <-chan struct{}) {
 	tick := time.NewTicker(pruneEvery)
 	defer tick.Stop()
 	for {
@@ -147,16 +148,16 @@
 			return
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), pruneEvery)
-		if err := pruneOnce(ctx, r, store); err != nil {
+		if err := pruneOnce(ctx, r, store, now()); err != nil {
 			log.Warn("store of record: retention", "cause", err)
 		}
 		cancel()
 	}
 }
 
-func pruneOnce(ctx context.Context, r *RecordSettings, store record.Store) error {
+func pruneOnce(ctx context.Context, r *RecordSettings, store record.Store, now int64) error {
 	for r.Retain > 0 {
-		n, err := store.Prune(ctx, time.Now().Add(-r.Retain).UnixMicro(), pruneBatch)
+		n, err := store.Prune(ctx, now-r.Retain.Microseconds(), pruneBatch)
 		if err != nil {
 			return err
 		}
@@ -169,7 +170,7 @@
 		if err != nil || size <= r.Most {
 			return err
 		}
-		n, err := store.Prune(ctx, time.Now().UnixMicro(), int(min(size-r.Most, pruneBatch)))
+		n, err := store.Prune(ctx, now, int(min(size-r.Most, pruneBatch)))
 		if err != nil || n == 0 {
 			return err
 		}
--- /dev/null
+++ b/internal/memory/scale_test.go
@@ -0,0 +1,43 @@
+package memory
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"granitewing/logic"
+)
+
+// BenchmarkListBySize is what a change of one server costs the owner, and a whole list, by the number listed.
+func BenchmarkListBySize(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 3200} {
+		hosts := make([]Host, n)
+		for i := range hosts {
+			hosts[i] = Host{Name: fmt.Sprintf("s-%06x", i), Addr: fmt.Sprintf("10.0.%d.%d:9000", i/250, i%250), Phase: logic.Ready, Weight: 1}
+		}
+		for _, kind := range []struct {
+			name string
+			how  logic.ListKind
+			list []Host
+		}{{"change", logic.ListDelta, hosts[:1]}, {"whole", logic.ListFull, hosts}} {
+			b.Run(fmt.Sprintf("%s/servers=%d", kind.name, n), func(b *testing.B) {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				c, err := New(testConfig(), 7)
+				if err != nil {
+					b.Fatal(err)
+				}
+				c.Inventory(1, logic.ListFull, hosts)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportAllocs()
+				b.ResetTimer()
+				for i := range b.N {
+					c.Inventory(int64(i+2), kind.how, kind.list)
+				}
+				b.ReportMetric(float64(after.HeapAlloc-min(before.HeapAlloc, after.HeapAlloc))/float64(n), "B/server")
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/record/sqlite/faults_test.go
@@ -0,0 +1,307 @@
+package sqlite
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+	"unsafe"
+
+	"modernc.org/libc"
+	sqlite3 "modernc.org/sqlite/lib"
+
+	"granitewing/internal/record"
+	"granitewing/internal/record/storetest"
+)
+
+// disk stands between SQLite and the system: it fails writes and syncs, and keeps for each file what would be found after a
+// power cut. What was written and not yet synced is there in part at most; what was written before a sync that failed is
+// gone for good, though it can still be read until then, and no later sync brings it back.
+type disk struct {
+	mu     sync.Mutex
+	store  string // path of the one store that has faults
+	files  map[string]*diskFile
+	left   map[string]int // calls of a kind until the next fault
+	faults int            // calls in a row that fail then
+	code   int32          // what they say
+	happen int            // faults so far
+	old    struct {
+		write    func(*libc.TLS, uintptr, uintptr, int32, int64) int32
+		sync     func(*libc.TLS, uintptr, int32) int32
+		truncate func(*libc.TLS, uintptr, int64) int32
+	}
+}
+
+type diskFile struct {
+	durable []byte
+	pending []diskChange
+}
+
+// diskChange is a write, or a truncation where data is nil.
+type diskChange struct {
+	at   int64
+	data []byte
+}
+
+func (c diskChange) apply(b []byte) []byte {
+	if c.data == nil {
+		return b[:min(c.at, int64(len(b)))]
+	}
+	if grow := c.at + int64(len(c.data)) - int64(len(b)); grow > 0 {
+		b = append(b, make([]byte, grow)...)
+	}
+	copy(b[c.at:], c.data)
+	return b
+}
+
+// pointer gives a function as SQLite's tables hold them.
+func pointer[F any](f F) uintptr {
+	return *(*uintptr)(unsafe.Pointer(&struct{ f F }{f}))
+}
+
+// function gives what such a table holds.
+func function[F any](p uintptr) F {
+	return *(*F)(unsafe.Pointer(&struct{ p uintptr }{p}))
+}
+
+// at gives what stands at an address of SQLite's own memory, which the collector knows nothing of.
+func at[T any](address uintptr) *T {
+	return *(**T)(unsafe.Pointer(&address))
+}
+
+// watch puts a disk under every file that SQLite opens in this process, until the test is over.
+func watch(t *testing.T) *disk {
+	t.Helper()
+	tls := libc.NewTLS()
+	defer tls.Close()
+	name, err := libc.CString(filepath.Join(t.TempDir(), "methods.db"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer libc.Xfree(tls, name)
+	place := libc.Xcalloc(tls, 2, 8)
+	defer libc.Xfree(tls, place)
+	if rc := sqlite3.Xsqlite3_open_v2(tls, name, place, sqlite3.SQLITE_OPEN_READWRITE|sqlite3.SQLITE_OPEN_CREATE, 0); rc != 0 {
+		t.Fatalf("open: %d", rc)
+	}
+	db := *at[uintptr](place)
+	defer sqlite3.Xsqlite3_close(tls, db)
+	if rc := sqlite3.Xsqlite3_file_control(tls, db, 0, sqlite3.SQLITE_FCNTL_FILE_POINTER, place+8); rc != 0 {
+		t.Fatalf("file pointer: %d", rc)
+	}
+	main := at[sqlite3.Tsqlite3_file](*at[uintptr](place + 8)).FpMethods
+	// The log is reached by a table of its own, as a file that nobody locks.
+	statement, err := libc.CString("PRAGMA journal_mode = WAL; CREATE TABLE t (a)")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer libc.Xfree(tls, statement)
+	if rc := sqlite3.Xsqlite3_exec(tls, db, statement, 0, 0, 0); rc != 0 {
+		t.Fatalf("write: %d", rc)
+	}
+	if rc := sqlite3.Xsqlite3_file_control(tls, db, 0, sqlite3.SQLITE_FCNTL_JOURNAL_POINTER, place+8); rc != 0 {
+		t.Fatalf("journal pointer: %d", rc)
+	}
+	log := at[sqlite3.Tsqlite3_file](*at[uintptr](place + 8)).FpMethods
+	d := &disk{files: map[string]*diskFile{}, left: map[string]int{}}
+	methods := at[sqlite3.Tsqlite3_io_methods](main)
+	d.old.write = function[func(*libc.TLS, uintptr, uintptr, int32, int64) int32](methods.FxWrite)
+	d.old.sync = function[func(*libc.TLS, uintptr, int32) int32](methods.FxSync)
+	d.old.truncate = function[func(*libc.TLS, uintptr, int64) int32](methods.FxTruncate)
+	write, sync, truncate := d.write, d.sync, d.truncate
+	for _, table := range []uintptr{main, log} {
+		methods := at[sqlite3.Tsqlite3_io_methods](table)
+		was := *methods
+		methods.FxWrite, methods.FxSync, methods.FxTruncate = pointer(write), pointer(sync), pointer(truncate)
+		t.Cleanup(func() { *methods = was })
+	}
+	t.Cleanup(func() { runtime.KeepAlive([]any{write, sync, truncate}) }) // SQLite's tables do not keep them
+	return d
+}
+
+func pathOf(file uintptr) string { return libc.GoString(at[sqlite3.TunixFile](file).FzPath) }
+
+func (d *disk) file(file uintptr) *diskFile {
+	path := pathOf(file)
+	f := d.files[path]
+	if f == nil {
+		f = &diskFile{}
+		d.files[path] = f
+	}
+	return f
+}
+
+// fails tells whether a call of a kind on a file is to fail.
+func (d *disk) fails(kind string, file uintptr) bool {
+	left, armed := d.left[kind]
+	if !armed || !strings.HasPrefix(pathOf(file), d.store) {
+		return false
+	}
+	d.left[kind] = left - 1
+	if left > 1 {
+		return false
+	}
+	if left <= 1-d.faults {
+		delete(d.left, kind)
+		return false
+	}
+	d.happen++
+	return true
+}
+
+func (d *disk) write(tls *libc.TLS, file, data uintptr, size int32, offset int64) int32 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	bytes := append([]byte{}, unsafe.Slice(at[byte](data), size)...)
+	if d.fails("write", file) {
+		// A part of it may have got there.
+		half := size / 2
+		d.old.write(tls, file, data, half, offset)
+		f := d.file(file)
+		f.pending = append(f.pending, diskChange{offset, bytes[:half]})
+		return d.code
+	}
+	rc := d.old.write(tls, file, data, size, offset)
+	if rc == 0 {
+		f := d.file(file)
+		f.pending = append(f.pending, diskChange{offset, bytes})
+	}
+	return rc
+}
+
+func (d *disk) sync(tls *libc.TLS, file uintptr, flags int32) int32 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f := d.file(file)
+	if d.fails("sync", file) {
+		f.pending = nil
+		return d.code
+	}
+	for _, c := range f.pending {
+		f.durable = c.apply(f.durable)
+	}
+	f.pending = nil
+	return d.old.sync(tls, file, flags)
+}
+
+func (d *disk) truncate(tls *libc.TLS, file uintptr, size int64) int32 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	rc := d.old.truncate(tls, file, size)
+	if rc == 0 {
+		f := d.file(file)
+		f.pending = append(f.pending, diskChange{at: size})
+	}
+	return rc
+}
+
+// cut writes what a power cut at this moment leaves of a store into another folder: of what is not synced some is there, the
+// last of it by half.
+func (d *disk) cut(t *testing.T, path string, r *rand.Rand) string {
+	t.Helper()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	to := filepath.Join(t.TempDir(), "a.db")
+	for _, ending := range []string{"", "-wal"} {
+		f := d.files[path+ending]
+		if f == nil {
+			continue
+		}
+		b := append([]byte{}, f.durable...)
+		kept := r.IntN(len(f.pending) + 1)
+		for i, c := range f.pending[:kept] {
+			if i == kept-1 && c.data != nil {
+				c.data = c.data[:r.IntN(len(c.data)+1)]
+			}
+			b = c.apply(b)
+		}
+		if err := os.WriteFile(to+ending, b, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return to
+}
+
+// What a write has said is durable is found after a power cut at any time, whole, however many writes and syncs failed
+// before it; a write that failed may be made again, and is not taken for done because the second time went well.
+func TestNothingDurableIsLost(t *testing.T) {
+	codes := map[string][]int32{
+		"write": {sqlite3.SQLITE_FULL, sqlite3.SQLITE_IOERR_WRITE},
+		"sync":  {sqlite3.SQLITE_IOERR_FSYNC},
+	}
+	for kind, list := range codes {
+		for _, code := range list {
+			for nth := 1; nth <= 14; nth++ {
+				t.Run(fmt.Sprintf("%s %d at %d", kind, code, nth), func(t *testing.T) { playFaults(t, kind, code, nth) })
+			}
+		}
+	}
+}
+
+func playFaults(t *testing.T, kind string, code int32, nth int) {
+	r := rand.New(rand.NewPCG(uint64(nth), uint64(code)))
+	d := watch(t)
+	path := filepath.Join(t.TempDir(), "a.db")
+	s, err := Open(ctx, Options{Path: path, Instance: "n0", Busy: 100 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	// A small log, so that what it holds is brought into the file during the test as well.
+	s.db.SetMaxOpenConns(1)
+	if _, err := s.db.Exec("PRAGMA wal_autocheckpoint = 8"); err != nil {
+		t.Fatal(err)
+	}
+	durable := map[uint64]bool{}
+	next := uint64(0)
+	write := func() {
+		next++
+		batch := []record.Record{storetest.Record(s, next, 1, record.Open)}
+		for range 20 {
+			if s.Write(ctx, batch) == nil {
+				durable[batch[0].ID] = true
+				return
+			}
+		}
+		t.Fatal("the store did not come back")
+	}
+	for range 6 {
+		write()
+	}
+	d.mu.Lock()
+	d.store, d.code, d.faults, d.left[kind] = path, code, 1+nth%3, nth
+	d.mu.Unlock()
+	for i := range 12 {
+		write()
+		if i%2 == 0 {
+			checkCut(t, d.cut(t, path, r), durable)
+		}
+	}
+	if d.happen == 0 {
+		t.Fatal("nothing failed")
+	}
+}
+
+// checkCut opens what a power cut has left.
+func checkCut(t *testing.T, path string, durable map[uint64]bool) {
+	t.Helper()
+	s, err := Open(ctx, Options{Path: path, Instance: "n0", Busy: 100 * time.Millisecond})
+	if err != nil {
+		t.Fatalf("after a power cut: %v", err)
+	}
+	defer s.Close()
+	found := map[uint64]bool{}
+	for _, r := range storetest.All(t, s, record.Query{}) {
+		found[r.ID] = true
+	}
+	for id := range durable {
+		if !found[id] {
+			t.Errorf("record %d was said to be durable and is gone", id&0xffffffff)
+		}
+	}
+}
--- a/logic/cold_test.go
+++ b/logic/cold_test.go
@@ -14,7 +14,7 @@
 // the window's beginning.
 func TestColdBudgetOfAnyNumberOfSchedulers(t *testing.T) {
 	for _, n := range []int{1, 2, 4, 5, 80, 900} {
-		just := 31 / (0.3 * firstSlots * 2) // N just past the border between few and many
+		just := 31 / (0.37 * firstSlots * 2) // N just past the border between few and many in the middle of the play
 		for _, multiple := range []float64{1, 3, just, 40} {
 			t.Run(fmt.Sprintf("%d schedulers, multiple %g", n, multiple), func(t *testing.T) {
 				playColdBudget(t, n, multiple)
