Use a dispatcher's part of a slow start's budget once, over restarts and successors

Now it sends nothing to starting servers in the slot it began in, and one that is succeeded leaves its part.

--- a/internal/driver/stop.go
+++ b/internal/driver/stop.go
@@ -39,6 +39,7 @@
 func (d *Driver) stop() {
 	d.stopped = time.Now()
 	if d.successor.Load() {
+		d.core.Yield()
 		d.shutListener()
 	}
 	d.log.Info("stopping", "open", d.core.Open(), "successor", d.shut)
--- a/internal/memory/hosts.go
+++ b/internal/memory/hosts.go
@@ -74,6 +74,10 @@
 	return c.finish(now)
 }
 
+// Yield takes the news that another process has this dispatcher's place from now on: what of its requests is still to be sent
+// goes to hosts that are warm.
+func (c *Core) Yield() { c.sched.Yield() }
+
 // Restore bars a host by hand that an earlier process of this dispatcher barred, whether it is listed or not.
 func (c *Core) Restore(now int64, name string) []Command {
 	if _, listed := c.listed[name]; !listed && !c.cordons[name] && len(c.cordons) < hostsMost {
--- a/logic/cold.go
+++ b/logic/cold.go
@@ -9,12 +9,16 @@
 	coldFew    = 30.0 // requests of mean work below which a window allows more beside them
 )
 
+// Yield gives this scheduler's part of the budgets of workers that have just started to the process that takes over from it.
+func (s *Scheduler) Yield() { s.yields = true }
+
 // coldAllows keeps a worker that has just started from being pushed over by the sum of all schedulers, and from more work than
 // it can do. With N the requests of mean work that the settings allow it in a FallWindow, it falls beyond N + coldSlack(N) of
 // them in any window. Time is cut into slots as long as a window; in each a few schedulers, the same to all by a hash, may send it
 // an equal part of coldSafety N. The first job in a turn may be larger by an equal part of coldSlack(N) / 2, else jobs larger
 // than a part would go to no cold worker. A few schedulers that each see enough jobs find small ones among them, which a slow
 // worker ends in time. Since a window meets two slots, the sum stays under 2 coldSafety N + coldSlack(N) whatever comes to whom.
+// A scheduler has nothing in the slot in which it started, since its former process may have used its part.
 func (s *Scheduler) coldAllows(w *worker, work float64) bool {
 	if s.warmth(w) >= 1 {
 		return true
@@ -28,6 +32,10 @@
 	if slot := s.now / s.cfg.FallWindow; w.coldSlot != slot {
 		w.coldSlot, w.coldUsed = slot, 0
 	}
+	if s.yields || w.coldSlot == s.started/s.cfg.FallWindow {
+		// The process before this one, or the one that takes over from it, has this scheduler's part of the slot.
+		return false
+	}
 	if (uint64(s.cfg.Self)+mix(uint64(w.info.ID)<<20^uint64(w.coldSlot)))%all >= turns {
 		return false
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -133,6 +133,7 @@
 	asked      bool
 	doubt      bool // no worker may be sent anything, whatever the list says
 	started    int64
+	yields     bool    // another process has this scheduler's place
 	warmup     float64 // share of the rate memory that has been filled since the start
 
 	rate, workRate float64 // own arrivals, and slot-work served to them, a second
