--- a/internal/memory/scale_test.go
+++ b/internal/memory/scale_test.go
@@ -41,3 +41,29 @@
 		}
 	}
 }
+
+// BenchmarkOpenRequest is what a request that waits holds in the core and the decisions.
+func BenchmarkOpenRequest(b *testing.B) {
+	const open = 100_000
+	for range b.N {
+		cfg := testConfig()
+		cfg.MaxOpen = 0
+		c, err := New(cfg, 7)
+		if err != nil {
+			b.Fatal(err)
+		}
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for i := range open {
+			c.Arrive(1, Message{Name: fmt.Sprintf("%016x", i)}, 60_000_000)
+		}
+		if c.Open() != open {
+			b.Fatalf("%d of %d are open", c.Open(), open)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/open, "B/request")
+		runtime.KeepAlive(c)
+	}
+}
