Put addresses in for names in all that exchanges send; two SIGHUPs play as written

reload-twice.txtar was committed unplayed and failed: the list that it sends named a host by its placeholder.

--- a/cmd/granitewing/main_test.go
+++ b/cmd/granitewing/main_test.go
@@ -236,8 +236,8 @@
 		if diff := cmp.Diff(string(data), string(got)); diff != "" {
 			w.t.Fatalf("%s (-want +got):\n%s", title, diff)
 		}
-	case "sends":
-		if _, err := w.peer(who).Write(exchange.Bytes(data)); err != nil {
+	case "sends": // with addresses put in for {names}
+		if _, err := w.peer(who).Write(exchange.Bytes([]byte(w.addrsOf.Replace(string(data))))); err != nil {
 			w.t.Fatalf("%s: %v", title, err)
 		}
 	case "gets":
