--- a/internal/driver/accept.go
+++ b/internal/driver/accept.go
@@ -111,7 +111,7 @@
 
 // room lets the next connection in if there is room for it.
 func (d *Driver) room() {
-	if d.full != nil && len(d.norths) < d.limits.most {
+	if d.full != nil && len(d.downstreams) < d.limits.downstreams {
 		close(d.full)
 		d.full = nil
 	}
--- a/internal/driver/cordons.go
+++ b/internal/driver/cordons.go
@@ -14,7 +14,7 @@
 // while it takes over, may have changed it. What could not be written or read is tried again as often.
 const cordonLook = 250 * time.Millisecond
 
-// cordonFile names the file in $TMPDIR that keeps the hosts barred by hand, so that the bans hold over an upgrade.
+// cordonFile names the file in $TMPDIR that keeps the servers barred by hand, so that the bans hold over an upgrade.
 func (d *Driver) cordonFile() string { return d.fileOf("cordons") }
 
 // keepCordons hands the cordons to the keeper, which writes them; the owner does no I/O for it. Only the latest
--- a/internal/driver/crossing_test.go
+++ b/internal/driver/crossing_test.go
@@ -65,7 +65,7 @@
 }
 
 // client connects and waits until the owner has taken the connection.
-func (x *crossing) client() (net.Conn, *north) {
+func (x *crossing) client() (net.Conn, *downstream) {
 	x.t.Helper()
 	c, err := net.Dial("tcp", x.d.ln.Addr().String())
 	if err != nil {
@@ -73,18 +73,18 @@
 	}
 	x.t.Cleanup(func() { c.Close() })
 	c.SetDeadline(time.Now().Add(20 * time.Second))
-	before := len(x.d.norths)
+	before := len(x.d.downstreams)
 	accepted, err := x.d.ln.Accept()
 	if err != nil {
 		x.t.Fatal(err)
 	}
 	x.d.take(accepted)
-	for n := range x.d.norths {
+	for n := range x.d.downstreams {
 		if n.c == accepted {
 			return c, n
 		}
 	}
-	x.t.Fatalf("%d connections, %d before", len(x.d.norths), before)
+	x.t.Fatalf("%d connections, %d before", len(x.d.downstreams), before)
 	return nil, nil
 }
 
@@ -198,18 +198,18 @@
 
 // A request that was read while its connection is closed as an idle one is answered: whatever closes it.
 func TestRequestCrossesTheCloseOfItsConnection(t *testing.T) {
-	for name, closing := range map[string]func(d *Driver, n *north){
-		"sent away at the end": func(d *Driver, n *north) {
+	for name, closing := range map[string]func(d *Driver, n *downstream){
+		"sent away at the end": func(d *Driver, n *downstream) {
 			d.stopped = time.Now().Add(-time.Hour)
 			d.check()
 		},
-		"drained by hand": func(d *Driver, n *north) {
+		"drained by hand": func(d *Driver, n *downstream) {
 			d.quiesced = time.Now().Add(-time.Hour)
 			d.check()
 		},
-		"makes room":        func(d *Driver, _ *north) { d.evictNorth() },
-		"silent for long":   func(_ *Driver, n *north) { n.begun = time.Now().Add(-messageLimit); n.late() },
-		"idle for too long": func(_ *Driver, n *north) { n.retire() },
+		"makes room":        func(d *Driver, _ *downstream) { d.evictDownstream() },
+		"silent for long":   func(_ *Driver, n *downstream) { n.begun = time.Now().Add(-messageLimit); n.late() },
+		"idle for too long": func(_ *Driver, n *downstream) { n.retire() },
 	} {
 		t.Run(name, func(t *testing.T) {
 			x := newCrossing(t)
@@ -272,7 +272,7 @@
 			t.Fatalf("%s is answered %q", name, got)
 		}
 		if i < 2 {
-			x.until(func() bool { return len(x.d.relays) == 1 })
+			x.until(func() bool { return len(x.d.attempts) == 1 })
 			readRequest(t, server)
 		}
 	}
@@ -311,7 +311,7 @@
 		}
 		// It is turned away, so the decisions would send it on.
 		io.WriteString(first, "HTTP/1.1 503 Service Unavailable\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n")
-		x.until(func() bool { return n.gone && len(x.d.relays) == 0 })
+		x.until(func() bool { return n.gone && len(x.d.attempts) == 0 })
 		x.untouched("s-a")
 		x.untouched("s-b")
 	}
@@ -320,8 +320,8 @@
 // eitherServer accepts the attempt at whichever server it goes to.
 func (x *crossing) eitherServer() (net.Conn, string) {
 	x.t.Helper()
-	x.until(func() bool { return len(x.d.relays) > 0 })
-	for _, r := range x.d.relays {
+	x.until(func() bool { return len(x.d.attempts) > 0 })
+	for _, r := range x.d.attempts {
 		for name, ln := range x.servers {
 			if ln.Addr().String() == r.addr {
 				return x.server(name)
@@ -343,7 +343,7 @@
 		x.until(func() bool { return n.gone && len(x.d.later) == 0 })
 		x.serve("s-a")
 		x.d.do(x.d.core.Wake(x.d.now() + 1_000_000))
-		if len(x.d.relays) != 0 {
+		if len(x.d.attempts) != 0 {
 			t.Error("it was sent")
 		}
 		x.untouched("s-a")
@@ -358,12 +358,12 @@
 		}
 		c, n := x.client()
 		io.WriteString(c, request("t1"))
-		x.until(func() bool { return len(x.d.relays) == 1 })
+		x.until(func() bool { return len(x.d.attempts) == 1 })
 		c.Close()
 		x.until(func() bool { return n.gone && len(x.d.later) == 0 })
 		close(up)
 		x.event()()
-		if len(x.d.relays) != 0 {
+		if len(x.d.attempts) != 0 {
 			t.Error("its attempt is still out")
 		}
 		accepted, err := x.servers["s-a"].Accept()
@@ -384,10 +384,10 @@
 	d.clock.elapsed = func() time.Duration { return elapsed }
 	server, near := net.Pipe()
 	t.Cleanup(func() { server.Close(); near.Close() })
-	s := &south{addr: "a", parser: platform.NewRelay(func(platform.Note) {})}
+	s := &upstream{addr: "a", parser: platform.NewRelay(func(platform.Note) {})}
 	s.conn = &conn{d: d, c: near, out: make(chan func() []byte, 1), more: make(chan bool, 1), closed: make(chan struct{})}
 	msg := &platform.Message{Method: "POST", Target: "/readings", Txn: "t1", Lane: "readings"}
-	s.begin(&relay{id: memory.RelayID{Message: 1}, msg: msg, addr: "a", until: d.now() + 1_000_000})
+	s.begin(&attempt{id: memory.RelayID{Message: 1}, msg: msg, addr: "a", until: d.now() + 1_000_000})
 	elapsed = 900 * time.Millisecond
 	go s.writing(func(error) {})
 	r := bufio.NewReader(server)
@@ -419,8 +419,8 @@
 	elapsed.Store(int64(10 * time.Second))
 	first, _ := x.eitherServer()
 	io.WriteString(first, served("t1"))
-	x.until(func() bool { return n.msg != nil && n.msg.Txn == "t2" && len(x.d.relays) == 1 })
-	for _, r := range x.d.relays {
+	x.until(func() bool { return n.msg != nil && n.msg.Txn == "t2" && len(x.d.attempts) == 1 })
+	for _, r := range x.d.attempts {
 		if left := r.until - x.d.now(); left > 40_000_000 {
 			t.Errorf("%d us are left to it 10 s after it came with 50 s", left)
 		}
@@ -455,7 +455,7 @@
 		}
 		c.Close()
 	}
-	x.until(func() bool { return x.d.refused && len(x.d.norths) == 0 })
+	x.until(func() bool { return x.d.refused && len(x.d.downstreams) == 0 })
 	if _, err := net.Dial("tcp", x.d.ln.Addr().String()); err == nil {
 		t.Error("the listener still takes connections")
 	}
@@ -474,7 +474,7 @@
 		t.Fatal(err)
 	}
 	defer c.Close()
-	x.until(func() bool { return len(x.d.norths) == 1 })
+	x.until(func() bool { return len(x.d.downstreams) == 1 })
 	if least := time.Duration(len(faults)) * acceptRetry; time.Since(begun) < least {
 		t.Errorf("%d errors were over in %v: it spins", len(faults), time.Since(begun))
 	}
--- a/internal/driver/north.go
+++ b/internal/driver/downstream.go
@@ -13,25 +13,25 @@
 // more. It is read on until then, since the end of its connection can't be seen behind bytes that are left unread.
 const aheadMost = 256 << 10
 
-// north is a connection from a client. It carries one message at a time; what the client sends ahead of an
+// downstream is a connection from a client. It carries one request at a time; what the client sends ahead of an
 // answer waits, up to limits.ahead.
-type north struct {
+type downstream struct {
 	*conn
 	parser  *platform.North
-	rest    []byte            // read behind the message
+	rest    []byte            // read behind the request
 	pieces  arrivals          // when what is in rest came
-	at      int64             // when the last byte of the message came
+	at      int64             // when the last byte of the request came
 	msg     *platform.Message // not yet answered
-	id      memory.ID         // of the message, while the core has it
-	held    bool              // the core has the message
-	used    bool              // it has carried a message, though perhaps one that can't be taken
-	proven  bool              // the core has taken a message from it
+	id      memory.ID         // of the request, while the core has it
+	held    bool              // the core has the request
+	used    bool              // it has carried a request, though perhaps one that can't be taken
+	proven  bool              // the core has taken a request from it
 	closing bool              // nothing more is taken; closed once the answer is written
 	faulty  bool              // the end of what the client sends is not known, so it may still be sending
 	writes  int               // writes on their way
 	bytes   int               // that it holds of the driver's
 	since   time.Time         // of the latest answer, or of the connection
-	begun   time.Time         // of the message awaited, the first one's is the connection's; zero for none
+	begun   time.Time         // of the request awaited, the first one's is the connection's; zero for none
 	evicted bool              // it makes room for another connection
 	timer   *time.Timer       // for what is awaited from the client
 	expiry  *time.Timer       // backs up the decisions' own deadline
@@ -40,22 +40,22 @@
 // take keeps a new connection from a client.
 func (d *Driver) take(c net.Conn) {
 	d.arrived = time.Now()
-	n := &north{parser: platform.NewNorth(d.lanes, d.tenants), since: d.arrived, begun: d.arrived}
+	n := &downstream{parser: platform.NewNorth(d.lanes, d.tenants), since: d.arrived, begun: d.arrived}
 	n.conn = d.newConn(c, 3, n.read, n.wrote) // at most a go-ahead and an answer wait for the writer
 	n.conn.halted = n.halted
-	d.norths[n] = struct{}{}
+	d.downstreams[n] = struct{}{}
 	n.await()
-	if len(d.norths) >= d.limits.most {
-		d.evictNorth()
+	if len(d.downstreams) >= d.limits.downstreams {
+		d.evictDownstream()
 	}
 }
 
-// evictNorth closes the client connection that is missed least, the oldest of its kind: one from which no
-// message was ever taken, as those have that flood; one that only waits for its end; one that stands idle. One
-// that was opened for a message on its way is the youngest of the first kind.
-func (d *Driver) evictNorth() {
-	var least *north
-	for n := range d.norths {
+// evictDownstream closes the client connection that is missed least, the oldest of its kind: one from which no
+// request was ever taken, as those have that flood; one that only waits for its end; one that stands idle. One
+// that was opened for a request on its way is the youngest of the first kind.
+func (d *Driver) evictDownstream() {
+	var least *downstream
+	for n := range d.downstreams {
 		if !n.evicted && n.missed() < owed && (least == nil || n.missed() < least.missed() ||
 			n.missed() == least.missed() && n.since.Before(least.since)) {
 			least = n
@@ -72,8 +72,8 @@
 }
 
 // halted follows retire: the reader has stopped and all that it read was taken. It tells whether the connection was closed;
-// one on which a message has begun meanwhile goes on.
-func (n *north) halted() bool {
+// one on which a request has begun meanwhile goes on.
+func (n *downstream) halted() bool {
 	if n.closing || !n.idle() && !(n.evicted && n.msg == nil && n.writes == 0) {
 		n.evicted = false
 		n.await()
@@ -87,7 +87,7 @@
 const owed = 3
 
 // missed tells how much a connection would be missed.
-func (n *north) missed() int {
+func (n *downstream) missed() int {
 	switch {
 	case n.msg != nil || n.writes > 0:
 		return owed
@@ -102,10 +102,10 @@
 }
 
 // idle tells whether nothing has begun and nothing is owed.
-func (n *north) idle() bool { return n.msg == nil && n.writes == 0 && !n.parser.Partial() }
+func (n *downstream) idle() bool { return n.msg == nil && n.writes == 0 && !n.parser.Partial() }
 
 // await sets the time-out for what comes next from the client.
-func (n *north) await() {
+func (n *downstream) await() {
 	if n.timer != nil {
 		n.timer.Stop()
 	}
@@ -114,7 +114,7 @@
 	case !n.begun.IsZero():
 		n.timer = n.d.after(messageLimit-time.Since(n.begun), n.late)
 	default:
-		n.timer = n.d.after(northIdle, func() {
+		n.timer = n.d.after(downstreamIdle, func() {
 			if n.idle() {
 				n.retire()
 			}
@@ -122,9 +122,9 @@
 	}
 }
 
-// late ends the wait for a message: with an answer where some of it has come. It runs from the message's
+// late ends the wait for a request: with an answer where some of it has come. It runs from the request's
 // beginning, and no byte that comes prolongs it.
-func (n *north) late() {
+func (n *downstream) late() {
 	switch {
 	case n.gone || n.closing || n.msg != nil || n.begun.IsZero() || time.Since(n.begun) < messageLimit:
 	case n.parser.Partial():
@@ -135,7 +135,7 @@
 }
 
 // read takes bytes from a client, or the end of them.
-func (n *north) read(b []byte, at int64, err error) bool {
+func (n *downstream) read(b []byte, at int64, err error) bool {
 	if err != nil {
 		n.end()
 		return false
@@ -145,8 +145,8 @@
 	return n.parse()
 }
 
-// parse takes the next message out of what was read; false while too much is left that has to wait.
-func (n *north) parse() bool {
+// parse takes the next request out of what was read; false while too much is left that has to wait.
+func (n *downstream) parse() bool {
 	for n.msg == nil && len(n.rest) > 0 && !n.closing && !n.gone {
 		used, m, fault := n.parser.Feed(n.rest)
 		n.rest = n.rest[:copy(n.rest, n.rest[used:])]
@@ -172,8 +172,8 @@
 	return len(n.rest) == 0 || len(n.rest) < n.d.limits.ahead && n.d.bytes <= n.d.limits.bytes
 }
 
-// weigh books the bytes that the client has sent of a message and turns it away if all hold too many.
-func (n *north) weigh() {
+// weigh books the bytes that the client has sent of a request and turns it away if all hold too many.
+func (n *downstream) weigh() {
 	bytes := 0
 	switch {
 	case n.gone || n.closing:
@@ -191,8 +191,8 @@
 	}
 }
 
-// handle answers a message here or hands it to the core.
-func (n *north) handle() {
+// handle answers a request here or hands it to the core.
+func (n *downstream) handle() {
 	d, m := n.d, n.msg
 	switch {
 	case m.Fault != nil:
@@ -203,7 +203,7 @@
 		n.reply(200, nil, 0)
 	case m.Health:
 		n.reply(503, nil, 0)
-	case len(d.open) >= d.limits.north:
+	case len(d.open) >= d.limits.requests:
 		// Room runs out: new work is refused while what was taken is served.
 		n.reply(503, nil, fullAfter)
 	default:
@@ -214,8 +214,8 @@
 	}
 }
 
-// recordable tells whether the message may be taken as far as the store of record goes; else it is answered here.
-func (n *north) recordable() bool {
+// recordable tells whether the request may be taken as far as the store of record goes; else it is answered here.
+func (n *downstream) recordable() bool {
 	d, m := n.d, n.msg
 	if content, known := d.journal.Repeat(d.now(), m.Class, m.Key); known {
 		n.reply(200, content, 0)
@@ -228,8 +228,8 @@
 	return true
 }
 
-// arrive hands the message to the core.
-func (n *north) arrive() {
+// arrive hands the request to the core.
+func (n *downstream) arrive() {
 	d, m := n.d, n.msg
 	wait := m.Remaining
 	if wait < 0 {
@@ -251,8 +251,8 @@
 	d.do(cmds)
 }
 
-// answer gives the final answer to the open message.
-func (n *north) answer(c memory.Command) {
+// answer gives the final answer to the open request.
+func (n *downstream) answer(c memory.Command) {
 	n.held = false
 	n.expiry.Stop()
 	switch c.Verdict {
@@ -273,8 +273,8 @@
 	})
 }
 
-// reply answers the message.
-func (n *north) reply(status int, content []byte, after time.Duration) {
+// reply answers the request.
+func (n *downstream) reply(status int, content []byte, after time.Duration) {
 	if m := n.msg; m.Fault == nil && !m.Health && !n.faulty {
 		n.d.figures.answered(m.Class, status)
 	}
@@ -286,14 +286,14 @@
 	n.await()
 }
 
-// fault answers what leaves no way to find the next message.
-func (n *north) fault(f *platform.Fault) {
+// fault answers what leaves no way to find the next request.
+func (n *downstream) fault(f *platform.Fault) {
 	n.msg, n.faulty = &platform.Message{Close: true}, true
 	n.reply(f.Status, []byte(f.Why), 0)
 }
 
 // put queues bytes for the client.
-func (n *north) put(b []byte) {
+func (n *downstream) put(b []byte) {
 	if n.gone {
 		return
 	}
@@ -304,7 +304,7 @@
 }
 
 // wrote follows each write.
-func (n *north) wrote(err error) {
+func (n *downstream) wrote(err error) {
 	n.writes--
 	switch {
 	case n.gone:
@@ -317,7 +317,7 @@
 
 // farewell closes after the last answer: the sending side first, so that a client that is still writing
 // reads the answer before its connection is reset.
-func (n *north) farewell() {
+func (n *downstream) farewell() {
 	if t, ok := n.c.(*net.TCPConn); ok {
 		t.CloseWrite()
 	}
@@ -329,15 +329,15 @@
 	n.timer = n.d.after(limit, n.end)
 }
 
-// end closes the connection; a client with an open message has left.
-func (n *north) end() {
+// end closes the connection; a client with an open request has left.
+func (n *downstream) end() {
 	if n.gone {
 		return
 	}
 	d := n.d
 	n.close()
 	n.weigh()
-	delete(d.norths, n)
+	delete(d.downstreams, n)
 	d.room()
 	if n.timer != nil {
 		n.timer.Stop()
--- a/internal/driver/north_test.go
+++ b/internal/driver/downstream_test.go
@@ -11,7 +11,7 @@
 	"granitewing/logic"
 )
 
-// A client that sends byte by byte must not win time with each: a message's limit runs from its beginning, the
+// A client that sends byte by byte must not win time with each: a request's limit runs from its beginning, the
 // first one's from the connection's.
 func TestMessageLimitRunsFromItsBeginning(t *testing.T) {
 	d := testDriver(t)
@@ -47,24 +47,24 @@
 	msg := &platform.Message{}
 	for _, c := range []struct {
 		name  string
-		least *north // made room first
-		more  *north
+		least *downstream // made room first
+		more  *downstream
 	}{
-		{"silent before idle", &north{}, &north{proven: true, since: old}},
-		{"turned away before served", &north{used: true}, &north{proven: true, closing: true, since: old}},
-		{"closing before idle", &north{proven: true, closing: true}, &north{proven: true, since: old}},
-		{"the older first", &north{since: old}, &north{since: old.Add(time.Second)}},
-		{"idle before open", &north{proven: true}, &north{proven: true, msg: msg, since: old}},
-		{"silent before one that is written to", &north{}, &north{writes: 1, since: old}},
+		{"silent before idle", &downstream{}, &downstream{proven: true, since: old}},
+		{"turned away before served", &downstream{used: true}, &downstream{proven: true, closing: true, since: old}},
+		{"closing before idle", &downstream{proven: true, closing: true}, &downstream{proven: true, since: old}},
+		{"the older first", &downstream{since: old}, &downstream{since: old.Add(time.Second)}},
+		{"idle before open", &downstream{proven: true}, &downstream{proven: true, msg: msg, since: old}},
+		{"silent before one that is written to", &downstream{}, &downstream{writes: 1, since: old}},
 	} {
 		d := testDriver(t)
-		for _, n := range []*north{c.more, c.least} {
+		for _, n := range []*downstream{c.more, c.least} {
 			n.conn = testClient(t, d).conn
 			n.conn.halted = n.halted
 			n.parser = platform.NewNorth(nil, nil)
 		}
-		d.norths = map[*north]struct{}{c.least: {}, c.more: {}}
-		d.evictNorth()
+		d.downstreams = map[*downstream]struct{}{c.least: {}, c.more: {}}
+		d.evictDownstream()
 		pump(t, d, func() bool { return c.least.gone || c.more.gone })
 		if !c.least.gone || c.more.gone {
 			t.Errorf("%s: closed %t and %t", c.name, c.least.gone, c.more.gone)
@@ -73,17 +73,17 @@
 	d := testDriver(t)
 	n := testClient(t, d)
 	n.msg = msg
-	if d.evictNorth(); n.gone {
+	if d.evictDownstream(); n.gone {
 		t.Error("a connection with an open message was closed")
 	}
 }
 
-// However many connections stand silent, the next one is accepted and its message taken; only messages that are
+// However many connections stand silent, the next one is accepted and its request taken; only requests that are
 // open keep one out, and those get an answer.
 func TestSilentConnectionsTakeNoRoom(t *testing.T) {
 	d := testDriver(t)
-	d.limits = limits{north: 1, most: 4}
-	var last *north
+	d.limits = limits{requests: 1, downstreams: 4}
+	var last *downstream
 	for range 20 {
 		last = testClient(t, d)
 		next := make(chan struct{})
@@ -91,8 +91,8 @@
 		// It stalls if this waits for more than the readers of silent connections to stand still.
 		pump(t, d, func() bool { d.room(); return d.full == nil })
 	}
-	if last.gone || len(d.norths) >= d.limits.most {
-		t.Errorf("newest closed: %t; open: %d", last.gone, len(d.norths))
+	if last.gone || len(d.downstreams) >= d.limits.downstreams {
+		t.Errorf("newest closed: %t; open: %d", last.gone, len(d.downstreams))
 	}
 	last.at = d.now()
 	last.msg = &platform.Message{Message: memory.Message{Name: "t1"}, Remaining: time.Minute}
@@ -109,12 +109,12 @@
 	}
 }
 
-// What clients have sent of messages that are not answered is bounded, whatever each of them may send.
+// What clients have sent of requests that are not answered is bounded, whatever each of them may send.
 func TestBytesHeldAreBounded(t *testing.T) {
 	d := testDriver(t)
 	d.limits.bytes = 10_000
 	a, b := testClient(t, d), testClient(t, d)
-	for _, n := range []*north{a, b} {
+	for _, n := range []*downstream{a, b} {
 		n.read([]byte("POST /readings HTTP/1.1\r\nHost: a\r\nX-Txn: t1\r\nContent-Length: 9000\r\n\r\n"), d.now(), nil)
 		n.read(make([]byte, 8000), d.now(), nil)
 	}
@@ -131,7 +131,7 @@
 func TestUsualClientsHaveRoom(t *testing.T) {
 	for _, c := range []struct{ sockets, memoryMB int }{{256, 32}, {384, 64}, {1024, 192}, {1024, 32}} {
 		l := limitsFor(c.sockets, c.memoryMB)
-		if l.north < c.sockets/3 || l.most <= l.north || l.most+l.south > c.sockets-16 {
+		if l.requests < c.sockets/3 || l.downstreams <= l.requests || l.downstreams+l.upstreams > c.sockets-16 {
 			t.Errorf("%+v: %+v", c, l)
 		}
 	}
@@ -149,15 +149,15 @@
 }
 
 // testClient is a connection from a client that sends nothing and takes nothing.
-func testClient(t *testing.T, d *Driver) *north {
+func testClient(t *testing.T, d *Driver) *downstream {
 	far, near := net.Pipe()
 	t.Cleanup(func() { far.Close(); near.Close() })
-	before := map[*north]bool{}
-	for n := range d.norths {
+	before := map[*downstream]bool{}
+	for n := range d.downstreams {
 		before[n] = true
 	}
 	d.take(near)
-	for n := range d.norths {
+	for n := range d.downstreams {
 		if !before[n] {
 			return n
 		}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -20,20 +20,20 @@
 
 // Figures that no setting gives.
 const (
-	eventsMost   = 256                    // events on their way; those who post wait beyond it
-	writeLimit   = 30 * time.Second       // a peer that takes no bytes for so long is given up
-	messageLimit = 2 * time.Second        // a message that has begun must be whole by then; a new connection's first at once
-	northIdle    = 5 * time.Minute        // idle connections that have carried a message are kept so long
-	goodbyeLimit = time.Second            // a peer must end what both sides know to be over by then
-	drainLimit   = 4 * time.Second        // so long a client that is turned away may go on sending before it is cut off
-	expireAfter  = 20 * time.Millisecond  // past a deadline; within the slack that the rules allow
-	dialDefault  = time.Second            // for hosts, where the settings give no time-out
-	idleDefault  = 10 * time.Second       // for connections to hosts, where the settings give no limit
-	lingerIdle   = 450 * time.Millisecond // once clients are sent away, they may use the connections they have for up to 0.4 s
-	arriveLimit  = time.Second            // after SIGTERM new connections come for up to 0.4 s; late ones on a busy machine included
-	fullAfter    = time.Second            // a client refused for want of descriptors may come back then
-	quietCheck   = 50 * time.Millisecond  // between looks whether all is quiet by then
-	acceptRetry  = 100 * time.Millisecond // between tries to accept while that fails
+	eventsMost     = 256                    // events on their way; those who post wait beyond it
+	writeLimit     = 30 * time.Second       // a peer that takes no bytes for so long is given up
+	messageLimit   = 2 * time.Second        // a request that has begun must be whole by then; a new connection's first at once
+	downstreamIdle = 5 * time.Minute        // idle connections that have carried a request are kept so long
+	goodbyeLimit   = time.Second            // a peer must end what both sides know to be over by then
+	drainLimit     = 4 * time.Second        // so long a client that is turned away may go on sending before it is cut off
+	expireAfter    = 20 * time.Millisecond  // past a deadline; within the slack that the rules allow
+	dialDefault    = time.Second            // for servers, where the settings give no time-out
+	idleDefault    = 10 * time.Second       // for connections to servers, where the settings give no limit
+	lingerIdle     = 450 * time.Millisecond // once clients are sent away, they may use the connections they have for up to 0.4 s
+	arriveLimit    = time.Second            // after SIGTERM new connections come for up to 0.4 s; late ones on a busy machine included
+	fullAfter      = time.Second            // a client refused for want of descriptors may come back then
+	quietCheck     = 50 * time.Millisecond  // between looks whether all is quiet by then
+	acceptRetry    = 100 * time.Millisecond // between tries to accept while that fails
 )
 
 // Driver serves one dispatcher.
@@ -48,29 +48,29 @@
 	later  []func() // what commands bring about at once, after all commands of a call
 	done   chan struct{}
 
-	lanes   map[string]platform.Lane
-	tenants map[string]int
-	norths  map[*north]struct{}
-	open    map[memory.ID]*north
-	relays  map[memory.RelayID]*relay
-	pool    pool
-	watches watches
-	starts  inventory.Starts // of the hosts
-	wake    *time.Timer
-	limits  limits
-	bytes   int           // of messages that clients have sent
-	full    chan struct{} // closed once another connection may be accepted
-	journal *journal      // nil where nothing is recorded
-	stopped time.Time     // SIGTERM; zero while serving
-	refuse  chan struct{} // closed once the listener is to take no more
-	refused bool          // and it takes no more
-	arrived time.Time     // the last connection
+	lanes       map[string]platform.Lane
+	tenants     map[string]int
+	downstreams map[*downstream]struct{}
+	open        map[memory.ID]*downstream
+	attempts    map[memory.RelayID]*attempt
+	pool        pool
+	watches     watches
+	starts      inventory.Starts // of the servers
+	wake        *time.Timer
+	limits      limits
+	bytes       int           // of requests that clients have sent
+	full        chan struct{} // closed once another connection may be accepted
+	journal     *journal      // nil where nothing is recorded
+	stopped     time.Time     // SIGTERM; zero while serving
+	refuse      chan struct{} // closed once the listener is to take no more
+	refused     bool          // and it takes no more
+	arrived     time.Time     // the last connection
 
 	quiesced   time.Time   // the operators' drain; zero while clients are taken
 	checking   bool        // check runs, as it does while stopping or drained
 	shut       bool        // the listener takes only what is in its queue, or nothing more
 	ending     ending      // what SIGTERM begins, when no later process takes over
-	serving    atomic.Bool // the door's health: hosts are known and clients are taken
+	serving    atomic.Bool // the door's health: servers are known and clients are taken
 	figures    *figures
 	cordonsOut latest.Place[[]string] // to the keeper of the file of cordons
 	started    time.Time              // of this process
@@ -86,20 +86,20 @@
 
 // limits shares out descriptors and memory.
 type limits struct {
-	north   int // messages open at once; beyond them new ones are refused
-	most    int // connections of clients; beyond them one that is missed least makes room
-	bytes   int // of messages that clients have sent; beyond them a client is turned away
-	ahead   int // bytes that one client may send ahead of an answer
-	south   int // connections to hosts
-	perHost int
+	requests    int // requests open at once; beyond them new ones are refused
+	downstreams int // connections of clients; beyond them one that is missed least makes room
+	bytes       int // of requests that clients have sent; beyond them a client is turned away
+	ahead       int // bytes that one client may send ahead of an answer
+	upstreams   int // connections to servers
+	perServer   int
 }
 
 // limitsFor leaves room for discovery, the listener, a log and what the runtime holds. Of the memory a quarter is
-// for what clients have sent: each body may have a copy on its way to a host, and the collector needs as much again.
+// for what clients have sent: each body may have a copy on its way to a server, and the collector needs as much again.
 func limitsFor(sockets, memoryMB int) limits {
 	usable := max(sockets-32, 16)
 	south := usable * 4 / 10
-	return limits{north: usable / 2, most: usable * 6 / 10, bytes: memoryMB << 20 / 4, ahead: aheadMost, south: south, perHost: max(south/4, 4)}
+	return limits{requests: usable / 2, downstreams: usable * 6 / 10, bytes: memoryMB << 20 / 4, ahead: aheadMost, upstreams: south, perServer: max(south/4, 4)}
 }
 
 // New makes a driver that serves on a listener.
@@ -112,8 +112,8 @@
 		cfg: cfg, core: core, clock: newClock(), log: log, ln: ln, lanes: cfg.Lanes(), tenants: cfg.Tenants(), ending: endingFor(cfg.Settings.Classes),
 		events: make(chan func(), eventsMost), done: make(chan struct{}),
 		refuse: make(chan struct{}), dial: dialTCP,
-		norths: map[*north]struct{}{}, open: map[memory.ID]*north{}, relays: map[memory.RelayID]*relay{},
-		pool: pool{hosts: map[string]*hostConns{}}, limits: limitsFor(cfg.Sockets, cfg.MemoryMB),
+		downstreams: map[*downstream]struct{}{}, open: map[memory.ID]*downstream{}, attempts: map[memory.RelayID]*attempt{},
+		pool: pool{servers: map[string]*serverConns{}}, limits: limitsFor(cfg.Sockets, cfg.MemoryMB),
 		figures: newFigures(cfg.Settings.Classes), cordonsOut: latest.New[[]string](), started: time.Now(),
 		files: systemFiles{}, mark: fmt.Sprintf("%d-%x", os.Getpid(), time.Now().UnixNano()),
 	}, nil
@@ -168,7 +168,7 @@
 // taking tells whether new clients are asked for: neither SIGTERM nor the operators' drain came.
 func (d *Driver) taking() bool { return d.stopped.IsZero() && d.quiesced.IsZero() }
 
-// census tells the door how many hosts are listed and avoided, and whether this process serves; it follows the
+// census tells the door how many servers are listed and avoided, and whether this process serves; it follows the
 // inventory, the cordons, the drain and the stop, which are all that change these.
 func (d *Driver) census() {
 	listed, avoided := d.core.Census()
--- a/internal/driver/errors.go
+++ b/internal/driver/errors.go
@@ -44,7 +44,7 @@
 
 // left tells whether a client has closed its connection behind bytes that are left unread; where all is read, the reader
 // sees it.
-func (n *north) left() bool {
+func (n *downstream) left() bool {
 	t, tcp := n.c.(*net.TCPConn)
 	if !n.paused || !tcp {
 		return false
--- a/internal/driver/figures.go
+++ b/internal/driver/figures.go
@@ -15,7 +15,7 @@
 type figures struct {
 	set                           *metrics.Set
 	success, overload, failed     []*metrics.Counter // by class
-	dispatches                    *metrics.Counter   // relays whose request was written whole
+	dispatches                    *metrics.Counter   // attempts whose request was written whole
 	concurrent, targets, disabled atomic.Int64
 	more                          atomic.Pointer[[]byte] // of the fleet, as last written; nil where nothing is shared
 }
@@ -39,7 +39,7 @@
 	return f
 }
 
-// answered counts the final answer of a message of a class by the status that its client is given.
+// answered counts the final answer of a request of a class by the status that its client is given.
 func (f *figures) answered(class, status int) {
 	if class < 0 || class >= len(f.success) {
 		return
--- a/internal/driver/inventory.go
+++ b/internal/driver/inventory.go
@@ -171,7 +171,7 @@
 	d.census()
 }
 
-// takeHosts hands hosts to the core, with their starts in the dispatcher's own time.
+// takeHosts hands servers to the core, with their starts in the dispatcher's own time.
 func (d *Driver) takeHosts(how logic.ListKind, hosts []memory.Host) {
 	now, wall := d.now(), d.clock.wall().UnixMicro()
 	for i := range hosts {
--- a/internal/driver/journal.go
+++ b/internal/driver/journal.go
@@ -9,7 +9,7 @@
 	"granitewing/internal/seam"
 )
 
-// refusedFor is when a client may come back whose message can't be recorded now.
+// refusedFor is when a client may come back whose request can't be recorded now.
 const refusedFor = time.Second
 
 // settleLimit is how long the end of the dispatcher waits for what is not written yet.
@@ -35,7 +35,7 @@
 	failed bool  // the last write did
 }
 
-// Keep has the driver record messages; to be called before Run.
+// Keep has the driver record requests; to be called before Run.
 func (d *Driver) Keep(r Records) {
 	d.journal = &journal{Journal: r.Journal, d: d, store: r.Store, limit: r.Limit, writes: make(chan []record.Record, 1)}
 	go d.journal.writing()
--- a/internal/driver/journal_test.go
+++ b/internal/driver/journal_test.go
@@ -37,14 +37,14 @@
 	}
 }
 
-// stage is a driver on real sockets with one host that serves all at once, and a store under the test's hand.
+// stage is a driver on real sockets with one server that serves all at once, and a store under the test's hand.
 type stage struct {
 	t     *testing.T
 	d     *Driver
 	store *gate
 	addr  string
 	mu    sync.Mutex
-	got   []string // names that reached the host
+	got   []string // names that reached the server
 	block chan struct{}
 }
 
@@ -119,7 +119,7 @@
 	}
 }
 
-// ask sends a message on a connection of its own and gives what becomes of it.
+// ask sends a request on a connection of its own and gives what becomes of it.
 func (s *stage) ask(class, name string) <-chan string {
 	out := make(chan string, 1)
 	c, err := net.Dial("tcp", s.addr)
@@ -157,7 +157,7 @@
 	}
 }
 
-// A job that must not run twice reaches no host before its record is durable, and its client hears nothing before its
+// A job that must not run twice reaches no server before its record is durable, and its client hears nothing before its
 // answer's is; readings go by meanwhile.
 func TestStoreComesFirst(t *testing.T) {
 	s := newStage(t, time.Minute)
--- a/internal/driver/limits.go
+++ b/internal/driver/limits.go
@@ -8,11 +8,11 @@
 	"granitewing/internal/memory"
 )
 
-// fleetLimits holds messages to the limits of the fleet, by the rights that this dispatcher has. It belongs to the owner.
+// fleetLimits holds requests to the limits of the fleet, by the rights that this dispatcher has. It belongs to the owner.
 type fleetLimits struct {
 	part   *limit.Part
 	now    func() int64
-	places map[memory.ID]limit.Places // of open messages that have taken any
+	places map[memory.ID]limit.Places // of open requests that have taken any
 }
 
 // Enter implements memory.Limits.
--- a/internal/driver/share.go
+++ b/internal/driver/share.go
@@ -16,7 +16,7 @@
 	"granitewing/logic"
 )
 
-// Peers carries reports, and messages about limits, between the dispatchers of a fleet. No call waits for one.
+// Peers carries reports, and requests about limits, between the dispatchers of a fleet. No call waits for one.
 type Peers interface {
 	Tell([]ledger.Out)
 	Take() ledger.Heard
@@ -32,9 +32,9 @@
 	Incarnation uint64
 	Rights      *limit.Options // limits of the fleet; nil: there are none
 	Retries     float64        // attempts beyond the first, as a share of first ones; 0: as many as the site allows
-	Verdicts    bool           // hosts are judged by what all members find of them
-	Slack       bool           // messages are let in by one price of the whole fleet's work
-	Gangs       *gang.Options  // messages that run as parts at many hosts at once; nil: none do. They need Rights
+	Verdicts    bool           // servers are judged by what all members find of them
+	Slack       bool           // requests are let in by one price of the whole fleet's work
+	Gangs       *gang.Options  // requests that run as parts at many servers at once; nil: none do. They need Rights
 }
 
 // statusEvery is how many periods apart the figures of the members are written anew.
@@ -56,7 +56,7 @@
 	bad      int
 	old      int
 	there    int
-	givenUp  int          // messages, for want of a right to another attempt
+	givenUp  int          // requests, for want of a right to another attempt
 	rights   *fleetLimits // nil: there are none
 	resigned chan struct{}
 	court    *court.Court   // nil: this dispatcher goes by what it finds itself
@@ -88,7 +88,7 @@
 }
 
 // share takes what has come, tells the decisions and the others, and does so again after the period. It is beside the
-// path of every message: none waits for it.
+// path of every request: none waits for it.
 func (d *Driver) share() {
 	s, now := d.sharing, d.now()
 	h := s.Peers.Take()
--- a/internal/driver/stop.go
+++ b/internal/driver/stop.go
@@ -86,7 +86,7 @@
 		since = d.stopped
 	}
 	if d.parting() && time.Since(since) > lingerIdle {
-		for n := range d.norths {
+		for n := range d.downstreams {
 			if n.idle() && time.Since(n.since) > lingerIdle {
 				n.retire()
 			}
@@ -96,7 +96,7 @@
 		if time.Since(d.stopped) >= d.ending.last {
 			d.giveUp()
 		}
-		if !d.shut && (len(d.norths) == 0 || d.parting()) && time.Since(d.stopped) > arriveLimit && time.Since(d.arrived) > arriveLimit/2 {
+		if !d.shut && (len(d.downstreams) == 0 || d.parting()) && time.Since(d.stopped) > arriveLimit && time.Since(d.arrived) > arriveLimit/2 {
 			d.shutListener()
 		}
 	}
@@ -115,13 +115,13 @@
 // quiet tells whether the listener is closed and nothing is held any more. check shuts the listener: at once where a
 // successor shares the address, else once no connection came for a while.
 func (d *Driver) quiet() bool {
-	return d.refused && len(d.events) == 0 && len(d.norths) == 0 && d.core.Open() == 0 && (d.journal == nil || d.journal.settled())
+	return d.refused && len(d.events) == 0 && len(d.downstreams) == 0 && d.core.Open() == 0 && (d.journal == nil || d.journal.settled())
 }
 
 // leave lets go of what is left.
 func (d *Driver) leave() {
 	d.watches.leave()
-	for addr := range d.pool.hosts {
+	for addr := range d.pool.servers {
 		d.pool.leave(addr)
 	}
 }
--- a/internal/driver/stop_test.go
+++ b/internal/driver/stop_test.go
@@ -66,7 +66,7 @@
 		t.Fatal(err)
 	}
 	d.core.Inventory(d.now(), logic.ListFull, []memory.Host{{Name: "s-a", Addr: "127.0.0.1:1", Phase: logic.Ready}})
-	hold := func(name string, ago time.Duration) *north {
+	hold := func(name string, ago time.Duration) *downstream {
 		n := testClient(t, d)
 		n.msg = &platform.Message{Txn: name, Message: memory.Message{Name: name}, Remaining: 2 * time.Hour}
 		n.at = d.now() - ago.Microseconds()
@@ -76,7 +76,7 @@
 	before, early, later := hold("before", time.Hour), hold("early", time.Hour-lostFrom/2), hold("later", time.Hour-2*lostFrom)
 	d.stopped = time.Now().Add(-time.Hour)
 	d.check()
-	for n, want := range map[*north]bool{before: true, early: true, later: false} {
+	for n, want := range map[*downstream]bool{before: true, early: true, later: false} {
 		if n.held != want {
 			t.Errorf("a message that came %v after SIGTERM: held %t, want %t",
 				time.Hour-time.Duration(d.now()-n.at)*time.Microsecond, n.held, want)
--- a/internal/driver/south.go
+++ b/internal/driver/upstream.go
@@ -10,67 +10,67 @@
 	"granitewing/logic"
 )
 
-// relay is one attempt on its way.
-type relay struct {
+// attempt is one attempt on its way.
+type attempt struct {
 	id    memory.RelayID
 	msg   *platform.Message
 	addr  string
 	until int64
 	part  *platform.Part // of a gang; else nil
-	on    *south         // nil while its connection is being made
+	on    *upstream      // nil while its connection is being made
 	timer *time.Timer
 }
 
-// south is a connection to a south side host; it carries one relay at a time.
-type south struct {
+// upstream is a connection to a upstream side server; it carries one attempt at a time.
+type upstream struct {
 	*conn
 	addr    string
 	parser  *platform.Relay
-	relay   *relay
+	attempt *attempt
 	pending bool // the request is not wholly written, as far as the writer has told
 	counted bool // the request is, and was counted
 	broken  bool // the connection failed before the writer told how far it came
 	waiting bool // the outcome is known, the end of the answer is not
-	uses    int  // relays begun
+	uses    int  // attempts begun
 	timer   *time.Timer
 }
 
-// pool counts the connections to hosts and keeps the idle ones, the latest used last.
+// pool counts the connections to servers and keeps the idle ones, the latest used last.
 type pool struct {
-	hosts map[string]*hostConns
-	count int
+	servers map[string]*serverConns
+	count   int
 }
 
-type hostConns struct {
+type serverConns struct {
 	count int
-	idle  []*south
+	idle  []*upstream
 }
 
 // add books a connection that is up or being made, or one that is no more.
 func (p *pool) add(addr string, by int) {
-	h := p.hosts[addr]
+	h := p.servers[addr]
 	if h == nil {
-		h = &hostConns{}
-		p.hosts[addr] = h
+		h = &serverConns{}
+		p.servers[addr] = h
 	}
 	h.count += by
 	p.count += by
 	if h.count == 0 {
-		delete(p.hosts, addr)
+		delete(p.servers, addr)
 	}
 }
 
-// open counts the connections to a host.
+// open counts the connections to a server.
 func (p *pool) open(addr string) int {
-	if h := p.hosts[addr]; h != nil {
+	if h := p.servers[addr]; h != nil {
 		return h.count
 	}
 	return 0
 }
 
-// latest takes out the idle connection to a host that was used last, nil if there is none.
-func (p *pool) latest(addr string) *south {
-	h := p.hosts[addr]
+// latest takes out the idle connection to a server that was used last, nil if there is none.
+func (p *pool) latest(addr string) *upstream {
+	h := p.servers[addr]
 	if h == nil || len(h.idle) == 0 {
 		return nil
 	}
@@ -80,9 +80,9 @@
 	return s
 }
 
-// leave closes the idle connections to a host.
+// leave closes the idle connections to a server.
 func (p *pool) leave(addr string) {
-	if h := p.hosts[addr]; h != nil {
+	if h := p.servers[addr]; h != nil {
 		for len(h.idle) > 0 {
 			h.idle[0].end()
 		}
@@ -91,7 +91,7 @@
 
 // evict closes an idle connection to make room, and tells whether it could.
 func (p *pool) evict() bool {
-	for _, h := range p.hosts {
+	for _, h := range p.servers {
 		if len(h.idle) > 0 {
 			h.idle[0].end()
 			return true
@@ -100,28 +100,28 @@
 	return false
 }
 
-// send starts a relay on the connection to its host that was used last, or on a new one.
+// send starts an attempt on the connection to its server that was used last, or on a new one.
 func (d *Driver) send(c memory.Command) {
 	n := d.open[c.Relay.Message]
 	if n == nil {
-		return // the client has just left; the core is told next and drops the relay
+		return // the client has just left; the core is told next and drops the attempt
 	}
 	if n.left() {
 		n.end()
 		return
 	}
-	r := &relay{id: c.Relay, msg: n.msg, addr: c.Addr, until: c.Until}
+	r := &attempt{id: c.Relay, msg: n.msg, addr: c.Addr, until: c.Until}
 	if g := c.Gang; g != nil {
 		r.part = &platform.Part{Rank: g.Rank, Peers: g.Peers, Within: time.Duration(g.Within) * time.Microsecond}
 	}
-	d.relays[r.id] = r
+	d.attempts[r.id] = r
 	r.timer = d.after(time.Duration(r.until-d.now())*time.Microsecond, func() { d.timedOut(r) })
 	if s := d.pool.latest(r.addr); s != nil {
 		s.begin(r)
 		return
 	}
-	if d.pool.open(r.addr) >= d.limits.perHost || d.pool.count >= d.limits.south && !d.pool.evict() {
-		// Nothing is wrong with the host, so it must not look like one that can't be reached.
+	if d.pool.open(r.addr) >= d.limits.perServer || d.pool.count >= d.limits.upstreams && !d.pool.evict() {
+		// Nothing is wrong with the server, so it must not look like one that can't be reached.
 		d.later = append(d.later, func() { d.ended(r, logic.Moot, nil) })
 		return
 	}
@@ -133,15 +133,15 @@
 	}()
 }
 
-// dialled goes on with a relay whose connection is up or has failed. One that was dropped meanwhile leaves
+// dialled goes on with an attempt whose connection is up or has failed. One that was dropped meanwhile leaves
 // its connection to the next.
-func (d *Driver) dialled(r *relay, c net.Conn, err error) {
+func (d *Driver) dialled(r *attempt, c net.Conn, err error) {
 	if err != nil {
 		d.pool.add(r.addr, -1)
 		d.ended(r, dialResult(err), nil)
 		return
 	}
-	s := &south{addr: r.addr}
+	s := &upstream{addr: r.addr}
 	s.parser = platform.NewRelay(s.note)
 	s.conn = d.newConn(c, 1, s.read, s.wrote)
 	n := d.open[r.id.Message]
@@ -150,7 +150,7 @@
 		n.end()
 	}
 	switch {
-	case left || d.relays[r.id] != r:
+	case left || d.attempts[r.id] != r:
 		s.rest()
 	case !d.core.May(d.now(), r.id):
 		s.end()
@@ -160,13 +160,13 @@
 	}
 }
 
-// begin writes a relay's request.
-func (s *south) begin(r *relay) {
+// begin writes an attempt's request.
+func (s *upstream) begin(r *attempt) {
 	if s.timer != nil {
 		s.timer.Stop()
 	}
 	s.uses++
-	r.on, s.relay, s.pending, s.counted = s, r, true, false
+	r.on, s.attempt, s.pending, s.counted = s, r, true, false
 	s.parser.Begin(r.msg.Txn)
 	s.write(func() []byte {
 		// What is left to the client counts from the moment of the writing, however long the writer has waited.
@@ -175,9 +175,9 @@
 	})
 }
 
-// rest keeps the connection for the next relay, and closes it before the host would.
-func (s *south) rest() {
-	h := s.d.pool.hosts[s.addr]
+// rest keeps the connection for the next attempt, and closes it before the server would.
+func (s *upstream) rest() {
+	h := s.d.pool.servers[s.addr]
 	h.idle = append(h.idle, s)
 	if s.timer != nil {
 		s.timer.Stop()
@@ -192,7 +192,7 @@
 }
 
 // end closes the connection and takes it off the books.
-func (s *south) end() {
+func (s *upstream) end() {
 	if s.gone {
 		return
 	}
@@ -200,15 +200,15 @@
 	if s.timer != nil {
 		s.timer.Stop()
 	}
-	h := s.d.pool.hosts[s.addr]
+	h := s.d.pool.servers[s.addr]
 	if i := slices.Index(h.idle, s); i >= 0 {
 		h.idle = slices.Delete(h.idle, i, i+1)
 	}
 	s.d.pool.add(s.addr, -1)
 }
 
-// read takes bytes from a host, or the end of them.
-func (s *south) read(b []byte, _ int64, err error) bool {
+// read takes bytes from a server, or the end of them.
+func (s *upstream) read(b []byte, _ int64, err error) bool {
 	if err == nil {
 		err = s.parser.Feed(b)
 	}
@@ -219,10 +219,10 @@
 	return !s.gone
 }
 
-// fail ends a connection that broke or spoke garbage. Whether its relay may have run depends on whether the
+// fail ends a connection that broke or spoke garbage. Whether its attempt may have run depends on whether the
 // whole request was written, which only the writer knows.
-func (s *south) fail() {
-	r := s.relay
+func (s *upstream) fail() {
+	r := s.attempt
 	if r != nil && s.pending {
 		s.broken = true
 		s.c.Close()
@@ -235,15 +235,15 @@
 }
 
 // wrote follows the write of a request.
-func (s *south) wrote(err error) {
+func (s *upstream) wrote(err error) {
 	s.pending = false
-	if err == nil && s.relay != nil {
+	if err == nil && s.attempt != nil {
 		s.count()
 	}
 	if s.gone || err == nil && !s.broken {
 		return
 	}
-	r := s.relay
+	r := s.attempt
 	s.end()
 	if r == nil {
 		return
@@ -257,16 +257,16 @@
 }
 
 // count counts a request that was written whole.
-func (s *south) count() {
+func (s *upstream) count() {
 	if !s.counted {
 		s.counted = true
 		s.d.figures.dispatches.Inc()
 	}
 }
 
-// note takes what the host says of the relay. It has the request then, though the writer's word may come later.
-func (s *south) note(n platform.Note) {
-	r, d := s.relay, s.d
+// note takes what the server says of the attempt. It has the request then, though the writer's word may come later.
+func (s *upstream) note(n platform.Note) {
+	r, d := s.attempt, s.d
 	if r != nil {
 		s.count()
 	}
@@ -287,7 +287,7 @@
 			d.do(d.core.Progress(d.now(), r.id, n.Share))
 		}
 	case platform.NoteEnded:
-		s.relay, s.waiting = nil, true
+		s.attempt, s.waiting = nil, true
 		s.timer = d.after(goodbyeLimit, func() {
 			if s.waiting {
 				s.end()
@@ -307,10 +307,10 @@
 	}
 }
 
-// ended books the end of a relay and tells the core; a connection that it still holds is closed first, so
+// ended books the end of an attempt and tells the core; a connection that it still holds is closed first, so
 // that no other attempt starts while this one is out.
-func (d *Driver) ended(r *relay, result logic.Result, content []byte) {
-	if d.relays[r.id] != r {
+func (d *Driver) ended(r *attempt, result logic.Result, content []byte) {
+	if d.attempts[r.id] != r {
 		return
 	}
 	d.release(r)
@@ -320,8 +320,8 @@
 	d.do(d.core.Ended(d.now(), r.id, result, content))
 }
 
-// timedOut ends a relay whose time is over. One whose connection is not up was never sent.
-func (d *Driver) timedOut(r *relay) {
+// timedOut ends an attempt whose time is over. One whose connection is not up was never sent.
+func (d *Driver) timedOut(r *attempt) {
 	if r.on == nil {
 		d.ended(r, logic.Moot, nil)
 		return
@@ -329,18 +329,18 @@
 	d.ended(r, logic.TimedOut, nil)
 }
 
-// drop stops a relay that the decisions called off.
+// drop stops an attempt that the decisions called off.
 func (d *Driver) drop(id memory.RelayID) {
-	if r := d.relays[id]; r != nil {
+	if r := d.attempts[id]; r != nil {
 		d.release(r)
 	}
 }
 
-func (d *Driver) release(r *relay) {
-	delete(d.relays, r.id)
+func (d *Driver) release(r *attempt) {
+	delete(d.attempts, r.id)
 	r.timer.Stop()
 	if r.on != nil {
-		r.on.relay = nil
+		r.on.attempt = nil
 		r.on.end()
 	}
 }
--- a/internal/driver/south_test.go
+++ b/internal/driver/upstream_test.go
@@ -57,16 +57,16 @@
 			defer close(d.done)
 			client, near := net.Pipe()
 			host, far := net.Pipe()
-			n := &north{parser: platform.NewNorth(nil, nil), msg: msg, held: true, expiry: time.NewTimer(time.Hour)}
+			n := &downstream{parser: platform.NewNorth(nil, nil), msg: msg, held: true, expiry: time.NewTimer(time.Hour)}
 			n.conn = d.newConn(near, 3, n.read, n.wrote)
 			d.core.Inventory(d.now(), logic.ListFull, []memory.Host{{Name: "s-a", Addr: "a", Phase: logic.Ready}})
 			n.id, _ = d.core.Arrive(d.now(), msg.Message, 0)
 			d.open[n.id] = n
 
-			r := &relay{id: memory.RelayID{Message: n.id}, msg: msg, addr: "a", until: d.now() + 1_000_000, timer: time.NewTimer(time.Hour)}
-			d.relays[r.id] = r
+			r := &attempt{id: memory.RelayID{Message: n.id}, msg: msg, addr: "a", until: d.now() + 1_000_000, timer: time.NewTimer(time.Hour)}
+			d.attempts[r.id] = r
 			d.pool.add("a", 1)
-			s := &south{addr: "a"}
+			s := &upstream{addr: "a"}
 			s.parser = platform.NewRelay(s.note)
 			s.conn = d.newConn(far, 1, s.read, s.wrote)
 			s.begin(r)
@@ -80,7 +80,7 @@
 				got <- line
 				io.Copy(&bytes.Buffer{}, client)
 			}()
-			pump(t, d, func() bool { return d.relays[r.id] == nil && d.open[n.id] == nil })
+			pump(t, d, func() bool { return d.attempts[r.id] == nil && d.open[n.id] == nil })
 			if line := <-got; line != c.answer {
 				t.Errorf("answer %q, want %q", line, c.answer)
 			}
@@ -91,19 +91,19 @@
 	}
 }
 
-// A request is counted once, whether the host answers before the writer has told that it is written or after.
+// A request is counted once, whether the server answers before the writer has told that it is written or after.
 func TestDispatchesCounted(t *testing.T) {
 	for _, answered := range []bool{true, false} {
 		d := testDriver(t)
 		far, near := net.Pipe()
 		defer far.Close()
 		d.pool.add("a", 1)
-		s := &south{addr: "a"}
+		s := &upstream{addr: "a"}
 		s.parser = platform.NewRelay(s.note)
 		s.conn = d.newConn(near, 1, s.read, s.wrote)
 		msg := &platform.Message{Method: "POST", Target: "/readings", Txn: "t1", Lane: "readings"}
-		r := &relay{id: memory.RelayID{Message: 7}, msg: msg, addr: "a", until: d.now() + 1_000_000, timer: time.NewTimer(time.Hour)}
-		d.relays[r.id] = r
+		r := &attempt{id: memory.RelayID{Message: 7}, msg: msg, addr: "a", until: d.now() + 1_000_000, timer: time.NewTimer(time.Hour)}
+		d.attempts[r.id] = r
 		s.begin(r)
 		if !answered {
 			s.wrote(nil)
@@ -119,15 +119,15 @@
 	}
 }
 
-// A connection that comes up after its host was barred carries nothing to it: the rules count from the first byte.
+// A connection that comes up after its server was barred carries nothing to it: the rules count from the first byte.
 func TestLateConnectionToABarredHost(t *testing.T) {
 	for _, barred := range []bool{false, true} {
 		d := testDriver(t)
 		d.core.Inventory(d.now(), logic.ListFull, []memory.Host{{Name: "s-a", Addr: "a", Phase: logic.Ready}})
 		msg := &platform.Message{Method: "POST", Target: "/readings", Txn: "t1", Lane: "readings"}
 		id, _ := d.core.Arrive(d.now(), msg.Message, 0)
-		r := &relay{id: memory.RelayID{Message: id}, msg: msg, addr: "a", until: d.now() + 1_000_000, timer: time.NewTimer(time.Hour)}
-		d.relays[r.id] = r
+		r := &attempt{id: memory.RelayID{Message: id}, msg: msg, addr: "a", until: d.now() + 1_000_000, timer: time.NewTimer(time.Hour)}
+		d.attempts[r.id] = r
 		d.pool.add("a", 1)
 		if barred {
 			d.core.Cordon(d.now(), "s-a", true)
@@ -143,7 +143,7 @@
 		if n := <-got; (n == 0) != barred {
 			t.Errorf("barred %t: %d bytes came", barred, n)
 		}
-		if ended := d.relays[r.id] == nil; ended != barred || (d.pool.count == 0) != barred {
+		if ended := d.attempts[r.id] == nil; ended != barred || (d.pool.count == 0) != barred {
 			t.Errorf("barred %t: relay ended %t, %d connections on the books", barred, ended, d.pool.count)
 		}
 	}
