Say when a listener is emptied and closed, and have the upgrade's test wait for that

Seen: TestUpgrade failed twice in six runs beside other tests, its second client answered by the old process with Connection: close.

--- a/cmd/granitewing/main_test.go
+++ b/cmd/granitewing/main_test.go
@@ -371,7 +371,9 @@
 	if line := w.await("stopping"); !strings.Contains(line, "successor=true") {
 		t.Fatalf("the old process did not see the new one: %s", line)
 	}
-	// Every connection from now on is the new process's; it holds the cordon, so b runs this one too.
+	// What stood in the old one's queue is its own; every connection from then on is the new process's. That holds the
+	// cordon, so b runs this one too.
+	w.await("listens no more")
 	for _, step := range []struct{ title, data string }{
 		{"client/2 sends", strings.Replace(held, "NAME", "2", 1)},
 		{"b/2 gets", "POST /readings HTTP/1.1\nHost: {b}\nX-Txn: t2\nX-Lane: readings\nX-Remaining: *\nContent-Length: 0\n\n"},
--- a/internal/driver/accept.go
+++ b/internal/driver/accept.go
@@ -15,7 +15,10 @@
 // accept takes connections until the listener is shut, then those that are in its queue: the machine has accepted them, and
 // closing the listener resets them. Only while as many as may be open are all owed something do they wait there.
 func (d *Driver) accept() {
-	defer d.post(func() { d.refused = true })
+	defer d.post(func() {
+		d.refused = true
+		d.log.Info("listens no more")
+	})
 	defer d.ln.Close()
 	for {
 		c, err := d.ln.Accept()
