--- a/internal/driver/crossing_test.go
+++ b/internal/driver/crossing_test.go
@@ -461,6 +461,37 @@
 	}
 }
 
+// A process whose place another has taken sends nothing to a server in slow start, whose budget is the other's now.
+func TestSucceededProcessSparesServersInSlowStart(t *testing.T) {
+	for _, succeeded := range []bool{false, true} {
+		x := newCrossing(t, logic.Class{Name: "readings", Aim: 100_000, Deadline: 60_000_000, WorkerKind: -1})
+		settings := x.d.cfg.Settings
+		settings.Cold, settings.StartCapacity, settings.FallWindow, settings.FallMultiple = 24_000_000, 0.3, 2_000_000, 30
+		core, err := memory.New(settings, 7)
+		if err != nil {
+			t.Fatal(err)
+		}
+		x.d.core = core
+		var elapsed atomic.Int64
+		x.d.clock.elapsed = func() time.Duration { return time.Duration(elapsed.Load()) }
+		x.d.takeHosts(logic.ListFull, nil) // its own start
+		elapsed.Store(int64(10 * time.Second))
+		x.d.takeHosts(logic.ListFull, []memory.Host{{Name: "s-a", Addr: "127.0.0.1:1", Phase: logic.Ready, UpSince: x.d.now() - 1_000_000}})
+		dialled := 0
+		x.d.dial = func(string, time.Duration) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+		c, _ := x.client()
+		x.d.successor.Store(succeeded)
+		if succeeded {
+			x.d.stop()
+		}
+		io.WriteString(c, request("t1"))
+		x.until(func() bool { dialled = len(x.d.attempts); return len(x.d.open) == 1 || dialled > 0 })
+		if (dialled > 0) == succeeded {
+			t.Errorf("succeeded %t: %d attempts", succeeded, dialled)
+		}
+	}
+}
+
 // A listener that fails for a moment is asked again, not at once and not never.
 func TestAcceptGoesOnAfterErrors(t *testing.T) {
 	x := newCrossing(t)
