--- /dev/null
+++ b/internal/system/agreement/disk/disk.go
@@ -0,0 +1,266 @@
+// Package disk keeps a member of an agreement group on its disk: term, vote and entries in a log of segments, the
+// snapshot in a file beside it.
+package disk
+
+import (
+	"fmt"
+	"hash/crc32"
+	"strings"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"granitewing/internal/system/agreement"
+	"granitewing/internal/system/segment"
+)
+
+const (
+	snapshotPrefix  = "snapshot-"
+	segmentLength   = 4 << 20
+	checksumLength  = 4
+	keptSnapshots   = 1
+	recordOverflow  = 2 // segments before the log is compacted
+	entriesOverflow = 2048
+)
+
+// record is one record of the log. Set fields apply in their order.
+type record struct {
+	Started    bool // the member exists; the first record of a disk
+	Recovering bool // with Started: the disk was lost, the member counts for nothing until Recovered
+	Recovered  bool
+	HardState  *agreement.HardState
+	// Snapshot is the index whose file replaces the log; entries before it are void.
+	Snapshot uint64
+	Entries  []agreement.Entry
+}
+
+// CorruptError tells of a disk whose records contradict each other: not what a loss of power leaves.
+type CorruptError struct{ Reason string }
+
+func (e *CorruptError) Error() string { return "agreement log: " + e.Reason }
+
+// Member is the disk of one member of a group.
+type Member struct {
+	files      segment.Files
+	log        *segment.Log
+	stored     agreement.Stored
+	recovering bool
+	snapshots  []uint64 // indexes of the snapshot files
+}
+
+// Open reads a member's disk. On an empty one the member starts anew: as a founder where bootstrap is set, else as one
+// that lost its disk and has to recover.
+func Open(files segment.Files, bootstrap bool) (*Member, error) {
+	log, err := segment.Open(files, segmentLength)
+	if err != nil {
+		return nil, err
+	}
+	member := &Member{files: files, log: log}
+	if err := member.listSnapshots(); err != nil {
+		return nil, err
+	}
+	started := false
+	err = log.Replay(func(_ segment.Position, payload []byte) error {
+		var entry record
+		if err := msgpack.Unmarshal(payload, &entry); err != nil {
+			return &CorruptError{Reason: "record can't be read: " + err.Error()}
+		}
+		started = started || entry.Started
+		return member.apply(&entry)
+	})
+	if err != nil {
+		return nil, err
+	}
+	if !started {
+		member.recovering = !bootstrap
+		if err := member.write(&record{Started: true, Recovering: member.recovering}); err != nil {
+			return nil, err
+		}
+	}
+	return member, nil
+}
+
+func (m *Member) listSnapshots() error {
+	names, err := m.files.List()
+	if err != nil {
+		return &segment.FileError{Operation: "list", Name: "agreement folder", Err: err}
+	}
+	for _, name := range names {
+		var index uint64
+		if !strings.HasPrefix(name, snapshotPrefix) {
+			continue
+		}
+		if _, err := fmt.Sscanf(name, snapshotPrefix+"%016x", &index); err == nil {
+			m.snapshots = append(m.snapshots, index)
+		}
+	}
+	return nil
+}
+
+// Stored is what the member starts from.
+func (m *Member) Stored() agreement.Stored { return m.stored }
+
+// Recovering tells whether the member lost its disk and has not caught up.
+func (m *Member) Recovering() bool { return m.recovering }
+
+func (m *Member) apply(entry *record) error {
+	if entry.Started {
+		m.recovering = entry.Recovering
+	}
+	if entry.Recovered {
+		m.recovering = false
+	}
+	if entry.HardState != nil {
+		m.stored.HardState = *entry.HardState
+	}
+	if entry.Snapshot > m.stored.Snapshot.Index {
+		snapshot, err := m.readSnapshot(entry.Snapshot)
+		if err != nil {
+			return err
+		}
+		m.stored.Snapshot = *snapshot
+		m.dropBefore(snapshot)
+	}
+	return m.appendEntries(entry.Entries)
+}
+
+func (m *Member) dropBefore(snapshot *agreement.Snapshot) {
+	var kept []agreement.Entry
+	for _, entry := range m.stored.Entries {
+		if entry.Index > snapshot.Index {
+			kept = append(kept, entry)
+		}
+	}
+	if len(kept) > 0 && kept[0].Index != snapshot.Index+1 {
+		kept = nil
+	}
+	m.stored.Entries = kept
+}
+
+func (m *Member) appendEntries(entries []agreement.Entry) error {
+	for _, entry := range entries {
+		first := m.stored.Snapshot.Index + 1
+		if entry.Index < first {
+			continue
+		}
+		at := entry.Index - first
+		if at > uint64(len(m.stored.Entries)) {
+			return &CorruptError{Reason: fmt.Sprintf("entry %d follows %d", entry.Index, first+uint64(len(m.stored.Entries))-1)}
+		}
+		m.stored.Entries = append(m.stored.Entries[:at], entry)
+	}
+	return nil
+}
+
+func (m *Member) write(entry *record) error {
+	payload, err := msgpack.Marshal(entry)
+	if err != nil {
+		return &CorruptError{Reason: "record can't be written: " + err.Error()}
+	}
+	if _, err := m.log.Append(payload); err != nil {
+		return err
+	}
+	return m.log.Sync()
+}
+
+// Save writes and syncs what a Ready asks for. After an error the member must not go on.
+func (m *Member) Save(ready *agreement.Ready) error {
+	if !ready.MustSync() {
+		return nil
+	}
+	entry := record{HardState: ready.HardState, Entries: ready.Entries, Recovered: ready.Recovered}
+	if ready.Snapshot != nil {
+		if err := m.writeSnapshot(ready.Snapshot); err != nil {
+			return err
+		}
+		entry.Snapshot = ready.Snapshot.Index
+	}
+	return m.write(&entry)
+}
+
+// WantsCompaction tells whether the log has grown enough to be replaced by a snapshot.
+func (m *Member) WantsCompaction(entries int) bool {
+	return entries > entriesOverflow || len(m.log.Segments()) > recordOverflow
+}
+
+// Compact replaces the log by a snapshot and what follows it.
+func (m *Member) Compact(stored agreement.Stored, recovering bool) error {
+	if err := m.writeSnapshot(&stored.Snapshot); err != nil {
+		return err
+	}
+	if err := m.log.Rotate(); err != nil {
+		return err
+	}
+	head := record{Started: true, Recovering: recovering, HardState: &stored.HardState,
+		Snapshot: stored.Snapshot.Index, Entries: stored.Entries}
+	if err := m.write(&head); err != nil {
+		return err
+	}
+	for len(m.log.Segments()) > 1 {
+		if err := m.log.RemoveOldest(); err != nil {
+			return err
+		}
+	}
+	return m.removeSnapshots()
+}
+
+func (m *Member) removeSnapshots() error {
+	for len(m.snapshots) > keptSnapshots {
+		name := snapshotName(m.snapshots[0])
+		if err := m.files.Remove(name); err != nil {
+			return &segment.FileError{Operation: "remove", Name: name, Err: err}
+		}
+		m.snapshots = m.snapshots[1:]
+	}
+	return nil
+}
+
+func snapshotName(index uint64) string { return fmt.Sprintf(snapshotPrefix+"%016x", index) }
+
+func (m *Member) writeSnapshot(snapshot *agreement.Snapshot) error {
+	payload, err := msgpack.Marshal(snapshot)
+	if err != nil {
+		return &CorruptError{Reason: "snapshot can't be written: " + err.Error()}
+	}
+	sum := crc32.ChecksumIEEE(payload)
+	payload = append(payload, byte(sum), byte(sum>>8), byte(sum>>16), byte(sum>>24))
+	name := snapshotName(snapshot.Index)
+	file, err := m.files.Create(name)
+	if err != nil {
+		return &segment.FileError{Operation: "create", Name: name, Err: err}
+	}
+	defer file.Close()
+	if _, err := file.Write(payload); err != nil {
+		return &segment.FileError{Operation: "write", Name: name, Err: err}
+	}
+	if err := file.Sync(); err != nil {
+		return &segment.FileError{Operation: "sync", Name: name, Err: err}
+	}
+	if err := m.files.SyncFolder(); err != nil {
+		return &segment.FileError{Operation: "sync folder for", Name: name, Err: err}
+	}
+	if len(m.snapshots) == 0 || m.snapshots[len(m.snapshots)-1] != snapshot.Index {
+		m.snapshots = append(m.snapshots, snapshot.Index)
+	}
+	return nil
+}
+
+func (m *Member) readSnapshot(index uint64) (*agreement.Snapshot, error) {
+	name := snapshotName(index)
+	data, err := m.files.ReadFile(name)
+	if err != nil {
+		return nil, &segment.FileError{Operation: "read", Name: name, Err: err}
+	}
+	if len(data) < checksumLength {
+		return nil, &CorruptError{Reason: name + " is too short"}
+	}
+	payload, tail := data[:len(data)-checksumLength], data[len(data)-checksumLength:]
+	sum := crc32.ChecksumIEEE(payload)
+	if tail[0] != byte(sum) || tail[1] != byte(sum>>8) || tail[2] != byte(sum>>16) || tail[3] != byte(sum>>24) {
+		return nil, &CorruptError{Reason: name + " has another checksum"}
+	}
+	var snapshot agreement.Snapshot
+	if err := msgpack.Unmarshal(payload, &snapshot); err != nil {
+		return nil, &CorruptError{Reason: name + ": " + err.Error()}
+	}
+	return &snapshot, nil
+}
--- /dev/null
+++ b/internal/system/agreement/node.go
@@ -0,0 +1,352 @@
+package agreement
+
+import (
+	"slices"
+	"time"
+)
+
+// Role of a member.
+type Role uint8
+
+// The roles.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// Limits of one message.
+const (
+	maxEntriesInMessage = 256
+)
+
+// progress is what a leader knows of another member.
+type progress struct {
+	match      uint64
+	next       uint64
+	recovering bool
+	heard      time.Duration // sending time of the latest message that was answered
+	snapshotAt time.Duration // when a snapshot was last sent; none is sent again within an election timeout
+}
+
+// Node is one member.
+type Node struct {
+	options   Options
+	role      Role
+	term      uint64
+	vote      string
+	leader    string
+	log       entryLog
+	votes     map[string]bool
+	followers map[string]*progress
+
+	now           time.Duration
+	heardLeader   time.Duration
+	timeout       time.Duration // of this wait for a leader, by lot
+	heartbeatDue  time.Duration
+	recovering    bool
+	recovered     bool // to be told in the next Ready
+	stateChanged  bool
+	installed     *Snapshot
+	messages      []Message
+	persisted     uint64 // last index of our own log that is synced
+	openingIndex  uint64 // of the empty entry that opened our term as leader
+	quorumChecked time.Duration
+}
+
+// New makes a member from what its disk holds.
+func New(options Options, stored Stored, now time.Duration) *Node {
+	n := &Node{options: options, term: stored.HardState.Term, vote: stored.HardState.Vote, now: now}
+	n.recovering = options.Recovering
+	n.log.restore(&stored.Snapshot)
+	n.log.entries = append(n.log.entries, stored.Entries...)
+	n.log.unstable = n.log.lastIndex() + 1
+	n.persisted = n.log.lastIndex()
+	n.becomeFollower(n.term, "")
+	return n
+}
+
+// Leading tells whether the member leads and has applied all that its predecessors committed.
+func (n *Node) Leading() bool { return n.role == Leader && n.log.applied >= n.openingIndex }
+
+// Role is the member's role.
+func (n *Node) Role() Role { return n.role }
+
+// Leader is who leads as far as the member knows, or empty.
+func (n *Node) Leader() string { return n.leader }
+
+// Term is the member's term.
+func (n *Node) Term() uint64 { return n.term }
+
+// Applied is the last index handed out as committed.
+func (n *Node) Applied() uint64 { return n.log.applied }
+
+// LogLength is the number of entries behind the snapshot.
+func (n *Node) LogLength() int { return len(n.log.entries) }
+
+// Recovering tells whether the member lost its disk and has not caught up.
+func (n *Node) Recovering() bool { return n.recovering }
+
+// NextWake is when Tick has something to do.
+func (n *Node) NextWake() time.Duration {
+	if n.role == Leader {
+		return n.heartbeatDue
+	}
+	return n.heardLeader + n.timeout
+}
+
+// Propose appends data to the leader's log.
+func (n *Node) Propose(now time.Duration, data []byte) (uint64, error) {
+	n.now = now
+	if n.role != Leader {
+		return 0, &NotLeaderError{Leader: n.leader}
+	}
+	index := n.appendOwn(data)
+	n.broadcast()
+	return index, nil
+}
+
+// Compact drops the log up to an applied index, for which data is the state.
+func (n *Node) Compact(index uint64, data []byte) (Snapshot, bool) {
+	before := n.log.snapshotIndex
+	n.log.compact(index, data)
+	done := n.log.snapshotIndex != before
+	return Snapshot{Index: n.log.snapshotIndex, Term: n.log.snapshotTerm, Data: n.log.snapshotData}, done
+}
+
+// Stored is all that a disk should hold of the member now.
+func (n *Node) Stored() Stored {
+	return Stored{
+		HardState: HardState{Term: n.term, Vote: n.vote},
+		Snapshot:  Snapshot{Index: n.log.snapshotIndex, Term: n.log.snapshotTerm, Data: n.log.snapshotData},
+		Entries:   append([]Entry(nil), n.log.entries...),
+	}
+}
+
+// Tick lets time pass.
+func (n *Node) Tick(now time.Duration) {
+	n.now = now
+	if n.role == Leader {
+		if now >= n.heartbeatDue {
+			n.checkQuorum()
+		}
+		if n.role == Leader && now >= n.heartbeatDue {
+			n.broadcast()
+		}
+		return
+	}
+	if now-n.heardLeader >= n.timeout {
+		n.campaign(PreCandidate)
+	}
+}
+
+// checkQuorum has a leader step down that a majority has not answered for an election timeout.
+func (n *Node) checkQuorum() {
+	if n.quorumHeard() < n.now-n.options.ElectionTimeout {
+		n.becomeFollower(n.term, "")
+	}
+}
+
+// quorumHeard is the latest time at which a majority is known to have followed.
+func (n *Node) quorumHeard() time.Duration {
+	times := []time.Duration{n.now}
+	for _, follower := range n.followers {
+		if follower.recovering {
+			times = append(times, 0)
+			continue
+		}
+		times = append(times, follower.heard)
+	}
+	slices.Sort(times)
+	return times[len(times)-n.quorum()]
+}
+
+func (n *Node) quorum() int { return len(n.options.Peers)/2 + 1 }
+
+// Step takes a message.
+func (n *Node) Step(now time.Duration, message Message) {
+	n.now = now
+	if !slices.Contains(n.options.Peers, message.From) {
+		return
+	}
+	if message.Term > n.term {
+		if !n.acceptHigherTerm(message) {
+			return
+		}
+	}
+	if message.Term < n.term {
+		n.answerStale(message)
+		return
+	}
+	switch message.Kind {
+	case PreVote:
+		n.answerPreVote(message)
+	case Vote:
+		n.answerVote(message)
+	case PreVoteAnswer, VoteAnswer:
+		n.countVote(message)
+	case Append:
+		n.followAppend(message)
+	case InstallSnapshot:
+		n.followSnapshot(message)
+	case AppendAnswer:
+		n.leaderAnswer(message)
+	}
+}
+
+// acceptHigherTerm moves to a later term; false where the message is to be passed over.
+func (n *Node) acceptHigherTerm(message Message) bool {
+	switch message.Kind {
+	case PreVote:
+		n.answerPreVote(message)
+		return false
+	case PreVoteAnswer:
+		if !message.Reject {
+			n.countVote(message)
+			return false
+		}
+	case Vote:
+		if n.followsLeader() {
+			return false
+		}
+	}
+	leader := ""
+	if message.Kind == Append || message.Kind == InstallSnapshot {
+		leader = message.From
+	}
+	n.becomeFollower(message.Term, leader)
+	return true
+}
+
+// followsLeader tells whether a leader was heard within the least election timeout: no vote is given then.
+func (n *Node) followsLeader() bool {
+	if n.role == Leader {
+		return n.quorumHeard() >= n.now-n.options.ElectionTimeout
+	}
+	return n.leader != "" && n.now-n.heardLeader < n.options.ElectionTimeout
+}
+
+// answerStale tells a sender of an earlier term about ours, so that a deposed leader or a returned member learns it.
+func (n *Node) answerStale(message Message) {
+	switch message.Kind {
+	case Append, InstallSnapshot:
+		n.send(Message{Kind: AppendAnswer, To: message.From, Reject: true, Index: n.log.lastIndex()})
+	case PreVote:
+		n.send(Message{Kind: PreVoteAnswer, To: message.From, Reject: true})
+	}
+}
+
+func (n *Node) upToDate(message Message) bool {
+	if message.LogTerm != n.log.lastTerm() {
+		return message.LogTerm > n.log.lastTerm()
+	}
+	return message.Index >= n.log.lastIndex()
+}
+
+func (n *Node) answerPreVote(message Message) {
+	grant := !n.recovering && message.Term > n.term && n.upToDate(message) && !n.followsLeader()
+	answer := Message{Kind: PreVoteAnswer, To: message.From, Reject: !grant}
+	n.send(answer)
+	if grant {
+		n.messages[len(n.messages)-1].Term = message.Term
+	}
+}
+
+func (n *Node) answerVote(message Message) {
+	free := n.vote == "" && n.leader == "" || n.vote == message.From
+	grant := !n.recovering && free && n.upToDate(message)
+	if grant {
+		n.heardLeader = n.now
+		if n.vote != message.From {
+			n.vote = message.From
+			n.stateChanged = true
+		}
+	}
+	n.send(Message{Kind: VoteAnswer, To: message.From, Reject: !grant})
+}
+
+// campaign asks all others for their votes, or first whether they would give them.
+func (n *Node) campaign(role Role) {
+	n.heardLeader = n.now
+	n.drawTimeout()
+	if n.recovering || !slices.Contains(n.options.Peers, n.options.Self) {
+		return
+	}
+	n.role = role
+	n.leader = ""
+	n.votes = map[string]bool{n.options.Self: true}
+	request := Message{Kind: PreVote, Term: n.term + 1}
+	if role == Candidate {
+		n.term++
+		n.vote = n.options.Self
+		n.stateChanged = true
+		request = Message{Kind: Vote, Term: n.term}
+	}
+	request.Index, request.LogTerm = n.log.lastIndex(), n.log.lastTerm()
+	for _, peer := range n.options.Peers {
+		if peer != n.options.Self {
+			request.To = peer
+			n.sendWithTerm(request)
+		}
+	}
+	n.tally()
+}
+
+func (n *Node) countVote(message Message) {
+	expected := message.Kind == PreVoteAnswer && n.role == PreCandidate && message.Term == n.term+1 ||
+		message.Kind == VoteAnswer && n.role == Candidate && message.Term == n.term
+	if !expected || message.Reject {
+		return
+	}
+	n.votes[message.From] = true
+	n.tally()
+}
+
+func (n *Node) tally() {
+	if len(n.votes) < n.quorum() {
+		return
+	}
+	switch n.role {
+	case PreCandidate:
+		n.campaign(Candidate)
+	case Candidate:
+		n.becomeLeader()
+	}
+}
+
+func (n *Node) becomeFollower(term uint64, leader string) {
+	if term != n.term {
+		n.term, n.vote = term, ""
+		n.stateChanged = true
+	}
+	n.role = Follower
+	n.leader = leader
+	n.followers, n.votes = nil, nil
+	n.heardLeader = n.now
+	n.drawTimeout()
+}
+
+func (n *Node) drawTimeout() {
+	least := n.options.ElectionTimeout
+	n.timeout = least + time.Duration(n.options.Random(int64(least)))
+}
+
+func (n *Node) becomeLeader() {
+	n.role = Leader
+	n.leader = n.options.Self
+	n.followers = map[string]*progress{}
+	for _, peer := range n.options.Peers {
+		if peer != n.options.Self {
+			n.followers[peer] = &progress{next: n.log.lastIndex() + 1, heard: n.now}
+		}
+	}
+	n.openingIndex = n.appendOwn(nil)
+	n.broadcast()
+}
+
+func (n *Node) appendOwn(data []byte) uint64 {
+	index := n.log.lastIndex() + 1
+	n.log.entries = append(n.log.entries, Entry{Index: index, Term: n.term, Data: data})
+	return index
+}
--- /dev/null
+++ b/internal/system/agreement/replicate.go
@@ -0,0 +1,192 @@
+package agreement
+
+import "slices"
+
+func (n *Node) send(message Message) {
+	message.Term = n.term
+	n.sendWithTerm(message)
+}
+
+func (n *Node) sendWithTerm(message Message) {
+	message.From = n.options.Self
+	message.Recovering = n.recovering
+	n.messages = append(n.messages, message)
+}
+
+// broadcast sends each follower what it lacks, or a heartbeat.
+func (n *Node) broadcast() {
+	n.heartbeatDue = n.now + n.options.HeartbeatInterval
+	for _, peer := range n.options.Peers {
+		if peer != n.options.Self {
+			n.sendAppend(peer)
+		}
+	}
+}
+
+func (n *Node) sendAppend(peer string) {
+	follower := n.followers[peer]
+	before := follower.next - 1
+	term, held := n.log.term(before)
+	if !held {
+		n.sendSnapshot(peer, follower)
+		return
+	}
+	entries := n.log.from(follower.next, maxEntriesInMessage)
+	follower.next += uint64(len(entries))
+	n.send(Message{Kind: Append, To: peer, Index: before, LogTerm: term, Entries: entries, Commit: n.log.committed,
+		Sent: n.now})
+}
+
+func (n *Node) sendSnapshot(peer string, follower *progress) {
+	if follower.snapshotAt != 0 && n.now-follower.snapshotAt < n.options.ElectionTimeout {
+		// Heartbeat without entries, so that the follower doesn't stand for election meanwhile.
+		n.send(Message{Kind: Append, To: peer, Index: n.log.snapshotIndex, LogTerm: n.log.snapshotTerm, Sent: n.now})
+		return
+	}
+	follower.snapshotAt = n.now
+	snapshot := Snapshot{Index: n.log.snapshotIndex, Term: n.log.snapshotTerm, Data: n.log.snapshotData}
+	n.send(Message{Kind: InstallSnapshot, To: peer, Snapshot: &snapshot, Commit: n.log.committed, Sent: n.now})
+}
+
+func (n *Node) followAppend(message Message) {
+	n.follow(message.From)
+	answer := Message{Kind: AppendAnswer, To: message.From, Sent: message.Sent}
+	if message.Index < n.log.snapshotIndex {
+		// What a snapshot covers is committed and agrees.
+		answer.Index = n.log.committed
+		n.send(answer)
+		return
+	}
+	term, held := n.log.term(message.Index)
+	if !held || term != message.LogTerm {
+		answer.Reject = true
+		answer.Index = min(n.log.lastIndex(), message.Index-1)
+		n.send(answer)
+		return
+	}
+	n.log.appendEntries(message.Entries)
+	answer.Index = message.Index + uint64(len(message.Entries))
+	n.commitTo(min(message.Commit, answer.Index))
+	n.recoverAt(message, answer.Index)
+	n.send(answer)
+}
+
+// recoverAt ends a member's recovery once it holds all that its leader had committed. The leader was elected without
+// this member, so a majority of the others stands behind it; the term and vote are set so that no vote which was
+// given before the disk was lost can be given twice in the leader's term.
+func (n *Node) recoverAt(message Message, matched uint64) {
+	if !n.recovering || matched < message.Commit {
+		return
+	}
+	// Only an entry of the leader's own term, committed, proves that it holds all that was committed before it.
+	if term, held := n.log.term(message.Commit); !held || term != message.Term {
+		return
+	}
+	n.recovering = false
+	n.recovered = true
+	n.vote = message.From
+	n.stateChanged = true
+}
+
+func (n *Node) followSnapshot(message Message) {
+	n.follow(message.From)
+	snapshot := message.Snapshot
+	if snapshot == nil {
+		return
+	}
+	if snapshot.Index > n.log.committed {
+		n.log.restore(snapshot)
+		n.persisted = snapshot.Index
+		n.installed = snapshot
+		n.stateChanged = true
+	}
+	n.send(Message{Kind: AppendAnswer, To: message.From, Index: n.log.committed, Sent: message.Sent})
+}
+
+func (n *Node) follow(leader string) {
+	if n.role != Follower || n.leader != leader {
+		n.becomeFollower(n.term, leader)
+	}
+	n.heardLeader = n.now
+}
+
+func (n *Node) leaderAnswer(message Message) {
+	follower := n.followers[message.From]
+	if n.role != Leader || follower == nil {
+		return
+	}
+	follower.heard = max(follower.heard, message.Sent)
+	follower.recovering = message.Recovering
+	if message.Reject {
+		follower.next = max(min(message.Index, follower.next-1)+1, 1)
+		if message.Index < follower.match {
+			// A member that lost its disk and returned holds less than it once did.
+			follower.match = message.Index
+		}
+		n.sendAppend(message.From)
+		return
+	}
+	if message.Index > follower.match {
+		follower.match = message.Index
+		follower.snapshotAt = 0
+	}
+	follower.next = max(follower.next, follower.match+1)
+	n.advanceCommit()
+	if follower.next <= n.log.lastIndex() {
+		n.sendAppend(message.From)
+	}
+}
+
+// advanceCommit commits what a majority has synced, in this term only.
+func (n *Node) advanceCommit() {
+	matches := []uint64{n.persisted}
+	for _, follower := range n.followers {
+		if follower.recovering {
+			matches = append(matches, 0)
+			continue
+		}
+		matches = append(matches, follower.match)
+	}
+	slices.Sort(matches)
+	index := matches[len(matches)-n.quorum()]
+	if term, held := n.log.term(index); held && term == n.term && index > n.log.committed {
+		n.log.committed = index
+		n.broadcast()
+	}
+}
+
+func (n *Node) commitTo(index uint64) {
+	n.log.committed = max(n.log.committed, min(index, n.log.lastIndex()))
+}
+
+// Ready hands out what is to be done. Persisted must be called once its writes are synced, before its messages leave.
+func (n *Node) Ready() Ready {
+	var ready Ready
+	if n.stateChanged {
+		ready.HardState = &HardState{Term: n.term, Vote: n.vote}
+		n.stateChanged = false
+	}
+	ready.Snapshot, n.installed = n.installed, nil
+	ready.Recovered, n.recovered = n.recovered, false
+	ready.Entries = n.log.from(n.log.unstable, len(n.log.entries))
+	n.log.unstable = n.log.lastIndex() + 1
+	ready.Messages, n.messages = n.messages, nil
+	if n.log.committed > n.log.applied {
+		ready.Committed = n.log.from(n.log.applied+1, int(n.log.committed-n.log.applied))
+		n.log.applied = n.log.committed
+	}
+	return ready
+}
+
+// Persisted tells that the writes of a Ready are synced.
+func (n *Node) Persisted(ready *Ready) {
+	if ready.Snapshot != nil {
+		n.persisted = max(n.persisted, ready.Snapshot.Index)
+	}
+	if len(ready.Entries) > 0 {
+		n.persisted = ready.Entries[len(ready.Entries)-1].Index
+	}
+	if n.role == Leader {
+		n.advanceCommit()
+	}
+}
--- /dev/null
+++ b/internal/system/agreement/types.go
@@ -0,0 +1,109 @@
+// Package agreement is one replicated log of a group of members: elections with pre-vote and a check of quorum,
+// append, snapshot. It is a state machine without I/O or clocks: inputs are messages, proposals and the time;
+// outputs are collected in a Ready, whose writes must be synced before its messages leave.
+package agreement
+
+import (
+	"fmt"
+	"time"
+)
+
+// Entry is one record of the log.
+type Entry struct {
+	Index uint64
+	Term  uint64
+	Data  []byte // nil for the empty entry with which a leader opens its term
+}
+
+// HardState is what a member must have synced before it answers.
+type HardState struct {
+	Term uint64
+	Vote string
+}
+
+// Snapshot replaces the log up to and including Index.
+type Snapshot struct {
+	Index uint64
+	Term  uint64
+	Data  []byte
+}
+
+// Kind tells messages apart.
+type Kind uint8
+
+// The kinds of messages between members.
+const (
+	PreVote Kind = iota + 1
+	PreVoteAnswer
+	Vote
+	VoteAnswer
+	Append
+	AppendAnswer
+	InstallSnapshot
+)
+
+// Message goes from one member to another.
+type Message struct {
+	Kind     Kind
+	From     string
+	To       string
+	Term     uint64
+	Index    uint64 // of the entry before Entries; the last entry of a candidate; the match of an answer
+	LogTerm  uint64
+	Commit   uint64
+	Entries  []Entry
+	Snapshot *Snapshot
+	Reject   bool
+	// Recovering is set by a member that started on an empty disk and has not caught up: it counts for nothing.
+	Recovering bool
+	// Sent is the leader's time of sending, which an answer returns: what the check of quorum is measured from.
+	Sent time.Duration
+}
+
+// Options of a member. All members of a group are given the same timeouts.
+type Options struct {
+	Self  string
+	Peers []string // all voters, Self among them
+	// ElectionTimeout is the least silence of a leader before a member stands for election; up to twice that by lot.
+	ElectionTimeout   time.Duration
+	HeartbeatInterval time.Duration
+	// Random returns a number from 0 up to n, exclusive.
+	Random func(n int64) int64
+	// Recovering starts a member whose disk was lost: it neither votes nor counts until a leader has caught it up.
+	Recovering bool
+}
+
+// Stored is what a member finds on its disk.
+type Stored struct {
+	HardState HardState
+	Snapshot  Snapshot
+	Entries   []Entry
+}
+
+// Ready is what a driver has to do, in the order of its fields: write and sync, then send, then apply.
+type Ready struct {
+	HardState *HardState
+	Snapshot  *Snapshot // installed from the leader: replaces the state and the log
+	Entries   []Entry   // to append; an index that the log has already replaces it and all behind
+	Recovered bool      // the member has caught up and counts from now on
+	Messages  []Message
+	Committed []Entry
+}
+
+// Empty tells whether there is nothing to do.
+func (r *Ready) Empty() bool {
+	return r.HardState == nil && r.Snapshot == nil && len(r.Entries) == 0 && len(r.Messages) == 0 &&
+		len(r.Committed) == 0 && !r.Recovered
+}
+
+// MustSync tells whether the writes have to be synced.
+func (r *Ready) MustSync() bool {
+	return r.HardState != nil || r.Snapshot != nil || len(r.Entries) > 0 || r.Recovered
+}
+
+// NotLeaderError answers a proposal to a member that does not lead.
+type NotLeaderError struct {
+	Leader string // empty when unknown
+}
+
+func (e *NotLeaderError) Error() string { return fmt.Sprintf("not the leader (leader %q)", e.Leader) }
--- /dev/null
+++ b/internal/system/feed/feed.go
@@ -0,0 +1,96 @@
+// Package feed is a table of keyed values with a log of its changes. A subscriber bootstraps from a snapshot and tails
+// the changes from an offset; one that is too far behind, or has offsets of another life, gets a new snapshot.
+package feed
+
+import (
+	iradix "github.com/hashicorp/go-immutable-radix/v2"
+)
+
+// maxChanges is the number of changes that are kept for subscribers that are behind.
+const maxChanges = 4096
+
+// Change sets a key, or deletes it where Value is nil.
+type Change struct {
+	Key   string
+	Value []byte
+}
+
+// Position of a subscriber.
+type Position struct {
+	Epoch  string // of the table's life
+	Offset uint64
+}
+
+// Update brings a subscriber from its position to another.
+type Update struct {
+	Position Position
+	Whole    bool // the changes are all there is: what isn't named is gone
+	Changes  []Change
+}
+
+// Table is the source of a feed. It belongs to one goroutine.
+type Table struct {
+	epoch   string
+	offset  uint64 // of the latest change
+	values  *iradix.Tree[[]byte]
+	changes []Change // the latest ones; the last has offset
+}
+
+// NewTable makes an empty table; epoch must differ from that of any other life.
+func NewTable(epoch string) *Table { return &Table{epoch: epoch, values: iradix.New[[]byte]()} }
+
+// Set sets a key; nothing happens where it has that value.
+func (t *Table) Set(key string, value []byte) {
+	if old, held := t.values.Get([]byte(key)); held && string(old) == string(value) {
+		return
+	}
+	t.values, _, _ = t.values.Insert([]byte(key), value)
+	t.log(Change{Key: key, Value: value})
+}
+
+// Delete removes a key.
+func (t *Table) Delete(key string) {
+	values, _, held := t.values.Delete([]byte(key))
+	if !held {
+		return
+	}
+	t.values = values
+	t.log(Change{Key: key})
+}
+
+func (t *Table) log(change Change) {
+	t.offset++
+	t.changes = append(t.changes, change)
+	if len(t.changes) > 2*maxChanges {
+		t.changes = append([]Change(nil), t.changes[maxChanges:]...)
+	}
+}
+
+// Keys gives all keys with a prefix.
+func (t *Table) Keys(prefix string) []string {
+	var keys []string
+	t.values.Root().WalkPrefix([]byte(prefix), func(key []byte, _ []byte) bool {
+		keys = append(keys, string(key))
+		return false
+	})
+	return keys
+}
+
+// Offset is the offset of the latest change.
+func (t *Table) Offset() uint64 { return t.offset }
+
+// Since gives what a subscriber at a position lacks.
+func (t *Table) Since(position Position) Update {
+	update := Update{Position: Position{Epoch: t.epoch, Offset: t.offset}}
+	oldest := t.offset - uint64(len(t.changes))
+	if position.Epoch == t.epoch && position.Offset >= oldest && position.Offset <= t.offset {
+		update.Changes = append(update.Changes, t.changes[position.Offset-oldest:]...)
+		return update
+	}
+	update.Whole = true
+	t.values.Root().Walk(func(key []byte, value []byte) bool {
+		update.Changes = append(update.Changes, Change{Key: string(key), Value: value})
+		return false
+	})
+	return update
+}
--- /dev/null
+++ b/internal/system/link/client.go
@@ -0,0 +1,182 @@
+package link
+
+import (
+	"bufio"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"granitewing/internal/system/wire"
+)
+
+func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
+
+// Events of a client. They are called from the client's goroutines and must not wait.
+type Events struct {
+	Up   func()
+	Down func()
+	Push func(frame wire.Frame)
+}
+
+// Client keeps one connection to a peer until it is closed.
+type Client struct {
+	address string
+	events  Events
+	stop    chan struct{}
+	once    sync.Once
+
+	mutex   sync.Mutex
+	writer  *writer // nil while there is no connection
+	calls   map[uint64]func(payload []byte, err error)
+	lastID  uint64
+	stopped bool
+}
+
+// NewClient starts to connect.
+func NewClient(address string, events Events) *Client {
+	client := &Client{address: address, events: events, stop: make(chan struct{}),
+		calls: map[uint64]func([]byte, error){}}
+	go client.run()
+	return client
+}
+
+// Address of the peer.
+func (c *Client) Address() string { return c.address }
+
+// Call sends a call; done is called once, with the payload of the answer or an error.
+func (c *Client) Call(kind wire.Kind, payload []byte, done func(payload []byte, err error)) {
+	c.mutex.Lock()
+	current := c.writer
+	if current == nil {
+		c.mutex.Unlock()
+		done(nil, &ClosedError{Peer: c.address})
+		return
+	}
+	c.lastID++
+	id := c.lastID
+	c.calls[id] = done
+	c.mutex.Unlock()
+	if !current.send(wire.Frame{Call: id, Kind: kind, Payload: payload}) {
+		c.finish(id, nil, &ClosedError{Peer: c.address})
+	}
+}
+
+// Push sends a frame that asks for no answer; false where there is no connection.
+func (c *Client) Push(kind wire.Kind, payload []byte) bool {
+	c.mutex.Lock()
+	current := c.writer
+	c.mutex.Unlock()
+	return current != nil && current.send(wire.Frame{Kind: kind, Payload: payload})
+}
+
+// Close ends the connection for good.
+func (c *Client) Close() {
+	c.once.Do(func() {
+		close(c.stop)
+		c.mutex.Lock()
+		c.stopped = true
+		current := c.writer
+		c.mutex.Unlock()
+		if current != nil {
+			current.close()
+		}
+	})
+}
+
+func (c *Client) finish(id uint64, payload []byte, err error) {
+	c.mutex.Lock()
+	done := c.calls[id]
+	delete(c.calls, id)
+	c.mutex.Unlock()
+	if done != nil {
+		done(payload, err)
+	}
+}
+
+func (c *Client) run() {
+	wait := reconnectWait
+	for {
+		started := time.Now()
+		c.connectOnce()
+		if time.Since(started) > 5*time.Second {
+			wait = reconnectWait
+		}
+		pause := wait/2 + time.Duration(rand.Int64N(int64(wait)))
+		wait = min(2*wait, reconnectMost)
+		select {
+		case <-c.stop:
+			return
+		case <-time.After(pause):
+		}
+	}
+}
+
+// connectOnce makes a connection and serves it until it breaks.
+func (c *Client) connectOnce() {
+	connection, err := net.DialTimeout("tcp", c.address, dialTimeout)
+	if err != nil {
+		return
+	}
+	limitSilence(connection)
+	if _, err := connection.Write([]byte(wire.Preamble)); err != nil {
+		connection.Close()
+		return
+	}
+	current := newWriter(connection)
+	c.mutex.Lock()
+	if c.stopped {
+		c.mutex.Unlock()
+		connection.Close()
+		return
+	}
+	c.writer = current
+	c.mutex.Unlock()
+	go current.run()
+	if c.events.Up != nil {
+		c.events.Up()
+	}
+	c.read(connection)
+	current.close()
+	c.drop()
+	if c.events.Down != nil {
+		c.events.Down()
+	}
+}
+
+func (c *Client) read(connection net.Conn) {
+	reader := bufio.NewReaderSize(connection, readBuffer)
+	for {
+		frame, err := wire.ReadFrame(reader)
+		if err != nil {
+			return
+		}
+		switch frame.Kind {
+		case wire.Answer:
+			c.finish(frame.Call, frame.Payload, nil)
+		case wire.Refusal:
+			var body wire.RefusalBody
+			if err := wire.Decode(frame.Kind, frame.Payload, &body); err != nil {
+				return
+			}
+			c.finish(frame.Call, nil, &RefusedError{Body: body})
+		default:
+			if c.events.Push != nil {
+				c.events.Push(frame)
+			}
+		}
+	}
+}
+
+// drop answers all calls that were out on the connection that broke.
+func (c *Client) drop() {
+	c.mutex.Lock()
+	c.writer = nil
+	calls := c.calls
+	c.calls = map[uint64]func([]byte, error){}
+	c.mutex.Unlock()
+	for _, done := range calls {
+		done(nil, &ClosedError{Peer: c.address})
+	}
+}
--- /dev/null
+++ b/internal/system/message/message.go
@@ -0,0 +1,47 @@
+// Package message is what a message is to all roles: its bytes, its place in the fleet and the end it came to.
+package message
+
+import "time"
+
+// Header is one header of the client's request that a delivery repeats.
+type Header struct{ Name, Value string }
+
+// Message is one accepted request, as it lies on the stores' disks.
+type Message struct {
+	ID       string // X-Request-Id
+	Unit     string // what orders, paces and delivers it
+	Route    string
+	Host     string
+	Method   string
+	Target   string // path and query, unchanged
+	Headers  []Header
+	Key      string // X-Ordering-Key on ordered routes
+	Callback string
+	Body     []byte
+	// Token and Sequence order the messages of a unit: the owner's fencing token, and its count.
+	Token    uint64
+	Sequence uint64
+	// Accepted is the wall clock when the request was read, in milliseconds since 1970.
+	Accepted  int64
+	Delay     time.Duration
+	Retention time.Duration
+}
+
+// Phase of a message.
+type Phase string
+
+// The phases, in the words of the protocol.
+const (
+	Pending    Phase = "pending"
+	Succeeded  Phase = "succeeded"
+	DeadLetter Phase = "dead_letter"
+)
+
+// End is the end of a message.
+type End struct {
+	ID    string
+	Phase Phase
+	Stamp string // of the successful run
+	// CallbackOwed is set while the end has to be told to the message's call-back URL.
+	CallbackOwed bool
+}
--- /dev/null
+++ b/internal/system/node/carrier.go
@@ -0,0 +1,159 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/labstack/echo/v4"
+
+	"granitewing/internal/system/catalog"
+	"granitewing/internal/system/link"
+	"granitewing/internal/system/role/carrier"
+	"granitewing/internal/system/settings"
+	"granitewing/internal/system/wire"
+)
+
+// carrierNode runs a carrier, and is its environment.
+type carrierNode struct {
+	*runner
+	settings *settings.Settings
+	core     *carrier.Core
+	workers  *workerClient
+	posts    *http.Client
+	reader   *catalogReader
+	draining atomic.Bool
+}
+
+const maxCarrierPeers = 4096
+
+// RunCarrier runs a carrier until the context ends, and then drains it.
+func RunCarrier(ctx context.Context, s *settings.Settings) error {
+	n := &carrierNode{runner: newRunner(), settings: s, workers: newWorkerClient(), posts: newPostClient(),
+		reader: newCatalogReader(s.Cloud.Address)}
+	peers, err := link.Listen(s.CarrierAddress(), maxCarrierPeers, n.frame, nil)
+	if err != nil {
+		return err
+	}
+	n.do(func() {
+		n.core = carrier.New(n, s)
+		n.events = peerEvents{up: n.core.PeerUp, down: n.core.PeerDown, push: func(address string, frame wire.Frame) {
+			if frame.Kind == wire.FeedUpdate {
+				n.core.FeedUpdate(address, frame.Payload)
+			}
+		}}
+		n.core.Start()
+	})
+	readiness := newEcho()
+	readiness.GET("/-/ready", n.ready)
+	ready, err := startServer(s.Listen.Readiness, readiness, nil)
+	if err != nil {
+		return err
+	}
+	front, err := startServer(s.Listen.Front, n.frontHandler(), nil)
+	if err != nil {
+		return err
+	}
+	log.WithField("front", s.Listen.Front).Info("carrier serves")
+	<-ctx.Done()
+	n.drain(front)
+	stopServer(ready, 100*time.Millisecond)
+	peers.Close()
+	return nil
+}
+
+// Parts of the grace in which a stopping carrier still takes clients.
+const (
+	acceptForPart = 0.40
+	answerByPart  = 0.50
+)
+
+// drain stops in order: not ready at once, clients are served until the platform sends no more, then the core ends its
+// work.
+func (n *carrierNode) drain(front *http.Server) {
+	grace := n.settings.Bounds.Grace
+	began := n.Now()
+	log.Info("stopping: clients are sent elsewhere")
+	n.draining.Store(true)
+	n.do(n.core.StopReady)
+	front.SetKeepAlivesEnabled(false)
+	time.Sleep(time.Duration(acceptForPart * float64(grace)))
+	stopServer(front, time.Duration((answerByPart-acceptForPart)*float64(grace)))
+	done := make(chan struct{})
+	n.do(func() { n.core.Drain(began, func() { close(done) }) })
+	select {
+	case <-done:
+	case <-time.After(grace - (n.Now() - began) - grace/20):
+	}
+	log.WithField("took", (n.Now() - began).String()).Info("stopped")
+}
+
+func (n *carrierNode) ready(c echo.Context) error {
+	ready := false
+	n.do(func() { ready = n.core.Ready() })
+	if !ready {
+		return c.NoContent(http.StatusServiceUnavailable)
+	}
+	return c.NoContent(http.StatusOK)
+}
+
+// frame takes a call of another carrier.
+func (n *carrierNode) frame(peer *link.Peer, frame wire.Frame) {
+	switch frame.Kind {
+	case wire.ReserveSequence:
+		var body wire.ReserveBody
+		if n.unreadable(peer, frame, &body) {
+			return
+		}
+		n.do(func() {
+			place, refusal := n.core.Reserve(body)
+			if refusal != nil {
+				peer.Refuse(frame.Call, *refusal)
+				return
+			}
+			peer.Answer(frame.Call, &place)
+		})
+	case wire.ConfirmMessage, wire.ForwardMessage:
+		var body wire.DeliverBody
+		if n.unreadable(peer, frame, &body) {
+			return
+		}
+		n.do(func() {
+			if refusal := n.core.Deliver(body); refusal != nil {
+				peer.Refuse(frame.Call, *refusal)
+				return
+			}
+			peer.Answer(frame.Call, &struct{}{})
+		})
+	default:
+		peer.Refuse(frame.Call, wire.RefusalBody{Code: wire.Failed, Reason: "unknown call"})
+	}
+}
+
+func (n *carrierNode) unreadable(peer *link.Peer, frame wire.Frame, body any) bool {
+	err := wire.Decode(frame.Kind, frame.Payload, body)
+	if err != nil {
+		log.WithError(err).WithField("peer", peer.Remote()).Warn("peer's frame is unreadable")
+		peer.Close()
+	}
+	return err != nil
+}
+
+// Report implements carrier.Environment.
+func (n *carrierNode) Report(event string, err error) {
+	if err != nil {
+		log.WithError(err).Warn(event)
+		return
+	}
+	log.Warn(event)
+}
+
+// ReadCatalog implements carrier.Environment.
+func (n *carrierNode) ReadCatalog(done func(map[string]catalog.Instance, error)) {
+	go func() {
+		instances, err := n.reader.read()
+		n.do(func() { done(instances, err) })
+	}()
+}
--- /dev/null
+++ b/internal/system/node/store.go
@@ -0,0 +1,303 @@
+package node
+
+import (
+	"context"
+	"path/filepath"
+	"time"
+
+	"github.com/apex/log"
+
+	"granitewing/internal/system/link"
+	"granitewing/internal/system/member"
+	"granitewing/internal/system/role/store"
+	"granitewing/internal/system/segment"
+	"granitewing/internal/system/session"
+	"granitewing/internal/system/settings"
+	"granitewing/internal/system/wire"
+)
+
+// storeCall is a frame that waits for the store's goroutine.
+type storeCall struct {
+	peer  *link.Peer
+	frame wire.Frame
+}
+
+// storeNode runs a store: one goroutine owns the core and the log, so that what gathers while it syncs goes into the
+// next batch.
+type storeNode struct {
+	*runner
+	settings *settings.Settings
+	core     *store.Core
+	log      *segment.Log
+	calls    chan storeCall
+	session  *member.Client
+	copier   *copier
+}
+
+const (
+	maxStorePeers    = 2048
+	maxWaitingCalls  = 8192
+	maxCallsInBatch  = 1024
+	storeSegmentSize = 8 << 20
+	storeIdle        = 500 * time.Millisecond
+)
+
+// RunStore runs a store until the context ends.
+func RunStore(ctx context.Context, s *settings.Settings) error {
+	n := &storeNode{runner: newRunner(), settings: s, calls: make(chan storeCall, maxWaitingCalls)}
+	if err := n.open(); err != nil {
+		return err
+	}
+	server, err := link.Listen(s.StoreAddress(), maxStorePeers, func(peer *link.Peer, frame wire.Frame) {
+		select {
+		case n.calls <- storeCall{peer: peer, frame: frame}:
+		default:
+			peer.Refuse(frame.Call, wire.RefusalBody{Code: wire.Failed, Reason: "too many calls wait"})
+		}
+	}, nil)
+	if err != nil {
+		return err
+	}
+	n.join()
+	known, pending := n.core.Counts()
+	log.WithFields(log.Fields{"messages": known, "pending": pending, "complete": n.core.Complete()}).Info("store serves")
+	failure := make(chan error, 1)
+	stopped := make(chan struct{})
+	go n.work(stopped, failure)
+	select {
+	case err := <-failure:
+		return err
+	case <-ctx.Done():
+	}
+	server.Close()
+	close(stopped)
+	left := make(chan struct{}, 1)
+	n.do(func() { n.session.Close(func(error) { left <- struct{}{} }) })
+	select {
+	case <-left:
+	case <-time.After(300 * time.Millisecond):
+	}
+	return <-failure
+}
+
+func (n *storeNode) open() error {
+	folder, err := segment.OpenFolder(filepath.Join(n.settings.DataDir, "messages"))
+	if err != nil {
+		return err
+	}
+	n.log, err = segment.Open(folder, storeSegmentSize)
+	if err != nil {
+		return err
+	}
+	n.core = store.New(store.Options{Status: n.settings.Bounds.Status, DiskBytes: n.settings.Limits.DiskBytes}, n.log,
+		n.Now(), n.Wall())
+	if err := n.log.Replay(n.core.Load); err != nil {
+		return err
+	}
+	n.core.Start(n.settings.Bootstrap, member.NewIncarnation(n, n.settings.NodeName))
+	return n.flush()
+}
+
+func (n *storeNode) join() {
+	n.events = peerEvents{
+		down: func(address string) { n.session.Down(address) },
+		push: func(address string, frame wire.Frame) { n.session.Push(address, frame.Payload) },
+	}
+	s := n.settings
+	self := session.Member{Incarnation: member.NewIncarnation(n, s.NodeName), Node: s.NodeName, Role: session.Store,
+		Zone: s.Zone, Address: s.StoreAddress(), Disk: n.core.Disk()}
+	n.copier = newCopier(n)
+	n.do(func() {
+		n.session = member.NewClient(n, n, s.SeedKeepers(), self, member.Events{
+			Changed: func(_, after *member.View) { n.connect(after) },
+			Fault:   func(err error) { log.WithError(err).Warn("feed is unreadable") },
+		})
+		n.Connect(s.SeedKeepers())
+		n.session.Start()
+		n.copier.start()
+	})
+}
+
+func (n *storeNode) connect(view *member.View) {
+	addresses := append([]string(nil), n.settings.SeedKeepers()...)
+	for node, other := range view.Stores {
+		if node != n.settings.NodeName && !n.copier.finished {
+			addresses = append(addresses, other.Address)
+		}
+	}
+	n.Connect(addresses)
+}
+
+// flush writes, syncs and answers the batch that has gathered.
+func (n *storeNode) flush() error {
+	batch := n.core.Take()
+	var positions []segment.Position
+	if len(batch.Payloads) > 0 {
+		var err error
+		if positions, err = n.log.Append(batch.Payloads...); err != nil {
+			return err
+		}
+		if err := n.log.Sync(); err != nil {
+			return err
+		}
+	}
+	n.core.Synced(n.Now(), batch, positions)
+	return nil
+}
+
+// work owns the core: it handles what has come, then flushes, until it is stopped.
+func (n *storeNode) work(stopped <-chan struct{}, failure chan<- error) {
+	idle := time.NewTicker(storeIdle)
+	defer idle.Stop()
+	for {
+		select {
+		case call := <-n.calls:
+			n.core.Time(n.Now(), n.Wall())
+			n.handle(call)
+			n.gather()
+		case part := <-n.copier.parts:
+			n.core.Time(n.Now(), n.Wall())
+			n.core.TakeCopy(part.messages)
+			if part.last {
+				n.core.CopyFinished()
+				log.Info("all that the lost disk held was copied; complete from now on")
+			}
+		case <-idle.C:
+			n.core.Time(n.Now(), n.Wall())
+			if err := n.clean(); err != nil {
+				failure <- err
+				return
+			}
+		case <-stopped:
+			failure <- n.flush()
+			return
+		}
+		if err := n.flush(); err != nil {
+			failure <- err
+			return
+		}
+	}
+}
+
+func (n *storeNode) gather() {
+	for range maxCallsInBatch {
+		select {
+		case call := <-n.calls:
+			n.handle(call)
+		default:
+			return
+		}
+	}
+}
+
+// clean removes old segments once what is needed of them was written again.
+func (n *storeNode) clean() error {
+	segments := n.log.Segments()
+	if !n.core.WantsCleaning(len(segments)) {
+		return nil
+	}
+	const part = 2 // of the segments, the older ones
+	oldest := segments[len(segments)/part-1]
+	if err := n.core.Clean(oldest); err != nil {
+		return err
+	}
+	if err := n.flush(); err != nil {
+		return err
+	}
+	for _, number := range segments {
+		if number > oldest {
+			break
+		}
+		if err := n.log.RemoveOldest(); err != nil {
+			return err
+		}
+		n.core.Removed(number)
+	}
+	return nil
+}
+
+func (n *storeNode) handle(call storeCall) {
+	if err := n.carryOut(call); err != nil {
+		log.WithError(err).WithField("peer", call.peer.Remote()).Warn("call was not carried out")
+		call.peer.Refuse(call.frame.Call, wire.RefusalBody{Code: wire.Failed, Reason: err.Error()})
+	}
+}
+
+func (n *storeNode) carryOut(call storeCall) error {
+	peer, frame := call.peer, call.frame
+	taken := func() { peer.Answer(frame.Call, &struct{}{}) }
+	switch frame.Kind {
+	case wire.PutMessage:
+		var body wire.PutBody
+		if err := wire.Decode(frame.Kind, frame.Payload, &body); err != nil {
+			return err
+		}
+		n.core.Put(&body.Message, func(refusal *wire.RefusalBody) {
+			if refusal != nil {
+				peer.Refuse(frame.Call, *refusal)
+				return
+			}
+			taken()
+		})
+	case wire.VoidMessage:
+		var body wire.VoidBody
+		if err := wire.Decode(frame.Kind, frame.Payload, &body); err != nil {
+			return err
+		}
+		n.core.Void(body.ID, taken)
+	case wire.PutEnds:
+		var body wire.EndsBody
+		if err := wire.Decode(frame.Kind, frame.Payload, &body); err != nil {
+			return err
+		}
+		n.core.Ends(body.Ends, taken)
+	case wire.CallbackDone:
+		var body wire.CallbackDoneBody
+		if err := wire.Decode(frame.Kind, frame.Payload, &body); err != nil {
+			return err
+		}
+		n.core.CallbackDone(body.IDs, taken)
+	default:
+		return n.read(peer, frame)
+	}
+	return nil
+}
+
+// read answers the calls that write nothing.
+func (n *storeNode) read(peer *link.Peer, frame wire.Frame) error {
+	switch frame.Kind {
+	case wire.ListUnit:
+		var body wire.ListBody
+		if err := wire.Decode(frame.Kind, frame.Payload, &body); err != nil {
+			return err
+		}
+		return reply(peer, frame.Call, func() (any, error) { answer, err := n.core.List(body); return &answer, err })
+	case wire.FindMessage:
+		var body wire.FindBody
+		if err := wire.Decode(frame.Kind, frame.Payload, &body); err != nil {
+			return err
+		}
+		return reply(peer, frame.Call, func() (any, error) { answer, err := n.core.Find(body); return &answer, err })
+	case wire.CopyMessages:
+		var body wire.CopyBody
+		if err := wire.Decode(frame.Kind, frame.Payload, &body); err != nil {
+			return err
+		}
+		return reply(peer, frame.Call, func() (any, error) { answer, err := n.core.Copy(body); return &answer, err })
+	}
+	return &UnknownCallError{Kind: frame.Kind}
+}
+
+func reply(peer *link.Peer, call uint64, read func() (any, error)) error {
+	answer, err := read()
+	if err != nil {
+		return err
+	}
+	peer.Answer(call, answer)
+	return nil
+}
+
+// UnknownCallError tells of a call that this role does not know.
+type UnknownCallError struct{ Kind wire.Kind }
+
+func (e *UnknownCallError) Error() string { return "unknown call" }
--- /dev/null
+++ b/internal/system/role/carrier/accept.go
@@ -0,0 +1,275 @@
+package carrier
+
+import (
+	"time"
+
+	"granitewing/internal/system/configuration"
+	"granitewing/internal/system/message"
+	"granitewing/internal/system/ownership"
+	"granitewing/internal/system/wire"
+)
+
+// Submission is a client's request on its way in.
+type Submission struct {
+	Message message.Message // without unit, route and order
+	Path    string          // of the target, decoded as little as the client sent it
+	// Left is how long the client waits, as it said, or 0.
+	Left time.Duration
+}
+
+// Verdict is the answer to a submission.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Accepted Verdict = iota + 1
+	NoRoute          // 404
+	Refused          // 503: not taken, never runs
+	Unclear          // 504: it may run
+)
+
+// Answer goes to the client.
+type Answer struct {
+	Verdict    Verdict
+	RetryAfter time.Duration
+	Reason     string
+}
+
+// Times of accepting.
+const (
+	hedgeAfter      = 70 * time.Millisecond  // a store that is silent for so long is joined by another
+	holdAtMost      = 900 * time.Millisecond // a submission is answered by then
+	holdPart        = 0.42                   // of the time that the client gave
+	holdOfTarget    = 4                      // times the target, where the client gave no time
+	reserveTimeout  = 250 * time.Millisecond
+	confirmTimeout  = 250 * time.Millisecond
+	voidTimeout     = 150 * time.Millisecond
+	retryAfterBlip  = time.Second
+	maxMemoryShare  = 0.30 // of the memory limit, for messages' bytes; past it nothing is taken
+	keepBodiesShare = 0.15 // past it bodies are left on the stores
+)
+
+// acceptance is a submission that is being stored.
+type acceptance struct {
+	core    *Core
+	message *message.Message
+	route   *configuration.Route
+	answer  func(Answer)
+	at      time.Duration
+	until   time.Duration
+	tried   []string // nodes of stores that may have it
+	holders []string // nodes that have it synced
+	open    int      // puts without answer
+	stored  bool
+	done    bool
+}
+
+// Submit takes a submission; answer is called once.
+func (c *Core) Submit(s *Submission, answer func(Answer)) {
+	view := c.session.View()
+	if view.Table == nil || !c.session.Joined() {
+		c.refuse(answer, "not ready")
+		return
+	}
+	route := view.Table.Match(s.Message.Host, s.Path)
+	if route == nil {
+		answer(Answer{Verdict: NoRoute, Reason: "no route"})
+		return
+	}
+	if float64(c.bodyBytes) > maxMemoryShare*float64(c.settings.Limits.MemoryMB)*(1<<20) {
+		c.refuse(answer, "too much is waiting")
+		return
+	}
+	if c.stores.reachable() < c.copies() {
+		c.refuse(answer, "too few stores are reachable")
+		return
+	}
+	a := &acceptance{core: c, message: &s.Message, route: route, answer: answer, at: c.env.Now()}
+	a.until = a.at + holdTime(s.Left, route)
+	a.message.Route = route.Name
+	a.message.Retention = route.Retention
+	a.place(view.Table.Service(route))
+}
+
+func holdTime(left time.Duration, route *configuration.Route) time.Duration {
+	hold := time.Duration(holdOfTarget) * route.TargetAck
+	if left > 0 {
+		hold = time.Duration(holdPart * float64(left))
+	}
+	return min(max(hold, 50*time.Millisecond), holdAtMost)
+}
+
+func (c *Core) refuse(answer func(Answer), reason string) {
+	c.figures.Refused++
+	answer(Answer{Verdict: Refused, RetryAfter: retryAfterBlip, Reason: reason})
+}
+
+// place decides the message's unit, and asks for its place in an order where it needs one.
+func (a *acceptance) place(service *configuration.Service) {
+	m := a.message
+	if !a.route.Callback {
+		m.Callback = ""
+	}
+	ordered := a.route.Ordered && m.Key != ""
+	if !a.route.Ordered {
+		m.Key = ""
+	}
+	switch {
+	case service.Rate > 0 || service.Static != "":
+		m.Unit = ownership.PacedUnit(service.Name)
+	case ordered:
+		m.Unit = ownership.KeyUnit(service.Name, m.Key)
+	default:
+		m.Unit = a.core.own.name
+	}
+	if ordered {
+		a.reserve()
+		return
+	}
+	a.store()
+}
+
+// reserve asks the unit's owner for a place in its order. Nothing is stored yet, so that a refusal is a promise kept.
+func (a *acceptance) reserve() {
+	c := a.core
+	c.reserve(a.message.Unit, a.message.ID, func(place wire.ReserveAnswer, err error) {
+		if err != nil {
+			c.refuse(a.answer, "the order's owner is not reachable")
+			return
+		}
+		a.message.Token, a.message.Sequence = place.Token, place.Sequence
+		a.store()
+	})
+}
+
+// store sends the message to as many stores as it has to lie on.
+func (a *acceptance) store() {
+	c := a.core
+	for _, node := range c.stores.choose(c.copies(), nil) {
+		a.put(node)
+	}
+	if len(a.tried) < c.copies() {
+		a.giveUp()
+		return
+	}
+	c.env.After(hedgeAfter, a.hedge)
+	c.env.After(a.until-c.env.Now(), a.expire)
+}
+
+func (a *acceptance) put(node string) {
+	c := a.core
+	a.tried = append(a.tried, node)
+	a.open++
+	c.stores.put(node, a.message, func(err error) {
+		a.open--
+		if err != nil {
+			a.failedPut()
+			return
+		}
+		a.holders = append(a.holders, node)
+		if !a.stored && len(a.holders) >= c.copies() && !a.done {
+			a.stored = true
+			a.confirm()
+		}
+	})
+}
+
+// failedPut goes to another store at once.
+func (a *acceptance) failedPut() {
+	if a.done || a.stored {
+		return
+	}
+	c := a.core
+	if more := c.stores.choose(1, a.tried); len(more) > 0 {
+		a.put(more[0])
+		return
+	}
+	if a.open == 0 {
+		a.giveUp()
+	}
+}
+
+func (a *acceptance) hedge() {
+	if a.done || a.stored {
+		return
+	}
+	if more := a.core.stores.choose(1, a.tried); len(more) > 0 {
+		a.put(more[0])
+	}
+}
+
+func (a *acceptance) expire() {
+	if !a.done {
+		a.giveUp()
+	}
+}
+
+// giveUp answers a submission that could not be stored in time. Where every store that may have it has made it void, it
+// never runs, and the client is told so; else nothing is promised.
+func (a *acceptance) giveUp() {
+	c := a.core
+	a.done = true
+	if len(a.tried) == 0 {
+		c.refuse(a.answer, "too few stores are reachable")
+		return
+	}
+	if a.stored {
+		// It lies on enough disks, and runs; only its owner has not taken it yet.
+		a.unclear()
+		return
+	}
+	left, failed, answered := len(a.tried), false, false
+	settle := func(err error) {
+		left--
+		failed = failed || err != nil
+		if left > 0 || answered {
+			return
+		}
+		answered = true
+		if failed {
+			a.unclear()
+			return
+		}
+		c.refuse(a.answer, "it could not be stored in time")
+	}
+	for _, node := range a.tried {
+		c.stores.void(node, a.message.ID, settle)
+	}
+}
+
+func (a *acceptance) unclear() {
+	a.core.figures.Unclear++
+	a.answer(Answer{Verdict: Unclear, Reason: "it could not be stored in time"})
+}
+
+// confirm hands the stored message to who delivers it. One of an order is accepted only once the owner of the order
+// knows it, so that nothing that is sent afterwards can be ahead of it.
+func (a *acceptance) confirm() {
+	c := a.core
+	m := a.message
+	if m.Unit == c.own.name {
+		c.take(c.own, m, a.holders, a.at)
+		a.accept()
+		return
+	}
+	if m.Key == "" {
+		a.accept()
+		c.forward(m, a.holders, a.at)
+		return
+	}
+	c.confirmAtOwner(a)
+}
+
+func (a *acceptance) accept() {
+	a.done = true
+	a.core.figures.Accepted++
+	a.answer(Answer{Verdict: Accepted})
+}
+
+// MaxBody is the configuration's bound on a body, or otherwise where there is none yet.
+func (c *Core) MaxBody(otherwise int64) int64 {
+	if table := c.session.View().Table; table != nil {
+		return int64(table.Document.Limits.MaxBodyBytes)
+	}
+	return otherwise
+}
--- /dev/null
+++ b/internal/system/role/carrier/callback.go
@@ -0,0 +1,140 @@
+package carrier
+
+import (
+	"encoding/json"
+	"net/url"
+	"time"
+
+	"granitewing/internal/system/message"
+)
+
+// Bounds of call-backs.
+const (
+	callbackTimeout     = 2 * time.Second
+	callbackPause       = 150 * time.Millisecond
+	callbackPauseMost   = 2 * time.Second
+	receiverConnections = 40 // of the fleet, to one receiver
+	maxCallbackTries    = 200
+	maxRefusals         = 3 // answers 400 that end a call-back
+	maxReceivers        = 1024
+)
+
+// callback is one end that is owed to a URL.
+type callback struct {
+	url      string
+	end      message.End
+	holders  []string
+	tries    int
+	refusals int
+}
+
+// receiver is the queue of one receiver, by its host.
+type receiver struct {
+	waiting  []*callback
+	open     int
+	failures int
+	pausedTo time.Duration
+	waking   bool
+}
+
+type callbackForm struct {
+	ID    string        `json:"id"`
+	Phase message.Phase `json:"phase"`
+	Stamp string        `json:"stamp"`
+}
+
+// tell queues an end for its call-back URL.
+func (c *Core) tell(address string, end message.End, holders []string) {
+	parsed, err := url.Parse(address)
+	if err != nil || parsed.Host == "" {
+		c.stores.recordCallback(holders, end.ID)
+		return
+	}
+	r := c.receivers[parsed.Host]
+	if r == nil {
+		if len(c.receivers) >= maxReceivers {
+			c.forgetReceivers()
+		}
+		r = &receiver{}
+		c.receivers[parsed.Host] = r
+	}
+	r.waiting = append(r.waiting, &callback{url: address, end: end, holders: holders})
+	c.callOut(r)
+}
+
+func (c *Core) forgetReceivers() {
+	for host, r := range c.receivers {
+		if r.open == 0 && len(r.waiting) == 0 {
+			delete(c.receivers, host)
+		}
+	}
+}
+
+func (c *Core) callbacksWait() bool {
+	for _, r := range c.receivers {
+		if r.open > 0 || len(r.waiting) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// callOut sends what waits for a receiver over its few connections; one alone while it fails.
+func (c *Core) callOut(r *receiver) {
+	now := c.env.Now()
+	if now < r.pausedTo {
+		c.wakeReceiver(r, r.pausedTo-now)
+		return
+	}
+	most := max(1, receiverConnections/max(1, c.session.View().Carriers()))
+	if r.failures > 0 {
+		most = 1
+	}
+	for len(r.waiting) > 0 && r.open < most {
+		next := r.waiting[0]
+		r.waiting = append([]*callback(nil), r.waiting[1:]...)
+		r.open++
+		c.post(r, next)
+	}
+}
+
+func (c *Core) wakeReceiver(r *receiver, wait time.Duration) {
+	if r.waking {
+		return
+	}
+	r.waking = true
+	c.env.After(wait, func() {
+		r.waking = false
+		c.callOut(r)
+	})
+}
+
+func (c *Core) post(r *receiver, call *callback) {
+	body, err := json.Marshal(&callbackForm{ID: call.end.ID, Phase: call.end.Phase, Stamp: call.end.Stamp})
+	if err != nil {
+		return
+	}
+	call.tries++
+	c.env.Post(call.url, body, callbackTimeout, func(status int, err error) {
+		r.open--
+		c.posted(r, call, status, err)
+		c.callOut(r)
+	})
+}
+
+func (c *Core) posted(r *receiver, call *callback, status int, err error) {
+	const taken, malformed = 200, 400
+	if status == malformed {
+		call.refusals++
+	}
+	if err == nil && status == taken || call.refusals >= maxRefusals || call.tries >= maxCallbackTries {
+		r.failures = 0
+		c.figures.Callbacks++
+		c.stores.recordCallback(call.holders, call.end.ID)
+		return
+	}
+	r.failures++
+	pause := min(callbackPause<<min(r.failures-1, 5), callbackPauseMost)
+	r.pausedTo = c.env.Now() + pause/2 + time.Duration(c.env.Random(int64(pause)))
+	r.waiting = append([]*callback{call}, r.waiting...)
+}
--- /dev/null
+++ b/internal/system/role/carrier/core.go
@@ -0,0 +1,241 @@
+// Package carrier is the role that carries the clients' traffic: it takes messages, has them stored, delivers them by the
+// policy and sees them to their end. It is a state machine without I/O or clocks.
+//
+// Each message belongs to a unit. What needs no order and no pace belongs to the carrier that accepted it; the keys of an
+// ordered service are spread over units, and a service with a pace or a single endpoint is one unit, each with an owner
+// among the carriers. An owner that is gone is followed by another, which reads the unit's messages from the stores.
+package carrier
+
+import (
+	"time"
+
+	"granitewing/internal/system/catalog"
+	"granitewing/internal/system/configuration"
+	"granitewing/internal/system/delivery"
+	"granitewing/internal/system/loop"
+	"granitewing/internal/system/member"
+	"granitewing/internal/system/message"
+	"granitewing/internal/system/ownership"
+	"granitewing/internal/system/session"
+	"granitewing/internal/system/settings"
+)
+
+// Environment is what the driver or the simulation gives a carrier.
+type Environment interface {
+	loop.Loop
+	loop.Peers
+	// Deliver sends a message to a worker; done is called once, later.
+	Deliver(attempt Attempt, done func(outcome Outcome))
+	// Post tells a call-back URL about an end.
+	Post(url string, body []byte, timeout time.Duration, done func(status int, err error))
+	// ReadCatalog reads the platform's list of workers.
+	ReadCatalog(done func(instances map[string]catalog.Instance, err error))
+	// Report logs what an operator should know.
+	Report(event string, err error)
+}
+
+// Core is one carrier.
+type Core struct {
+	env      Environment
+	settings *settings.Settings
+	session  *member.Client
+	policy   *delivery.Policy
+
+	own       *unit            // of what this carrier accepted and delivers itself
+	units     map[string]*unit // all units that it is responsible for, own among them
+	queues    map[string]*queue
+	inFlight  map[string]*item // by message id: those with an attempt out
+	recent    *recentEnds
+	stores    *storage
+	receivers map[string]*receiver
+
+	bodyBytes    int64 // of the messages in memory
+	lackedStores time.Duration
+	lacking      bool
+	catalogBusy  bool
+	draining     bool
+	paused       bool // no new delivery begins
+	relisting    bool
+	figures      Figures
+}
+
+// Figures counts what happened in a carrier's life.
+type Figures struct {
+	Accepted, Refused, Unclear, Delivered, Failed, Ended, Callbacks uint64
+}
+
+// New makes a carrier.
+func New(env Environment, s *settings.Settings) *Core {
+	c := &Core{env: env, settings: s, policy: delivery.NewPolicy(s.Zone), units: map[string]*unit{},
+		queues: map[string]*queue{}, inFlight: map[string]*item{}, recent: newRecentEnds(),
+		receivers: map[string]*receiver{}}
+	c.stores = newStorage(c)
+	self := session.Member{Incarnation: member.NewIncarnation(env, s.NodeName), Node: s.NodeName, Role: session.Carrier,
+		Zone: s.Zone, Address: s.CarrierAddress()}
+	c.session = member.NewClient(env, env, s.SeedKeepers(), self, member.Events{
+		Changed: c.viewChanged, Lost: c.sessionLost,
+		Fault: func(err error) { env.Report("feed is unreadable", err) },
+	})
+	c.newOwnUnit()
+	return c
+}
+
+// Times of a carrier's own work.
+const (
+	housekeepingInterval = 200 * time.Millisecond
+	catalogTooOld        = 1600 * time.Millisecond
+	storesLackedFor      = 1500 * time.Millisecond
+)
+
+// Start begins.
+func (c *Core) Start() {
+	c.connect()
+	c.session.Start()
+	c.housekeep()
+}
+
+func (c *Core) housekeep() {
+	c.checkCatalog()
+	c.stores.flushAll()
+	c.settleDeparted()
+	for _, u := range c.units {
+		if !u.active && !u.recovering {
+			c.recover(u)
+		}
+	}
+	for _, q := range c.queues {
+		c.dispatch(q)
+	}
+	c.env.After(housekeepingInterval, c.housekeep)
+}
+
+func (c *Core) newOwnUnit() {
+	c.own = newUnit(ownership.CarrierUnit(c.session.Incarnation()))
+	c.own.active = true
+	c.units[c.own.name] = c.own
+}
+
+// connect names the peers that connections are kept to.
+func (c *Core) connect() {
+	addresses := append([]string(nil), c.settings.SeedKeepers()...)
+	view := c.session.View()
+	for _, store := range view.Stores {
+		addresses = append(addresses, store.Address)
+	}
+	for _, other := range view.Members {
+		if other.Role == session.Carrier && other.Incarnation != c.session.Incarnation() {
+			addresses = append(addresses, other.Address)
+		}
+	}
+	c.env.Connect(addresses)
+}
+
+// PeerUp tells that a connection to a peer came about.
+func (c *Core) PeerUp(address string) { c.stores.up(address) }
+
+// PeerDown tells that a connection to a peer broke.
+func (c *Core) PeerDown(address string) { c.session.Down(address) }
+
+// FeedUpdate takes a push of a keeper.
+func (c *Core) FeedUpdate(address string, payload []byte) { c.session.Push(address, payload) }
+
+func (c *Core) viewChanged(before, after *member.View) {
+	now := c.env.Now()
+	if !sameMap(before.Members, after.Members) || !sameMap(before.Stores, after.Stores) {
+		c.connect()
+		c.policy.SetCarriers(after.Carriers())
+	}
+	if before.Table != after.Table {
+		c.takeConfiguration(now, after.Table)
+	}
+	if !sameMap(before.Instances, after.Instances) {
+		c.policy.SetInstances(now, after.Instances)
+	}
+	c.takeUnits(before, after)
+	for _, q := range c.queues {
+		c.dispatch(q)
+	}
+}
+
+func sameMap[V comparable](a, b map[string]V) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for key, value := range a {
+		if other, there := b[key]; !there || other != value {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Core) takeConfiguration(now time.Duration, table *configuration.Table) {
+	for name, service := range table.Document.Services {
+		c.policy.SetService(now, name, service.MaxConnections, service.Static)
+		c.queue(name).pace.SetRate(service.Rate)
+	}
+}
+
+// checkCatalog reads the platform's list itself while no keeper gives a fresh one.
+func (c *Core) checkCatalog() {
+	if c.catalogBusy || c.session.CatalogAge() < catalogTooOld {
+		return
+	}
+	if c.session.View().Table == nil {
+		return
+	}
+	c.catalogBusy = true
+	begun := c.env.Now()
+	pause := time.Duration(c.env.Random(int64(catalogTooOld / 4)))
+	c.env.After(pause, func() {
+		c.env.ReadCatalog(func(instances map[string]catalog.Instance, err error) {
+			c.catalogBusy = false
+			if err != nil {
+				c.env.Report("list of workers can't be read", err)
+				return
+			}
+			c.session.SetInstances(begun, func(view *member.View) {
+				view.Instances = catalog.Merge(view.Instances, instances)
+				view.CatalogKnown = true
+			})
+		})
+	})
+}
+
+// Ready tells the platform whether to send clients here: a configuration is there, a session was opened, and enough
+// stores are connected, but for a short while.
+func (c *Core) Ready() bool {
+	if c.draining || c.session.View().Table == nil || !c.session.Joined() {
+		return false
+	}
+	if c.stores.reachable() >= c.copies() {
+		c.lacking = false
+		return true
+	}
+	if !c.lacking {
+		c.lacking, c.lackedStores = true, c.env.Now()
+	}
+	return c.env.Now()-c.lackedStores < storesLackedFor
+}
+
+// copies is the number of disks that a message lies on before it is accepted.
+func (c *Core) copies() int { return c.settings.Tolerated + 1 }
+
+// Figures gives the counts.
+func (c *Core) Figures() Figures { return c.figures }
+
+// item is a message that this carrier is responsible for.
+type item struct {
+	message  *message.Message
+	unit     *unit
+	holders  []string // nodes of the stores that hold it, or may
+	accepted time.Duration
+	due      time.Duration
+	failures int // attempts that a worker answered as failed
+	tries    int
+	lastTry  string // worker that it was last sent to
+	queued   bool
+	flying   bool
+	ended    bool
+	fetching bool
+}
--- /dev/null
+++ b/internal/system/role/carrier/dispatch.go
@@ -0,0 +1,310 @@
+package carrier
+
+import (
+	"time"
+
+	"granitewing/internal/system/configuration"
+	"granitewing/internal/system/delivery"
+	"granitewing/internal/system/message"
+	"granitewing/internal/system/wire"
+)
+
+// Attempt is one delivery to a worker.
+type Attempt struct {
+	Message  *message.Message
+	Address  string
+	Instance string // the worker that is meant; empty for a static endpoint
+	Deadline time.Duration
+}
+
+// OutcomeKind tells how an attempt ended.
+type OutcomeKind uint8
+
+// The kinds.
+const (
+	RunSucceeded OutcomeKind = iota + 1
+	RunFailed                // this attempt failed
+	RunRefused               // it can never be done
+	NotRun                   // the worker said so
+	RunUnknown               // it may have run
+	NotSent                  // no byte of it left
+)
+
+// Outcome of an attempt.
+type Outcome struct {
+	Kind   OutcomeKind
+	Stamp  string
+	Silent bool // of RunUnknown: no answer came by the deadline
+	Load   delivery.Load
+	Took   time.Duration
+}
+
+// Pauses before a message is tried again.
+const (
+	pauseNotRun    = 25 * time.Millisecond
+	pauseFailed    = 80 * time.Millisecond
+	pauseUnknown   = 60 * time.Millisecond
+	pauseMost      = 1500 * time.Millisecond
+	wakeWhenFull   = 25 * time.Millisecond
+	defaultTimeout = time.Second
+	pacedRefused   = 60 * time.Millisecond
+)
+
+// ready puts a message into its service's queue once it is due.
+func (c *Core) ready(it *item) {
+	if it.ended || it.queued || it.flying || it.unit.dropped {
+		return
+	}
+	if wait := it.due - c.env.Now(); wait > 0 {
+		c.env.After(wait, func() { c.ready(it) })
+		return
+	}
+	if !c.leads(it) {
+		return
+	}
+	table := c.session.View().Table
+	if table == nil {
+		c.env.After(wakeWhenFull, func() { c.ready(it) })
+		return
+	}
+	route := c.routeOf(table, it)
+	if route == nil {
+		c.end(it, message.DeadLetter, "")
+		return
+	}
+	it.queued = true
+	if it.tries == 0 {
+		c.policy.Arrive(c.env.Now(), route.Service, route.Name, route.TargetStart)
+	}
+	q := c.queue(route.Service)
+	q.fresh.push(it)
+	c.dispatch(q)
+}
+
+// leads tells whether it is the message's turn in its key's order.
+func (c *Core) leads(it *item) bool {
+	key := it.message.Key
+	return key == "" || len(it.unit.keys[key]) > 0 && it.unit.keys[key][0] == it
+}
+
+// routeOf is the message's route under a configuration, nil where that has dropped it.
+func (c *Core) routeOf(table *configuration.Table, it *item) *configuration.Route {
+	return table.Match(it.message.Host, pathOf(it.message.Target))
+}
+
+func pathOf(target string) string {
+	for i := range len(target) {
+		if target[i] == '?' {
+			return target[:i]
+		}
+	}
+	return target
+}
+
+// dispatch sends what is due of a service, as long as workers take it.
+func (c *Core) dispatch(q *queue) {
+	table := c.session.View().Table
+	if table == nil || c.paused {
+		return
+	}
+	now := c.env.Now()
+	aim := func(it *item) time.Duration {
+		if route := c.routeOf(table, it); route != nil {
+			return it.accepted + it.message.Delay + route.TargetStart
+		}
+		return now
+	}
+	for {
+		it := q.next(now, aim)
+		if it == nil {
+			return
+		}
+		if !c.dispatchOne(now, q, table, it, aim(it)) {
+			return
+		}
+	}
+}
+
+// dispatchOne sends one message; false where the queue has to wait.
+func (c *Core) dispatchOne(now time.Duration, q *queue, table *configuration.Table, it *item, aim time.Duration) bool {
+	route := c.routeOf(table, it)
+	switch {
+	case route == nil || now-it.accepted > it.message.Retention+it.message.Delay:
+		q.take(it)
+		c.end(it, message.DeadLetter, "")
+		return true
+	case route.Service != q.service:
+		q.take(it)
+		c.ready(it)
+		return true
+	case it.message.Body == nil && it.fetching:
+		q.take(it)
+		return true
+	}
+	service := table.Service(route)
+	if service.Rate > 0 && (!c.session.Holds() || now < q.pace.Due()) {
+		c.wake(q, max(q.pace.Due(), now+time.Millisecond))
+		return false
+	}
+	worker := c.policy.Pick(now, q.service, route.Name, aim-now, it.lastTry)
+	if worker == nil {
+		next, known := c.policy.Wake(now, q.service)
+		if !known || next > now+wakeWhenFull {
+			next = now + wakeWhenFull
+		}
+		c.wake(q, next)
+		return false
+	}
+	q.pace.Take(now)
+	q.take(it)
+	c.send(it, route, worker)
+	return true
+}
+
+func (c *Core) wake(q *queue, at time.Duration) {
+	now := c.env.Now()
+	if q.wakeAt > now && q.wakeAt <= at {
+		return
+	}
+	q.wakeAt = at
+	c.env.After(max(0, at-now), func() {
+		if q.wakeAt == at {
+			q.wakeAt = 0
+			c.dispatch(q)
+		}
+	})
+}
+
+func (c *Core) send(it *item, route *configuration.Route, worker *delivery.Worker) {
+	if it.message.Body == nil && it.fetching {
+		return
+	}
+	now := c.env.Now()
+	it.flying = true
+	it.tries++
+	it.lastTry = worker.ID
+	c.inFlight[it.message.ID] = it
+	c.policy.Start(now, worker)
+	c.figures.Delivered++
+	attempt := Attempt{Message: it.message, Address: worker.Address, Deadline: route.Timeout}
+	if !worker.Static {
+		attempt.Instance = worker.ID
+	}
+	c.env.Deliver(attempt, func(outcome Outcome) { c.finished(it, route, worker, outcome) })
+}
+
+func resultOf(outcome Outcome) delivery.Result {
+	switch outcome.Kind {
+	case RunSucceeded, RunFailed, RunRefused:
+		return delivery.Ran
+	case NotRun:
+		return delivery.NotRun
+	case NotSent:
+		return delivery.NoAnswer
+	}
+	if outcome.Silent {
+		return delivery.Silent
+	}
+	return delivery.Broken
+}
+
+func (c *Core) finished(it *item, route *configuration.Route, worker *delivery.Worker, outcome Outcome) {
+	now := c.env.Now()
+	it.flying = false
+	delete(c.inFlight, it.message.ID)
+	c.policy.Finish(now, worker, resultOf(outcome), outcome.Took, outcome.Load)
+	q := c.queue(route.Service)
+	switch outcome.Kind {
+	case RunSucceeded:
+		c.end(it, message.Succeeded, outcome.Stamp)
+	case RunRefused:
+		c.end(it, message.DeadLetter, "")
+	case RunFailed:
+		c.figures.Failed++
+		it.failures++
+		if it.failures >= route.Retries {
+			c.end(it, message.DeadLetter, "")
+			break
+		}
+		c.again(it, pauseFailed)
+	case NotRun:
+		if worker.Static {
+			q.pace.Hold(now + pacedRefused)
+		}
+		c.again(it, pauseNotRun)
+	default:
+		c.again(it, pauseUnknown)
+	}
+	c.dispatch(q)
+}
+
+// again puts a message back after a pause that grows and spreads.
+func (c *Core) again(it *item, pause time.Duration) {
+	if it.unit.dropped {
+		return
+	}
+	pause = min(pause<<min(it.tries-1, 5), pauseMost)
+	pause = pause/2 + time.Duration(c.env.Random(int64(pause)))
+	c.env.After(pause, func() { c.ready(it) })
+}
+
+// end ends a message, and has the stores record it.
+func (c *Core) end(it *item, phase message.Phase, stamp string) {
+	if it.ended {
+		return
+	}
+	it.ended = true
+	it.queued = false
+	c.figures.Ended++
+	end := message.End{ID: it.message.ID, Phase: phase, Stamp: stamp, CallbackOwed: it.message.Callback != ""}
+	c.recent.add(end)
+	c.stores.recordEnd(it.holders, end)
+	if end.CallbackOwed {
+		c.tell(it.message.Callback, end, it.holders)
+	}
+	c.leave(it)
+}
+
+// limitBytes leaves a message's bytes on the stores while much is waiting here; they are read back when it is due.
+func (c *Core) limitBytes(it *item) {
+	most := keepBodiesShare * float64(c.settings.Limits.MemoryMB) * (1 << 20)
+	if float64(c.bodyBytes) <= most || len(it.message.Body) == 0 {
+		return
+	}
+	c.forgetBytes(it)
+	it.fetching = true
+	c.env.After(max(0, it.due-c.env.Now()), func() { c.fetch(it, 0) })
+}
+
+const fetchPause = 200 * time.Millisecond
+
+// fetch reads a message's bytes back from one of its holders.
+func (c *Core) fetch(it *item, turn int) {
+	if it.ended || it.unit.dropped || len(it.holders) == 0 {
+		return
+	}
+	most := keepBodiesShare * float64(c.settings.Limits.MemoryMB) * (1 << 20)
+	retry := func() { c.env.After(fetchPause, func() { c.fetch(it, turn+1) }) }
+	node := it.holders[turn%len(it.holders)]
+	if float64(c.bodyBytes) > most || !c.stores.isUp(node) {
+		retry()
+		return
+	}
+	body := wire.FindBody{ID: it.message.ID, WithBody: true}
+	c.env.Call(c.stores.address(node), wire.FindMessage, wire.Encode(&body), listTimeout, func(payload []byte, err error) {
+		var answer wire.FindAnswer
+		if err == nil {
+			err = wire.Decode(wire.FindMessage, payload, &answer)
+		}
+		if err != nil || !answer.HasBody {
+			retry()
+			return
+		}
+		whole := *it.message
+		whole.Body = answer.Body
+		it.message = &whole
+		it.fetching = false
+		c.bodyBytes += int64(len(whole.Body))
+		c.ready(it)
+	})
+}
--- /dev/null
+++ b/internal/system/role/carrier/drain.go
@@ -0,0 +1,51 @@
+package carrier
+
+import "time"
+
+// Parts of the grace that a stopping carrier has.
+const (
+	drainPollInterval = 50 * time.Millisecond
+	pauseAtPart       = 0.50 // of the grace: no delivery begins after it
+	closeAtPart       = 0.85 // attempts that are out by then are left
+	flushAtPart       = 0.92 // the session is given up by then
+)
+
+// StopReady has the platform send no more clients.
+func (c *Core) StopReady() { c.draining = true }
+
+// Drain ends the carrier's work in order: it serves on for a part of the grace, begins no more deliveries, lets those
+// that are out end, has all ends recorded, and gives up its session so that another carries on. done is called at its end.
+// began is when the stop was asked for.
+func (c *Core) Drain(began time.Duration, done func()) {
+	c.draining = true
+	grace := c.settings.Bounds.Grace
+	part := func(share float64) time.Duration { return began + time.Duration(share*float64(grace)) }
+	now := c.env.Now()
+	if now < part(pauseAtPart) && c.work() {
+		c.env.After(drainPollInterval, func() { c.Drain(began, done) })
+		return
+	}
+	c.paused = true
+	busy := len(c.inFlight) > 0 && now < part(closeAtPart)
+	unwritten := c.stores.unwritten() > 0 && now < part(flushAtPart)
+	if busy || unwritten {
+		c.env.After(drainPollInterval, func() { c.Drain(began, done) })
+		return
+	}
+	c.session.Close(func(err error) {
+		if err != nil {
+			c.env.Report("the session could not be closed", err)
+		}
+		done()
+	})
+}
+
+// work tells whether anything waits to be delivered soon.
+func (c *Core) work() bool {
+	for _, q := range c.queues {
+		if q.len() > 0 {
+			return true
+		}
+	}
+	return len(c.inFlight) > 0
+}
--- /dev/null
+++ b/internal/system/role/keeper/sessions.go
@@ -0,0 +1,153 @@
+package keeper
+
+import (
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"granitewing/internal/system/agreement"
+	"granitewing/internal/system/feed"
+	"granitewing/internal/system/session"
+)
+
+// UnknownSessionError tells a member that its session is over: it must open another under a new incarnation.
+type UnknownSessionError struct{ Incarnation string }
+
+func (e *UnknownSessionError) Error() string { return "no session of " + e.Incarnation }
+
+// takeSessions gives every member a full session when this keeper begins to lead: it doesn't know when they were heard.
+func (c *Core) takeSessions() {
+	c.lastHeard = map[string]time.Duration{}
+	c.leaving = map[string]time.Duration{}
+	for _, role := range []session.Role{session.Carrier, session.Store} {
+		for _, member := range c.sessions.Members(role) {
+			c.lastHeard[member.Incarnation] = c.now
+		}
+	}
+	c.catalogDue = c.now
+}
+
+// OpenSession lets a member join, or renews its session, and subscribes it to the feed.
+func (c *Core) OpenSession(now time.Duration, subscriber Subscriber, member session.Member, position feed.Position,
+	done func(err error)) {
+	c.now = now
+	g := c.groups[SessionGroup]
+	if !g.node.Leading() {
+		done(&agreement.NotLeaderError{Leader: g.node.Leader()})
+		return
+	}
+	if known, live := c.sessions.Member(member.Incarnation); live && known == member {
+		c.lastHeard[member.Incarnation] = now
+		c.subscribers[subscriber] = position
+		done(nil)
+		return
+	}
+	c.proposeSession(session.Command{Kind: session.Join, Member: member}, func(err error) {
+		if err == nil {
+			c.lastHeard[member.Incarnation] = c.now
+			c.subscribers[subscriber] = position
+		}
+		done(err)
+	})
+}
+
+// Heartbeat keeps a session; the age is that of the list of workers.
+func (c *Core) Heartbeat(now time.Duration, incarnation string) (catalogAge time.Duration, err error) {
+	c.now = now
+	g := c.groups[SessionGroup]
+	if now >= g.node.NextWake() {
+		// A process that stood still must not vouch for a session before it knows that it still leads.
+		g.node.Tick(now)
+	}
+	if !g.node.Leading() {
+		return 0, &agreement.NotLeaderError{Leader: g.node.Leader()}
+	}
+	if _, live := c.sessions.Member(incarnation); !live {
+		return 0, &UnknownSessionError{Incarnation: incarnation}
+	}
+	if _, expiring := c.leaving[incarnation]; expiring {
+		return 0, &UnknownSessionError{Incarnation: incarnation}
+	}
+	c.lastHeard[incarnation] = now
+	return c.CatalogAge(), nil
+}
+
+// CloseSession ends a session at its member's wish.
+func (c *Core) CloseSession(now time.Duration, incarnation string, done func(err error)) {
+	c.now = now
+	c.proposeSession(session.Command{Kind: session.Leave, Incarnation: incarnation}, done)
+}
+
+// Settle records that a departed carrier's messages have all ended.
+func (c *Core) Settle(now time.Duration, incarnation string, done func(err error)) {
+	c.now = now
+	c.proposeSession(session.Command{Kind: session.Settled, Incarnation: incarnation}, done)
+}
+
+// Unsubscribe forgets a connection.
+func (c *Core) Unsubscribe(subscriber Subscriber) { delete(c.subscribers, subscriber) }
+
+// Pushes gives what subscribers lack. None are made unless this keeper leads the sessions: members follow the leader.
+func (c *Core) Pushes() []Push {
+	var pushes []Push
+	for subscriber, position := range c.subscribers {
+		if position.Epoch == c.options.FeedEpoch && position.Offset == c.feed.Offset() {
+			continue
+		}
+		update := c.feed.Since(position)
+		c.subscribers[subscriber] = update.Position
+		pushes = append(pushes, Push{To: subscriber, Update: update})
+	}
+	return pushes
+}
+
+func (c *Core) proposeSession(command session.Command, done func(err error)) {
+	if !c.groups[SessionGroup].node.Leading() {
+		done(&agreement.NotLeaderError{Leader: c.groups[SessionGroup].node.Leader()})
+		return
+	}
+	data, err := msgpack.Marshal(&command)
+	if err != nil {
+		done(&session.MalformedError{Err: err})
+		return
+	}
+	c.propose(SessionGroup, data, done)
+}
+
+func (c *Core) applySession(_ uint64, data []byte) error {
+	var command session.Command
+	if err := msgpack.Unmarshal(data, &command); err != nil {
+		return &session.MalformedError{Err: err}
+	}
+	c.sessions.Apply(command)
+	if command.Kind == session.Join {
+		c.lastHeard[command.Member.Incarnation] = c.now
+	}
+	return nil
+}
+
+// expireSessions ends the sessions that were not kept.
+func (c *Core) expireSessions() {
+	if !c.groups[SessionGroup].node.Leading() {
+		return
+	}
+	for _, role := range []session.Role{session.Carrier, session.Store} {
+		for _, member := range c.sessions.Members(role) {
+			c.expireMember(member.Incarnation)
+		}
+	}
+	for incarnation := range c.lastHeard {
+		if _, live := c.sessions.Member(incarnation); !live {
+			delete(c.lastHeard, incarnation)
+			delete(c.leaving, incarnation)
+		}
+	}
+}
+
+func (c *Core) expireMember(incarnation string) {
+	if c.now-c.lastHeard[incarnation] < SessionLife || c.now < c.leaving[incarnation] {
+		return
+	}
+	c.leaving[incarnation] = c.now + orderWait
+	c.proposeSession(session.Command{Kind: session.Leave, Incarnation: incarnation}, func(error) {})
+}
--- /dev/null
+++ b/internal/system/role/keeper/tables.go
@@ -0,0 +1,171 @@
+package keeper
+
+import (
+	"sort"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"granitewing/internal/system/catalog"
+	"granitewing/internal/system/ownership"
+	"granitewing/internal/system/session"
+	"granitewing/internal/system/wire"
+)
+
+// reconcile gives each unit without a live owner to a carrier, in the shards that this keeper leads.
+func (c *Core) reconcile() {
+	live := c.liveCarriers()
+	for shard := range c.owners {
+		g := c.groups[firstOwnershipGroup+shard]
+		if !g.node.Leading() || c.now < c.assigning[shard] || len(live) == 0 {
+			continue
+		}
+		turned := append(append([]string(nil), live[shard*len(live)/OwnershipShards:]...), live[:shard*len(live)/OwnershipShards]...)
+		assignments := c.owners[shard].Assign(c.units(shard), turned)
+		if len(assignments) == 0 {
+			continue
+		}
+		data, err := msgpack.Marshal(assignments)
+		if err != nil {
+			continue
+		}
+		c.assigning[shard] = c.now + orderWait
+		c.propose(firstOwnershipGroup+shard, data, func(error) { c.assigning[shard] = 0 })
+	}
+}
+
+func (c *Core) liveCarriers() []string {
+	var live []string
+	for _, member := range c.sessions.Members(session.Carrier) {
+		live = append(live, member.Incarnation)
+	}
+	return live
+}
+
+// units gives the units of a shard that need an owner under the current configuration.
+func (c *Core) units(shard int) []string {
+	document := c.configuration.Current()
+	if document == nil {
+		return nil
+	}
+	ordered := map[string]bool{}
+	for i := range document.Routes {
+		if document.Routes[i].Ordered {
+			ordered[document.Routes[i].Service] = true
+		}
+	}
+	var units []string
+	for name, service := range document.Services {
+		if ownership.Shard(name, OwnershipShards) != shard {
+			continue
+		}
+		switch {
+		case service.Rate > 0 || service.Static != "":
+			units = append(units, ownership.PacedUnit(name))
+		case ordered[name]:
+			units = append(units, ownership.KeyUnits(name)...)
+		}
+	}
+	sort.Strings(units)
+	return units
+}
+
+func (c *Core) applyAssignments(shard int, data []byte) error {
+	var assignments []ownership.Assignment
+	if err := msgpack.Unmarshal(data, &assignments); err != nil {
+		return &ownership.MalformedError{Err: err}
+	}
+	c.owners[shard].Apply(assignments)
+	return nil
+}
+
+// Keys of the feed. What follows a prefix is the name of the thing.
+const (
+	KeyConfiguration = "configuration"
+	KeyCatalog       = "catalog" // there once the list of workers was read
+	PrefixMember     = "member/"
+	PrefixStore      = "store/"
+	PrefixDeparted   = "departed/"
+	PrefixOwner      = "owner/"
+	PrefixInstance   = "instance/"
+)
+
+// refreshFeed brings the feed's table to what the shards hold.
+func (c *Core) refreshFeed() {
+	if document := c.configuration.Current(); document != nil {
+		c.feed.Set(KeyConfiguration, document.Raw)
+	}
+	members := map[string][]byte{}
+	for _, role := range []session.Role{session.Carrier, session.Store} {
+		for _, member := range c.sessions.Members(role) {
+			members[PrefixMember+member.Incarnation] = wire.Encode(&member)
+		}
+	}
+	c.replace(PrefixMember, members)
+	stores := map[string][]byte{}
+	for _, store := range c.sessions.Stores() {
+		stores[PrefixStore+store.Node] = wire.Encode(&store)
+	}
+	c.replace(PrefixStore, stores)
+	departed := map[string][]byte{}
+	for _, gone := range c.sessions.Departed() {
+		departed[PrefixDeparted+gone.Incarnation] = wire.Encode(&gone)
+	}
+	c.replace(PrefixDeparted, departed)
+	owners := map[string][]byte{}
+	for _, shard := range c.owners {
+		for unit, owner := range shard.Owners() {
+			owners[PrefixOwner+unit] = wire.Encode(&owner)
+		}
+	}
+	c.replace(PrefixOwner, owners)
+}
+
+func (c *Core) replace(prefix string, values map[string][]byte) {
+	for _, key := range c.feed.Keys(prefix) {
+		if _, kept := values[key]; !kept {
+			c.feed.Delete(key)
+		}
+	}
+	keys := make([]string, 0, len(values))
+	for key := range values {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	for _, key := range keys {
+		c.feed.Set(key, values[key])
+	}
+}
+
+// WantsCatalog tells whether the platform's list should be read now, and marks the reading as begun. Only the leader of
+// the sessions reads: it is the one that members follow.
+func (c *Core) WantsCatalog(now time.Duration) bool {
+	c.now = now
+	if !c.groups[SessionGroup].node.Leading() || now < c.catalogDue {
+		return false
+	}
+	c.catalogDue = now + catalogInterval
+	return true
+}
+
+// CatalogRead takes a whole reading of the platform's list, begun at a time.
+func (c *Core) CatalogRead(now, begun time.Duration, reading map[string]catalog.Instance) {
+	c.now = now
+	c.instances = catalog.Merge(c.instances, reading)
+	c.catalogKnown = true
+	c.catalogRead = begun
+	values := make(map[string][]byte, len(c.instances))
+	for id, instance := range c.instances {
+		values[PrefixInstance+id] = wire.Encode(&instance)
+	}
+	c.replace(PrefixInstance, values)
+	c.feed.Set(KeyCatalog, []byte{1})
+}
+
+// CatalogAge is the age of the list of workers; a long one where there is none.
+func (c *Core) CatalogAge() time.Duration {
+	if !c.catalogKnown {
+		return time.Hour
+	}
+	return c.now - c.catalogRead
+}
--- /dev/null
+++ b/internal/system/role/store/copy.go
@@ -0,0 +1,51 @@
+package store
+
+import (
+	"granitewing/internal/system/message"
+	"granitewing/internal/system/segment"
+	"granitewing/internal/system/wire"
+)
+
+// TakeCopy takes what another store held, after this one's disk was lost.
+func (c *Core) TakeCopy(messages []wire.CopiedMessage) {
+	for i := range messages {
+		c.takeCopied(&messages[i])
+	}
+}
+
+func (c *Core) takeCopied(copied *wire.CopiedMessage) {
+	id := copied.Message.ID
+	if copied.Void {
+		c.Void(id, func() {})
+		return
+	}
+	e := c.index.get(id)
+	if e != nil && e.void {
+		return
+	}
+	if e == nil || !e.held && copied.Message.Method != "" {
+		c.keepCopy(e, &copied.Message)
+	}
+	if copied.End != nil {
+		c.Ends([]message.End{*copied.End}, func() {})
+	}
+}
+
+func (c *Core) keepCopy(e *entry, m *message.Message) {
+	if e == nil {
+		e = c.index.add(m.ID, m.Unit, c.since(max(m.Accepted, 0)))
+	}
+	if m.Method == "" {
+		return // only its end is known
+	}
+	e.retention = m.Retention
+	c.append(record{Kind: recordMessage, Message: m}, func(position segment.Position) {
+		e.held, e.position = true, position
+	})
+}
+
+// CopyFinished tells that all other stores' messages were taken: the store holds all that it ever acknowledged.
+func (c *Core) CopyFinished() {
+	c.complete = true
+	c.append(record{Kind: recordComplete}, nil)
+}
--- /dev/null
+++ b/internal/system/role/store/core.go
@@ -0,0 +1,307 @@
+package store
+
+import (
+	"time"
+
+	"granitewing/internal/system/message"
+	"granitewing/internal/system/segment"
+	"granitewing/internal/system/wire"
+)
+
+// Options of a store.
+type Options struct {
+	// Status is how long after its end a message's state is asked for.
+	Status time.Duration
+	// DiskBytes is the size of the disk; part of it stays free for what removes things.
+	DiskBytes int64
+}
+
+// Shares of the disk.
+const (
+	fullShare  = 0.85 // past it no message is taken
+	cleanShare = 0.30 // past it the oldest segment is cleaned
+)
+
+// Reader reads a record's payload from the log.
+type Reader interface {
+	Read(position segment.Position) ([]byte, error)
+}
+
+// pendingRecord is a record of the batch that is being gathered, and what happens once it is synced.
+type pendingRecord struct {
+	payload []byte
+	synced  func(position segment.Position)
+}
+
+// Core is one store.
+type Core struct {
+	options  Options
+	reader   Reader
+	now      time.Duration
+	wall     int64 // milliseconds since 1970, as the driver last told
+	index    *index
+	batch    []pendingRecord
+	answers  []func()
+	disk     string
+	started  bool
+	complete bool
+	bytes    int64 // of all segments
+	sizes    map[uint64]int64
+	copies   map[string]uint64 // stores that are being copied from, and how far
+	copied   map[string]bool
+}
+
+// New makes a store whose log is about to be replayed.
+func New(options Options, reader Reader, now time.Duration, wall int64) *Core {
+	return &Core{options: options, reader: reader, now: now, wall: wall, index: newIndex(), sizes: map[uint64]int64{},
+		copies: map[string]uint64{}, copied: map[string]bool{}}
+}
+
+// Load takes a record of the log at the start.
+func (c *Core) Load(position segment.Position, payload []byte) error {
+	r, err := decodeRecord(position, payload)
+	if err != nil {
+		return err
+	}
+	c.count(position, payload)
+	switch r.Kind {
+	case recordStarted:
+		c.started = true
+		c.disk = r.Disk
+		c.complete = !r.Incomplete
+	case recordComplete:
+		c.complete = true
+	case recordMessage:
+		c.loadMessage(position, uint32(len(payload)), r)
+	case recordVoid:
+		c.loadVoid(r)
+	case recordEnd:
+		c.loadEnd(r)
+	case recordCallbackDone:
+		if e := c.index.get(r.ID); e != nil {
+			e.callbackOwed = false
+		}
+	}
+	return nil
+}
+
+func (c *Core) count(position segment.Position, payload []byte) {
+	const overhead = 16
+	size := int64(len(payload) + overhead)
+	c.sizes[position.Segment] += size
+	c.bytes += size
+}
+
+// since is the monotonic time of a wall time before the start.
+func (c *Core) since(wall int64) time.Duration {
+	return c.now - max(0, time.Duration(c.wall-wall)*time.Millisecond)
+}
+
+func (c *Core) loadMessage(position segment.Position, size uint32, r *record) {
+	e := c.index.get(r.Message.ID)
+	if e == nil {
+		e = c.index.add(r.Message.ID, r.Message.Unit, c.since(r.Message.Accepted))
+	}
+	if e.unit == "" {
+		e.unit = r.Message.Unit
+		c.index.join(e)
+	}
+	e.held, e.position, e.size, e.retention = true, position, size, r.Message.Retention
+}
+
+func (c *Core) loadVoid(r *record) {
+	e := c.index.get(r.ID)
+	if e == nil {
+		e = c.index.add(r.ID, r.Unit, c.since(r.Wall))
+	}
+	c.void(e, c.since(r.Wall))
+}
+
+func (c *Core) loadEnd(r *record) {
+	e := c.index.get(r.ID)
+	if e == nil {
+		e = c.index.add(r.ID, r.Unit, c.since(r.Wall))
+	}
+	c.end(e, *r.End, c.since(r.Wall), r.Wall)
+}
+
+// Start ends the replay. On an empty disk the store begins as complete where the whole system starts for the first
+// time, else as one whose disk was lost.
+func (c *Core) Start(bootstrap bool, disk string) {
+	if c.started {
+		return
+	}
+	c.started, c.complete, c.disk = true, bootstrap, disk
+	c.append(record{Kind: recordStarted, Incomplete: !bootstrap, Disk: disk}, nil)
+}
+
+// Disk is the identity that was drawn on the disk.
+func (c *Core) Disk() string { return c.disk }
+
+// Complete tells whether the store holds all that it ever acknowledged.
+func (c *Core) Complete() bool { return c.complete }
+
+// Counts tells how many messages the store knows, and how many of them are pending.
+func (c *Core) Counts() (known, pending int) {
+	for _, e := range c.index.entries {
+		if e.pending() {
+			pending++
+		}
+	}
+	return len(c.index.entries), pending
+}
+
+// Bytes is what the log holds.
+func (c *Core) Bytes() int64 { return c.bytes }
+
+func (c *Core) append(r record, synced func(segment.Position)) {
+	r.Wall = c.wall
+	c.batch = append(c.batch, pendingRecord{payload: r.encode(), synced: synced})
+}
+
+// Batch is records that are written and synced together, and answers that go out after that.
+type Batch struct {
+	Payloads [][]byte
+	records  []pendingRecord
+	answers  []func()
+}
+
+// Take gives the batch that has gathered.
+func (c *Core) Take() *Batch {
+	batch := &Batch{records: c.batch, answers: c.answers}
+	for _, r := range batch.records {
+		batch.Payloads = append(batch.Payloads, r.payload)
+	}
+	c.batch, c.answers = nil, nil
+	return batch
+}
+
+// Synced tells that a batch lies on the disk.
+func (c *Core) Synced(now time.Duration, batch *Batch, positions []segment.Position) {
+	c.now = now
+	for i, r := range batch.records {
+		c.count(positions[i], r.payload)
+		if r.synced != nil {
+			r.synced(positions[i])
+		}
+	}
+	for _, answer := range batch.answers {
+		answer()
+	}
+}
+
+// Time tells the store both clocks.
+func (c *Core) Time(now time.Duration, wall int64) {
+	c.now, c.wall = now, wall
+	c.index.forget(now, c.options.Status)
+	c.expire()
+}
+
+// Put stores a message; the answer is nil once it is synced.
+func (c *Core) Put(m *message.Message, done func(refusal *wire.RefusalBody)) {
+	e := c.index.get(m.ID)
+	if e != nil && e.void {
+		done(&wire.RefusalBody{Code: wire.Voided, Reason: "the message is void"})
+		return
+	}
+	if e != nil && e.held {
+		c.answers = append(c.answers, func() { done(nil) })
+		return
+	}
+	if float64(c.bytes) > fullShare*float64(c.options.DiskBytes) {
+		done(&wire.RefusalBody{Code: wire.Failed, Reason: "the disk is full"})
+		return
+	}
+	if e == nil {
+		e = c.index.add(m.ID, m.Unit, c.now)
+	} else if e.unit == "" {
+		e.unit = m.Unit
+		c.index.join(e)
+	}
+	e.retention = m.Retention
+	r := record{Kind: recordMessage, Message: m}
+	c.append(r, func(position segment.Position) {
+		e.held, e.position = true, position
+		done(nil)
+	})
+}
+
+// Void makes a message void.
+func (c *Core) Void(id string, done func()) {
+	e := c.index.get(id)
+	if e != nil && e.void {
+		c.answers = append(c.answers, done)
+		return
+	}
+	if e == nil {
+		e = c.index.add(id, "", c.now)
+	}
+	c.void(e, c.now)
+	c.append(record{Kind: recordVoid, ID: id, Unit: e.unit}, func(segment.Position) { done() })
+}
+
+func (c *Core) void(e *entry, at time.Duration) {
+	if e.void {
+		return
+	}
+	e.void = true
+	c.index.end(e, at)
+}
+
+// Ends records ends of messages.
+func (c *Core) Ends(ends []message.End, done func()) {
+	for _, end := range ends {
+		e := c.index.get(end.ID)
+		if e == nil {
+			e = c.index.add(end.ID, "", c.now)
+		}
+		if e.phase != message.Pending {
+			continue
+		}
+		c.end(e, end, c.now, c.wall)
+		c.append(record{Kind: recordEnd, ID: end.ID, Unit: e.unit, End: &end}, nil)
+	}
+	c.answers = append(c.answers, done)
+}
+
+func (c *Core) end(e *entry, end message.End, at time.Duration, wall int64) {
+	if e.phase != message.Pending {
+		return
+	}
+	e.phase, e.stamp, e.callbackOwed, e.endWall = end.Phase, end.Stamp, end.CallbackOwed, wall
+	c.index.end(e, at)
+}
+
+// CallbackDone records that ends were told.
+func (c *Core) CallbackDone(ids []string, done func()) {
+	for _, id := range ids {
+		e := c.index.get(id)
+		if e == nil || !e.callbackOwed {
+			continue
+		}
+		e.callbackOwed = false
+		c.append(record{Kind: recordCallbackDone, ID: id}, nil)
+	}
+	c.answers = append(c.answers, done)
+}
+
+// expire ends messages that nobody ended within their retention and a margin: their carriers and owners are gone, or
+// the end could not be recorded here.
+func (c *Core) expire() {
+	const margin = 30 * time.Second
+	const mostAtOnce = 64
+	count := 0
+	for _, unit := range c.index.units {
+		for _, e := range unit.entries {
+			if !e.pending() || c.now-e.arrived < e.retention+margin {
+				break
+			}
+			if count++; count > mostAtOnce {
+				return
+			}
+			end := message.End{ID: e.id, Phase: message.DeadLetter}
+			c.end(e, end, c.now, c.wall)
+			c.append(record{Kind: recordEnd, ID: e.id, Unit: e.unit, End: &end}, nil)
+		}
+	}
+}
--- /dev/null
+++ b/internal/system/role/store/index.go
@@ -0,0 +1,150 @@
+package store
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"granitewing/internal/system/message"
+	"granitewing/internal/system/segment"
+)
+
+func segmentName(position segment.Position) string { return fmt.Sprintf("%016x", position.Segment) }
+
+// entry is what the index knows of a message.
+type entry struct {
+	id           string
+	unit         string
+	place        uint64 // in the order of arrival at this store
+	position     segment.Position
+	size         uint32
+	held         bool // the message's record is on disk at position
+	void         bool
+	phase        message.Phase
+	stamp        string
+	callbackOwed bool
+	arrived      time.Duration // on the monotonic clock; before the start of the process where that can be told
+	retention    time.Duration
+	endedAt      time.Duration
+	endWall      int64
+}
+
+func (e *entry) pending() bool { return e.held && !e.void && e.phase == message.Pending }
+
+// listed tells whether a unit's owner still has something to do for the message.
+func (e *entry) listed() bool {
+	return e.held && !e.void && (e.phase == message.Pending || e.callbackOwed)
+}
+
+// needsBytes tells whether the message's record has to stay.
+func (e *entry) needsBytes() bool { return e.listed() || e.held && e.phase == message.DeadLetter }
+
+// unitIndex is the messages of a unit in their order of arrival.
+type unitIndex struct {
+	entries []*entry // ascending by place
+	gone    int      // of them, those that the index has forgotten
+}
+
+// segmentUse counts what of a segment is needed.
+type segmentUse struct{ records, bytes int }
+
+// index is all that a store knows of its messages, in memory.
+type index struct {
+	entries map[string]*entry
+	units   map[string]*unitIndex
+	expiry  []*entry // ended and void ones, ascending by the time of their end
+	place   uint64
+}
+
+func newIndex() *index { return &index{entries: map[string]*entry{}, units: map[string]*unitIndex{}} }
+
+func (x *index) get(id string) *entry { return x.entries[id] }
+
+// add makes an entry for an id that is not known.
+func (x *index) add(id, unit string, arrived time.Duration) *entry {
+	x.place++
+	e := &entry{id: id, unit: unit, place: x.place, arrived: arrived, phase: message.Pending}
+	x.entries[id] = e
+	if unit != "" {
+		x.join(e)
+	}
+	return e
+}
+
+func (x *index) join(e *entry) {
+	unit := x.units[e.unit]
+	if unit == nil {
+		unit = &unitIndex{}
+		x.units[e.unit] = unit
+	}
+	unit.entries = append(unit.entries, e)
+}
+
+// end marks an entry as ended or void, to be forgotten later.
+func (x *index) end(e *entry, at time.Duration) {
+	e.endedAt = at
+	x.expiry = append(x.expiry, e)
+}
+
+// forget drops the entries that ended longer ago than their status is asked for.
+func (x *index) forget(now, status time.Duration) {
+	count := 0
+	for count < len(x.expiry) && now-x.expiry[count].endedAt > status {
+		if e := x.expiry[count]; e.callbackOwed && now-e.endedAt < 2*status {
+			break // its call-back is still tried
+		}
+		x.drop(x.expiry[count])
+		count++
+	}
+	if count > 0 {
+		x.expiry = append([]*entry(nil), x.expiry[count:]...)
+	}
+}
+
+func (x *index) drop(e *entry) {
+	if x.entries[e.id] != e {
+		return
+	}
+	delete(x.entries, e.id)
+	unit := x.units[e.unit]
+	if unit == nil {
+		return
+	}
+	unit.gone++
+	e.held, e.void = false, true
+	if 2*unit.gone < len(unit.entries) {
+		return
+	}
+	var kept []*entry
+	for _, other := range unit.entries {
+		if x.entries[other.id] == other {
+			kept = append(kept, other)
+		}
+	}
+	unit.entries, unit.gone = kept, 0
+	if len(kept) == 0 {
+		delete(x.units, e.unit)
+	}
+}
+
+// after gives the entries of a unit behind a place.
+func (x *index) after(unit string, place uint64) []*entry {
+	found := x.units[unit]
+	if found == nil {
+		return nil
+	}
+	first := sort.Search(len(found.entries), func(i int) bool { return found.entries[i].place > place })
+	return found.entries[first:]
+}
+
+// ordered gives all entries behind a place, in order of arrival.
+func (x *index) ordered(place uint64) []*entry {
+	var found []*entry
+	for _, e := range x.entries {
+		if e.place > place {
+			found = append(found, e)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].place < found[j].place })
+	return found
+}
--- /dev/null
+++ b/internal/system/role/store/read.go
@@ -0,0 +1,117 @@
+package store
+
+import (
+	"granitewing/internal/system/message"
+	"granitewing/internal/system/wire"
+)
+
+// Sizes of one answer.
+const (
+	answerBytes   = 512 << 10
+	answerRecords = 4000
+)
+
+// message reads a message from the disk.
+func (c *Core) message(e *entry) (*message.Message, error) {
+	payload, err := c.reader.Read(e.position)
+	if err != nil {
+		return nil, err
+	}
+	r, err := decodeRecord(e.position, payload)
+	if err != nil {
+		return nil, err
+	}
+	return r.Message, nil
+}
+
+// List gives a part of a unit's messages that have not ended or whose call-back is owed, and the ends of the others.
+func (c *Core) List(body wire.ListBody) (wire.ListAnswer, error) {
+	answer := wire.ListAnswer{Complete: c.complete, Next: body.After}
+	size := 0
+	for _, e := range c.index.after(body.Unit, body.After) {
+		if size > answerBytes || len(answer.Ended) > answerRecords {
+			answer.More = true
+			break
+		}
+		answer.Next = e.place
+		if e.phase != message.Pending {
+			answer.Ended = append(answer.Ended, message.End{ID: e.id, Phase: e.phase, Stamp: e.stamp, CallbackOwed: e.callbackOwed})
+		}
+		if !e.listed() {
+			continue
+		}
+		m, err := c.message(e)
+		if err != nil {
+			return answer, err
+		}
+		size += len(m.Body) + len(m.Target)
+		answer.Messages = append(answer.Messages, wire.ListedMessage{Message: *m, Phase: e.phase, Stamp: e.stamp,
+			Age: c.now - e.arrived})
+	}
+	return answer, nil
+}
+
+// Find tells what the store knows of a message.
+func (c *Core) Find(body wire.FindBody) (wire.FindAnswer, error) {
+	answer := wire.FindAnswer{Complete: c.complete}
+	e := c.index.get(body.ID)
+	if e == nil || e.void || !e.held && e.phase == message.Pending {
+		return answer, nil
+	}
+	answer.Known, answer.Phase, answer.Stamp = true, e.phase, e.stamp
+	if body.WithBody && e.held && e.phase != message.Succeeded {
+		m, err := c.message(e)
+		if err != nil {
+			return answer, err
+		}
+		answer.Body, answer.HasBody = m.Body, true
+	}
+	return answer, nil
+}
+
+// Copy gives a part of all that the store holds, for one that lost its disk.
+func (c *Core) Copy(body wire.CopyBody) (wire.CopyAnswer, error) {
+	answer := wire.CopyAnswer{Complete: c.complete, Next: body.After}
+	size := 0
+	for _, e := range c.index.ordered(body.After) {
+		if size > answerBytes || len(answer.Messages) > answerRecords {
+			answer.More = true
+			break
+		}
+		answer.Next = e.place
+		copied, err := c.copyOf(e)
+		if err != nil {
+			return answer, err
+		}
+		if copied == nil {
+			continue
+		}
+		size += len(copied.Message.Body) + len(copied.Message.Target)
+		answer.Messages = append(answer.Messages, *copied)
+	}
+	return answer, nil
+}
+
+// copyOf is one entry as it is copied, nil where there is nothing to copy.
+func (c *Core) copyOf(e *entry) (*wire.CopiedMessage, error) {
+	copied := &wire.CopiedMessage{Void: e.void, Wall: e.endWall}
+	copied.Message.ID, copied.Message.Unit = e.id, e.unit
+	if e.void {
+		return copied, nil
+	}
+	if e.phase != message.Pending {
+		copied.End = &message.End{ID: e.id, Phase: e.phase, Stamp: e.stamp, CallbackOwed: e.callbackOwed}
+	}
+	if e.needsBytes() {
+		m, err := c.message(e)
+		if err != nil {
+			return nil, err
+		}
+		copied.Message = *m
+		return copied, nil
+	}
+	if copied.End == nil {
+		return nil, nil
+	}
+	return copied, nil
+}
--- /dev/null
+++ b/internal/system/session/state.go
@@ -0,0 +1,219 @@
+// Package session is the replicated table of who is in the fleet: members with a session, stores that ever joined, and
+// carriers that have gone, each with the carrier that adopted its messages.
+package session
+
+import (
+	"fmt"
+	"sort"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Role of a member.
+type Role string
+
+// The roles that keep sessions.
+const (
+	Carrier Role = "carrier"
+	Store   Role = "store"
+)
+
+// Member is one life of a process in the fleet.
+type Member struct {
+	Incarnation string // drawn at each start
+	Node        string // the machine's name
+	Role        Role
+	Zone        string
+	Address     string // of its peer listener
+	Disk        string // identity drawn on the disk, of stores
+	Replaces    string // incarnation that this process had before its session was lost
+}
+
+// Departed is a carrier that has gone and left messages.
+type Departed struct {
+	Incarnation string
+	Adopter     string // incarnation of the carrier that carries on; empty while there is none
+}
+
+// CommandKind tells commands apart.
+type CommandKind uint8
+
+// The commands of the table.
+const (
+	Join    CommandKind = iota + 1
+	Leave               // by itself or by expiry
+	Settled             // a departed carrier's messages have all ended
+)
+
+// Command changes the table.
+type Command struct {
+	Kind        CommandKind
+	Member      Member
+	Incarnation string
+}
+
+// State is the replicated table.
+type State struct {
+	members  map[string]Member
+	departed map[string]Departed
+	stores   map[string]Member // the latest life of every store that ever joined, by node name
+}
+
+// NewState is the empty table.
+func NewState() *State {
+	return &State{members: map[string]Member{}, departed: map[string]Departed{}, stores: map[string]Member{}}
+}
+
+// maxDeparted bounds the departed; past it the oldest name goes first, which no deployment reaches while adopters settle.
+const maxDeparted = 4096
+
+// MalformedError tells of a command or snapshot that can't be read.
+type MalformedError struct{ Err error }
+
+func (e *MalformedError) Error() string { return fmt.Sprintf("session table: %v", e.Err) }
+
+func (e *MalformedError) Unwrap() error { return e.Err }
+
+// Member gives a live member.
+func (s *State) Member(incarnation string) (Member, bool) {
+	member, live := s.members[incarnation]
+	return member, live
+}
+
+// Members gives all live members of a role, sorted by node.
+func (s *State) Members(role Role) []Member {
+	var found []Member
+	for _, member := range s.members {
+		if member.Role == role {
+			found = append(found, member)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool {
+		if found[i].Node != found[j].Node {
+			return found[i].Node < found[j].Node
+		}
+		return found[i].Incarnation < found[j].Incarnation
+	})
+	return found
+}
+
+// Stores gives every store that ever joined, sorted by node.
+func (s *State) Stores() []Member {
+	found := make([]Member, 0, len(s.stores))
+	for _, member := range s.stores {
+		found = append(found, member)
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Node < found[j].Node })
+	return found
+}
+
+// Departed gives the carriers that have gone and are not settled, sorted.
+func (s *State) Departed() []Departed {
+	found := make([]Departed, 0, len(s.departed))
+	for _, gone := range s.departed {
+		found = append(found, gone)
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Incarnation < found[j].Incarnation })
+	return found
+}
+
+// Apply carries out a command. The same commands in the same order give the same table everywhere.
+func (s *State) Apply(command Command) {
+	switch command.Kind {
+	case Join:
+		s.join(command.Member)
+	case Leave:
+		s.leave(command.Incarnation)
+	case Settled:
+		delete(s.departed, command.Incarnation)
+	}
+	s.adopt()
+}
+
+func (s *State) join(member Member) {
+	for _, other := range s.Members(member.Role) {
+		if other.Node == member.Node && other.Incarnation != member.Incarnation {
+			s.leave(other.Incarnation)
+		}
+	}
+	s.members[member.Incarnation] = member
+	if member.Role == Store {
+		s.stores[member.Node] = member
+	}
+	if gone, known := s.departed[member.Replaces]; known {
+		gone.Adopter = member.Incarnation
+		s.departed[member.Replaces] = gone
+	}
+}
+
+func (s *State) leave(incarnation string) {
+	member, live := s.members[incarnation]
+	if !live {
+		return
+	}
+	delete(s.members, incarnation)
+	if member.Role == Carrier {
+		s.departed[incarnation] = Departed{Incarnation: incarnation}
+	}
+	for len(s.departed) > maxDeparted {
+		delete(s.departed, s.Departed()[0].Incarnation)
+	}
+}
+
+// adopt gives each departed carrier without a live adopter to the carrier that adopted the fewest. An adopter that
+// lives keeps what it has: moving it would run messages twice.
+func (s *State) adopt() {
+	carriers := s.Members(Carrier)
+	if len(carriers) == 0 {
+		return
+	}
+	load := map[string]int{}
+	for _, gone := range s.departed {
+		load[gone.Adopter]++
+	}
+	for _, gone := range s.Departed() {
+		if _, live := s.members[gone.Adopter]; live {
+			continue
+		}
+		least := carriers[0].Incarnation
+		for _, carrier := range carriers {
+			if load[carrier.Incarnation] < load[least] {
+				least = carrier.Incarnation
+			}
+		}
+		load[least]++
+		gone.Adopter = least
+		s.departed[gone.Incarnation] = gone
+	}
+}
+
+type stored struct {
+	Members  map[string]Member
+	Departed map[string]Departed
+	Stores   map[string]Member
+}
+
+// Snapshot is the whole table in bytes.
+func (s *State) Snapshot() ([]byte, error) {
+	return msgpack.Marshal(&stored{Members: s.members, Departed: s.departed, Stores: s.stores})
+}
+
+// Restore replaces the table by a snapshot.
+func (s *State) Restore(data []byte) error {
+	var form stored
+	if err := msgpack.Unmarshal(data, &form); err != nil {
+		return &MalformedError{Err: err}
+	}
+	fresh := NewState()
+	for incarnation, member := range form.Members {
+		fresh.members[incarnation] = member
+	}
+	for incarnation, gone := range form.Departed {
+		fresh.departed[incarnation] = gone
+	}
+	for node, member := range form.Stores {
+		fresh.stores[node] = member
+	}
+	*s = *fresh
+	return nil
+}
--- /dev/null
+++ b/internal/system/wire/messages.go
@@ -0,0 +1,177 @@
+package wire
+
+import (
+	"time"
+
+	"granitewing/internal/system/agreement"
+	"granitewing/internal/system/feed"
+	"granitewing/internal/system/message"
+	"granitewing/internal/system/session"
+)
+
+// Kind tells calls, answers and pushes apart.
+type Kind uint8
+
+// The kinds. An answer has the kind Answer, and Refusal where the peer could not carry out the call.
+const (
+	Answer Kind = iota + 1
+	Refusal
+
+	// To keepers.
+	AgreementMessages // push: between keepers
+	OpenSession
+	Heartbeat
+	CloseSession
+	SettleDeparted
+	FeedUpdate // push: from a keeper to a member
+
+	// To stores.
+	PutMessage
+	VoidMessage
+	PutEnds
+	CallbackDone
+	ListUnit
+	FindMessage
+	CopyMessages
+
+	// To carriers.
+	ReserveSequence
+	ConfirmMessage
+	ForwardMessage
+)
+
+// RefusalBody is the payload of a Refusal.
+type RefusalBody struct {
+	Code   RefusalCode
+	Reason string
+	Leader string // address of the keeper that leads, where that is known
+}
+
+// RefusalCode tells why a call was not carried out.
+type RefusalCode uint8
+
+// The codes.
+const (
+	NotLeader RefusalCode = iota + 1
+	UnknownSession
+	NotOwner
+	NotReady
+	Voided
+	Failed
+)
+
+// AgreementBody carries messages of one group.
+type AgreementBody struct {
+	Group    int
+	Messages []agreement.Message
+}
+
+// OpenSessionBody opens a member's session, or renews it on another connection.
+type OpenSessionBody struct {
+	Member   session.Member
+	Position feed.Position
+}
+
+// OpenSessionAnswer tells how long the session lasts without a heartbeat.
+type OpenSessionAnswer struct{ Lease time.Duration }
+
+// HeartbeatBody keeps a session.
+type HeartbeatBody struct{ Incarnation string }
+
+// HeartbeatAnswer tells how old the keeper's list of workers is.
+type HeartbeatAnswer struct{ CatalogAge time.Duration }
+
+// CloseSessionBody ends a session; all that the member did is over.
+type CloseSessionBody struct{ Incarnation string }
+
+// SettleBody tells that a departed carrier's messages have all ended.
+type SettleBody struct{ Incarnation string }
+
+// PutBody stores a message.
+type PutBody struct{ Message message.Message }
+
+// VoidBody makes a message void: it never runs, whether or not its bytes came or still come.
+type VoidBody struct{ ID string }
+
+// EndsBody records ends.
+type EndsBody struct{ Ends []message.End }
+
+// CallbackDoneBody records that the ends of messages were told.
+type CallbackDoneBody struct{ IDs []string }
+
+// ListBody asks for a unit's messages that have not ended, or whose call-back is owed.
+type ListBody struct {
+	Unit  string
+	After uint64 // place behind which the list goes on
+}
+
+// ListedMessage is one message of a list.
+type ListedMessage struct {
+	Message message.Message
+	Phase   message.Phase
+	Stamp   string
+	Age     time.Duration // since it was accepted, by the store's monotonic clock where it has been up since
+}
+
+// ListAnswer is a part of a unit's list.
+type ListAnswer struct {
+	Messages []ListedMessage
+	Ended    []message.End // lately ended in the unit: others may list them as pending
+	Next     uint64        // for the next call
+	More     bool
+	Complete bool // the store holds all that it ever acknowledged
+}
+
+// FindBody asks for a message's state.
+type FindBody struct {
+	ID       string
+	WithBody bool
+}
+
+// FindAnswer tells what a store knows of a message.
+type FindAnswer struct {
+	Known    bool
+	Phase    message.Phase
+	Stamp    string
+	Body     []byte
+	HasBody  bool
+	Complete bool
+}
+
+// CopyBody asks for all that a store holds, from a place on.
+type CopyBody struct{ After uint64 }
+
+// CopiedMessage is one record of a copy.
+type CopiedMessage struct {
+	Message message.Message // without body where it has ended
+	End     *message.End
+	Void    bool
+	Wall    int64 // of the end, in milliseconds since 1970
+}
+
+// CopyAnswer is a part of a copy.
+type CopyAnswer struct {
+	Messages []CopiedMessage
+	Next     uint64
+	More     bool
+	Complete bool
+}
+
+// ReserveBody asks the owner of a unit for a place in its order.
+type ReserveBody struct {
+	Unit string
+	ID   string
+}
+
+// ReserveAnswer is the place.
+type ReserveAnswer struct {
+	Token    uint64
+	Sequence uint64
+}
+
+// DeliverBody hands a stored message to the owner of its unit; of ConfirmMessage and ForwardMessage.
+type DeliverBody struct {
+	Message message.Message
+	Holders []string // nodes of the stores that hold it
+	Age     time.Duration
+}
