--- a/internal/system/agreement/disk/disk.go
+++ b/internal/system/agreement/disk/disk.go
@@ -24,10 +24,11 @@
 
 // record is one record of the log. Set fields apply in their order.
 type record struct {
-	Started    bool // the member exists; the first record of a disk
-	Recovering bool // with Started: the disk was lost, the member counts for nothing until Recovered
-	Recovered  bool
-	HardState  *agreement.HardState
+	// Started begins a member's life under an identity; what stood before is void. It is the first record of a disk.
+	Started   bool
+	ID        string
+	Founders  []string
+	HardState *agreement.HardState
 	// Snapshot is the index whose file replaces the log; entries before it are void.
 	Snapshot uint64
 	Entries  []agreement.Entry
@@ -40,16 +41,22 @@
 
 // Member is the disk of one member of a group.
 type Member struct {
-	files      segment.Files
-	log        *segment.Log
-	stored     agreement.Stored
-	recovering bool
-	snapshots  []uint64 // indexes of the snapshot files
+	files     segment.Files
+	log       *segment.Log
+	id        string
+	founders  []string
+	stored    agreement.Stored
+	snapshots []uint64 // indexes of the snapshot files
 }
 
-// Open reads a member's disk. On an empty one the member starts anew: as a founder where bootstrap is set, else as one
-// that lost its disk and has to recover.
-func Open(files segment.Files, bootstrap bool) (*Member, error) {
+// Identity tells who a member is that starts on an empty disk: one of the founders where there are any, else a newcomer.
+type Identity struct {
+	ID       string
+	Founders []string
+}
+
+// Open reads a member's disk; fresh is for an empty one.
+func Open(files segment.Files, fresh Identity) (*Member, error) {
 	log, err := segment.Open(files, segmentLength)
 	if err != nil {
 		return nil, err
@@ -71,14 +78,25 @@
 		return nil, err
 	}
 	if !started {
-		member.recovering = !bootstrap
-		if err := member.write(&record{Started: true, Recovering: member.recovering}); err != nil {
+		if err := member.Begin(fresh); err != nil {
 			return nil, err
 		}
 	}
 	return member, nil
 }
 
+// Begin starts a member's life under an identity; what the disk held of another is void.
+func (m *Member) Begin(fresh Identity) error {
+	entry := record{Started: true, ID: fresh.ID, Founders: fresh.Founders}
+	if err := m.apply(&entry); err != nil {
+		return err
+	}
+	if err := m.write(&entry); err != nil {
+		return err
+	}
+	return m.removeSnapshots(0)
+}
+
 func (m *Member) listSnapshots() error {
 	names, err := m.files.List()
 	if err != nil {
@@ -99,15 +117,14 @@
 // Stored is what the member starts from.
 func (m *Member) Stored() agreement.Stored { return m.stored }
 
-// Recovering tells whether the member lost its disk and has not caught up.
-func (m *Member) Recovering() bool { return m.recovering }
+// ID is the member's identity.
+func (m *Member) ID() string { return m.id }
 
 func (m *Member) apply(entry *record) error {
 	if entry.Started {
-		m.recovering = entry.Recovering
-	}
-	if entry.Recovered {
-		m.recovering = false
+		m.id, m.founders = entry.ID, entry.Founders
+		m.stored = agreement.Stored{}
+		m.stored.Snapshot.Members.Voters = entry.Founders
 	}
 	if entry.HardState != nil {
 		m.stored.HardState = *entry.HardState
@@ -167,8 +184,8 @@
 	if !ready.MustSync() {
 		return nil
 	}
-	entry := record{HardState: ready.HardState, Entries: ready.Entries, Recovered: ready.Recovered}
-	if ready.Snapshot != nil {
+	entry := record{HardState: ready.HardState, Entries: ready.Entries}
+	if ready.Snapshot != nil && ready.Snapshot.Index > 0 {
 		if err := m.writeSnapshot(ready.Snapshot); err != nil {
 			return err
 		}
@@ -183,14 +200,14 @@
 }
 
 // Compact replaces the log by a snapshot and what follows it.
-func (m *Member) Compact(stored agreement.Stored, recovering bool) error {
+func (m *Member) Compact(stored agreement.Stored) error {
 	if err := m.writeSnapshot(&stored.Snapshot); err != nil {
 		return err
 	}
 	if err := m.log.Rotate(); err != nil {
 		return err
 	}
-	head := record{Started: true, Recovering: recovering, HardState: &stored.HardState,
+	head := record{Started: true, ID: m.id, Founders: m.founders, HardState: &stored.HardState,
 		Snapshot: stored.Snapshot.Index, Entries: stored.Entries}
 	if err := m.write(&head); err != nil {
 		return err
@@ -200,11 +217,11 @@
 			return err
 		}
 	}
-	return m.removeSnapshots()
+	return m.removeSnapshots(keptSnapshots)
 }
 
-func (m *Member) removeSnapshots() error {
-	for len(m.snapshots) > keptSnapshots {
+func (m *Member) removeSnapshots(kept int) error {
+	for len(m.snapshots) > kept {
 		name := snapshotName(m.snapshots[0])
 		if err := m.files.Remove(name); err != nil {
 			return &segment.FileError{Operation: "remove", Name: name, Err: err}
--- a/internal/system/agreement/log.go
+++ b/internal/system/agreement/log.go
@@ -5,6 +5,7 @@
 	snapshotIndex uint64
 	snapshotTerm  uint64
 	snapshotData  []byte
+	snapshotGroup Membership
 	entries       []Entry // entries[0] has index snapshotIndex+1
 	committed     uint64
 	applied       uint64
@@ -61,6 +62,7 @@
 // restore replaces everything by a snapshot.
 func (l *entryLog) restore(snapshot *Snapshot) {
 	l.snapshotIndex, l.snapshotTerm, l.snapshotData = snapshot.Index, snapshot.Term, snapshot.Data
+	l.snapshotGroup = snapshot.Members
 	l.entries = nil
 	l.committed, l.applied = snapshot.Index, snapshot.Index
 	l.unstable = snapshot.Index + 1
@@ -72,6 +74,21 @@
 	if !held || index <= l.snapshotIndex || index > l.applied {
 		return
 	}
+	l.snapshotGroup, _ = l.membership(index)
 	l.entries = append([]Entry(nil), l.entries[index-l.snapshotIndex:]...)
 	l.snapshotIndex, l.snapshotTerm, l.snapshotData = index, term, data
 }
+
+// membership is the group as of an index, and the index of the entry that made it so.
+func (l *entryLog) membership(upTo uint64) (Membership, uint64) {
+	for i := len(l.entries) - 1; i >= 0; i-- {
+		if entry := &l.entries[i]; entry.Index <= upTo && entry.Members != nil {
+			return *entry.Members, entry.Index
+		}
+	}
+	return l.snapshotGroup, l.snapshotIndex
+}
+
+func (l *entryLog) snapshot() Snapshot {
+	return Snapshot{Index: l.snapshotIndex, Term: l.snapshotTerm, Data: l.snapshotData, Members: l.snapshotGroup}
+}
--- a/internal/system/agreement/node.go
+++ b/internal/system/agreement/node.go
@@ -25,7 +25,6 @@
 type progress struct {
 	match      uint64
 	next       uint64
-	recovering bool
 	heard      time.Duration // sending time of the latest message that was answered
 	snapshotAt time.Duration // when a snapshot was last sent; none is sent again within an election timeout
 }
@@ -45,8 +44,8 @@
 	heardLeader   time.Duration
 	timeout       time.Duration // of this wait for a leader, by lot
 	heartbeatDue  time.Duration
-	recovering    bool
-	recovered     bool // to be told in the next Ready
+	group         Membership // the latest in the log, committed or not
+	groupIndex    uint64     // of the entry that made it so
 	stateChanged  bool
 	installed     *Snapshot
 	messages      []Message
@@ -58,11 +57,11 @@
 // New makes a member from what its disk holds.
 func New(options Options, stored Stored, now time.Duration) *Node {
 	n := &Node{options: options, term: stored.HardState.Term, vote: stored.HardState.Vote, now: now}
-	n.recovering = options.Recovering
 	n.log.restore(&stored.Snapshot)
 	n.log.entries = append(n.log.entries, stored.Entries...)
 	n.log.unstable = n.log.lastIndex() + 1
 	n.persisted = n.log.lastIndex()
+	n.readGroup()
 	n.becomeFollower(n.term, "")
 	return n
 }
@@ -85,8 +84,67 @@
 // LogLength is the number of entries behind the snapshot.
 func (n *Node) LogLength() int { return len(n.log.entries) }
 
-// Recovering tells whether the member lost its disk and has not caught up.
-func (n *Node) Recovering() bool { return n.recovering }
+// Group is the group as the member knows it.
+func (n *Node) Group() Membership { return n.group }
+
+// Member tells whether the member belongs to the group, as it knows it; a newcomer doesn't until a leader has told it.
+func (n *Node) Member() bool {
+	return n.hasVote(n.options.Self) || slices.Contains(n.group.Learners, n.options.Self)
+}
+
+func (n *Node) hasVote(id string) bool { return slices.Contains(n.group.Voters, id) }
+
+// readGroup takes the latest membership of the log.
+func (n *Node) readGroup() {
+	n.group, n.groupIndex = n.log.membership(n.log.lastIndex())
+	if n.role != Leader {
+		return
+	}
+	for _, id := range n.others() {
+		if n.followers[id] == nil {
+			n.followers[id] = &progress{next: n.log.lastIndex() + 1, heard: n.now}
+		}
+	}
+	for id := range n.followers {
+		if !slices.Contains(n.others(), id) {
+			delete(n.followers, id)
+		}
+	}
+}
+
+// others is all members of the group but this one.
+func (n *Node) others() []string {
+	return without(append(append([]string(nil), n.group.Voters...), n.group.Learners...), n.options.Self)
+}
+
+// ProposeGroup changes the group. One member at a time may change its place: any majority before the change then meets
+// any majority after it.
+func (n *Node) ProposeGroup(now time.Duration, group Membership) error {
+	n.now = now
+	if !n.Leading() {
+		return &NotLeaderError{Leader: n.leader}
+	}
+	if n.groupIndex > n.log.committed {
+		return &ChangePendingError{}
+	}
+	index := n.log.lastIndex() + 1
+	n.log.entries = append(n.log.entries, Entry{Index: index, Term: n.term, Members: &group})
+	n.readGroup()
+	n.broadcast()
+	return nil
+}
+
+// Silence is how long a member of the leader's group has not answered, and whether it holds all that is committed.
+func (n *Node) Silence(id string) (silence time.Duration, caughtUp bool) {
+	if id == n.options.Self {
+		return 0, true
+	}
+	follower := n.followers[id]
+	if n.role != Leader || follower == nil {
+		return 0, false
+	}
+	return n.now - follower.heard, follower.match >= n.log.committed
+}
 
 // NextWake is when Tick has something to do.
 func (n *Node) NextWake() time.Duration {
@@ -112,14 +170,14 @@
 	before := n.log.snapshotIndex
 	n.log.compact(index, data)
 	done := n.log.snapshotIndex != before
-	return Snapshot{Index: n.log.snapshotIndex, Term: n.log.snapshotTerm, Data: n.log.snapshotData}, done
+	return n.log.snapshot(), done
 }
 
 // Stored is all that a disk should hold of the member now.
 func (n *Node) Stored() Stored {
 	return Stored{
 		HardState: HardState{Term: n.term, Vote: n.vote},
-		Snapshot:  Snapshot{Index: n.log.snapshotIndex, Term: n.log.snapshotTerm, Data: n.log.snapshotData},
+		Snapshot:  n.log.snapshot(),
 		Entries:   append([]Entry(nil), n.log.entries...),
 	}
 }
@@ -150,25 +208,29 @@
 
 // quorumHeard is the latest time at which a majority is known to have followed.
 func (n *Node) quorumHeard() time.Duration {
-	times := []time.Duration{n.now}
-	for _, follower := range n.followers {
-		if follower.recovering {
-			times = append(times, 0)
-			continue
+	times := make([]time.Duration, 0, len(n.group.Voters))
+	for _, id := range n.group.Voters {
+		switch {
+		case id == n.options.Self:
+			times = append(times, n.now)
+		case n.followers[id] != nil:
+			times = append(times, n.followers[id].heard)
 		}
-		times = append(times, follower.heard)
+	}
+	if len(times) < n.quorum() {
+		return 0
 	}
 	slices.Sort(times)
 	return times[len(times)-n.quorum()]
 }
 
-func (n *Node) quorum() int { return len(n.options.Peers)/2 + 1 }
+func (n *Node) quorum() int { return len(n.group.Voters)/2 + 1 }
 
 // Step takes a message.
 func (n *Node) Step(now time.Duration, message Message) {
 	n.now = now
-	if !slices.Contains(n.options.Peers, message.From) {
-		return
+	if message.To != n.options.Self {
+		return // meant for one that was here before
 	}
 	if message.Term > n.term {
 		if !n.acceptHigherTerm(message) {
@@ -245,7 +307,7 @@
 }
 
 func (n *Node) answerPreVote(message Message) {
-	grant := !n.recovering && message.Term > n.term && n.upToDate(message) && !n.followsLeader()
+	grant := n.hasVote(n.options.Self) && message.Term > n.term && n.upToDate(message) && !n.followsLeader()
 	answer := Message{Kind: PreVoteAnswer, To: message.From, Reject: !grant}
 	n.send(answer)
 	if grant {
@@ -255,7 +317,7 @@
 
 func (n *Node) answerVote(message Message) {
 	free := n.vote == "" && n.leader == "" || n.vote == message.From
-	grant := !n.recovering && free && n.upToDate(message)
+	grant := n.hasVote(n.options.Self) && free && n.upToDate(message)
 	if grant {
 		n.heardLeader = n.now
 		if n.vote != message.From {
@@ -270,7 +332,7 @@
 func (n *Node) campaign(role Role) {
 	n.heardLeader = n.now
 	n.drawTimeout()
-	if n.recovering || !slices.Contains(n.options.Peers, n.options.Self) {
+	if !n.hasVote(n.options.Self) {
 		return
 	}
 	n.role = role
@@ -284,11 +346,9 @@
 		request = Message{Kind: Vote, Term: n.term}
 	}
 	request.Index, request.LogTerm = n.log.lastIndex(), n.log.lastTerm()
-	for _, peer := range n.options.Peers {
-		if peer != n.options.Self {
-			request.To = peer
-			n.sendWithTerm(request)
-		}
+	for _, peer := range without(n.group.Voters, n.options.Self) {
+		request.To = peer
+		n.sendWithTerm(request)
 	}
 	n.tally()
 }
@@ -296,7 +356,7 @@
 func (n *Node) countVote(message Message) {
 	expected := message.Kind == PreVoteAnswer && n.role == PreCandidate && message.Term == n.term+1 ||
 		message.Kind == VoteAnswer && n.role == Candidate && message.Term == n.term
-	if !expected || message.Reject {
+	if !expected || message.Reject || !n.hasVote(message.From) {
 		return
 	}
 	n.votes[message.From] = true
@@ -336,11 +396,7 @@
 	n.role = Leader
 	n.leader = n.options.Self
 	n.followers = map[string]*progress{}
-	for _, peer := range n.options.Peers {
-		if peer != n.options.Self {
-			n.followers[peer] = &progress{next: n.log.lastIndex() + 1, heard: n.now}
-		}
-	}
+	n.readGroup()
 	n.openingIndex = n.appendOwn(nil)
 	n.broadcast()
 }
--- a/internal/system/agreement/replicate.go
+++ b/internal/system/agreement/replicate.go
@@ -9,17 +9,14 @@
 
 func (n *Node) sendWithTerm(message Message) {
 	message.From = n.options.Self
-	message.Recovering = n.recovering
 	n.messages = append(n.messages, message)
 }
 
 // broadcast sends each follower what it lacks, or a heartbeat.
 func (n *Node) broadcast() {
 	n.heartbeatDue = n.now + n.options.HeartbeatInterval
-	for _, peer := range n.options.Peers {
-		if peer != n.options.Self {
-			n.sendAppend(peer)
-		}
+	for _, peer := range n.others() {
+		n.sendAppend(peer)
 	}
 }
 
@@ -44,7 +41,7 @@
 		return
 	}
 	follower.snapshotAt = n.now
-	snapshot := Snapshot{Index: n.log.snapshotIndex, Term: n.log.snapshotTerm, Data: n.log.snapshotData}
+	snapshot := n.log.snapshot()
 	n.send(Message{Kind: InstallSnapshot, To: peer, Snapshot: &snapshot, Commit: n.log.committed, Sent: n.now})
 }
 
@@ -65,29 +62,12 @@
 		return
 	}
 	n.log.appendEntries(message.Entries)
+	n.readGroup()
 	answer.Index = message.Index + uint64(len(message.Entries))
 	n.commitTo(min(message.Commit, answer.Index))
-	n.recoverAt(message, answer.Index)
 	n.send(answer)
 }
 
-// recoverAt ends a member's recovery once it holds all that its leader had committed. The leader was elected without
-// this member, so a majority of the others stands behind it; the term and vote are set so that no vote which was
-// given before the disk was lost can be given twice in the leader's term.
-func (n *Node) recoverAt(message Message, matched uint64) {
-	if !n.recovering || matched < message.Commit {
-		return
-	}
-	// Only an entry of the leader's own term, committed, proves that it holds all that was committed before it.
-	if term, held := n.log.term(message.Commit); !held || term != message.Term {
-		return
-	}
-	n.recovering = false
-	n.recovered = true
-	n.vote = message.From
-	n.stateChanged = true
-}
-
 func (n *Node) followSnapshot(message Message) {
 	n.follow(message.From)
 	snapshot := message.Snapshot
@@ -96,6 +76,7 @@
 	}
 	if snapshot.Index > n.log.committed {
 		n.log.restore(snapshot)
+		n.readGroup()
 		n.persisted = snapshot.Index
 		n.installed = snapshot
 		n.stateChanged = true
@@ -116,7 +97,6 @@
 		return
 	}
 	follower.heard = max(follower.heard, message.Sent)
-	follower.recovering = message.Recovering
 	if message.Reject {
 		follower.next = max(min(message.Index, follower.next-1)+1, 1)
 		if message.Index < follower.match {
@@ -139,19 +119,31 @@
 
 // advanceCommit commits what a majority has synced, in this term only.
 func (n *Node) advanceCommit() {
-	matches := []uint64{n.persisted}
-	for _, follower := range n.followers {
-		if follower.recovering {
-			matches = append(matches, 0)
-			continue
+	matches := make([]uint64, 0, len(n.group.Voters))
+	for _, id := range n.group.Voters {
+		switch {
+		case id == n.options.Self:
+			matches = append(matches, n.persisted)
+		case n.followers[id] != nil:
+			matches = append(matches, n.followers[id].match)
 		}
-		matches = append(matches, follower.match)
+	}
+	if len(matches) < n.quorum() {
+		return
 	}
 	slices.Sort(matches)
 	index := matches[len(matches)-n.quorum()]
 	if term, held := n.log.term(index); held && term == n.term && index > n.log.committed {
 		n.log.committed = index
 		n.broadcast()
+		n.leaveWhenRemoved()
+	}
+}
+
+// leaveWhenRemoved has a leader step down that its group does without.
+func (n *Node) leaveWhenRemoved() {
+	if n.groupIndex <= n.log.committed && !n.hasVote(n.options.Self) {
+		n.becomeFollower(n.term, "")
 	}
 }
 
@@ -167,7 +159,6 @@
 		n.stateChanged = false
 	}
 	ready.Snapshot, n.installed = n.installed, nil
-	ready.Recovered, n.recovered = n.recovered, false
 	ready.Entries = n.log.from(n.log.unstable, len(n.log.entries))
 	n.log.unstable = n.log.lastIndex() + 1
 	ready.Messages, n.messages = n.messages, nil
--- a/internal/system/agreement/types.go
+++ b/internal/system/agreement/types.go
@@ -5,14 +5,59 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
+// Membership is who belongs to a group. Voters elect and commit; learners only follow, until they have caught up.
+type Membership struct {
+	Voters   []string
+	Learners []string
+}
+
+// Empty tells whether nobody is named.
+func (m *Membership) Empty() bool { return len(m.Voters) == 0 && len(m.Learners) == 0 }
+
+// With gives a membership in which a member has moved to a place.
+func (m *Membership) With(id string, place Place) Membership {
+	next := Membership{Voters: without(m.Voters, id), Learners: without(m.Learners, id)}
+	switch place {
+	case AsVoter:
+		next.Voters = append(next.Voters, id)
+	case AsLearner:
+		next.Learners = append(next.Learners, id)
+	}
+	slices.Sort(next.Voters)
+	slices.Sort(next.Learners)
+	return next
+}
+
+func without(ids []string, id string) []string {
+	var kept []string
+	for _, other := range ids {
+		if other != id {
+			kept = append(kept, other)
+		}
+	}
+	return kept
+}
+
+// Place of a member in a group.
+type Place uint8
+
+// The places.
+const (
+	Out Place = iota
+	AsLearner
+	AsVoter
+)
+
 // Entry is one record of the log.
 type Entry struct {
-	Index uint64
-	Term  uint64
-	Data  []byte // nil for the empty entry with which a leader opens its term
+	Index   uint64
+	Term    uint64
+	Data    []byte      // nil for the empty entry with which a leader opens its term
+	Members *Membership // of a change of the group: in force from its append on
 }
 
 // HardState is what a member must have synced before it answers.
@@ -23,9 +68,10 @@
 
 // Snapshot replaces the log up to and including Index.
 type Snapshot struct {
-	Index uint64
-	Term  uint64
-	Data  []byte
+	Index   uint64
+	Term    uint64
+	Data    []byte
+	Members Membership
 }
 
 // Kind tells messages apart.
@@ -54,26 +100,24 @@
 	Entries  []Entry
 	Snapshot *Snapshot
 	Reject   bool
-	// Recovering is set by a member that started on an empty disk and has not caught up: it counts for nothing.
-	Recovering bool
 	// Sent is the leader's time of sending, which an answer returns: what the check of quorum is measured from.
 	Sent time.Duration
 }
 
 // Options of a member. All members of a group are given the same timeouts.
 type Options struct {
-	Self  string
-	Peers []string // all voters, Self among them
+	// Self is the member's identity, drawn on its disk: one whose disk was lost is another member, which joins as a
+	// learner and counts for nothing until it has caught up.
+	Self string
 	// ElectionTimeout is the least silence of a leader before a member stands for election; up to twice that by lot.
 	ElectionTimeout   time.Duration
 	HeartbeatInterval time.Duration
 	// Random returns a number from 0 up to n, exclusive.
 	Random func(n int64) int64
-	// Recovering starts a member whose disk was lost: it neither votes nor counts until a leader has caught it up.
-	Recovering bool
 }
 
-// Stored is what a member finds on its disk.
+// Stored is what a member finds on its disk. The snapshot of a founder's new disk names the founders; that of a newcomer
+// nobody.
 type Stored struct {
 	HardState HardState
 	Snapshot  Snapshot
@@ -85,7 +129,6 @@
 	HardState *HardState
 	Snapshot  *Snapshot // installed from the leader: replaces the state and the log
 	Entries   []Entry   // to append; an index that the log has already replaces it and all behind
-	Recovered bool      // the member has caught up and counts from now on
 	Messages  []Message
 	Committed []Entry
 }
@@ -93,12 +136,12 @@
 // Empty tells whether there is nothing to do.
 func (r *Ready) Empty() bool {
 	return r.HardState == nil && r.Snapshot == nil && len(r.Entries) == 0 && len(r.Messages) == 0 &&
-		len(r.Committed) == 0 && !r.Recovered
+		len(r.Committed) == 0
 }
 
 // MustSync tells whether the writes have to be synced.
 func (r *Ready) MustSync() bool {
-	return r.HardState != nil || r.Snapshot != nil || len(r.Entries) > 0 || r.Recovered
+	return r.HardState != nil || r.Snapshot != nil || len(r.Entries) > 0
 }
 
 // NotLeaderError answers a proposal to a member that does not lead.
@@ -107,3 +150,8 @@
 }
 
 func (e *NotLeaderError) Error() string { return fmt.Sprintf("not the leader (leader %q)", e.Leader) }
+
+// ChangePendingError answers a change of the group while another is not committed.
+type ChangePendingError struct{}
+
+func (e *ChangePendingError) Error() string { return "another change of the group is under way" }
--- a/internal/system/command/command.go
+++ b/internal/system/command/command.go
@@ -2,6 +2,7 @@
 package command
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -10,6 +11,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/logfmt"
@@ -68,7 +70,7 @@
 	return root
 }
 
-type runRole func(ctx context.Context, s *settings.Settings) error
+type runRole func(ctx context.Context, s *settings.Settings, changes <-chan *settings.Settings) error
 
 func newRole(name, short string, run runRole) *cobra.Command {
 	return &cobra.Command{
@@ -96,10 +98,7 @@
 	log.Log = log.WithField("node", s.NodeName)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-	go reload(reloads)
-	return run(ctx, s)
+	return run(ctx, s, watchSettings(ctx, settings.Path()))
 }
 
 // memoryShare of the machine's limit that the collector aims to stay under.
@@ -111,14 +110,40 @@
 	}
 }
 
-// reload checks the settings file when it has changed. What a process was started with stays in force: addresses and
-// limits don't change in its life, and seeds are only for its start.
-func reload(signals <-chan os.Signal) {
-	for range signals {
-		if _, err := settings.Load(settings.Path()); err != nil {
-			log.WithError(err).Error("the changed settings can't be used")
-			continue
+const settingsInterval = 2 * time.Second
+
+// watchSettings reads the settings file again on SIGHUP, and whenever it has changed without one. A file that can't be used
+// changes nothing. What a process was started with stays in force but for the seeds: addresses and limits don't change in
+// its life.
+func watchSettings(ctx context.Context, path string) <-chan *settings.Settings {
+	changes := make(chan *settings.Settings)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	go func() {
+		defer close(changes)
+		last, _ := os.ReadFile(path)
+		for {
+			signalled := false
+			select {
+			case <-ctx.Done():
+				return
+			case <-signals:
+				signalled = true
+			case <-time.After(settingsInterval):
+			}
+			data, err := os.ReadFile(path)
+			if err == nil && bytes.Equal(data, last) && !signalled {
+				continue
+			}
+			last = data
+			s, err := settings.Load(path)
+			if err != nil {
+				log.WithError(err).Error("the changed settings can't be used")
+				continue
+			}
+			log.Info("the settings were read again")
+			changes <- s
 		}
-		log.Info("the settings were read again")
-	}
+	}()
+	return changes
 }
--- a/internal/system/member/client.go
+++ b/internal/system/member/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"granitewing/internal/system/feed"
@@ -39,7 +40,8 @@
 type Client struct {
 	loop    loop.Loop
 	peers   loop.Peers
-	keepers []string // addresses
+	seeds   []string // addresses of the keepers that the settings name
+	keepers []string // these and all that the feed names
 	events  Events
 
 	member     session.Member
@@ -57,7 +59,7 @@
 
 // NewClient makes a client; Start begins.
 func NewClient(l loop.Loop, peers loop.Peers, keepers []string, self session.Member, events Events) *Client {
-	return &Client{loop: l, peers: peers, keepers: keepers, events: events, member: self, view: emptyView(),
+	return &Client{loop: l, peers: peers, seeds: keepers, keepers: slices.Clone(keepers), events: events, member: self, view: emptyView(),
 		catalogAt: -time.Hour}
 }
 
@@ -234,9 +236,32 @@
 	}
 	before := c.view
 	c.view, c.position = after, update.Position
+	c.followKeepers()
 	c.events.Changed(before, after)
 }
 
+// followKeepers takes the keepers that the feed names, besides the one that the session is with and the seeds.
+func (c *Client) followKeepers() {
+	current := c.keepers[c.current]
+	known := append([]string(nil), c.seeds...)
+	for address := range c.view.Keepers {
+		known = append(known, address)
+	}
+	known = append(known, current)
+	slices.Sort(known)
+	c.keepers = slices.Compact(known)
+	c.current = slices.Index(c.keepers, current)
+}
+
+// SetSeeds takes other seeds, besides what the feed names.
+func (c *Client) SetSeeds(keepers []string) {
+	c.seeds = slices.Clone(keepers)
+	c.followKeepers()
+}
+
+// Keepers gives the addresses of all keepers that connections are wanted to.
+func (c *Client) Keepers() []string { return c.keepers }
+
 // Down tells that the connection to a peer broke.
 func (c *Client) Down(address string) {
 	if address == c.keepers[c.current] && (c.open || c.opening) {
@@ -261,6 +286,12 @@
 	c.peers.Call(c.keepers[c.current], wire.SettleDeparted, wire.Encode(&body), openTimeout, func(_ []byte, err error) { done(err) })
 }
 
+// CountDisk tells the keepers that this store's disk was filled.
+func (c *Client) CountDisk(done func(err error)) {
+	body := wire.CountDiskBody{Disk: c.member.Disk}
+	c.peers.Call(c.keepers[c.current], wire.CountDisk, wire.Encode(&body), openTimeout, func(_ []byte, err error) { done(err) })
+}
+
 // Close ends the session; done is called when the keepers have taken it, or on failure.
 func (c *Client) Close(done func(err error)) {
 	c.leaseUntil = 0
--- a/internal/system/member/view.go
+++ b/internal/system/member/view.go
@@ -17,17 +17,19 @@
 type View struct {
 	Table        *configuration.Table // nil before the first configuration
 	Members      map[string]session.Member
-	Stores       map[string]session.Member // by node: every store that ever joined
+	Disks        map[string]session.Disk // by identity
+	Epoch        uint64                  // of the roster of disks
 	Departed     map[string]session.Departed
 	Owners       map[string]ownership.Owner
 	Instances    map[string]catalog.Instance
+	Keepers      map[string]bool // addresses
 	CatalogKnown bool
 }
 
 func emptyView() *View {
-	return &View{Members: map[string]session.Member{}, Stores: map[string]session.Member{},
+	return &View{Members: map[string]session.Member{}, Disks: map[string]session.Disk{},
 		Departed: map[string]session.Departed{}, Owners: map[string]ownership.Owner{},
-		Instances: map[string]catalog.Instance{}}
+		Instances: map[string]catalog.Instance{}, Keepers: map[string]bool{}}
 }
 
 func copyMap[V any](from map[string]V) map[string]V {
@@ -39,7 +41,7 @@
 }
 
 // touched tells which tables an update changes, so that only these are copied.
-type touched struct{ members, stores, departed, owners, instances bool }
+type touched struct{ members, disks, departed, owners, instances, keepers bool }
 
 // next gives the view that follows from an update. A configuration is never left for an older one, nor an owner for one
 // of a lower token.
@@ -48,9 +50,9 @@
 	var copied touched
 	if update.Whole {
 		empty := emptyView()
-		fresh.Members, fresh.Stores, fresh.Departed = empty.Members, empty.Stores, empty.Departed
-		fresh.Owners = empty.Owners
-		copied = touched{members: true, stores: true, departed: true, owners: true}
+		fresh.Members, fresh.Disks, fresh.Departed = empty.Members, empty.Disks, empty.Departed
+		fresh.Owners, fresh.Keepers = empty.Owners, empty.Keepers
+		copied = touched{members: true, disks: true, departed: true, owners: true, keepers: true}
 		if hasKey(update.Changes, keeper.KeyCatalog) {
 			fresh.Instances = empty.Instances
 			copied.instances = true
@@ -82,8 +84,14 @@
 		v.CatalogKnown = true
 	case keeper.PrefixMember:
 		return set(&v.Members, &copied.members, name, change.Value)
-	case keeper.PrefixStore:
-		return set(&v.Stores, &copied.stores, name, change.Value)
+	case keeper.PrefixDisk:
+		return set(&v.Disks, &copied.disks, name, change.Value)
+	case keeper.KeyRoster:
+		var epoch uint64
+		if err := wire.Decode(wire.FeedUpdate, change.Value, &epoch); err != nil {
+			return err
+		}
+		v.Epoch = max(v.Epoch, epoch)
 	case keeper.PrefixDeparted:
 		return set(&v.Departed, &copied.departed, name, change.Value)
 	case keeper.PrefixOwner:
@@ -93,6 +101,15 @@
 		if old := before.Owners[name]; old.Token > v.Owners[name].Token {
 			v.Owners[name] = old
 		}
+	case keeper.PrefixKeeper:
+		if !copied.keepers {
+			v.Keepers, copied.keepers = copyMap(v.Keepers), true
+		}
+		if change.Value == nil {
+			delete(v.Keepers, name)
+			return nil
+		}
+		v.Keepers[name] = true
 	case keeper.PrefixInstance:
 		return set(&v.Instances, &copied.instances, name, change.Value)
 	}
@@ -145,3 +162,29 @@
 	}
 	return count
 }
+
+// Counted gives the disks that messages lie on.
+func (v *View) Counted() map[string]session.Disk {
+	counted := make(map[string]session.Disk, len(v.Disks))
+	for id, disk := range v.Disks {
+		if disk.Counted {
+			counted[id] = disk
+		}
+	}
+	return counted
+}
+
+// Missing gives the counted disks without a live store.
+func (v *View) Missing() []string {
+	live := map[string]bool{}
+	for _, member := range v.Members {
+		live[member.Disk] = true
+	}
+	var missing []string
+	for id := range v.Counted() {
+		if !live[id] {
+			missing = append(missing, id)
+		}
+	}
+	return missing
+}
--- a/internal/system/node/carrier.go
+++ b/internal/system/node/carrier.go
@@ -30,7 +30,7 @@
 const maxCarrierPeers = 4096
 
 // RunCarrier runs a carrier until the context ends, and then drains it.
-func RunCarrier(ctx context.Context, s *settings.Settings) error {
+func RunCarrier(ctx context.Context, s *settings.Settings, changes <-chan *settings.Settings) error {
 	n := &carrierNode{runner: newRunner(), settings: s, workers: newWorkerClient(), posts: newPostClient(),
 		reader: newCatalogReader(s.Cloud.Address)}
 	peers, err := link.Listen(s.CarrierAddress(), maxCarrierPeers, n.frame, nil)
@@ -56,6 +56,10 @@
 	if err != nil {
 		return err
 	}
+	go n.follow(changes, func(changed *settings.Settings) {
+		s.Seeds = changed.Seeds
+		n.core.SeedsChanged()
+	})
 	log.WithField("front", s.Listen.Front).Info("carrier serves")
 	<-ctx.Done()
 	n.drain(front)
--- a/internal/system/node/copier.go
+++ b/internal/system/node/copier.go
@@ -5,6 +5,9 @@
 
 	"github.com/apex/log"
 
+	"granitewing/internal/system/member"
+	"granitewing/internal/system/role/keeper"
+	"granitewing/internal/system/session"
 	"granitewing/internal/system/wire"
 )
 
@@ -14,63 +17,148 @@
 	last     bool
 }
 
-// copier brings a store whose disk was lost back to all that it ever acknowledged, from the other stores. It runs under
-// the node's mutex.
+// copier fills a disk from the others, first until it may count in the roster, then once more for what was written
+// meanwhile at disks of the former roster. It runs under the node's mutex.
 type copier struct {
-	node     *storeNode
-	parts    chan copiedPart
-	after    map[string]uint64 // by node: how far it was copied
-	done     map[string]bool
-	busy     map[string]bool
-	finished bool
+	node    *storeNode
+	disk    string // this store's
+	parts   chan copiedPart
+	running bool
+	sources map[string]*copySource // by incarnation: the places of a store are those of one life
+	asked   bool                   // to be counted
+	began   time.Duration
+	epoch   uint64 // of the roster in which this disk was counted; 0 before
+	before  int    // counted disks, before that
+}
+
+type copySource struct {
+	after uint64
+	epoch uint64 // that the source followed when it last had no more
+	done  bool
+	busy  bool
 }
 
 const (
-	copyInterval = 100 * time.Millisecond
+	copyInterval = 60 * time.Millisecond
 	copyTimeout  = 2 * time.Second
-	copyAhead    = 4 // parts that may wait for the disk
+	copyAhead    = 2 // parts that may wait for the disk
+	// A newcomer begins to count without a disk being lost only after this time: one whose place it is here to take may
+	// have ended without a word, and its session lasts on for a while.
+	spareAfter = keeper.SessionLife + time.Second
 )
 
 func newCopier(n *storeNode) *copier {
-	return &copier{node: n, parts: make(chan copiedPart, copyAhead), after: map[string]uint64{}, done: map[string]bool{},
-		busy: map[string]bool{}, finished: n.core.Complete()}
+	return &copier{node: n, disk: n.core.Disk(), parts: make(chan copiedPart, copyAhead)}
 }
 
-func (c *copier) start() {
-	if !c.finished {
-		log.Warn("the disk is empty; copying from the other stores")
-		c.step()
+func (c *copier) begin() {
+	if c.running {
+		return
 	}
+	log.Warn("a disk is missing or this one is new; it is filled from the other stores")
+	c.running, c.asked, c.began, c.epoch = true, false, c.node.Now(), 0
+	c.sources = map[string]*copySource{}
+	c.step()
 }
 
-// step asks each of the other stores for its next part.
+// step asks each of the other stores for its next part, and goes on to the next stage once enough have told all.
 func (c *copier) step() {
 	n := c.node
-	stores := n.session.View().Stores
-	left := 0
-	for node, other := range stores {
-		if node == n.settings.NodeName || c.done[node] {
+	view := n.session.View()
+	others, done, missing := 0, 0, 0
+	for id, other := range view.Disks {
+		if id == c.disk || !other.Counted {
 			continue
 		}
-		left++
-		if !c.busy[node] && n.Up(other.Address) && len(c.parts) == 0 {
-			c.ask(node, other.Address)
+		others++
+		source := c.source(other)
+		if source.done && source.epoch >= c.epoch {
+			done++
+			continue
+		}
+		if n.Up(other.Member.Address) {
+			missing++
+			c.ask(source, other.Member.Address)
 		}
 	}
-	if left == 0 && len(stores) > 1 && len(c.parts) < cap(c.parts) {
-		c.parts <- copiedPart{last: true}
-		c.finished = true
+	if others > 0 && missing == 0 && done >= c.enough(others) && c.advance(view) {
 		return
 	}
 	n.After(copyInterval, c.step)
 }
 
-func (c *copier) ask(node, address string) {
+// enough is how many of the other counted disks have to be copied: all but those that may be lost, of which one whose
+// place this disk took is lost already.
+func (c *copier) enough(others int) int {
+	mayMiss := c.node.settings.Tolerated
+	if c.epoch > 0 && others < c.before {
+		mayMiss--
+	}
+	return max(1, others-max(0, mayMiss))
+}
+
+func (c *copier) source(other session.Disk) *copySource {
+	source := c.sources[other.Member.Incarnation]
+	if source == nil {
+		source = &copySource{}
+		c.sources[other.Member.Incarnation] = source
+	}
+	return source
+}
+
+// advance goes to the next stage; true where the copying is over.
+func (c *copier) advance(view *member.View) bool {
+	own := view.Disks[c.disk]
+	missing := len(view.Missing())
+	switch {
+	case c.epoch > 0:
+		if len(c.parts) > 0 {
+			return false
+		}
+		c.parts <- copiedPart{last: true}
+		c.running = false
+		return true
+	case c.asked && own.Counted && (missing == 0 || !own.Spare):
+		c.epoch = view.Epoch
+		return false
+	case own.Counted && missing == 0:
+		c.running = false // the missing one is back
+		return true
+	case missing == 0 && c.node.Now()-c.began < spareAfter:
+		return false
+	}
+	c.count(view)
+	return false
+}
+
+// count asks the keepers to let this disk count.
+func (c *copier) count(view *member.View) {
+	if c.asked {
+		return
+	}
+	c.asked = true
+	c.before = 0
+	for id := range view.Counted() {
+		if id != c.disk {
+			c.before++
+		}
+	}
+	c.node.session.CountDisk(func(err error) {
+		if err != nil {
+			c.asked = false
+		}
+	})
+}
+
+func (c *copier) ask(source *copySource, address string) {
+	if source.busy || len(c.parts) > 0 {
+		return
+	}
 	n := c.node
-	c.busy[node] = true
-	body := wire.CopyBody{After: c.after[node]}
+	source.busy = true
+	body := wire.CopyBody{After: source.after}
 	n.Call(address, wire.CopyMessages, wire.Encode(&body), copyTimeout, func(payload []byte, err error) {
-		c.busy[node] = false
+		source.busy = false
 		var answer wire.CopyAnswer
 		if err == nil {
 			err = wire.Decode(wire.CopyMessages, payload, &answer)
@@ -79,11 +167,7 @@
 			return // step asks again
 		}
 		c.parts <- copiedPart{messages: answer.Messages}
-		c.after[node] = answer.Next
-		if !answer.More {
-			c.done[node] = true
-			return
-		}
-		c.ask(node, address)
+		source.after = answer.Next
+		source.done, source.epoch = !answer.More, answer.Epoch
 	})
 }
--- a/internal/system/node/keeper.go
+++ b/internal/system/node/keeper.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -37,12 +38,16 @@
 	last     keeper.Subscriber
 	reader   *catalogReader
 	pushing  bool
+
+	connected []string
+	resetting [keeper.Groups]bool
+	leaders   [keeper.Groups]string
 }
 
 const maxKeeperPeers = 1024
 
 // RunKeeper runs a keeper until the context ends.
-func RunKeeper(ctx context.Context, s *settings.Settings) error {
+func RunKeeper(ctx context.Context, s *settings.Settings, changes <-chan *settings.Settings) error {
 	n := &keeperNode{runner: newRunner(), settings: s, members: map[*link.Peer]keeper.Subscriber{},
 		byNumber: map[keeper.Subscriber]*link.Peer{}, reader: newCatalogReader(s.Cloud.Address)}
 	if err := n.open(); err != nil {
@@ -58,15 +63,17 @@
 	if err != nil {
 		return err
 	}
+	go n.follow(changes, func(changed *settings.Settings) { s.Seeds = changed.Seeds })
 	failures := make(chan error, keeper.Groups)
 	n.do(func() {
-		n.Connect(n.others())
+		n.connect()
 		n.tick()
+		n.join()
 	})
 	for group := range keeper.Groups {
 		go n.persist(group, failures)
 	}
-	log.WithField("keepers", n.peers()).Info("keeper serves")
+	log.WithField("members", n.connected).Info("keeper serves")
 	select {
 	case err := <-failures:
 		return err
@@ -77,49 +84,128 @@
 	return nil
 }
 
-func (n *keeperNode) peers() []string { return n.settings.SeedKeepers() }
-
-func (n *keeperNode) others() []string {
+// connect keeps connections to all keepers that are known, and to the seeds.
+func (n *keeperNode) connect() {
 	var others []string
-	for _, address := range n.peers() {
-		if address != n.settings.KeeperAddress(n.settings.IP) {
+	for _, address := range append(n.core.Keepers(), n.settings.SeedKeepers()...) {
+		if address != n.address() && !slices.Contains(others, address) {
 			others = append(others, address)
 		}
 	}
-	return others
+	if !slices.Equal(others, n.connected) {
+		n.connected = others
+		n.Connect(others)
+	}
+}
+
+func (n *keeperNode) address() string { return n.settings.KeeperAddress(n.settings.IP) }
+
+// fresh is the identity of a member on an empty disk: a founder where the whole system starts for the first time and
+// the seeds name this machine, else a newcomer.
+func (n *keeperNode) fresh() disk.Identity {
+	founders := n.settings.SeedKeepers()
+	if n.settings.Bootstrap && slices.Contains(founders, n.address()) {
+		return disk.Identity{ID: n.address(), Founders: founders}
+	}
+	return disk.Identity{ID: keeper.FreshIdentity(n.address(), member.NewIncarnation(n, n.settings.NodeName))}
 }
 
 func (n *keeperNode) open() error {
 	var stored [keeper.Groups]agreement.Stored
-	var recovering [keeper.Groups]bool
+	options := keeper.Options{Address: n.address(), Voters: 2*n.settings.Tolerated + 1, Random: n.Random,
+		FeedEpoch: member.NewIncarnation(n, n.settings.NodeName)}
 	for group := range keeper.Groups {
 		folder, err := segment.OpenFolder(filepath.Join(n.settings.DataDir, "control-"+strconv.Itoa(group)))
 		if err != nil {
 			return err
 		}
-		member, err := disk.Open(folder, n.settings.Bootstrap)
+		member, err := disk.Open(folder, n.fresh())
 		if err != nil {
 			return err
 		}
 		n.disks[group] = member
-		stored[group], recovering[group] = member.Stored(), member.Recovering()
+		stored[group], options.IDs[group] = member.Stored(), member.ID()
 		n.wake[group] = make(chan struct{}, 1)
 	}
-	core, err := keeper.New(keeper.Options{Self: n.settings.KeeperAddress(n.settings.IP), Peers: n.peers(),
-		Random: n.Random, FeedEpoch: member.NewIncarnation(n, n.settings.NodeName)}, stored, recovering, n.Now())
+	core, err := keeper.New(options, stored, n.Now())
 	n.core = core
 	return err
 }
 
+const joinInterval = 250 * time.Millisecond
+
+// join asks, for each group in which this keeper hears no leader, to be let in.
+func (n *keeperNode) join() {
+	n.After(joinInterval, n.join)
+	for group := range keeper.Groups {
+		id, knows, wanted := n.core.Joining(n.Now(), group)
+		if !wanted {
+			continue
+		}
+		body := wire.Encode(&wire.JoinGroupBody{Group: group, Member: id, Knows: knows})
+		for _, address := range n.connected {
+			if n.Up(address) {
+				n.Call(address, wire.JoinGroup, body, joinInterval, func(_ []byte, err error) { n.joined(group, id, err) })
+			}
+		}
+	}
+}
+
+// joined begins anew where the group does without this member: its disk's state can't come back.
+func (n *keeperNode) joined(group int, id string, err error) {
+	var refused *link.RefusedError
+	current, _, _ := n.core.Joining(n.Now(), group)
+	if !errors.As(err, &refused) || refused.Body.Code != wire.Removed || current != id || n.resetting[group] {
+		return
+	}
+	n.resetting[group] = true
+	select {
+	case n.wake[group] <- struct{}{}:
+	default:
+	}
+}
+
+// reset gives a group's member another identity; it runs on the goroutine that owns the group's disk.
+func (n *keeperNode) reset(group int) error {
+	wanted := false
+	n.do(func() { wanted = n.resetting[group] })
+	if !wanted {
+		return nil
+	}
+	identity := disk.Identity{ID: keeper.FreshIdentity(n.address(), member.NewIncarnation(n, n.settings.NodeName))}
+	log.WithField("group", group).Warn("the group does without this keeper; it joins anew")
+	if err := n.disks[group].Begin(identity); err != nil {
+		return err
+	}
+	n.do(func() {
+		n.resetting[group] = false
+		n.core.ResetGroup(n.Now(), group, identity.ID)
+	})
+	return nil
+}
+
 // tick lets the core's time pass, and sets its next timer.
 func (n *keeperNode) tick() {
 	n.core.Tick(n.Now())
+	n.connect()
+	n.noteLeaders()
 	n.readCatalog()
 	n.after()
 	const least = 10 * time.Millisecond
 	n.After(max(least, n.core.NextWake()-n.Now()), n.tick)
 }
 
+// noteLeaders logs who leads a group whenever that changes.
+func (n *keeperNode) noteLeaders() {
+	for group := range keeper.Groups {
+		leader, _ := n.core.Leader(group)
+		if leader != n.leaders[group] {
+			n.leaders[group] = leader
+			log.WithFields(log.Fields{"group": group, "leader": leader}).Info("leader of a group")
+		}
+	}
+}
+
 // after lets go what the core has made ready: writes by the groups' goroutines, pushes to members.
 func (n *keeperNode) after() {
 	for group := range n.wake {
@@ -152,6 +238,10 @@
 // persist writes, syncs, sends and applies what a group has ready, one after the other.
 func (n *keeperNode) persist(group int, failures chan<- error) {
 	for range n.wake[group] {
+		if err := n.reset(group); err != nil {
+			failures <- err
+			return
+		}
 		for {
 			var ready agreement.Ready
 			n.do(func() { ready = n.core.Ready(group) })
@@ -167,12 +257,9 @@
 }
 
 func (n *keeperNode) carryOut(group int, ready *agreement.Ready) error {
-	if err := n.disks[group].Save(ready); err != nil {
+	if err := n.save(group, ready); err != nil {
 		return err
 	}
-	if ready.Recovered {
-		log.WithField("group", group).Info("caught up after a lost disk; counts from now on")
-	}
 	var failure error
 	n.do(func() {
 		n.send(group, ready.Messages)
@@ -185,27 +272,40 @@
 	return n.compact(group)
 }
 
+// save writes and syncs; while the disk is full it tries again, and the group goes on without this member.
+func (n *keeperNode) save(group int, ready *agreement.Ready) error {
+	for {
+		err := n.disks[group].Save(ready)
+		var full *segment.FullError
+		if !errors.As(err, &full) {
+			return err
+		}
+		log.WithError(err).WithField("group", group).Error("the group's member stands still until there is room")
+		time.Sleep(fullPause)
+	}
+}
+
 func (n *keeperNode) compact(group int) error {
 	var stored agreement.Stored
-	var compacted, recovering bool
+	var compacted bool
 	var err error
 	n.do(func() {
 		if n.disks[group].WantsCompaction(n.core.LogLength(group)) {
 			stored, compacted, err = n.core.Compact(group)
-			recovering = n.core.Recovering(group)
 		}
 	})
 	if err != nil || !compacted {
 		return err
 	}
-	return n.disks[group].Compact(stored, recovering)
+	return n.disks[group].Compact(stored)
 }
 
 // send passes messages to other keepers; one that can't be reached misses them, which the group makes good.
 func (n *keeperNode) send(group int, messages []agreement.Message) {
 	byPeer := map[string][]agreement.Message{}
 	for _, message := range messages {
-		byPeer[message.To] = append(byPeer[message.To], message)
+		address := keeper.AddressOf(message.To)
+		byPeer[address] = append(byPeer[address], message)
 	}
 	for address, batch := range byPeer {
 		if peer := n.clients[address]; peer != nil && peer.up {
@@ -262,6 +362,12 @@
 			return err
 		}
 		n.core.Step(now, body.Group, body.Messages)
+	case wire.JoinGroup:
+		var body wire.JoinGroupBody
+		if err := wire.Decode(frame.Kind, frame.Payload, &body); err != nil {
+			return err
+		}
+		answer(peer, frame.Call, &struct{}{}, n.core.JoinGroup(now, body.Group, body.Member, body.Knows))
 	case wire.OpenSession:
 		var body wire.OpenSessionBody
 		if err := wire.Decode(frame.Kind, frame.Payload, &body); err != nil {
@@ -284,6 +390,12 @@
 			return err
 		}
 		n.core.CloseSession(now, body.Incarnation, func(err error) { answer(peer, frame.Call, &struct{}{}, err) })
+	case wire.CountDisk:
+		var body wire.CountDiskBody
+		if err := wire.Decode(frame.Kind, frame.Payload, &body); err != nil {
+			return err
+		}
+		n.core.CountDisk(now, body.Disk, func(err error) { answer(peer, frame.Call, &struct{}{}, err) })
 	case wire.SettleDeparted:
 		var body wire.SettleBody
 		if err := wire.Decode(frame.Kind, frame.Payload, &body); err != nil {
@@ -308,7 +420,10 @@
 func answer(peer *link.Peer, call uint64, body any, err error) {
 	var notLeader *agreement.NotLeaderError
 	var unknown *keeper.UnknownSessionError
+	var removed *keeper.RemovedError
 	switch {
+	case errors.As(err, &removed):
+		peer.Refuse(call, wire.RefusalBody{Code: wire.Removed, Reason: err.Error()})
 	case err == nil:
 		peer.Answer(call, body)
 	case errors.As(err, &notLeader):
@@ -399,7 +514,7 @@
 		return c.JSON(http.StatusBadRequest, &problem{Error: result.err.Error()})
 	case errors.As(result.err, &conflict):
 		return c.JSON(http.StatusPreconditionFailed, &problem{Error: result.err.Error()})
-	case errors.As(result.err, &notLeader) && notLeader.Leader != "" && notLeader.Leader != n.settings.KeeperAddress(n.settings.IP):
+	case errors.As(result.err, &notLeader) && notLeader.Leader != "" && notLeader.Leader != n.address():
 		location := "http://" + n.settings.ControlAddress(notLeader.Leader) + c.Request().URL.RequestURI()
 		return c.Redirect(http.StatusTemporaryRedirect, location)
 	}
--- a/internal/system/node/loop.go
+++ b/internal/system/node/loop.go
@@ -9,6 +9,7 @@
 
 	"granitewing/internal/system/link"
 	"granitewing/internal/system/loop"
+	"granitewing/internal/system/settings"
 	"granitewing/internal/system/wire"
 )
 
@@ -74,6 +75,13 @@
 	something()
 }
 
+// follow takes changed settings until the process ends.
+func (r *runner) follow(changes <-chan *settings.Settings, take func(changed *settings.Settings)) {
+	for changed := range changes {
+		r.do(func() { take(changed) })
+	}
+}
+
 // Now implements loop.Loop.
 func (r *runner) Now() time.Duration { return time.Since(r.start) }
 
--- a/internal/system/node/store.go
+++ b/internal/system/node/store.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -32,6 +34,15 @@
 	calls    chan storeCall
 	session  *member.Client
 	copier   *copier
+	roster   atomic.Pointer[roster]
+
+	fullUntil time.Duration // no write is tried before
+}
+
+// roster is what the goroutine that owns the core has to know of the roster of disks.
+type roster struct {
+	epoch     uint64
+	uncounted bool // this disk is in the roster and doesn't count
 }
 
 const (
@@ -40,10 +51,11 @@
 	maxCallsInBatch  = 1024
 	storeSegmentSize = 8 << 20
 	storeIdle        = 500 * time.Millisecond
+	fullPause        = 200 * time.Millisecond // after a write that found no room
 )
 
 // RunStore runs a store until the context ends.
-func RunStore(ctx context.Context, s *settings.Settings) error {
+func RunStore(ctx context.Context, s *settings.Settings, changes <-chan *settings.Settings) error {
 	n := &storeNode{runner: newRunner(), settings: s, calls: make(chan storeCall, maxWaitingCalls)}
 	if err := n.open(); err != nil {
 		return err
@@ -59,6 +71,11 @@
 		return err
 	}
 	n.join()
+	go n.follow(changes, func(changed *settings.Settings) {
+		s.Seeds = changed.Seeds
+		n.session.SetSeeds(s.SeedKeepers())
+		n.connect(n.session.View())
+	})
 	known, pending := n.core.Counts()
 	log.WithFields(log.Fields{"messages": known, "pending": pending, "complete": n.core.Complete()}).Info("store serves")
 	failure := make(chan error, 1)
@@ -105,7 +122,7 @@
 	}
 	s := n.settings
 	self := session.Member{Incarnation: member.NewIncarnation(n, s.NodeName), Node: s.NodeName, Role: session.Store,
-		Zone: s.Zone, Address: s.StoreAddress(), Disk: n.core.Disk()}
+		Zone: s.Zone, Address: s.StoreAddress(), Disk: n.core.Disk(), Founder: n.core.Founder()}
 	n.copier = newCopier(n)
 	n.do(func() {
 		n.session = member.NewClient(n, n, s.SeedKeepers(), self, member.Events{
@@ -114,15 +131,19 @@
 		})
 		n.Connect(s.SeedKeepers())
 		n.session.Start()
-		n.copier.start()
 	})
 }
 
 func (n *storeNode) connect(view *member.View) {
-	addresses := append([]string(nil), n.settings.SeedKeepers()...)
-	for node, other := range view.Stores {
-		if node != n.settings.NodeName && !n.copier.finished {
-			addresses = append(addresses, other.Address)
+	addresses := append([]string(nil), n.session.Keepers()...)
+	own, known := view.Disks[n.copier.disk]
+	n.roster.Store(&roster{epoch: view.Epoch, uncounted: known && !own.Counted})
+	if known && (!own.Counted || own.Spare && len(view.Missing()) > 0) {
+		n.copier.begin()
+	}
+	for id, other := range view.Disks {
+		if id != n.copier.disk && n.copier.running {
+			addresses = append(addresses, other.Member.Address)
 		}
 	}
 	n.Connect(addresses)
@@ -130,11 +151,22 @@
 
 // flush writes, syncs and answers the batch that has gathered.
 func (n *storeNode) flush() error {
+	if n.Now() < n.fullUntil {
+		return nil
+	}
 	batch := n.core.Take()
 	var positions []segment.Position
 	if len(batch.Payloads) > 0 {
 		var err error
-		if positions, err = n.log.Append(batch.Payloads...); err != nil {
+		var full *segment.FullError
+		positions, err = n.log.Append(batch.Payloads...)
+		if errors.As(err, &full) {
+			n.fullUntil = n.Now() + fullPause
+			log.WithError(err).Error("nothing is taken until there is room")
+			n.core.Full(batch)
+			return nil
+		}
+		if err != nil {
 			return err
 		}
 		if err := n.log.Sync(); err != nil {
@@ -152,18 +184,18 @@
 	for {
 		select {
 		case call := <-n.calls:
-			n.core.Time(n.Now(), n.Wall())
+			n.catchUp()
 			n.handle(call)
 			n.gather()
 		case part := <-n.copier.parts:
-			n.core.Time(n.Now(), n.Wall())
+			n.catchUp()
 			n.core.TakeCopy(part.messages)
 			if part.last {
 				n.core.CopyFinished()
 				log.Info("all that the lost disk held was copied; complete from now on")
 			}
 		case <-idle.C:
-			n.core.Time(n.Now(), n.Wall())
+			n.catchUp()
 			if err := n.clean(); err != nil {
 				failure <- err
 				return
@@ -179,6 +211,14 @@
 	}
 }
 
+// catchUp tells the core the time and the roster.
+func (n *storeNode) catchUp() {
+	n.core.Time(n.Now(), n.Wall())
+	if followed := n.roster.Load(); followed != nil {
+		n.core.Follow(followed.epoch, followed.uncounted)
+	}
+}
+
 func (n *storeNode) gather() {
 	for range maxCallsInBatch {
 		select {
@@ -232,7 +272,7 @@
 		if err := wire.Decode(frame.Kind, frame.Payload, &body); err != nil {
 			return err
 		}
-		n.core.Put(&body.Message, func(refusal *wire.RefusalBody) {
+		n.core.Put(&body.Message, body.Epoch, func(refusal *wire.RefusalBody) {
 			if refusal != nil {
 				peer.Refuse(frame.Call, *refusal)
 				return
--- a/internal/system/role/carrier/accept.go
+++ b/internal/system/role/carrier/accept.go
@@ -57,8 +57,8 @@
 	answer  func(Answer)
 	at      time.Duration
 	until   time.Duration
-	tried   []string // nodes of stores that may have it
-	holders []string // nodes that have it synced
+	tried   []string // disks that may have it
+	holders []string // disks that have it synced
 	open    int      // puts without answer
 	stored  bool
 	done    bool
@@ -145,8 +145,8 @@
 // store sends the message to as many stores as it has to lie on.
 func (a *acceptance) store() {
 	c := a.core
-	for _, node := range c.stores.choose(c.copies(), nil) {
-		a.put(node)
+	for _, disk := range c.stores.choose(c.copies(), nil) {
+		a.put(disk)
 	}
 	if len(a.tried) < c.copies() {
 		a.giveUp()
@@ -156,17 +156,17 @@
 	c.env.After(a.until-c.env.Now(), a.expire)
 }
 
-func (a *acceptance) put(node string) {
+func (a *acceptance) put(disk string) {
 	c := a.core
-	a.tried = append(a.tried, node)
+	a.tried = append(a.tried, disk)
 	a.open++
-	c.stores.put(node, a.message, func(err error) {
+	c.stores.put(disk, a.message, func(err error) {
 		a.open--
 		if err != nil {
 			a.failedPut()
 			return
 		}
-		a.holders = append(a.holders, node)
+		a.holders = append(a.holders, disk)
 		if !a.stored && len(a.holders) >= c.copies() && !a.done {
 			a.stored = true
 			a.confirm()
@@ -232,8 +232,8 @@
 		}
 		c.refuse(a.answer, "it could not be stored in time")
 	}
-	for _, node := range a.tried {
-		c.stores.void(node, a.message.ID, settle)
+	for _, disk := range a.tried {
+		c.stores.void(disk, a.message.ID, settle)
 	}
 }
 
--- a/internal/system/role/carrier/core.go
+++ b/internal/system/role/carrier/core.go
@@ -117,10 +117,10 @@
 
 // connect names the peers that connections are kept to.
 func (c *Core) connect() {
-	addresses := append([]string(nil), c.settings.SeedKeepers()...)
+	addresses := append([]string(nil), c.session.Keepers()...)
 	view := c.session.View()
-	for _, store := range view.Stores {
-		addresses = append(addresses, store.Address)
+	for _, disk := range view.Disks {
+		addresses = append(addresses, disk.Member.Address)
 	}
 	for _, other := range view.Members {
 		if other.Role == session.Carrier && other.Incarnation != c.session.Incarnation() {
@@ -130,6 +130,12 @@
 	c.env.Connect(addresses)
 }
 
+// SeedsChanged tells that the settings name other seeds.
+func (c *Core) SeedsChanged() {
+	c.session.SetSeeds(c.settings.SeedKeepers())
+	c.connect()
+}
+
 // PeerUp tells that a connection to a peer came about.
 func (c *Core) PeerUp(address string) { c.stores.up(address) }
 
@@ -141,7 +147,7 @@
 
 func (c *Core) viewChanged(before, after *member.View) {
 	now := c.env.Now()
-	if !sameMap(before.Members, after.Members) || !sameMap(before.Stores, after.Stores) {
+	if !sameMap(before.Members, after.Members) || !sameMap(before.Disks, after.Disks) || !sameMap(before.Keepers, after.Keepers) {
 		c.connect()
 		c.policy.SetCarriers(after.Carriers())
 	}
@@ -228,7 +234,7 @@
 type item struct {
 	message  *message.Message
 	unit     *unit
-	holders  []string // nodes of the stores that hold it, or may
+	holders  []string // disks that hold it, or may
 	accepted time.Duration
 	due      time.Duration
 	failures int // attempts that a worker answered as failed
--- a/internal/system/role/carrier/dispatch.go
+++ b/internal/system/role/carrier/dispatch.go
@@ -285,13 +285,13 @@
 	}
 	most := keepBodiesShare * float64(c.settings.Limits.MemoryMB) * (1 << 20)
 	retry := func() { c.env.After(fetchPause, func() { c.fetch(it, turn+1) }) }
-	node := it.holders[turn%len(it.holders)]
-	if float64(c.bodyBytes) > most || !c.stores.isUp(node) {
+	disk := it.holders[turn%len(it.holders)]
+	if float64(c.bodyBytes) > most || !c.stores.isUp(disk) {
 		retry()
 		return
 	}
 	body := wire.FindBody{ID: it.message.ID, WithBody: true}
-	c.env.Call(c.stores.address(node), wire.FindMessage, wire.Encode(&body), listTimeout, func(payload []byte, err error) {
+	c.env.Call(c.stores.address(disk), wire.FindMessage, wire.Encode(&body), listTimeout, func(payload []byte, err error) {
 		var answer wire.FindAnswer
 		if err == nil {
 			err = wire.Decode(wire.FindMessage, payload, &answer)
--- a/internal/system/role/carrier/query.go
+++ b/internal/system/role/carrier/query.go
@@ -38,9 +38,9 @@
 	q := &query{wantBody: withBody, done: done}
 	body := wire.Encode(&wire.FindBody{ID: id, WithBody: withBody})
 	var asked []string
-	for node, store := range c.session.View().Stores {
-		if c.stores.isUp(node) {
-			asked = append(asked, store.Address)
+	for id, disk := range c.session.View().Disks {
+		if c.stores.isUp(id) {
+			asked = append(asked, disk.Member.Address)
 			continue
 		}
 		q.missing++
--- a/internal/system/role/carrier/unit.go
+++ b/internal/system/role/carrier/unit.go
@@ -119,7 +119,7 @@
 	core     *Core
 	unit     *unit
 	began    time.Duration
-	listed   map[string]*listing // by node
+	listed   map[string]*listing // by disk
 	finished bool
 }
 
@@ -145,38 +145,43 @@
 		return
 	}
 	c := r.core
-	for node := range c.session.View().Stores {
-		l := r.listed[node]
+	for disk := range c.session.View().Disks {
+		l := r.listed[disk]
 		if l == nil {
 			l = &listing{}
-			r.listed[node] = l
+			r.listed[disk] = l
 		}
-		if !l.done && !l.busy && c.stores.isUp(node) {
-			r.askStore(node, l)
+		if !l.done && !l.busy && c.stores.isUp(disk) {
+			r.askStore(disk, l)
 		}
 	}
 	r.judge()
 	c.env.After(listRetry, r.ask)
 }
 
-func (r *recovery) askStore(node string, l *listing) {
+func (r *recovery) askStore(disk string, l *listing) {
 	c := r.core
 	l.busy = true
 	body := wire.ListBody{Unit: r.unit.name, After: l.after}
-	c.env.Call(c.stores.address(node), wire.ListUnit, wire.Encode(&body), listTimeout, func(payload []byte, err error) {
+	c.env.Call(c.stores.address(disk), wire.ListUnit, wire.Encode(&body), listTimeout, func(payload []byte, err error) {
 		l.busy = false
 		var answer wire.ListAnswer
 		if err == nil {
 			err = wire.Decode(wire.ListUnit, payload, &answer)
 		}
-		if err != nil || r.finished || r.unit.dropped {
-			return // ask comes again
+		if r.finished || r.unit.dropped {
+			return
+		}
+		if err != nil {
+			// The store may have started anew, and counts its places anew then: ask lists it from the start.
+			*l = listing{}
+			return
 		}
 		l.messages = append(l.messages, answer.Messages...)
 		l.ended = append(l.ended, answer.Ended...)
 		l.after, l.complete = answer.Next, answer.Complete
 		if answer.More {
-			r.askStore(node, l)
+			r.askStore(disk, l)
 			return
 		}
 		l.done = true
@@ -190,20 +195,20 @@
 	if r.finished || r.unit.dropped {
 		return
 	}
-	stores := c.session.View().Stores
+	counted := c.session.View().Counted()
 	complete, done := 0, 0
-	for node := range stores {
-		if l := r.listed[node]; l != nil && l.done {
+	for disk := range counted {
+		if l := r.listed[disk]; l != nil && l.done {
 			done++
 			if l.complete {
 				complete++
 			}
 		}
 	}
-	needed := len(stores) - c.settings.Tolerated
-	all := done == len(stores)
+	needed := len(counted) - c.settings.Tolerated
+	all := done == len(counted)
 	late := c.env.Now()-r.began >= listAllWithin
-	if len(stores) < c.copies() || complete < needed || !all && !late {
+	if len(counted) < c.copies() || complete < needed || !all && !late {
 		return
 	}
 	r.finished = true
@@ -255,7 +260,7 @@
 		}
 	}
 	messages := map[string]*found{}
-	for node, l := range r.listed {
+	for disk, l := range r.listed {
 		for _, listed := range l.messages {
 			f := messages[listed.Message.ID]
 			if f == nil {
@@ -263,7 +268,7 @@
 				messages[listed.Message.ID] = f
 			}
 			f.listed.Age = min(f.listed.Age, listed.Age)
-			f.holders = append(f.holders, node)
+			f.holders = append(f.holders, disk)
 			if end, ended := ends[listed.Message.ID]; ended {
 				f.end = &end
 			}
--- a/internal/system/role/keeper/core.go
+++ b/internal/system/role/keeper/core.go
@@ -41,9 +41,10 @@
 
 // Options of a keeper.
 type Options struct {
-	Self   string   // its address, as in Peers
-	Peers  []string // all keepers that vote
-	Random func(n int64) int64
+	Address string         // of its peer listener
+	IDs     [Groups]string // its identity in each group, drawn on the disk
+	Voters  int            // that a group should have: one more than twice the machines that may be lost
+	Random  func(n int64) int64
 	// FeedEpoch tells this life's feed from any other.
 	FeedEpoch string
 }
@@ -65,6 +66,7 @@
 	apply   func(index uint64, data []byte) error
 	snap    func() ([]byte, error)
 	restore func(data []byte) error
+	reset   func()
 }
 
 // waiter is told once its entry was applied, or when that can no longer be known.
@@ -92,7 +94,7 @@
 	catalogKnown  bool
 	catalogDue    time.Duration
 	reconcileDue  time.Duration
-	failure       error
+	keepers       map[string]bool // addresses of the keepers that this one knows
 }
 
 // LostError tells a waiter that its order may or may not be taken.
@@ -101,7 +103,7 @@
 func (e *LostError) Error() string { return "the order's outcome is not known" }
 
 // New makes a keeper from what its disk holds, by group.
-func New(options Options, stored [Groups]agreement.Stored, recovering [Groups]bool, now time.Duration) (*Core, error) {
+func New(options Options, stored [Groups]agreement.Stored, now time.Duration) (*Core, error) {
 	core := &Core{
 		options: options, now: now, configuration: configuration.NewState(), sessions: session.NewState(),
 		feed: feed.NewTable(options.FeedEpoch), subscribers: map[Subscriber]feed.Position{},
@@ -112,7 +114,7 @@
 		core.owners[shard] = ownership.NewState()
 	}
 	for id := range core.groups {
-		core.groups[id] = core.newGroup(id, stored[id], recovering[id])
+		core.groups[id] = core.newGroup(id, stored[id])
 		if len(stored[id].Snapshot.Data) == 0 {
 			continue
 		}
@@ -124,21 +126,24 @@
 	return core, nil
 }
 
-func (c *Core) newGroup(id int, stored agreement.Stored, recovering bool) *group {
+func (c *Core) newGroup(id int, stored agreement.Stored) *group {
 	node := agreement.New(agreement.Options{
-		Self: c.options.Self, Peers: c.options.Peers, ElectionTimeout: ElectionTimeout,
-		HeartbeatInterval: HeartbeatInterval, Random: c.options.Random, Recovering: recovering,
+		Self: c.options.IDs[id], ElectionTimeout: ElectionTimeout, HeartbeatInterval: HeartbeatInterval,
+		Random: c.options.Random,
 	}, stored, c.now)
 	g := &group{node: node, waiting: map[uint64]waiter{}}
 	switch id {
 	case ConfigurationGroup:
 		g.apply, g.snap, g.restore = c.applyOrder, c.configuration.Snapshot, c.configuration.Restore
+		g.reset = func() { *c.configuration = *configuration.NewState() }
 	case SessionGroup:
 		g.apply, g.snap, g.restore = c.applySession, c.sessions.Snapshot, c.sessions.Restore
+		g.reset = func() { *c.sessions = *session.NewState() }
 	default:
 		shard := id - firstOwnershipGroup
 		g.apply = func(_ uint64, data []byte) error { return c.applyAssignments(shard, data) }
 		g.snap, g.restore = c.owners[shard].Snapshot, c.owners[shard].Restore
+		g.reset = func() { *c.owners[shard] = *ownership.NewState() }
 	}
 	return g
 }
@@ -169,6 +174,7 @@
 	if now >= c.reconcileDue {
 		c.reconcileDue = now + reconcileEvery
 		c.reconcile()
+		c.tendGroups()
 	}
 }
 
@@ -217,7 +223,7 @@
 	g := c.groups[id]
 	index, err := g.node.Propose(c.now, data)
 	if err != nil {
-		done(err)
+		done(c.notLeader(id))
 		return
 	}
 	g.waiting[index] = waiter{term: g.node.Term(), until: c.now + orderWait, done: done}
@@ -276,11 +282,13 @@
 // LogLength is the number of entries in a group's log.
 func (c *Core) LogLength(id int) int { return c.groups[id].node.LogLength() }
 
-// Recovering tells whether a group's member lost its disk and has not caught up.
-func (c *Core) Recovering(id int) bool { return c.groups[id].node.Recovering() }
-
-// Leader is who leads a group as far as known, and whether it is this keeper, ready to serve.
+// Leader is the address of who leads a group as far as known, and whether it is this keeper, ready to serve.
 func (c *Core) Leader(id int) (address string, self bool) {
 	g := c.groups[id]
-	return g.node.Leader(), g.node.Leading()
+	return AddressOf(g.node.Leader()), g.node.Leading()
+}
+
+// notLeader is the error of a call that the leader of a group has to answer.
+func (c *Core) notLeader(id int) error {
+	return &agreement.NotLeaderError{Leader: AddressOf(c.groups[id].node.Leader())}
 }
--- /dev/null
+++ b/internal/system/role/keeper/groups.go
@@ -0,0 +1,143 @@
+package keeper
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"granitewing/internal/system/agreement"
+	"granitewing/internal/system/feed"
+)
+
+// A member's identity in a group is its address, and for one that was not a founder a part drawn on its disk.
+const identitySeparator = "#"
+
+// AddressOf is the address in an identity.
+func AddressOf(id string) string {
+	address, _, _ := strings.Cut(id, identitySeparator)
+	return address
+}
+
+// FreshIdentity is the identity of a member that starts on an empty disk and is no founder.
+func FreshIdentity(address, drawn string) string { return address + identitySeparator + drawn }
+
+// Times of the care for groups.
+const (
+	silentForPromotion = 1000 * time.Millisecond // of a voter, before a learner that has caught up takes a vote
+	silentForRemoval   = 1400 * time.Millisecond // of a voter, while there are voters enough without it
+	learnerGone        = 8 * time.Second
+	learnerHeard       = 600 * time.Millisecond
+)
+
+// tendGroups changes the groups that this keeper leads, one member at a time: a newcomer that has caught up gets a vote
+// when a voter is missing, and a voter that is gone loses its place once there are enough without it.
+func (c *Core) tendGroups() {
+	for id, g := range c.groups {
+		if g.node.Leading() {
+			c.tendGroup(id, g.node)
+		}
+	}
+	c.noteKeepers()
+}
+
+func (c *Core) tendGroup(id int, node *agreement.Node) {
+	group := node.Group()
+	silentVoter, silence := longestSilence(node, group.Voters)
+	wanted := len(group.Voters) < c.options.Voters || silence > silentForPromotion
+	if len(group.Voters) <= c.options.Voters && wanted {
+		for _, learner := range group.Learners {
+			if quiet, caughtUp := node.Silence(learner); caughtUp && quiet < learnerHeard {
+				c.changeGroup(id, group.With(learner, agreement.AsVoter))
+				return
+			}
+		}
+	}
+	if len(group.Voters) > c.options.Voters && silence > silentForRemoval {
+		c.changeGroup(id, group.With(silentVoter, agreement.Out))
+		return
+	}
+	if gone, quiet := longestSilence(node, group.Learners); quiet > learnerGone {
+		c.changeGroup(id, group.With(gone, agreement.Out))
+	}
+}
+
+func longestSilence(node *agreement.Node, ids []string) (id string, silence time.Duration) {
+	for _, other := range ids {
+		if quiet, _ := node.Silence(other); quiet > silence {
+			id, silence = other, quiet
+		}
+	}
+	return id, silence
+}
+
+// changeGroup proposes a change; one that is under way is tried again at the next look.
+func (c *Core) changeGroup(id int, group agreement.Membership) {
+	_ = c.groups[id].node.ProposeGroup(c.now, group)
+}
+
+// RemovedError tells a keeper that its group does without it: what its disk holds of the group is void.
+type RemovedError struct{ ID string }
+
+func (e *RemovedError) Error() string { return "the group does without " + e.ID }
+
+// JoinGroup lets a newcomer follow a group. knows tells whether its disk names a group already.
+func (c *Core) JoinGroup(now time.Duration, id int, member string, knows bool) error {
+	c.now = now
+	if id < 0 || id >= Groups || !c.groups[id].node.Leading() {
+		return c.notLeader(min(max(id, 0), Groups-1))
+	}
+	node := c.groups[id].node
+	group := node.Group()
+	if slices.Contains(group.Voters, member) || slices.Contains(group.Learners, member) {
+		return nil
+	}
+	if knows {
+		return &RemovedError{ID: member}
+	}
+	return node.ProposeGroup(now, group.With(member, agreement.AsLearner))
+}
+
+// Joining tells whether a group's member should ask to join: it knows of no group, or has heard no leader for long.
+func (c *Core) Joining(now time.Duration, id int) (member string, knows, wanted bool) {
+	node := c.groups[id].node
+	group := node.Group()
+	knows = !group.Empty()
+	return c.options.IDs[id], knows, node.Leader() == ""
+}
+
+// ResetGroup begins a group's member anew, under another identity, after the group did without it.
+func (c *Core) ResetGroup(now time.Duration, id int, identity string) {
+	c.now = now
+	c.options.IDs[id] = identity
+	c.groups[id].abandon()
+	c.groups[id].reset()
+	c.groups[id] = c.newGroup(id, agreement.Stored{})
+	c.subscribers = map[Subscriber]feed.Position{}
+}
+
+// noteKeepers gathers the addresses of all that belong to a group.
+func (c *Core) noteKeepers() {
+	keepers := map[string]bool{c.options.Address: true}
+	for _, g := range c.groups {
+		group := g.node.Group()
+		for _, member := range append(slices.Clone(group.Voters), group.Learners...) {
+			keepers[AddressOf(member)] = true
+		}
+	}
+	c.keepers = keepers
+	values := map[string][]byte{}
+	for address := range keepers {
+		values[PrefixKeeper+address] = []byte{1}
+	}
+	c.replace(PrefixKeeper, values)
+}
+
+// Keepers gives the addresses of all keepers that this one knows, sorted.
+func (c *Core) Keepers() []string {
+	addresses := make([]string, 0, len(c.keepers))
+	for address := range c.keepers {
+		addresses = append(addresses, address)
+	}
+	slices.Sort(addresses)
+	return addresses
+}
--- a/internal/system/role/keeper/orders.go
+++ b/internal/system/role/keeper/orders.go
@@ -5,7 +5,6 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"granitewing/internal/system/agreement"
 	"granitewing/internal/system/configuration"
 )
 
@@ -14,7 +13,7 @@
 	c.now = now
 	g := c.groups[ConfigurationGroup]
 	if !g.node.Leading() {
-		done(&agreement.NotLeaderError{Leader: g.node.Leader()})
+		done(c.notLeader(ConfigurationGroup))
 		return
 	}
 	known, err := c.configuration.Check(order)
@@ -60,7 +59,7 @@
 	c.now = now
 	g := c.groups[ConfigurationGroup]
 	if !g.node.Leading() {
-		done(nil, &agreement.NotLeaderError{Leader: g.node.Leader()})
+		done(nil, c.notLeader(ConfigurationGroup))
 		return
 	}
 	c.confirm(func(err error) {
--- a/internal/system/role/keeper/sessions.go
+++ b/internal/system/role/keeper/sessions.go
@@ -5,7 +5,6 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"granitewing/internal/system/agreement"
 	"granitewing/internal/system/feed"
 	"granitewing/internal/system/session"
 )
@@ -33,7 +32,7 @@
 	c.now = now
 	g := c.groups[SessionGroup]
 	if !g.node.Leading() {
-		done(&agreement.NotLeaderError{Leader: g.node.Leader()})
+		done(c.notLeader(SessionGroup))
 		return
 	}
 	if known, live := c.sessions.Member(member.Incarnation); live && known == member {
@@ -60,7 +59,7 @@
 		g.node.Tick(now)
 	}
 	if !g.node.Leading() {
-		return 0, &agreement.NotLeaderError{Leader: g.node.Leader()}
+		return 0, c.notLeader(SessionGroup)
 	}
 	if _, live := c.sessions.Member(incarnation); !live {
 		return 0, &UnknownSessionError{Incarnation: incarnation}
@@ -84,11 +83,20 @@
 	c.proposeSession(session.Command{Kind: session.Settled, Incarnation: incarnation}, done)
 }
 
+// CountDisk lets a filled disk count.
+func (c *Core) CountDisk(now time.Duration, disk string, done func(err error)) {
+	c.now = now
+	c.proposeSession(session.Command{Kind: session.Count, Disk: disk}, done)
+}
+
 // Unsubscribe forgets a connection.
 func (c *Core) Unsubscribe(subscriber Subscriber) { delete(c.subscribers, subscriber) }
 
 // Pushes gives what subscribers lack. None are made unless this keeper leads the sessions: members follow the leader.
 func (c *Core) Pushes() []Push {
+	if !c.groups[SessionGroup].node.Leading() {
+		return nil
+	}
 	var pushes []Push
 	for subscriber, position := range c.subscribers {
 		if position.Epoch == c.options.FeedEpoch && position.Offset == c.feed.Offset() {
@@ -103,7 +111,7 @@
 
 func (c *Core) proposeSession(command session.Command, done func(err error)) {
 	if !c.groups[SessionGroup].node.Leading() {
-		done(&agreement.NotLeaderError{Leader: c.groups[SessionGroup].node.Leader()})
+		done(c.notLeader(SessionGroup))
 		return
 	}
 	data, err := msgpack.Marshal(&command)
--- a/internal/system/role/keeper/tables.go
+++ b/internal/system/role/keeper/tables.go
@@ -83,11 +83,13 @@
 const (
 	KeyConfiguration = "configuration"
 	KeyCatalog       = "catalog" // there once the list of workers was read
+	KeyRoster        = "roster"  // epoch of the roster of disks
 	PrefixMember     = "member/"
-	PrefixStore      = "store/"
+	PrefixDisk       = "disk/"
 	PrefixDeparted   = "departed/"
 	PrefixOwner      = "owner/"
 	PrefixInstance   = "instance/"
+	PrefixKeeper     = "keeper/"
 )
 
 // refreshFeed brings the feed's table to what the shards hold.
@@ -102,11 +104,12 @@
 		}
 	}
 	c.replace(PrefixMember, members)
-	stores := map[string][]byte{}
-	for _, store := range c.sessions.Stores() {
-		stores[PrefixStore+store.Node] = wire.Encode(&store)
+	disks := map[string][]byte{}
+	for id, disk := range c.sessions.Disks() {
+		disks[PrefixDisk+id] = wire.Encode(&disk)
 	}
-	c.replace(PrefixStore, stores)
+	c.replace(PrefixDisk, disks)
+	c.feed.Set(KeyRoster, wire.Encode(c.sessions.Epoch()))
 	departed := map[string][]byte{}
 	for _, gone := range c.sessions.Departed() {
 		departed[PrefixDeparted+gone.Incarnation] = wire.Encode(&gone)
--- a/internal/system/role/store/clean.go
+++ b/internal/system/role/store/clean.go
@@ -12,12 +12,12 @@
 
 // Clean writes again what is needed of the segments up to one, so that they can be removed once the batch is synced.
 func (c *Core) Clean(oldest uint64) error {
-	for _, e := range c.index.ordered(0) {
+	for _, e := range c.index.changedSince(0) {
 		if err := c.rewrite(e, oldest); err != nil {
 			return err
 		}
 	}
-	c.append(record{Kind: recordStarted, Incomplete: !c.complete, Disk: c.disk}, nil)
+	c.appendStarted()
 	return nil
 }
 
--- a/internal/system/role/store/copy.go
+++ b/internal/system/role/store/copy.go
@@ -41,11 +41,15 @@
 	e.retention = m.Retention
 	c.append(record{Kind: recordMessage, Message: m}, func(position segment.Position) {
 		e.held, e.position = true, position
+		c.index.touch(e)
 	})
 }
 
 // CopyFinished tells that all other stores' messages were taken: the store holds all that it ever acknowledged.
 func (c *Core) CopyFinished() {
+	if c.complete {
+		return
+	}
 	c.complete = true
 	c.append(record{Kind: recordComplete}, nil)
 }
--- a/internal/system/role/store/core.go
+++ b/internal/system/role/store/core.go
@@ -31,6 +31,7 @@
 type pendingRecord struct {
 	payload []byte
 	synced  func(position segment.Position)
+	refused func() // of records that need not be kept where the disk is full
 }
 
 // Core is one store.
@@ -47,14 +48,13 @@
 	complete bool
 	bytes    int64 // of all segments
 	sizes    map[uint64]int64
-	copies   map[string]uint64 // stores that are being copied from, and how far
-	copied   map[string]bool
+	epoch    uint64 // of the roster that this store follows
+	founder  bool
 }
 
 // New makes a store whose log is about to be replayed.
 func New(options Options, reader Reader, now time.Duration, wall int64) *Core {
-	return &Core{options: options, reader: reader, now: now, wall: wall, index: newIndex(), sizes: map[uint64]int64{},
-		copies: map[string]uint64{}, copied: map[string]bool{}}
+	return &Core{options: options, reader: reader, now: now, wall: wall, index: newIndex(), sizes: map[uint64]int64{}}
 }
 
 // Load takes a record of the log at the start.
@@ -68,7 +68,7 @@
 	case recordStarted:
 		c.started = true
 		c.disk = r.Disk
-		c.complete = !r.Incomplete
+		c.complete, c.founder = !r.Incomplete, r.Founder
 	case recordComplete:
 		c.complete = true
 	case recordMessage:
@@ -131,10 +131,30 @@
 	if c.started {
 		return
 	}
-	c.started, c.complete, c.disk = true, bootstrap, disk
-	c.append(record{Kind: recordStarted, Incomplete: !bootstrap, Disk: disk}, nil)
+	c.started, c.complete, c.founder, c.disk = true, bootstrap, bootstrap, disk
+	c.appendStarted()
 }
 
+func (c *Core) appendStarted() {
+	c.append(record{Kind: recordStarted, Incomplete: !c.complete, Founder: c.founder, Disk: c.disk}, nil)
+}
+
+// Founder tells whether the disk is as old as the system.
+func (c *Core) Founder() bool { return c.founder }
+
+// Follow tells the store the roster's epoch, and whether its disk is in it without counting. From then on it takes
+// nothing that was meant for an older roster. A disk that was replaced while it was away has to be filled again.
+func (c *Core) Follow(epoch uint64, uncounted bool) {
+	c.epoch = max(c.epoch, epoch)
+	if uncounted && c.complete {
+		c.complete, c.founder = false, false
+		c.appendStarted()
+	}
+}
+
+// Epoch is the epoch of the roster that this store follows.
+func (c *Core) Epoch() uint64 { return c.epoch }
+
 // Disk is the identity that was drawn on the disk.
 func (c *Core) Disk() string { return c.disk }
 
@@ -155,8 +175,27 @@
 func (c *Core) Bytes() int64 { return c.bytes }
 
 func (c *Core) append(r record, synced func(segment.Position)) {
+	c.batch = append(c.batch, pendingRecord{payload: c.encode(r), synced: synced})
+}
+
+func (c *Core) encode(r record) []byte {
 	r.Wall = c.wall
-	c.batch = append(c.batch, pendingRecord{payload: r.encode(), synced: synced})
+	return r.encode()
+}
+
+// Full tells that a batch found no room on the disk. New messages are refused; what is known of others is kept, with its
+// answers, for the next batch.
+func (c *Core) Full(batch *Batch) {
+	var kept []pendingRecord
+	for _, r := range batch.records {
+		if r.refused != nil {
+			r.refused()
+			continue
+		}
+		kept = append(kept, r)
+	}
+	c.batch = append(kept, c.batch...)
+	c.answers = append(batch.answers, c.answers...)
 }
 
 // Batch is records that are written and synced together, and answers that go out after that.
@@ -197,8 +236,12 @@
 	c.expire()
 }
 
-// Put stores a message; the answer is nil once it is synced.
-func (c *Core) Put(m *message.Message, done func(refusal *wire.RefusalBody)) {
+// Put stores a message at the disks of a roster; the answer is nil once it is synced.
+func (c *Core) Put(m *message.Message, epoch uint64, done func(refusal *wire.RefusalBody)) {
+	if epoch < c.epoch {
+		done(&wire.RefusalBody{Code: wire.StaleRoster, Reason: "the roster of disks has changed"})
+		return
+	}
 	e := c.index.get(m.ID)
 	if e != nil && e.void {
 		done(&wire.RefusalBody{Code: wire.Voided, Reason: "the message is void"})
@@ -220,10 +263,11 @@
 	}
 	e.retention = m.Retention
 	r := record{Kind: recordMessage, Message: m}
-	c.append(r, func(position segment.Position) {
+	c.batch = append(c.batch, pendingRecord{payload: c.encode(r), synced: func(position segment.Position) {
 		e.held, e.position = true, position
+		c.index.touch(e)
 		done(nil)
-	})
+	}, refused: func() { done(&wire.RefusalBody{Code: wire.Failed, Reason: "the disk is full"}) }})
 }
 
 // Void makes a message void.
--- a/internal/system/role/store/index.go
+++ b/internal/system/role/store/index.go
@@ -16,6 +16,7 @@
 	id           string
 	unit         string
 	place        uint64 // in the order of arrival at this store
+	changed      uint64 // in the order of changes
 	position     segment.Position
 	size         uint32
 	held         bool // the message's record is on disk at position
@@ -54,6 +55,13 @@
 	units   map[string]*unitIndex
 	expiry  []*entry // ended and void ones, ascending by the time of their end
 	place   uint64
+	change  uint64
+}
+
+// touch notes that an entry has changed, so that a copy that follows the changes takes it again.
+func (x *index) touch(e *entry) {
+	x.change++
+	e.changed = x.change
 }
 
 func newIndex() *index { return &index{entries: map[string]*entry{}, units: map[string]*unitIndex{}} }
@@ -65,6 +73,7 @@
 	x.place++
 	e := &entry{id: id, unit: unit, place: x.place, arrived: arrived, phase: message.Pending}
 	x.entries[id] = e
+	x.touch(e)
 	if unit != "" {
 		x.join(e)
 	}
@@ -83,6 +92,7 @@
 // end marks an entry as ended or void, to be forgotten later.
 func (x *index) end(e *entry, at time.Duration) {
 	e.endedAt = at
+	x.touch(e)
 	x.expiry = append(x.expiry, e)
 }
 
@@ -137,14 +147,14 @@
 	return found.entries[first:]
 }
 
-// ordered gives all entries behind a place, in order of arrival.
-func (x *index) ordered(place uint64) []*entry {
+// changedSince gives all entries that have changed behind a point, in the order of their changes.
+func (x *index) changedSince(point uint64) []*entry {
 	var found []*entry
 	for _, e := range x.entries {
-		if e.place > place {
+		if e.changed > point {
 			found = append(found, e)
 		}
 	}
-	sort.Slice(found, func(i, j int) bool { return found[i].place < found[j].place })
+	sort.Slice(found, func(i, j int) bool { return found[i].changed < found[j].changed })
 	return found
 }
--- a/internal/system/role/store/read.go
+++ b/internal/system/role/store/read.go
@@ -71,14 +71,14 @@
 
 // Copy gives a part of all that the store holds, for one that lost its disk.
 func (c *Core) Copy(body wire.CopyBody) (wire.CopyAnswer, error) {
-	answer := wire.CopyAnswer{Complete: c.complete, Next: body.After}
+	answer := wire.CopyAnswer{Epoch: c.epoch, Next: body.After}
 	size := 0
-	for _, e := range c.index.ordered(body.After) {
+	for _, e := range c.index.changedSince(body.After) {
 		if size > answerBytes || len(answer.Messages) > answerRecords {
 			answer.More = true
 			break
 		}
-		answer.Next = e.place
+		answer.Next = e.changed
 		copied, err := c.copyOf(e)
 		if err != nil {
 			return answer, err
--- a/internal/system/role/store/record.go
+++ b/internal/system/role/store/record.go
@@ -27,6 +27,7 @@
 	_msgpack   struct{} `msgpack:",as_array"`
 	Kind       recordKind
 	Incomplete bool
+	Founder    bool
 	Disk       string
 	Message    *message.Message
 	ID         string
--- a/internal/system/segment/log.go
+++ b/internal/system/segment/log.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"hash/crc32"
 	"strings"
+	"syscall"
 )
 
 // Sizes of the format.
@@ -38,6 +40,21 @@
 
 func (e *BrokenError) Unwrap() error { return e.Cause }
 
+// FullError tells that the disk has no room. Nothing of the write counts; a later one may succeed.
+type FullError struct{ Err error }
+
+func (e *FullError) Error() string { return fmt.Sprintf("the disk is full: %v", e.Err) }
+
+func (e *FullError) Unwrap() error { return e.Err }
+
+// noRoom makes a FullError of an error that says so, and leaves others.
+func noRoom(err error) error {
+	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
+		return &FullError{Err: err}
+	}
+	return err
+}
+
 // MissingRecordError answers a read of a place that holds no whole record.
 type MissingRecordError struct{ Position Position }
 
@@ -59,6 +76,7 @@
 	offset   uint32
 	length   uint32
 	broken   error
+	torn     bool // the last write found no room: what it left is no record, and nothing may follow it
 	buffer   []byte
 	readers  map[uint64]File
 }
@@ -180,12 +198,18 @@
 	if l.broken != nil {
 		return nil, &BrokenError{Cause: l.broken}
 	}
+	if l.torn {
+		if err := l.rotate(); err != nil {
+			return nil, noRoom(err)
+		}
+		l.torn = false
+	}
 	if l.offset >= l.length {
 		if err := l.Sync(); err != nil {
 			return nil, err
 		}
 		if err := l.rotate(); err != nil {
-			return nil, err
+			return nil, noRoom(err)
 		}
 	}
 	positions := make([]Position, len(payloads))
@@ -195,6 +219,11 @@
 		l.buffer = encode(l.buffer, positions[i], payload)
 	}
 	if _, err := l.current.Write(l.buffer); err != nil {
+		var full *FullError
+		if err := noRoom(err); errors.As(err, &full) {
+			l.torn = true
+			return nil, full
+		}
 		return nil, l.fail("write", err)
 	}
 	l.offset += uint32(len(l.buffer))
--- a/internal/system/session/state.go
+++ b/internal/system/session/state.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -26,6 +27,7 @@
 	Zone        string
 	Address     string // of its peer listener
 	Disk        string // identity drawn on the disk, of stores
+	Founder     bool   // of stores: the disk is as old as the system
 	Replaces    string // incarnation that this process had before its session was lost
 }
 
@@ -35,6 +37,16 @@
 	Adopter     string // incarnation of the carrier that carries on; empty while there is none
 }
 
+// Disk is one disk of the roster: a store by the identity drawn on it, not by its machine or address.
+type Disk struct {
+	Member Member // its latest life
+	// Counted disks hold messages: a message lies on one more of them than may be lost, and whoever reads asks all of
+	// them but as many. One that isn't counted is being filled.
+	Counted bool
+	// Spare disks began to count while none was missing; one takes the place of a disk that is lost later.
+	Spare bool
+}
+
 // CommandKind tells commands apart.
 type CommandKind uint8
 
@@ -43,6 +55,7 @@
 	Join    CommandKind = iota + 1
 	Leave               // by itself or by expiry
 	Settled             // a departed carrier's messages have all ended
+	Count               // a disk holds copies of all that the others hold, and counts from now on
 )
 
 // Command changes the table.
@@ -50,23 +63,29 @@
 	Kind        CommandKind
 	Member      Member
 	Incarnation string
+	Disk        string
 }
 
 // State is the replicated table.
 type State struct {
 	members  map[string]Member
 	departed map[string]Departed
-	stores   map[string]Member // the latest life of every store that ever joined, by node name
+	disks    map[string]Disk
+	epoch    uint64   // of the roster of disks: rises whenever a disk begins or ceases to count
+	replaced []string // disks that another took the place of, the latest last
 }
 
 // NewState is the empty table.
 func NewState() *State {
-	return &State{members: map[string]Member{}, departed: map[string]Departed{}, stores: map[string]Member{}}
+	return &State{members: map[string]Member{}, departed: map[string]Departed{}, disks: map[string]Disk{}}
 }
 
 // maxDeparted bounds the departed; past it the oldest name goes first, which no deployment reaches while adopters settle.
 const maxDeparted = 4096
 
+// maxReplaced bounds the replaced disks that are remembered, lest one that returns passes for a founder's.
+const maxReplaced = 1024
+
 // MalformedError tells of a command or snapshot that can't be read.
 type MalformedError struct{ Err error }
 
@@ -97,15 +116,11 @@
 	return found
 }
 
-// Stores gives every store that ever joined, sorted by node.
-func (s *State) Stores() []Member {
-	found := make([]Member, 0, len(s.stores))
-	for _, member := range s.stores {
-		found = append(found, member)
-	}
-	sort.Slice(found, func(i, j int) bool { return found[i].Node < found[j].Node })
-	return found
-}
+// Disks gives the roster by identity; it must not be changed.
+func (s *State) Disks() map[string]Disk { return s.disks }
+
+// Epoch is the roster's epoch.
+func (s *State) Epoch() uint64 { return s.epoch }
 
 // Departed gives the carriers that have gone and are not settled, sorted.
 func (s *State) Departed() []Departed {
@@ -126,6 +141,8 @@
 		s.leave(command.Incarnation)
 	case Settled:
 		delete(s.departed, command.Incarnation)
+	case Count:
+		s.count(command.Disk)
 	}
 	s.adopt()
 }
@@ -138,7 +155,7 @@
 	}
 	s.members[member.Incarnation] = member
 	if member.Role == Store {
-		s.stores[member.Node] = member
+		s.joinDisk(member)
 	}
 	if gone, known := s.departed[member.Replaces]; known {
 		gone.Adopter = member.Incarnation
@@ -146,12 +163,67 @@
 	}
 }
 
+func (s *State) joinDisk(member Member) {
+	disk, known := s.disks[member.Disk]
+	disk.Member = member
+	if !known && member.Founder && !slices.Contains(s.replaced, member.Disk) {
+		disk.Counted = true
+		s.epoch++
+	}
+	s.disks[member.Disk] = disk
+}
+
+// count lets a filled disk count. Where a counted disk is gone, the filled one takes its place: what lay on the lost one
+// has its other copies on the disks that this one was filled from.
+func (s *State) count(id string) {
+	disk, known := s.disks[id]
+	lost := s.lostDisk(disk.Member.Node)
+	if !known || disk.Counted && (!disk.Spare || lost == "") {
+		return
+	}
+	disk.Counted, disk.Spare = true, lost == ""
+	s.disks[id] = disk
+	s.epoch++
+	if lost == "" {
+		return
+	}
+	delete(s.disks, lost)
+	s.replaced = append(s.replaced, lost)
+	if len(s.replaced) > maxReplaced {
+		s.replaced = slices.Clone(s.replaced[1:])
+	}
+}
+
+// lostDisk is a counted disk without a live store, one of the same machine first; empty where there is none.
+func (s *State) lostDisk(node string) string {
+	live := map[string]bool{}
+	for _, member := range s.members {
+		live[member.Disk] = true
+	}
+	lost := ""
+	for id, disk := range s.disks {
+		if !disk.Counted || live[id] {
+			continue
+		}
+		if disk.Member.Node == node {
+			return id
+		}
+		if lost == "" || id < lost {
+			lost = id
+		}
+	}
+	return lost
+}
+
 func (s *State) leave(incarnation string) {
 	member, live := s.members[incarnation]
 	if !live {
 		return
 	}
 	delete(s.members, incarnation)
+	if disk, known := s.disks[member.Disk]; known && member.Role == Store && !disk.Counted {
+		delete(s.disks, member.Disk)
+	}
 	if member.Role == Carrier {
 		s.departed[incarnation] = Departed{Incarnation: incarnation}
 	}
@@ -190,12 +262,15 @@
 type stored struct {
 	Members  map[string]Member
 	Departed map[string]Departed
-	Stores   map[string]Member
+	Disks    map[string]Disk
+	Epoch    uint64
+	Replaced []string
 }
 
 // Snapshot is the whole table in bytes.
 func (s *State) Snapshot() ([]byte, error) {
-	return msgpack.Marshal(&stored{Members: s.members, Departed: s.departed, Stores: s.stores})
+	return msgpack.Marshal(&stored{Members: s.members, Departed: s.departed, Disks: s.disks, Epoch: s.epoch,
+		Replaced: s.replaced})
 }
 
 // Restore replaces the table by a snapshot.
@@ -211,9 +286,10 @@
 	for incarnation, gone := range form.Departed {
 		fresh.departed[incarnation] = gone
 	}
-	for node, member := range form.Stores {
-		fresh.stores[node] = member
+	for id, disk := range form.Disks {
+		fresh.disks[id] = disk
 	}
+	fresh.epoch, fresh.replaced = form.Epoch, form.Replaced
 	*s = *fresh
 	return nil
 }
--- a/internal/system/wire/messages.go
+++ b/internal/system/wire/messages.go
@@ -23,6 +23,8 @@
 	Heartbeat
 	CloseSession
 	SettleDeparted
+	JoinGroup
+	CountDisk
 	FeedUpdate // push: from a keeper to a member
 
 	// To stores.
@@ -58,6 +60,8 @@
 	NotReady
 	Voided
 	Failed
+	Removed
+	StaleRoster
 )
 
 // AgreementBody carries messages of one group.
@@ -66,6 +70,13 @@
 	Messages []agreement.Message
 }
 
+// JoinGroupBody asks a group's leader to let a newcomer follow.
+type JoinGroupBody struct {
+	Group  int
+	Member string
+	Knows  bool // the newcomer's disk names a group already
+}
+
 // OpenSessionBody opens a member's session, or renews it on another connection.
 type OpenSessionBody struct {
 	Member   session.Member
@@ -87,8 +98,14 @@
 // SettleBody tells that a departed carrier's messages have all ended.
 type SettleBody struct{ Incarnation string }
 
-// PutBody stores a message.
-type PutBody struct{ Message message.Message }
+// CountDiskBody tells that a store's disk was filled from the others.
+type CountDiskBody struct{ Disk string }
+
+// PutBody stores a message, at the disks of a roster.
+type PutBody struct {
+	Message message.Message
+	Epoch   uint64
+}
 
 // VoidBody makes a message void: it never runs, whether or not its bytes came or still come.
 type VoidBody struct{ ID string }
@@ -119,7 +136,7 @@
 	Ended    []message.End // lately ended in the unit: others may list them as pending
 	Next     uint64        // for the next call
 	More     bool
-	Complete bool // the store holds all that it ever acknowledged
+	Complete bool // the store holds all that a counted one has to
 }
 
 // FindBody asks for a message's state.
@@ -154,7 +171,7 @@
 	Messages []CopiedMessage
 	Next     uint64
 	More     bool
-	Complete bool
+	Epoch    uint64 // of the roster that the store follows: it takes nothing for an older one any more
 }
 
 // ReserveBody asks the owner of a unit for a place in its order.
