Play the whole system on simulated time, judged from outside; void nothing that others may know

Change: stores refuse to make void what they have listed, copied or loaded from an earlier life. The simulation plays keepers, stores and carriers with links, disks, workers and clients; scenarios are text files, schedules are drawn and shortened.

--- a/internal/system/link/link.go
+++ b/internal/system/link/link.go
@@ -262,3 +262,15 @@
 
 // Refusal is what the peer said.
 func (e *RefusedError) Refusal() wire.RefusalBody { return e.Body }
+
+// call answers one call of a peer.
+type call struct {
+	peer *Peer
+	id   uint64
+}
+
+func (c call) Answer(body any)              { c.peer.Answer(c.id, body) }
+func (c call) Refuse(body wire.RefusalBody) { c.peer.Refuse(c.id, body) }
+
+// Answerer is who answers a call of a peer.
+func (p *Peer) Answerer(id uint64) wire.Answerer { return call{peer: p, id: id} }
--- a/internal/system/node/carrier.go
+++ b/internal/system/node/carrier.go
@@ -105,48 +105,19 @@
 
 // frame takes a call of another carrier.
 func (n *carrierNode) frame(peer *link.Peer, frame wire.Frame) {
-	switch frame.Kind {
-	case wire.ReserveSequence:
-		var body wire.ReserveBody
-		if n.unreadable(peer, frame, &body) {
-			return
-		}
-		n.do(func() {
-			place, refusal := n.core.Reserve(body)
-			if refusal != nil {
-				peer.Refuse(frame.Call, *refusal)
-				return
-			}
-			peer.Answer(frame.Call, &place)
-		})
-	case wire.ConfirmMessage, wire.ForwardMessage:
-		var body wire.DeliverBody
-		if n.unreadable(peer, frame, &body) {
-			return
-		}
-		n.do(func() {
-			if refusal := n.core.Deliver(body); refusal != nil {
-				peer.Refuse(frame.Call, *refusal)
-				return
-			}
-			peer.Answer(frame.Call, &struct{}{})
-		})
-	default:
-		peer.Refuse(frame.Call, wire.RefusalBody{Code: wire.Failed, Reason: "unknown call"})
-	}
-}
-
-func (n *carrierNode) unreadable(peer *link.Peer, frame wire.Frame, body any) bool {
-	err := wire.Decode(frame.Kind, frame.Payload, body)
+	var err error
+	n.do(func() { err = n.core.Handle(frame.Kind, frame.Payload, peer.Answerer(frame.Call)) })
 	if err != nil {
 		log.WithError(err).WithField("peer", peer.Remote()).Warn("peer's frame is unreadable")
 		peer.Close()
 	}
-	return err != nil
 }
 
 // Report implements carrier.Environment.
-func (n *carrierNode) Report(event string, err error) {
+func (n *carrierNode) Report(event string, err error) { report(event, err) }
+
+// report logs what an operator should know.
+func report(event string, err error) {
 	if err != nil {
 		log.WithError(err).Warn(event)
 		return
--- a/internal/system/node/keeper.go
+++ b/internal/system/node/keeper.go
@@ -39,6 +39,7 @@
 	reader   *catalogReader
 	pushing  bool
 
+	joiner    *keeper.Joiner
 	connected []string
 	resetting [keeper.Groups]bool
 	leaders   [keeper.Groups]string
@@ -68,7 +69,8 @@
 	n.do(func() {
 		n.connect()
 		n.tick()
-		n.join()
+		n.joiner = keeper.NewJoiner(n, n.core)
+		n.joiner.Step()
 	})
 	for group := range keeper.Groups {
 		go n.persist(group, failures)
@@ -132,32 +134,11 @@
 	return err
 }
 
-const joinInterval = 250 * time.Millisecond
+// Others implements keeper.JoinEnvironment.
+func (n *keeperNode) Others() []string { return n.connected }
 
-// join asks, for each group in which this keeper hears no leader, to be let in.
-func (n *keeperNode) join() {
-	n.After(joinInterval, n.join)
-	for group := range keeper.Groups {
-		id, knows, wanted := n.core.Joining(n.Now(), group)
-		if !wanted {
-			continue
-		}
-		body := wire.Encode(&wire.JoinGroupBody{Group: group, Member: id, Knows: knows})
-		for _, address := range n.connected {
-			if n.Up(address) {
-				n.Call(address, wire.JoinGroup, body, joinInterval, func(_ []byte, err error) { n.joined(group, id, err) })
-			}
-		}
-	}
-}
-
-// joined begins anew where the group does without this member: its disk's state can't come back.
-func (n *keeperNode) joined(group int, id string, err error) {
-	var refused *link.RefusedError
-	current, _, _ := n.core.Joining(n.Now(), group)
-	if !errors.As(err, &refused) || refused.Body.Code != wire.Removed || current != id || n.resetting[group] {
-		return
-	}
+// Reset implements keeper.JoinEnvironment: the goroutine that owns the group's disk does it.
+func (n *keeperNode) Reset(group int) {
 	n.resetting[group] = true
 	select {
 	case n.wake[group] <- struct{}{}:
@@ -180,6 +161,7 @@
 	n.do(func() {
 		n.resetting[group] = false
 		n.core.ResetGroup(n.Now(), group, identity.ID)
+		n.joiner.WasReset(group)
 	})
 	return nil
 }
@@ -336,7 +318,8 @@
 func (n *keeperNode) frame(peer *link.Peer, frame wire.Frame) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	if err := n.handle(peer, frame); err != nil {
+	err := n.core.Handle(n.Now(), n.subscriber(peer), frame.Kind, frame.Payload, peer.Answerer(frame.Call))
+	if err != nil {
 		log.WithError(err).WithField("peer", peer.Remote()).Warn("peer's frame is unreadable")
 		go peer.Close()
 	}
@@ -353,59 +336,6 @@
 	})
 }
 
-func (n *keeperNode) handle(peer *link.Peer, frame wire.Frame) error {
-	now := n.Now()
-	switch frame.Kind {
-	case wire.AgreementMessages:
-		var body wire.AgreementBody
-		if err := wire.Decode(frame.Kind, frame.Payload, &body); err != nil {
-			return err
-		}
-		n.core.Step(now, body.Group, body.Messages)
-	case wire.JoinGroup:
-		var body wire.JoinGroupBody
-		if err := wire.Decode(frame.Kind, frame.Payload, &body); err != nil {
-			return err
-		}
-		answer(peer, frame.Call, &struct{}{}, n.core.JoinGroup(now, body.Group, body.Member, body.Knows))
-	case wire.OpenSession:
-		var body wire.OpenSessionBody
-		if err := wire.Decode(frame.Kind, frame.Payload, &body); err != nil {
-			return err
-		}
-		n.core.OpenSession(now, n.subscriber(peer), body.Member, body.Position, func(err error) {
-			answer(peer, frame.Call, &wire.OpenSessionAnswer{Lease: keeper.MemberLease}, err)
-			n.push()
-		})
-	case wire.Heartbeat:
-		var body wire.HeartbeatBody
-		if err := wire.Decode(frame.Kind, frame.Payload, &body); err != nil {
-			return err
-		}
-		age, err := n.core.Heartbeat(now, body.Incarnation)
-		answer(peer, frame.Call, &wire.HeartbeatAnswer{CatalogAge: age}, err)
-	case wire.CloseSession:
-		var body wire.CloseSessionBody
-		if err := wire.Decode(frame.Kind, frame.Payload, &body); err != nil {
-			return err
-		}
-		n.core.CloseSession(now, body.Incarnation, func(err error) { answer(peer, frame.Call, &struct{}{}, err) })
-	case wire.CountDisk:
-		var body wire.CountDiskBody
-		if err := wire.Decode(frame.Kind, frame.Payload, &body); err != nil {
-			return err
-		}
-		n.core.CountDisk(now, body.Disk, func(err error) { answer(peer, frame.Call, &struct{}{}, err) })
-	case wire.SettleDeparted:
-		var body wire.SettleBody
-		if err := wire.Decode(frame.Kind, frame.Payload, &body); err != nil {
-			return err
-		}
-		n.core.Settle(now, body.Incarnation, func(err error) { answer(peer, frame.Call, &struct{}{}, err) })
-	}
-	return nil
-}
-
 func (n *keeperNode) subscriber(peer *link.Peer) keeper.Subscriber {
 	if number, known := n.members[peer]; known {
 		return number
@@ -416,25 +346,6 @@
 	return n.last
 }
 
-// answer answers a call, or refuses it by the error's type.
-func answer(peer *link.Peer, call uint64, body any, err error) {
-	var notLeader *agreement.NotLeaderError
-	var unknown *keeper.UnknownSessionError
-	var removed *keeper.RemovedError
-	switch {
-	case errors.As(err, &removed):
-		peer.Refuse(call, wire.RefusalBody{Code: wire.Removed, Reason: err.Error()})
-	case err == nil:
-		peer.Answer(call, body)
-	case errors.As(err, &notLeader):
-		peer.Refuse(call, wire.RefusalBody{Code: wire.NotLeader, Reason: err.Error(), Leader: notLeader.Leader})
-	case errors.As(err, &unknown):
-		peer.Refuse(call, wire.RefusalBody{Code: wire.UnknownSession, Reason: err.Error()})
-	default:
-		peer.Refuse(call, wire.RefusalBody{Code: wire.Failed, Reason: err.Error()})
-	}
-}
-
 // serveOperators serves the operator's API at the control address.
 func (n *keeperNode) serveOperators() (*http.Server, error) {
 	e := newEcho()
--- a/internal/system/node/store.go
+++ b/internal/system/node/store.go
@@ -33,12 +33,21 @@
 	log      *segment.Log
 	calls    chan storeCall
 	session  *member.Client
-	copier   *copier
+	filler   *store.Filler
+	parts    chan filledPart
 	roster   atomic.Pointer[roster]
 
+	waitingParts atomic.Int32 // parts of a filling that the core has not taken
+
 	fullUntil time.Duration // no write is tried before
 }
 
+// filledPart is a part of another store's messages, on its way to the goroutine that owns the core.
+type filledPart struct {
+	messages []wire.CopiedMessage
+	last     bool
+}
+
 // roster is what the goroutine that owns the core has to know of the roster of disks.
 type roster struct {
 	epoch     uint64
@@ -56,7 +65,8 @@
 
 // RunStore runs a store until the context ends.
 func RunStore(ctx context.Context, s *settings.Settings, changes <-chan *settings.Settings) error {
-	n := &storeNode{runner: newRunner(), settings: s, calls: make(chan storeCall, maxWaitingCalls)}
+	n := &storeNode{runner: newRunner(), settings: s, calls: make(chan storeCall, maxWaitingCalls),
+		parts: make(chan filledPart)}
 	if err := n.open(); err != nil {
 		return err
 	}
@@ -123,12 +133,12 @@
 	s := n.settings
 	self := session.Member{Incarnation: member.NewIncarnation(n, s.NodeName), Node: s.NodeName, Role: session.Store,
 		Zone: s.Zone, Address: s.StoreAddress(), Disk: n.core.Disk(), Founder: n.core.Founder()}
-	n.copier = newCopier(n)
 	n.do(func() {
 		n.session = member.NewClient(n, n, s.SeedKeepers(), self, member.Events{
 			Changed: func(_, after *member.View) { n.connect(after) },
 			Fault:   func(err error) { log.WithError(err).Warn("feed is unreadable") },
 		})
+		n.filler = store.NewFiller(n, n.session, n.core.Disk(), s.Tolerated)
 		n.Connect(s.SeedKeepers())
 		n.session.Start()
 	})
@@ -136,13 +146,11 @@
 
 func (n *storeNode) connect(view *member.View) {
 	addresses := append([]string(nil), n.session.Keepers()...)
-	own, known := view.Disks[n.copier.disk]
+	own, known := view.Disks[n.core.Disk()]
 	n.roster.Store(&roster{epoch: view.Epoch, uncounted: known && !own.Counted})
-	if known && (!own.Counted || own.Spare && len(view.Missing()) > 0) {
-		n.copier.begin()
-	}
+	n.filler.Follow(view)
 	for id, other := range view.Disks {
-		if id != n.copier.disk && n.copier.running {
+		if id != n.core.Disk() && n.filler.Running() {
 			addresses = append(addresses, other.Member.Address)
 		}
 	}
@@ -187,7 +195,8 @@
 			n.catchUp()
 			n.handle(call)
 			n.gather()
-		case part := <-n.copier.parts:
+		case part := <-n.parts:
+			n.waitingParts.Add(-1)
 			n.catchUp()
 			n.core.TakeCopy(part.messages)
 			if part.last {
@@ -257,87 +266,22 @@
 }
 
 func (n *storeNode) handle(call storeCall) {
-	if err := n.carryOut(call); err != nil {
+	answerer := call.peer.Answerer(call.frame.Call)
+	if err := n.core.Handle(call.frame.Kind, call.frame.Payload, answerer); err != nil {
 		log.WithError(err).WithField("peer", call.peer.Remote()).Warn("call was not carried out")
-		call.peer.Refuse(call.frame.Call, wire.RefusalBody{Code: wire.Failed, Reason: err.Error()})
-	}
-}
-
-func (n *storeNode) carryOut(call storeCall) error {
-	peer, frame := call.peer, call.frame
-	taken := func() { peer.Answer(frame.Call, &struct{}{}) }
-	switch frame.Kind {
-	case wire.PutMessage:
-		var body wire.PutBody
-		if err := wire.Decode(frame.Kind, frame.Payload, &body); err != nil {
-			return err
-		}
-		n.core.Put(&body.Message, body.Epoch, func(refusal *wire.RefusalBody) {
-			if refusal != nil {
-				peer.Refuse(frame.Call, *refusal)
-				return
-			}
-			taken()
-		})
-	case wire.VoidMessage:
-		var body wire.VoidBody
-		if err := wire.Decode(frame.Kind, frame.Payload, &body); err != nil {
-			return err
-		}
-		n.core.Void(body.ID, taken)
-	case wire.PutEnds:
-		var body wire.EndsBody
-		if err := wire.Decode(frame.Kind, frame.Payload, &body); err != nil {
-			return err
-		}
-		n.core.Ends(body.Ends, taken)
-	case wire.CallbackDone:
-		var body wire.CallbackDoneBody
-		if err := wire.Decode(frame.Kind, frame.Payload, &body); err != nil {
-			return err
-		}
-		n.core.CallbackDone(body.IDs, taken)
-	default:
-		return n.read(peer, frame)
-	}
-	return nil
-}
-
-// read answers the calls that write nothing.
-func (n *storeNode) read(peer *link.Peer, frame wire.Frame) error {
-	switch frame.Kind {
-	case wire.ListUnit:
-		var body wire.ListBody
-		if err := wire.Decode(frame.Kind, frame.Payload, &body); err != nil {
-			return err
-		}
-		return reply(peer, frame.Call, func() (any, error) { answer, err := n.core.List(body); return &answer, err })
-	case wire.FindMessage:
-		var body wire.FindBody
-		if err := wire.Decode(frame.Kind, frame.Payload, &body); err != nil {
-			return err
-		}
-		return reply(peer, frame.Call, func() (any, error) { answer, err := n.core.Find(body); return &answer, err })
-	case wire.CopyMessages:
-		var body wire.CopyBody
-		if err := wire.Decode(frame.Kind, frame.Payload, &body); err != nil {
-			return err
-		}
-		return reply(peer, frame.Call, func() (any, error) { answer, err := n.core.Copy(body); return &answer, err })
+		answerer.Refuse(wire.RefusalBody{Code: wire.Failed, Reason: err.Error()})
 	}
-	return &UnknownCallError{Kind: frame.Kind}
 }
 
-func reply(peer *link.Peer, call uint64, read func() (any, error)) error {
-	answer, err := read()
-	if err != nil {
-		return err
-	}
-	peer.Answer(call, answer)
-	return nil
+// Fill implements store.FillEnvironment. Calls come under the mutex, and never more than the channel holds: the filler
+// asks each source for one part at a time, and for none while parts wait.
+func (n *storeNode) Fill(messages []wire.CopiedMessage, last bool) {
+	n.waitingParts.Add(1)
+	go func() { n.parts <- filledPart{messages: messages, last: last} }()
 }
 
-// UnknownCallError tells of a call that this role does not know.
-type UnknownCallError struct{ Kind wire.Kind }
+// Filling implements store.FillEnvironment.
+func (n *storeNode) Filling() bool { return n.waitingParts.Load() > 0 }
 
-func (e *UnknownCallError) Error() string { return "unknown call" }
+// Report implements store.FillEnvironment.
+func (n *storeNode) Report(event string, err error) { report(event, err) }
--- a/internal/system/role/carrier/core.go
+++ b/internal/system/role/carrier/core.go
@@ -245,3 +245,11 @@
 	ended    bool
 	fetching bool
 }
+
+// ConfigurationVersion is the version in force at this carrier, 0 before the first.
+func (c *Core) ConfigurationVersion() uint64 {
+	if table := c.session.View().Table; table != nil {
+		return table.Document.Version
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/system/role/carrier/handle.go
@@ -0,0 +1,33 @@
+package carrier
+
+import "granitewing/internal/system/wire"
+
+// Handle carries out a call of another carrier. An error means that the call can't be read.
+func (c *Core) Handle(kind wire.Kind, payload []byte, answerer wire.Answerer) error {
+	switch kind {
+	case wire.ReserveSequence:
+		var body wire.ReserveBody
+		if err := wire.Decode(kind, payload, &body); err != nil {
+			return err
+		}
+		place, refusal := c.Reserve(body)
+		if refusal != nil {
+			answerer.Refuse(*refusal)
+			return nil
+		}
+		answerer.Answer(&place)
+	case wire.ConfirmMessage, wire.ForwardMessage:
+		var body wire.DeliverBody
+		if err := wire.Decode(kind, payload, &body); err != nil {
+			return err
+		}
+		if refusal := c.Deliver(body); refusal != nil {
+			answerer.Refuse(*refusal)
+			return nil
+		}
+		answerer.Answer(&struct{}{})
+	default:
+		return &wire.UnknownCallError{Kind: kind}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/system/role/keeper/handle.go
@@ -0,0 +1,93 @@
+package keeper
+
+import (
+	"errors"
+	"time"
+
+	"granitewing/internal/system/agreement"
+	"granitewing/internal/system/wire"
+)
+
+// Handle carries out a call of a member or another keeper. An error means that the call can't be read.
+func (c *Core) Handle(now time.Duration, from Subscriber, kind wire.Kind, payload []byte, answerer wire.Answerer) error {
+	c.now = now
+	done := func(err error) { answer(answerer, &struct{}{}, err) }
+	switch kind {
+	case wire.AgreementMessages:
+		var body wire.AgreementBody
+		if err := wire.Decode(kind, payload, &body); err != nil {
+			return err
+		}
+		c.Step(now, body.Group, body.Messages)
+	case wire.JoinGroup:
+		var body wire.JoinGroupBody
+		if err := wire.Decode(kind, payload, &body); err != nil {
+			return err
+		}
+		done(c.JoinGroup(now, body.Group, body.Member, body.Knows))
+	case wire.OpenSession:
+		var body wire.OpenSessionBody
+		if err := wire.Decode(kind, payload, &body); err != nil {
+			return err
+		}
+		c.OpenSession(now, from, body.Member, body.Position, func(err error) {
+			answer(answerer, &wire.OpenSessionAnswer{Lease: MemberLease}, err)
+		})
+	case wire.Heartbeat:
+		var body wire.HeartbeatBody
+		if err := wire.Decode(kind, payload, &body); err != nil {
+			return err
+		}
+		age, err := c.Heartbeat(now, body.Incarnation)
+		answer(answerer, &wire.HeartbeatAnswer{CatalogAge: age}, err)
+	default:
+		return c.handleOrder(now, kind, payload, answerer, done)
+	}
+	return nil
+}
+
+// handleOrder carries out the calls that change the session table for good.
+func (c *Core) handleOrder(now time.Duration, kind wire.Kind, payload []byte, _ wire.Answerer, done func(err error)) error {
+	switch kind {
+	case wire.CloseSession:
+		var body wire.CloseSessionBody
+		if err := wire.Decode(kind, payload, &body); err != nil {
+			return err
+		}
+		c.CloseSession(now, body.Incarnation, done)
+	case wire.SettleDeparted:
+		var body wire.SettleBody
+		if err := wire.Decode(kind, payload, &body); err != nil {
+			return err
+		}
+		c.Settle(now, body.Incarnation, done)
+	case wire.CountDisk:
+		var body wire.CountDiskBody
+		if err := wire.Decode(kind, payload, &body); err != nil {
+			return err
+		}
+		c.CountDisk(now, body.Disk, done)
+	default:
+		return &wire.UnknownCallError{Kind: kind}
+	}
+	return nil
+}
+
+// answer answers a call, or refuses it by the error's type.
+func answer(answerer wire.Answerer, body any, err error) {
+	var notLeader *agreement.NotLeaderError
+	var unknown *UnknownSessionError
+	var removed *RemovedError
+	switch {
+	case err == nil:
+		answerer.Answer(body)
+	case errors.As(err, &removed):
+		answerer.Refuse(wire.RefusalBody{Code: wire.Removed, Reason: err.Error()})
+	case errors.As(err, &notLeader):
+		answerer.Refuse(wire.RefusalBody{Code: wire.NotLeader, Reason: err.Error(), Leader: notLeader.Leader})
+	case errors.As(err, &unknown):
+		answerer.Refuse(wire.RefusalBody{Code: wire.UnknownSession, Reason: err.Error()})
+	default:
+		answerer.Refuse(wire.RefusalBody{Code: wire.Failed, Reason: err.Error()})
+	}
+}
--- a/internal/system/role/store/copy.go
+++ b/internal/system/role/store/copy.go
@@ -16,7 +16,7 @@
 func (c *Core) takeCopied(copied *wire.CopiedMessage) {
 	id := copied.Message.ID
 	if copied.Void {
-		c.Void(id, func() {})
+		c.Void(id, func(*wire.RefusalBody) {})
 		return
 	}
 	e := c.index.get(id)
@@ -40,7 +40,7 @@
 	}
 	e.retention = m.Retention
 	c.append(record{Kind: recordMessage, Message: m}, func(position segment.Position) {
-		e.held, e.position = true, position
+		e.held, e.shared, e.position = true, true, position
 		c.index.touch(e)
 	})
 }
--- a/internal/system/role/store/core.go
+++ b/internal/system/role/store/core.go
@@ -107,6 +107,7 @@
 		c.index.join(e)
 	}
 	e.held, e.position, e.size, e.retention = true, position, size, r.Message.Retention
+	e.shared = true
 }
 
 func (c *Core) loadVoid(r *record) {
@@ -198,6 +199,9 @@
 	c.answers = append(batch.answers, c.answers...)
 }
 
+// Waiting tells whether a batch has gathered.
+func (c *Core) Waiting() bool { return len(c.batch) > 0 || len(c.answers) > 0 }
+
 // Batch is records that are written and synced together, and answers that go out after that.
 type Batch struct {
 	Payloads [][]byte
@@ -270,18 +274,22 @@
 	}, refused: func() { done(&wire.RefusalBody{Code: wire.Failed, Reason: "the disk is full"}) }})
 }
 
-// Void makes a message void.
-func (c *Core) Void(id string, done func()) {
+// Void makes a message void: it never runs. That is refused where somebody else may know of the message already.
+func (c *Core) Void(id string, done func(refusal *wire.RefusalBody)) {
 	e := c.index.get(id)
 	if e != nil && e.void {
-		c.answers = append(c.answers, done)
+		c.answers = append(c.answers, func() { done(nil) })
+		return
+	}
+	if e != nil && (e.shared || e.phase != message.Pending) {
+		done(&wire.RefusalBody{Code: wire.Failed, Reason: "the message may have been delivered"})
 		return
 	}
 	if e == nil {
 		e = c.index.add(id, "", c.now)
 	}
 	c.void(e, c.now)
-	c.append(record{Kind: recordVoid, ID: id, Unit: e.unit}, func(segment.Position) { done() })
+	c.append(record{Kind: recordVoid, ID: id, Unit: e.unit}, func(segment.Position) { done(nil) })
 }
 
 func (c *Core) void(e *entry, at time.Duration) {
--- /dev/null
+++ b/internal/system/role/store/handle.go
@@ -0,0 +1,79 @@
+package store
+
+import "granitewing/internal/system/wire"
+
+// Handle carries out a call. What it writes is answered once its batch is synced. An error means that nothing was begun.
+func (c *Core) Handle(kind wire.Kind, payload []byte, answerer wire.Answerer) error {
+	taken := func() { answerer.Answer(&struct{}{}) }
+	settled := func(refusal *wire.RefusalBody) {
+		if refusal != nil {
+			answerer.Refuse(*refusal)
+			return
+		}
+		taken()
+	}
+	switch kind {
+	case wire.PutMessage:
+		var body wire.PutBody
+		if err := wire.Decode(kind, payload, &body); err != nil {
+			return err
+		}
+		c.Put(&body.Message, body.Epoch, settled)
+	case wire.VoidMessage:
+		var body wire.VoidBody
+		if err := wire.Decode(kind, payload, &body); err != nil {
+			return err
+		}
+		c.Void(body.ID, settled)
+	case wire.PutEnds:
+		var body wire.EndsBody
+		if err := wire.Decode(kind, payload, &body); err != nil {
+			return err
+		}
+		c.Ends(body.Ends, taken)
+	case wire.CallbackDone:
+		var body wire.CallbackDoneBody
+		if err := wire.Decode(kind, payload, &body); err != nil {
+			return err
+		}
+		c.CallbackDone(body.IDs, taken)
+	default:
+		return c.handleRead(kind, payload, answerer)
+	}
+	return nil
+}
+
+// handleRead carries out the calls that write nothing.
+func (c *Core) handleRead(kind wire.Kind, payload []byte, answerer wire.Answerer) error {
+	switch kind {
+	case wire.ListUnit:
+		var body wire.ListBody
+		if err := wire.Decode(kind, payload, &body); err != nil {
+			return err
+		}
+		answer, err := c.List(body)
+		return reply(answerer, &answer, err)
+	case wire.FindMessage:
+		var body wire.FindBody
+		if err := wire.Decode(kind, payload, &body); err != nil {
+			return err
+		}
+		answer, err := c.Find(body)
+		return reply(answerer, &answer, err)
+	case wire.CopyMessages:
+		var body wire.CopyBody
+		if err := wire.Decode(kind, payload, &body); err != nil {
+			return err
+		}
+		answer, err := c.Copy(body)
+		return reply(answerer, &answer, err)
+	}
+	return &wire.UnknownCallError{Kind: kind}
+}
+
+func reply(answerer wire.Answerer, body any, err error) error {
+	if err == nil {
+		answerer.Answer(body)
+	}
+	return err
+}
--- a/internal/system/role/store/index.go
+++ b/internal/system/role/store/index.go
@@ -21,6 +21,7 @@
 	size         uint32
 	held         bool // the message's record is on disk at position
 	void         bool
+	shared       bool // another process was told of it, or may have been in an earlier life: it can't be made void
 	phase        message.Phase
 	stamp        string
 	callbackOwed bool
--- a/internal/system/role/store/read.go
+++ b/internal/system/role/store/read.go
@@ -40,6 +40,7 @@
 		if !e.listed() {
 			continue
 		}
+		e.shared = true
 		m, err := c.message(e)
 		if err != nil {
 			return answer, err
@@ -103,6 +104,7 @@
 		copied.End = &message.End{ID: e.id, Phase: e.phase, Stamp: e.stamp, CallbackOwed: e.callbackOwed}
 	}
 	if e.needsBytes() {
+		e.shared = true
 		m, err := c.message(e)
 		if err != nil {
 			return nil, err
--- /dev/null
+++ b/internal/system/simulation/checker.go
@@ -0,0 +1,204 @@
+package simulation
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"time"
+
+	"granitewing/internal/system/message"
+)
+
+// run is one begin of work on a message.
+type run struct{ at time.Duration }
+
+// record is what the outside saw of a message.
+type record struct {
+	id         string
+	key        string
+	service    string
+	sent       time.Duration
+	delay      time.Duration
+	answered   time.Duration
+	verdict    int // status, 0 while there is none
+	runs       []run
+	failures   int
+	endedAt    time.Duration // 0 while it has not ended
+	stamps     map[string]bool
+	calledBack int
+}
+
+func (r *record) ended() bool { return r.endedAt > 0 }
+
+// checker judges a day by what clients, workers, receivers and the operator see.
+type checker struct {
+	records  map[string]*record
+	keys     map[string][]*record
+	retries  int
+	broken   []string
+	trouble  []time.Duration // times of unplanned trouble
+	versions map[uint64]string
+	acked    uint64
+}
+
+// Windows of the rules.
+const (
+	contact     = 4 * time.Second
+	earlyMargin = 100 * time.Millisecond
+	rateWindow  = 5 * time.Second
+	rateOverage = 1.1
+	rateSlack   = 5
+)
+
+func newChecker(retries int) *checker {
+	return &checker{records: map[string]*record{}, keys: map[string][]*record{}, retries: retries, versions: map[uint64]string{}}
+}
+
+func (c *checker) breakRule(at time.Duration, rule, what string) {
+	c.broken = append(c.broken, fmt.Sprintf("%.3f s %s: %s", at.Seconds(), rule, what))
+}
+
+func (c *checker) unplanned(now time.Duration) { c.trouble = append(c.trouble, now) }
+
+// calm tells whether no unplanned trouble came within the contact time before a moment.
+func (c *checker) calm(now time.Duration) bool {
+	for _, at := range c.trouble {
+		if now-at < contact {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *checker) sent(now time.Duration, r *record) {
+	r.sent = now
+	r.stamps = map[string]bool{}
+	c.records[r.id] = r
+	if r.key != "" {
+		c.keys[r.service+"/"+r.key] = append(c.keys[r.service+"/"+r.key], r)
+	}
+}
+
+const (
+	statusAccepted = 202
+	statusRefused  = 503
+)
+
+func (c *checker) answered(now time.Duration, id string, status int) {
+	r := c.records[id]
+	r.verdict, r.answered = status, now
+	if status == statusRefused && len(r.runs) > 0 {
+		c.breakRule(now, "REFUSED", id+" was refused and had run")
+	}
+}
+
+func (c *checker) began(now time.Duration, w *worker, m *message.Message) {
+	r := c.records[m.ID]
+	if r == nil {
+		c.breakRule(now, "UNASKED", m.ID+" was never sent")
+		return
+	}
+	if r.verdict == statusRefused {
+		c.breakRule(now, "REFUSED", m.ID+" was refused and runs")
+	}
+	if r.service != w.service.name {
+		c.breakRule(now, "ROUTE", m.ID+" runs at "+w.service.name)
+	}
+	if now < r.sent+r.delay-earlyMargin {
+		c.breakRule(now, "EARLY", m.ID+" runs before its delay has passed")
+	}
+	if len(r.stamps) > 0 && c.calm(now) {
+		c.breakRule(now, "TWICE", m.ID+" runs again after a success")
+	}
+	c.checkOrder(now, r)
+	r.runs = append(r.runs, run{at: now})
+}
+
+func (c *checker) checkOrder(now time.Duration, r *record) {
+	if r.key == "" || r.ended() {
+		return
+	}
+	for _, other := range c.keys[r.service+"/"+r.key] {
+		if other == r || other.verdict != statusAccepted || other.answered >= r.sent || other.ended() {
+			continue
+		}
+		c.breakRule(now, "ORDER", fmt.Sprintf("%s begins before %s has ended", r.id, other.id))
+	}
+}
+
+func (c *checker) succeeded(now time.Duration, id, stamp string) {
+	r := c.records[id]
+	r.stamps[stamp] = true
+	if !r.ended() {
+		r.endedAt = now
+	}
+}
+
+func (c *checker) failed(now time.Duration, id string) {
+	r := c.records[id]
+	r.failures++
+	if r.failures >= c.retries && !r.ended() {
+		r.endedAt = now
+	}
+}
+
+func (c *checker) broke(time.Duration, string) {}
+
+func (c *checker) calledBack(body []byte) {
+	var form struct{ ID, Phase, Stamp string }
+	if json.Unmarshal(body, &form) != nil || c.records[form.ID] == nil {
+		c.breakRule(0, "MIXED", "a call-back names no message: "+string(body))
+		return
+	}
+	r := c.records[form.ID]
+	r.calledBack++
+	if form.Phase == string(message.Succeeded) && !r.stamps[form.Stamp] {
+		c.breakRule(0, "MIXED", form.ID+" is called back with a stamp of no run")
+	}
+	if form.Phase == string(message.DeadLetter) && !r.ended() {
+		c.breakRule(0, "MIXED", form.ID+" is called back as dead and has not ended")
+	}
+}
+
+// ceiling judges the arrivals at a service with a rate.
+func (c *checker) ceiling(model *serviceModel) {
+	if model.rate <= 0 {
+		return
+	}
+	most := int(model.rate*rateWindow.Seconds()*rateOverage) + rateSlack
+	first := 0
+	for i, at := range model.arrivals {
+		for at-model.arrivals[first] > rateWindow {
+			first++
+		}
+		if i-first+1 > most {
+			c.breakRule(at, "CEILING", fmt.Sprintf("%d arrivals at %s within %s", i-first+1, model.name, rateWindow))
+			return
+		}
+	}
+}
+
+// accepted gives the accepted messages, sorted by id.
+func (c *checker) accepted() []*record {
+	var accepted []*record
+	for _, r := range c.records {
+		if r.verdict == statusAccepted {
+			accepted = append(accepted, r)
+		}
+	}
+	sort.Slice(accepted, func(i, j int) bool { return accepted[i].id < accepted[j].id })
+	return accepted
+}
+
+// share is the part of what was sent that was accepted, and of that the part that has ended.
+func (c *checker) share() (accepted, ended float64) {
+	acceptedRecords := c.accepted()
+	count := 0
+	for _, r := range acceptedRecords {
+		if r.ended() {
+			count++
+		}
+	}
+	return float64(len(acceptedRecords)) / float64(max(1, len(c.records))),
+		float64(count) / float64(max(1, len(acceptedRecords)))
+}
--- /dev/null
+++ b/internal/system/simulation/search.go
@@ -0,0 +1,95 @@
+package simulation
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// Draw draws a scenario: some troubles of all kinds, never more than one counted machine lost at a time but where every
+// machine is struck at once.
+func Draw(seed uint64) *Scenario {
+	r := rand.New(rand.NewPCG(seed, 2))
+	s := &Scenario{Seed: seed, Traffic: time.Duration(8+r.IntN(6)) * time.Second}
+	busy := time.Duration(0) // until when a counted machine counts as lost
+	at := 300 * time.Millisecond
+	for len(s.Events) < 2+r.IntN(7) {
+		at += time.Duration(r.IntN(1800)) * time.Millisecond
+		if at > s.Traffic-500*time.Millisecond {
+			break
+		}
+		what, lost := drawEvent(r)
+		if lost > 0 {
+			at = max(at, busy)
+			busy = at + lost + catchUp
+		}
+		s.Events = append(s.Events, Event{At: at, What: what})
+	}
+	return s
+}
+
+// catchUp is how long a machine counts as lost after its return.
+const catchUp = 4500 * time.Millisecond
+
+// drawEvent gives an event, and how long a counted machine is lost by it.
+func drawEvent(r *rand.Rand) (what string, lost time.Duration) {
+	storage := fmt.Sprintf("storage-%d", 1+r.IntN(storageCount))
+	edge := fmt.Sprintf("edge-%d", 1+r.IntN(carrierCount))
+	length := time.Duration(200+r.IntN(3500)) * time.Millisecond
+	switch r.IntN(22) {
+	case 0, 1:
+		return fmt.Sprintf("kill %s for %s", storage, length/4), length / 4
+	case 2:
+		return fmt.Sprintf("power %s for %s", storage, length), length
+	case 3:
+		return fmt.Sprintf("wipe %s for %s", storage, length), length
+	case 4:
+		return fmt.Sprintf("freeze %s for %s", storage, length), length
+	case 5:
+		return fmt.Sprintf("cut %s from all for %s", storage, length), length
+	case 6:
+		return fmt.Sprintf("cut %s from all for %s oneway", storage, length), length
+	case 7:
+		return fmt.Sprintf("cut %s from storage for %s", storage, length), length
+	case 8:
+		return fmt.Sprintf("replace %s after %s", storage, length/3), length/3 + time.Second
+	case 9:
+		return fmt.Sprintf("slowdisk %s by 30 for %s", storage, length), length
+	case 10, 11:
+		return fmt.Sprintf("kill %s for %s", edge, length/4), 0
+	case 12:
+		return fmt.Sprintf("power %s for %s", edge, length), 0
+	case 13:
+		return fmt.Sprintf("freeze %s for %s", edge, length), 0
+	case 14:
+		return "term " + edge, 0
+	case 15:
+		return "term " + storage, time.Second
+	case 16:
+		return fmt.Sprintf("power all for %s", length/4), length / 4
+	case 17:
+		return fmt.Sprintf("kill storage for %s", length/8), length / 8
+	case 18:
+		return fmt.Sprintf("cut %s from all for %s", edge, length), 0
+	case 19:
+		return fmt.Sprintf("dark %s for %s", []string{alert, archive, partner}[r.IntN(3)], length), 0
+	case 20:
+		return []string{"configure", "race", "release archive", "release alert"}[r.IntN(4)], 0
+	default:
+		return fmt.Sprintf("skew %s by %s", edge, length-2*time.Second), 0
+	}
+}
+
+// Shorten takes events out of a failing scenario as long as it still fails.
+func Shorten(s *Scenario, fails func(*Scenario) bool) *Scenario {
+	for i := 0; i < len(s.Events); {
+		shorter := *s
+		shorter.Events = append(append([]Event(nil), s.Events[:i]...), s.Events[i+1:]...)
+		if fails(&shorter) {
+			s = &shorter
+			continue
+		}
+		i++
+	}
+	return s
+}
--- /dev/null
+++ b/internal/system/simulation/simulation_suite_test.go
@@ -0,0 +1,88 @@
+package simulation
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestSimulation(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Simulation")
+}
+
+var _ = Describe("Scenarios", func() {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		panic("no scenarios")
+	}
+	for _, file := range files {
+		It(filepath.Base(file), func() {
+			text, err := os.ReadFile(file)
+			Expect(err).NotTo(HaveOccurred())
+			scenario, err := Parse(string(text))
+			Expect(err).NotTo(HaveOccurred())
+			result, err := Play(scenario)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(result.Broken).To(BeEmpty())
+			Expect(result.Accepted).To(BeNumerically(">=", scenario.Accepted), "share accepted")
+			Expect(result.Ended).To(BeNumerically(">=", scenario.Ended), "share ended")
+		})
+	}
+})
+
+// schedules is how many drawn schedules are played; SCHEDULES asks for more, FIRST_SCHEDULE for others.
+func schedules() (first, count uint64) {
+	read := func(name string, otherwise uint64) uint64 {
+		value, err := strconv.ParseUint(os.Getenv(name), 10, 64)
+		if err != nil {
+			return otherwise
+		}
+		return value
+	}
+	return read("FIRST_SCHEDULE", 1), read("SCHEDULES", 24)
+}
+
+func failing(s *Scenario) bool {
+	result, err := Play(s)
+	return err != nil || len(result.Broken) > 0
+}
+
+var _ = Describe("Drawn schedules", func() {
+	It("break no rule", func() {
+		first, count := schedules()
+		seeds := make(chan uint64)
+		var found []string
+		var mutex sync.Mutex
+		var workers sync.WaitGroup
+		for range runtime.GOMAXPROCS(0) {
+			workers.Go(func() {
+				for seed := range seeds {
+					scenario := Draw(seed)
+					result, err := Play(scenario)
+					if err == nil && len(result.Broken) == 0 {
+						continue
+					}
+					mutex.Lock()
+					found = append(found, fmt.Sprintf("%s\n%v %v", scenario, err, result.Broken))
+					mutex.Unlock()
+				}
+			})
+		}
+		for seed := first; seed < first+count; seed++ {
+			seeds <- seed
+		}
+		close(seeds)
+		workers.Wait()
+		if len(found) > 0 {
+			Fail(fmt.Sprintf("%d of %d schedules break rules; the first:\n%s", len(found), count, found[0]))
+		}
+	})
+})
--- a/internal/system/wire/frame.go
+++ b/internal/system/wire/frame.go
@@ -81,3 +81,14 @@
 	}
 	return nil
 }
+
+// Answerer answers one call.
+type Answerer interface {
+	Answer(body any)
+	Refuse(body RefusalBody)
+}
+
+// UnknownCallError tells of a call that a role does not know.
+type UnknownCallError struct{ Kind Kind }
+
+func (e *UnknownCallError) Error() string { return fmt.Sprintf("unknown call of kind %d", e.Kind) }
