End a lost session for good: a carrier that was cut off joins under another incarnation

Ruled out: lost ends; both stores held them. Change: a renewed session that is over is refused, and the carrier begins another that replaces it. Ages of stored messages come from the store's own clock.

--- a/internal/system/member/client.go
+++ b/internal/system/member/client.go
@@ -105,7 +105,7 @@
 		return
 	}
 	sent := c.loop.Now()
-	body := wire.OpenSessionBody{Member: c.member, Position: c.position}
+	body := wire.OpenSessionBody{Member: c.member, Position: c.position, Renew: c.Joined()}
 	c.peers.Call(address, wire.OpenSession, wire.Encode(&body), openTimeout, func(payload []byte, err error) {
 		if c.round != round || c.closed {
 			return
@@ -120,6 +120,10 @@
 	if err == nil {
 		err = wire.Decode(wire.OpenSession, payload, &answer)
 	}
+	if sessionOver(err) {
+		c.sessionLost()
+		return
+	}
 	if err != nil {
 		c.turn(leaderOf(err))
 		return
@@ -138,6 +142,12 @@
 	return ""
 }
 
+// sessionOver tells whether a keeper said that the session has ended.
+func sessionOver(err error) bool {
+	var refused RefusedError
+	return errors.As(err, &refused) && refused.Refusal().Code == wire.UnknownSession
+}
+
 // turn goes to another keeper, after a pause.
 func (c *Client) turn(leader string) {
 	c.open = false
@@ -182,8 +192,7 @@
 	if err == nil {
 		err = wire.Decode(wire.Heartbeat, payload, &answer)
 	}
-	var refused RefusedError
-	if errors.As(err, &refused) && refused.Refusal().Code == wire.UnknownSession {
+	if sessionOver(err) {
 		c.sessionLost()
 		return
 	}
--- a/internal/system/role/keeper/handle.go
+++ b/internal/system/role/keeper/handle.go
@@ -30,7 +30,7 @@
 		if err := wire.Decode(kind, payload, &body); err != nil {
 			return err
 		}
-		c.OpenSession(now, from, body.Member, body.Position, func(err error) {
+		c.OpenSession(now, from, body, func(err error) {
 			answer(answerer, &wire.OpenSessionAnswer{Lease: MemberLease}, err)
 		})
 	case wire.Heartbeat:
--- a/internal/system/role/keeper/sessions.go
+++ b/internal/system/role/keeper/sessions.go
@@ -5,8 +5,8 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"granitewing/internal/system/feed"
 	"granitewing/internal/system/session"
+	"granitewing/internal/system/wire"
 )
 
 // UnknownSessionError tells a member that its session is over: it must open another under a new incarnation.
@@ -27,15 +27,21 @@
 }
 
 // OpenSession lets a member join, or renews its session, and subscribes it to the feed.
-func (c *Core) OpenSession(now time.Duration, subscriber Subscriber, member session.Member, position feed.Position,
-	done func(err error)) {
+func (c *Core) OpenSession(now time.Duration, subscriber Subscriber, body wire.OpenSessionBody, done func(err error)) {
 	c.now = now
+	member, position := body.Member, body.Position
 	g := c.groups[SessionGroup]
 	if !g.node.Leading() {
 		done(c.notLeader(SessionGroup))
 		return
 	}
-	if known, live := c.sessions.Member(member.Incarnation); live && known == member {
+	known, live := c.sessions.Member(member.Incarnation)
+	_, expiring := c.leaving[member.Incarnation]
+	if body.Renew && (!live || expiring) {
+		done(&UnknownSessionError{Incarnation: member.Incarnation})
+		return
+	}
+	if live && known == member {
 		c.lastHeard[member.Incarnation] = now
 		c.subscribers[subscriber] = position
 		done(nil)
--- a/internal/system/role/store/copy.go
+++ b/internal/system/role/store/copy.go
@@ -24,22 +24,23 @@
 		return
 	}
 	if e == nil || !e.held && copied.Message.Method != "" {
-		c.keepCopy(e, &copied.Message)
+		c.keepCopy(e, copied)
 	}
 	if copied.End != nil {
 		c.Ends([]message.End{*copied.End}, func() {})
 	}
 }
 
-func (c *Core) keepCopy(e *entry, m *message.Message) {
+func (c *Core) keepCopy(e *entry, copied *wire.CopiedMessage) {
+	m := &copied.Message
 	if e == nil {
-		e = c.index.add(m.ID, m.Unit, c.since(max(m.Accepted, 0)))
+		e = c.index.add(m.ID, m.Unit, c.now-copied.Age)
 	}
 	if m.Method == "" {
 		return // only its end is known
 	}
 	e.retention = m.Retention
-	c.append(record{Kind: recordMessage, Message: m}, func(position segment.Position) {
+	c.append(record{Kind: recordMessage, Message: m, Wall: c.wallOf(e.arrived)}, func(position segment.Position) {
 		e.held, e.shared, e.position = true, true, position
 		c.index.touch(e)
 	})
--- a/internal/system/role/store/core.go
+++ b/internal/system/role/store/core.go
@@ -92,6 +92,9 @@
 	c.bytes += size
 }
 
+// wallOf is the time of day of a monotonic time.
+func (c *Core) wallOf(at time.Duration) int64 { return c.wall - (c.now - at).Milliseconds() }
+
 // since is the monotonic time of a wall time before the start.
 func (c *Core) since(wall int64) time.Duration {
 	return c.now - max(0, time.Duration(c.wall-wall)*time.Millisecond)
@@ -100,7 +103,7 @@
 func (c *Core) loadMessage(position segment.Position, size uint32, r *record) {
 	e := c.index.get(r.Message.ID)
 	if e == nil {
-		e = c.index.add(r.Message.ID, r.Message.Unit, c.since(r.Message.Accepted))
+		e = c.index.add(r.Message.ID, r.Message.Unit, c.since(r.Wall))
 	}
 	if e.unit == "" {
 		e.unit = r.Message.Unit
@@ -123,7 +126,7 @@
 	if e == nil {
 		e = c.index.add(r.ID, r.Unit, c.since(r.Wall))
 	}
-	c.end(e, *r.End, c.since(r.Wall), r.Wall)
+	c.end(e, *r.End, c.since(r.Wall))
 }
 
 // Start ends the replay. On an empty disk the store begins as complete where the whole system starts for the first
@@ -180,7 +183,9 @@
 }
 
 func (c *Core) encode(r record) []byte {
-	r.Wall = c.wall
+	if r.Wall == 0 {
+		r.Wall = c.wall
+	}
 	return r.encode()
 }
 
@@ -310,17 +315,17 @@
 		if e.phase != message.Pending {
 			continue
 		}
-		c.end(e, end, c.now, c.wall)
+		c.end(e, end, c.now)
 		c.append(record{Kind: recordEnd, ID: end.ID, Unit: e.unit, End: &end}, nil)
 	}
 	c.answers = append(c.answers, done)
 }
 
-func (c *Core) end(e *entry, end message.End, at time.Duration, wall int64) {
+func (c *Core) end(e *entry, end message.End, at time.Duration) {
 	if e.phase != message.Pending {
 		return
 	}
-	e.phase, e.stamp, e.callbackOwed, e.endWall = end.Phase, end.Stamp, end.CallbackOwed, wall
+	e.phase, e.stamp, e.callbackOwed = end.Phase, end.Stamp, end.CallbackOwed
 	c.index.end(e, at)
 }
 
@@ -352,7 +357,7 @@
 				return
 			}
 			end := message.End{ID: e.id, Phase: message.DeadLetter}
-			c.end(e, end, c.now, c.wall)
+			c.end(e, end, c.now)
 			c.append(record{Kind: recordEnd, ID: e.id, Unit: e.unit, End: &end}, nil)
 		}
 	}
--- a/internal/system/role/store/index.go
+++ b/internal/system/role/store/index.go
@@ -28,7 +28,6 @@
 	arrived      time.Duration // on the monotonic clock; before the start of the process where that can be told
 	retention    time.Duration
 	endedAt      time.Duration
-	endWall      int64
 }
 
 func (e *entry) pending() bool { return e.held && !e.void && e.phase == message.Pending }
--- a/internal/system/role/store/read.go
+++ b/internal/system/role/store/read.go
@@ -95,7 +95,7 @@
 
 // copyOf is one entry as it is copied, nil where there is nothing to copy.
 func (c *Core) copyOf(e *entry) (*wire.CopiedMessage, error) {
-	copied := &wire.CopiedMessage{Void: e.void, Wall: e.endWall}
+	copied := &wire.CopiedMessage{Void: e.void, Age: c.now - e.arrived}
 	copied.Message.ID, copied.Message.Unit = e.id, e.unit
 	if e.void {
 		return copied, nil
--- a/internal/system/simulation/checker.go
+++ b/internal/system/simulation/checker.go
@@ -25,6 +25,7 @@
 	failures   int
 	endedAt    time.Duration // 0 while it has not ended
 	stamps     map[string]bool
+	open       int // runs that go on
 	calledBack int
 }
 
@@ -36,7 +37,7 @@
 	keys     map[string][]*record
 	retries  int
 	broken   []string
-	trouble  []time.Duration // times of unplanned trouble
+	trouble  []trouble // unplanned
 	versions map[uint64]string
 	acked    uint64
 }
@@ -58,12 +59,17 @@
 	c.broken = append(c.broken, fmt.Sprintf("%.3f s %s: %s", at.Seconds(), rule, what))
 }
 
-func (c *checker) unplanned(now time.Duration) { c.trouble = append(c.trouble, now) }
+// trouble lasts from one time to another.
+type trouble struct{ from, until time.Duration }
+
+func (c *checker) unplanned(now, length time.Duration) {
+	c.trouble = append(c.trouble, trouble{from: now, until: now + length})
+}
 
 // calm tells whether no unplanned trouble came within the contact time before a moment.
 func (c *checker) calm(now time.Duration) bool {
-	for _, at := range c.trouble {
-		if now-at < contact {
+	for _, t := range c.trouble {
+		if now >= t.from && now-t.until < contact {
 			return false
 		}
 	}
@@ -110,6 +116,10 @@
 	if len(r.stamps) > 0 && c.calm(now) {
 		c.breakRule(now, "TWICE", m.ID+" runs again after a success")
 	}
+	if r.open > 0 && c.calm(now) {
+		c.breakRule(now, "TWICE", m.ID+" runs beside another run of it")
+	}
+	r.open++
 	c.checkOrder(now, r)
 	r.runs = append(r.runs, run{at: now})
 }
@@ -129,6 +139,7 @@
 func (c *checker) succeeded(now time.Duration, id, stamp string) {
 	r := c.records[id]
 	r.stamps[stamp] = true
+	r.open--
 	if !r.ended() {
 		r.endedAt = now
 	}
@@ -137,12 +148,14 @@
 func (c *checker) failed(now time.Duration, id string) {
 	r := c.records[id]
 	r.failures++
+	r.open--
 	if r.failures >= c.retries && !r.ended() {
 		r.endedAt = now
 	}
 }
 
-func (c *checker) broke(time.Duration, string) {}
+// broke ends a run without an answer of its own.
+func (c *checker) broke(id string) { c.records[id].open-- }
 
 func (c *checker) calledBack(body []byte) {
 	var form struct{ ID, Phase, Stamp string }
--- a/internal/system/simulation/clients.go
+++ b/internal/system/simulation/clients.go
@@ -58,7 +58,7 @@
 		m.Key = r.key
 	}
 	if t.delayed > 0 && w.random.IntN(t.delayed) == 0 {
-		r.delay = time.Duration(w.random.Int64N(int64(4 * time.Second)))
+		r.delay = time.Duration(w.random.Int64N(int64(9 * time.Second)))
 		m.Delay = r.delay
 	}
 	if t.called {
--- a/internal/system/simulation/day.go
+++ b/internal/system/simulation/day.go
@@ -19,7 +19,7 @@
 	firstPort      = 7000
 	controlPort    = 8000
 	leadTime       = 5 * time.Second
-	settleTime     = 16 * time.Second // after the last event, with everything well, before the day is judged
+	settleTime     = 20 * time.Second // after the last event, with everything well, before the day is judged
 	restartPause   = 300 * time.Millisecond
 	grace          = 6 * time.Second
 	orderedKeys    = 25
--- a/internal/system/simulation/platform.go
+++ b/internal/system/simulation/platform.go
@@ -168,11 +168,11 @@
 func (p *platform) ended(w *worker, m *message.Message, late bool, load delivery.Load, finish func(carrier.Outcome)) {
 	const failShare = 50 // one in so many attempts fails
 	if w.gone || w.dark {
-		p.checker.broke(p.world.now, m.ID)
+		p.checker.broke(m.ID)
 		return
 	}
 	if late {
-		p.checker.broke(p.world.now, m.ID)
+		p.checker.broke(m.ID)
 		finish(carrier.Outcome{Kind: carrier.RunUnknown, Load: load})
 		return
 	}
--- a/internal/system/simulation/scenario.go
+++ b/internal/system/simulation/scenario.go
@@ -142,7 +142,7 @@
 	d.world.runUntil(leadTime)
 	begin := d.world.now
 	for _, t := range []traffic{
-		{host: "archive.example", service: archive, every: 40 * time.Millisecond, delayed: 10, called: true},
+		{host: "archive.example", service: archive, every: 40 * time.Millisecond, delayed: 4, called: true},
 		{host: "alert.example", service: alert, every: 50 * time.Millisecond, keys: orderedKeys},
 		{host: "partner.example", service: partner, every: 90 * time.Millisecond},
 	} {
@@ -192,53 +192,41 @@
 		}
 		return otherwise
 	}
-	unplanned := func(do func(m *machine)) func() {
+	unplanned := func(span time.Duration, do func(m *machine)) func() {
 		return func() {
-			d.checker.unplanned(d.world.now)
+			d.checker.unplanned(d.world.now, span)
 			for _, m := range d.named(name) {
 				do(m)
 			}
 		}
 	}
-	ends := func(after time.Duration, do func()) {
-		d.world.after(after, func() {
-			d.checker.unplanned(d.world.now)
-			if do != nil {
-				do()
-			}
-		})
-	}
+	lasts := length("for", time.Second)
 	switch verb {
 	case "kill":
-		return unplanned(func(m *machine) { d.kill(m, length("for", restartPause)); ends(length("for", 0), nil) }), nil
+		return unplanned(length("for", restartPause), func(m *machine) { d.kill(m, length("for", restartPause)) }), nil
 	case "power", "wipe":
-		return unplanned(func(m *machine) {
-			d.powerOff(m, length("for", time.Second), verb == "wipe")
-			ends(length("for", 0), nil)
-		}), nil
+		return unplanned(lasts, func(m *machine) { d.powerOff(m, lasts, verb == "wipe") }), nil
 	case "freeze":
-		return unplanned(func(m *machine) { d.freeze(m, length("for", time.Second)); ends(length("for", 0), nil) }), nil
+		return unplanned(lasts, func(m *machine) { d.freeze(m, lasts) }), nil
 	case "replace":
-		return unplanned(func(m *machine) { d.replace(m, length("after", time.Second)) }), nil
+		return unplanned(length("after", time.Second), func(m *machine) { d.replace(m, length("after", time.Second)) }), nil
 	case "slowdisk":
 		by, err := strconv.Atoi(given["by"])
-		return unplanned(func(m *machine) {
+		return unplanned(lasts, func(m *machine) {
 			m.slowDisk = by
-			ends(length("for", time.Second), func() { m.slowDisk = 0 })
+			d.world.after(lasts, func() { m.slowDisk = 0 })
 		}), err
 	case "skew":
-		return unplanned(func(m *machine) { m.wallSkew += length("by", 0).Milliseconds() }), nil
+		return unplanned(0, func(m *machine) { m.wallSkew += length("by", 0).Milliseconds() }), nil
 	case "cut":
 		return func() {
-			d.checker.unplanned(d.world.now)
-			d.cut(d.named(name), d.named(given["from"]), strings.HasSuffix(strings.Join(words, " "), "oneway"), length("for", time.Second))
-			ends(length("for", time.Second), nil)
+			d.checker.unplanned(d.world.now, lasts)
+			d.cut(d.named(name), d.named(given["from"]), words[len(words)-1] == "oneway", lasts)
 		}, nil
 	case "dark":
 		return func() {
-			d.checker.unplanned(d.world.now)
-			d.darken(name, length("for", time.Second))
-			ends(length("for", time.Second), nil)
+			d.checker.unplanned(d.world.now, lasts)
+			d.darken(name, lasts)
 		}, nil
 	case "term":
 		return func() {
--- a/internal/system/simulation/search.go
+++ b/internal/system/simulation/search.go
@@ -60,7 +60,7 @@
 	case 12:
 		return fmt.Sprintf("power %s for %s", edge, length), 0
 	case 13:
-		return fmt.Sprintf("freeze %s for %s", edge, length), 0
+		return fmt.Sprintf("freeze %s for %s", edge, 2*length), 0
 	case 14:
 		return "term " + edge, 0
 	case 15:
@@ -70,7 +70,7 @@
 	case 17:
 		return fmt.Sprintf("kill storage for %s", length/8), length / 8
 	case 18:
-		return fmt.Sprintf("cut %s from all for %s", edge, length), 0
+		return fmt.Sprintf("cut %s from all for %s", edge, 2*length), 0
 	case 19:
 		return fmt.Sprintf("dark %s for %s", []string{alert, archive, partner}[r.IntN(3)], length), 0
 	case 20:
--- a/internal/system/simulation/simulation_suite_test.go
+++ b/internal/system/simulation/simulation_suite_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"runtime"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 
@@ -50,6 +51,15 @@
 	return read("FIRST_SCHEDULE", 1), read("SCHEDULES", 24)
 }
 
+// describe gives a failing schedule and the first rules that it breaks.
+func describe(s *Scenario, result *Result, err error) string {
+	const most = 3
+	if err != nil {
+		return fmt.Sprintf("%s%v\n", s, err)
+	}
+	return fmt.Sprintf("%s%s\n", s, strings.Join(result.Broken[:min(len(result.Broken), most)], "\n"))
+}
+
 func failing(s *Scenario) bool {
 	result, err := Play(s)
 	return err != nil || len(result.Broken) > 0
@@ -71,7 +81,7 @@
 						continue
 					}
 					mutex.Lock()
-					found = append(found, fmt.Sprintf("%s\n%v %v", scenario, err, result.Broken))
+					found = append(found, describe(scenario, result, err))
 					mutex.Unlock()
 				}
 			})
@@ -82,7 +92,7 @@
 		close(seeds)
 		workers.Wait()
 		if len(found) > 0 {
-			Fail(fmt.Sprintf("%d of %d schedules break rules; the first:\n%s", len(found), count, found[0]))
+			Fail(fmt.Sprintf("%d of %d schedules break rules:\n%s", len(found), count, strings.Join(found[:min(len(found), 12)], "\n")))
 		}
 	})
 })
--- a/internal/system/wire/messages.go
+++ b/internal/system/wire/messages.go
@@ -81,6 +81,7 @@
 type OpenSessionBody struct {
 	Member   session.Member
 	Position feed.Position
+	Renew    bool // the session was open before; where it is over, it can't be opened again
 }
 
 // OpenSessionAnswer tells how long the session lasts without a heartbeat.
@@ -163,7 +164,7 @@
 	Message message.Message // without body where it has ended
 	End     *message.End
 	Void    bool
-	Wall    int64 // of the end, in milliseconds since 1970
+	Age     time.Duration // since it came to the store
 }
 
 // CopyAnswer is a part of a copy.
