Refuse at once while stores are silent, and try their connections anew

Change: a store that has let puts wait for 0.15 s is not counted on; a connection is up once its peer's process has greeted; one that is silent for 0.45 s is tried anew, with short dials.

--- a/internal/system/link/client.go
+++ b/internal/system/link/client.go
@@ -71,6 +71,16 @@
 	return current != nil && current.send(wire.Frame{Kind: kind, Payload: payload})
 }
 
+// Break ends the present connection; another is tried at once.
+func (c *Client) Break() {
+	c.mutex.Lock()
+	current := c.writer
+	c.mutex.Unlock()
+	if current != nil {
+		current.close()
+	}
+}
+
 // Close ends the connection for good.
 func (c *Client) Close() {
 	c.once.Do(func() {
@@ -124,6 +134,11 @@
 		connection.Close()
 		return
 	}
+	reader := bufio.NewReaderSize(connection, readBuffer)
+	if !readGreeting(connection, reader) {
+		connection.Close()
+		return
+	}
 	current := newWriter(connection)
 	c.mutex.Lock()
 	if c.stopped {
@@ -137,7 +152,7 @@
 	if c.events.Up != nil {
 		c.events.Up()
 	}
-	c.read(connection)
+	c.read(reader)
 	current.close()
 	c.drop()
 	if c.events.Down != nil {
@@ -145,8 +160,14 @@
 	}
 }
 
-func (c *Client) read(connection net.Conn) {
-	reader := bufio.NewReaderSize(connection, readBuffer)
+func readGreeting(connection net.Conn, reader *bufio.Reader) bool {
+	_ = connection.SetReadDeadline(time.Now().Add(dialTimeout))
+	defer func() { _ = connection.SetReadDeadline(time.Time{}) }()
+	frame, err := wire.ReadFrame(reader)
+	return err == nil && frame.Kind == wire.Greeting
+}
+
+func (c *Client) read(reader *bufio.Reader) {
 	for {
 		frame, err := wire.ReadFrame(reader)
 		if err != nil {
--- a/internal/system/link/link.go
+++ b/internal/system/link/link.go
@@ -17,12 +17,12 @@
 
 // Bounds of a connection.
 const (
-	dialTimeout   = 700 * time.Millisecond
+	dialTimeout   = 300 * time.Millisecond  // also of the peer's greeting; a machine without power answers no SYN
 	silenceLimit  = 1500 * time.Millisecond // unacknowledged bytes and probes end a connection after it
 	maxQueued     = 48 << 20                // bytes that wait to be written; past it the connection is ended
 	readBuffer    = 32 << 10
-	reconnectWait = 150 * time.Millisecond
-	reconnectMost = 600 * time.Millisecond
+	reconnectWait = 100 * time.Millisecond
+	reconnectMost = 250 * time.Millisecond
 )
 
 // ClosedError answers a call whose connection broke: it may or may not have been carried out.
@@ -229,6 +229,8 @@
 	if !readPreamble(connection, reader) {
 		return
 	}
+	// The greeting tells that the process runs: a frozen one's machine takes connections, too.
+	peer.writer.send(wire.Frame{Kind: wire.Greeting})
 	for {
 		frame, err := wire.ReadFrame(reader)
 		if err != nil {
--- a/internal/system/loop/loop.go
+++ b/internal/system/loop/loop.go
@@ -27,6 +27,8 @@
 	Call(address string, kind wire.Kind, payload []byte, timeout time.Duration, done func(payload []byte, err error))
 	// Up tells whether there is a connection to a peer.
 	Up(address string) bool
+	// Break gives up the present connection to a peer that has gone silent; another is tried at once.
+	Break(address string)
 	// Connect names the peers to keep connections to; others are given up.
 	Connect(addresses []string)
 }
--- a/internal/system/node/loop.go
+++ b/internal/system/node/loop.go
@@ -137,6 +137,13 @@
 	return peer != nil && peer.up
 }
 
+// Break implements loop.Peers; it is called under the mutex.
+func (r *runner) Break(address string) {
+	if peer := r.clients[address]; peer != nil {
+		go peer.client.Break()
+	}
+}
+
 // Connect implements loop.Peers; it is called under the mutex.
 func (r *runner) Connect(addresses []string) {
 	wanted := map[string]bool{}
--- a/internal/system/role/carrier/core.go
+++ b/internal/system/role/carrier/core.go
@@ -82,7 +82,7 @@
 
 // Times of a carrier's own work.
 const (
-	housekeepingInterval = 200 * time.Millisecond
+	housekeepingInterval = 150 * time.Millisecond
 	catalogTooOld        = 1600 * time.Millisecond
 	storesLackedFor      = 1500 * time.Millisecond
 )
@@ -97,6 +97,7 @@
 func (c *Core) housekeep() {
 	c.checkCatalog()
 	c.stores.flushAll()
+	c.stores.breakSilent()
 	c.settleDeparted()
 	for _, u := range c.units {
 		if !u.active && !u.recovering {
--- a/internal/system/role/carrier/storage.go
+++ b/internal/system/role/carrier/storage.go
@@ -11,12 +11,13 @@
 
 // Times and bounds of the stores' use.
 const (
-	putTimeout      = 3 * time.Second
-	endsTimeout     = 2 * time.Second
-	endsAtOnce      = 512
-	maxOutbox       = 100000
-	slowAfterSilent = 500 * time.Millisecond // a store that let a put wait so long is chosen last
-	slowFor         = 2 * time.Second
+	putTimeout   = 3 * time.Second
+	endsTimeout  = 2 * time.Second
+	endsAtOnce   = 512
+	maxOutbox    = 100000
+	suspectAfter = 150 * time.Millisecond // of a store's silence while puts wait for it: it is asked last
+	breakAfter   = 450 * time.Millisecond // of silence: the connection is tried anew
+	slowFor      = 2 * time.Second        // a store that was silent for so long is asked last for a while
 )
 
 // outbox is what a store has to be told, in order, until it has answered.
@@ -29,12 +30,19 @@
 // storage is this carrier's side of the stores.
 type storage struct {
 	core  *Core
-	boxes map[string]*outbox       // by disk
-	slow  map[string]time.Duration // until when a store is chosen last
+	boxes map[string]*outbox   // by disk
+	calls map[string]*putCalls // by disk
+}
+
+// putCalls is how a store has answered lately.
+type putCalls struct {
+	waiting   int
+	since     time.Duration // of the latest answer, or of the first put that waits
+	slowUntil time.Duration // it is asked last
 }
 
 func newStorage(core *Core) *storage {
-	return &storage{core: core, boxes: map[string]*outbox{}, slow: map[string]time.Duration{}}
+	return &storage{core: core, boxes: map[string]*outbox{}, calls: map[string]*putCalls{}}
 }
 
 func (s *storage) address(disk string) string {
@@ -46,11 +54,29 @@
 	return address != "" && s.core.env.Up(address)
 }
 
-// reachable is the number of stores with a connection.
+func (s *storage) putCalls(disk string) *putCalls {
+	calls := s.calls[disk]
+	if calls == nil {
+		calls = &putCalls{}
+		s.calls[disk] = calls
+	}
+	return calls
+}
+
+// silent is how long a store has let puts wait without answering any.
+func (s *storage) silent(disk string) time.Duration {
+	calls := s.calls[disk]
+	if calls == nil || calls.waiting == 0 {
+		return 0
+	}
+	return s.core.env.Now() - calls.since
+}
+
+// reachable is the number of stores that messages can be put at: with a connection, and not silent.
 func (s *storage) reachable() int {
 	count := 0
 	for disk := range s.core.session.View().Counted() {
-		if s.isUp(disk) {
+		if s.isUp(disk) && s.silent(disk) < suspectAfter {
 			count++
 		}
 	}
@@ -69,7 +95,9 @@
 	now := s.core.env.Now()
 	rank := func(disk string) int {
 		switch {
-		case now < s.slow[disk]:
+		case s.silent(disk) >= suspectAfter:
+			return 3
+		case now < s.putCalls(disk).slowUntil:
 			return 2
 		case view.Disks[disk].Member.Zone == s.core.settings.Zone:
 			return 0
@@ -89,19 +117,31 @@
 
 func (s *storage) put(disk string, m *message.Message, done func(err error)) {
 	c := s.core
-	answered := false
-	c.env.After(slowAfterSilent, func() {
-		if !answered {
-			s.slow[disk] = c.env.Now() + slowFor
-		}
-	})
+	calls := s.putCalls(disk)
+	if calls.waiting == 0 {
+		calls.since = c.env.Now()
+	}
+	calls.waiting++
 	body := wire.PutBody{Message: *m, Epoch: c.session.View().Epoch}
 	c.env.Call(s.address(disk), wire.PutMessage, wire.Encode(&body), putTimeout, func(_ []byte, err error) {
-		answered = true
+		calls.waiting--
+		if took := c.env.Now() - calls.since; err != nil && took > suspectAfter {
+			calls.slowUntil = c.env.Now() + slowFor
+		}
+		calls.since = c.env.Now()
 		done(err)
 	})
 }
 
+// breakSilent tries anew to reach stores that have been silent for long.
+func (s *storage) breakSilent() {
+	for disk := range s.calls {
+		if s.silent(disk) > breakAfter && s.isUp(disk) {
+			s.core.env.Break(s.address(disk))
+		}
+	}
+}
+
 func (s *storage) void(disk, id string, done func(err error)) {
 	body := wire.VoidBody{ID: id}
 	s.core.env.Call(s.address(disk), wire.VoidMessage, wire.Encode(&body), voidTimeout, func(_ []byte, err error) {
--- a/internal/system/simulation/network.go
+++ b/internal/system/simulation/network.go
@@ -16,6 +16,15 @@
 	return c != nil && c.peer != nil
 }
 
+// Break implements loop.Peers.
+func (p *process) Break(address string) {
+	p.After(0, func() {
+		if c := p.links[address]; c != nil && c.peer != nil {
+			p.breakLink(address, c)
+		}
+	})
+}
+
 // Connect implements loop.Peers.
 func (p *process) Connect(addresses []string) {
 	p.wanted = map[string]bool{}
--- a/internal/system/wire/messages.go
+++ b/internal/system/wire/messages.go
@@ -16,6 +16,7 @@
 const (
 	Answer Kind = iota + 1
 	Refusal
+	Greeting // push: the first frame of who was connected to
 
 	// To keepers.
 	AgreementMessages // push: between keepers
