--- a/internal/system/node/carrier.go
+++ b/internal/system/node/carrier.go
@@ -116,6 +116,9 @@
 // Report implements carrier.Environment.
 func (n *carrierNode) Report(event string, err error) { report(event, err) }
 
+// Inform implements carrier.Environment.
+func (n *carrierNode) Inform(event string) { log.Info(event) }
+
 // report logs what an operator should know.
 func report(event string, err error) {
 	if err != nil {
--- a/internal/system/role/carrier/core.go
+++ b/internal/system/role/carrier/core.go
@@ -7,6 +7,7 @@
 package carrier
 
 import (
+	"fmt"
 	"time"
 
 	"granitewing/internal/system/catalog"
@@ -32,6 +33,8 @@
 	ReadCatalog(done func(instances map[string]catalog.Instance, err error))
 	// Report logs what an operator should know.
 	Report(event string, err error)
+	// Inform logs an ordinary step of the carrier's life.
+	Inform(event string)
 }
 
 // Core is one carrier.
@@ -154,6 +157,10 @@
 	}
 	if before.Table != after.Table {
 		c.takeConfiguration(now, after.Table)
+		c.env.Inform(fmt.Sprintf("configuration %d is in force", after.Table.Document.Version))
+	}
+	if before.Epoch != after.Epoch {
+		c.env.Inform(fmt.Sprintf("%d disks count, roster %d", len(after.Counted()), after.Epoch))
 	}
 	if !sameMap(before.Instances, after.Instances) {
 		c.policy.SetInstances(now, after.Instances)
--- a/internal/system/role/carrier/unit.go
+++ b/internal/system/role/carrier/unit.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"fmt"
 	"sort"
 	"strings"
 	"time"
@@ -247,6 +248,9 @@
 	for _, id := range ids {
 		r.adopt(messages[id])
 	}
+	if len(u.items) > 0 {
+		c.env.Inform(fmt.Sprintf("unit %s is taken over with %d messages, after %s", u.name, len(u.items), c.env.Now()-r.began))
+	}
 	c.settleDeparted()
 }
 
--- a/internal/system/role/keeper/core.go
+++ b/internal/system/role/keeper/core.go
@@ -35,6 +35,7 @@
 	// before the session does, whatever the two clocks' rates.
 	MemberLease     = 2400 * time.Millisecond
 	catalogInterval = 600 * time.Millisecond
+	catalogHurry    = 200 * time.Millisecond  // while a service has no worker
 	orderWait       = 2500 * time.Millisecond // an order without majority by then gets no clear answer
 	reconcileEvery  = 100 * time.Millisecond
 )
--- a/internal/system/role/keeper/tables.go
+++ b/internal/system/role/keeper/tables.go
@@ -148,9 +148,30 @@
 		return false
 	}
 	c.catalogDue = now + catalogInterval
+	if c.lacksWorkers() {
+		c.catalogDue = now + catalogHurry
+	}
 	return true
 }
 
+// lacksWorkers tells whether some service that is not static has no worker that is ready.
+func (c *Core) lacksWorkers() bool {
+	document := c.configuration.Current()
+	if document == nil {
+		return false
+	}
+	ready := map[string]bool{}
+	for _, instance := range c.instances {
+		ready[instance.Service] = ready[instance.Service] || !instance.Draining
+	}
+	for name, service := range document.Services {
+		if service.Static == "" && !ready[name] {
+			return true
+		}
+	}
+	return false
+}
+
 // CatalogRead takes a whole reading of the platform's list, begun at a time.
 func (c *Core) CatalogRead(now, begun time.Duration, reading map[string]catalog.Instance) {
 	c.now = now
--- a/internal/system/simulation/world.go
+++ b/internal/system/simulation/world.go
@@ -219,3 +219,6 @@
 func (p *process) Report(event string, err error) {
 	p.world.report(p.machine.name+"/"+p.role, event, err)
 }
+
+// Inform implements the environments' notes.
+func (p *process) Inform(string) {}
