--- a/internal/system/agreement/types.go
+++ b/internal/system/agreement/types.go
@@ -16,10 +16,10 @@
 }
 
 // Empty tells whether nobody is named.
-func (m *Membership) Empty() bool { return len(m.Voters) == 0 && len(m.Learners) == 0 }
+func (m Membership) Empty() bool { return len(m.Voters) == 0 && len(m.Learners) == 0 }
 
 // With gives a membership in which a member has moved to a place.
-func (m *Membership) With(id string, place Place) Membership {
+func (m Membership) With(id string, place Place) Membership {
 	next := Membership{Voters: without(m.Voters, id), Learners: without(m.Learners, id)}
 	switch place {
 	case AsVoter:
--- a/internal/system/command/command.go
+++ b/internal/system/command/command.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
@@ -48,7 +49,7 @@
 	fmt.Fprintln(errors_, "granitewing:", err)
 	var usage *usageError
 	var fault *settings.Error
-	if errors.As(err, &usage) || errors.As(err, &fault) {
+	if errors.As(err, &usage) || errors.As(err, &fault) || strings.HasPrefix(err.Error(), "unknown command") {
 		return exitUsage
 	}
 	return exitFailed
@@ -66,6 +67,7 @@
 		newRole("carrier", "Take clients' messages and deliver them", node.RunCarrier),
 		newRole("keeper", "Keep the configuration, the sessions and who owns what", node.RunKeeper),
 		newRole("store", "Keep messages on disk", node.RunStore),
+		newCheck(), newInspect(),
 	)
 	return root
 }
--- /dev/null
+++ b/internal/system/delivery/delivery_test.go
@@ -0,0 +1,175 @@
+package delivery
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"granitewing/internal/system/catalog"
+)
+
+const second = time.Second
+
+func instances(count, capacity int) map[string]catalog.Instance {
+	list := map[string]catalog.Instance{}
+	for i := range count {
+		id := fmt.Sprintf("i-%d", i)
+		list[id] = catalog.Instance{ID: id, Service: "s", Address: id, Zone: "z0", Capacity: capacity}
+	}
+	return list
+}
+
+var _ = ginkgo.Describe("The policy", func() {
+	var policy *Policy
+	now := 10 * second
+
+	ginkgo.BeforeEach(func() {
+		policy = NewPolicy("z0")
+		policy.SetService(now, "s", 90, "")
+		policy.SetInstances(now, instances(3, 4))
+	})
+
+	pick := func() *Worker { return policy.Pick(now, "s", "r", second, "") }
+
+	ginkgo.It("takes the workers of its own zone first, and others before these are full", func() {
+		list := instances(2, 4)
+		far := list["i-0"]
+		far.Zone = "z1"
+		list["i-0"] = far
+		policy.SetInstances(now, list)
+		held := map[string]int{}
+		for range 12 {
+			policy.Arrive(now, "s", "r", second)
+			worker := pick()
+			policy.Start(now, worker)
+			held[worker.ID]++
+		}
+		Expect(held["i-1"]).To(BeNumerically(">=", 4))
+		Expect(held["i-0"]).To(BeNumerically(">=", 4))
+	})
+
+	ginkgo.It("spreads messages over workers by their backlog", func() {
+		policy.Arrive(now, "s", "r", second)
+		held := map[string]int{}
+		for range 9 {
+			worker := pick()
+			policy.Start(now, worker)
+			held[worker.ID]++
+		}
+		Expect(held).To(Equal(map[string]int{"i-0": 3, "i-1": 3, "i-2": 3}))
+	})
+
+	ginkgo.It("gives a worker no more than its slots and a short queue, whoever loads it", func() {
+		for range 24 {
+			policy.Start(now, pick())
+		}
+		Expect(pick()).To(BeNil())
+		policy.Finish(now, policy.Workers("s")[0], Ran, 10*time.Millisecond, Load{Known: true, Running: 4, Waiting: 9})
+		Expect(pick()).To(BeNil())
+	})
+
+	ginkgo.It("sends fewer to a slow worker", func() {
+		slow := policy.Workers("s")[0]
+		for range 30 {
+			for _, worker := range policy.Workers("s") {
+				policy.Start(now, worker)
+				took := 50 * time.Millisecond
+				if worker == slow {
+					took = 500 * time.Millisecond
+				}
+				policy.Finish(now, worker, Ran, took, Load{})
+			}
+		}
+		held := map[string]int{}
+		for range 9 {
+			policy.Arrive(now, "s", "r", second)
+			worker := pick()
+			policy.Start(now, worker)
+			held[worker.ID]++
+		}
+		Expect(held[slow.ID]).To(BeNumerically("<", held["i-1"]))
+	})
+
+	ginkgo.It("sends nothing to a worker that drains or has gone", func() {
+		list := instances(3, 4)
+		draining := list["i-0"]
+		draining.Draining = true
+		list["i-0"] = draining
+		delete(list, "i-1")
+		policy.SetInstances(now, list)
+		for range 5 {
+			Expect(pick().ID).To(Equal("i-2"))
+		}
+	})
+
+	ginkgo.It("opens a breaker after failures in a row, and closes it by one probe", func() {
+		bad := policy.Workers("s")[0]
+		for range badInRow {
+			policy.Start(now, bad)
+			policy.Finish(now, bad, Silent, second, Load{})
+		}
+		Expect(bad.Usable(now)).To(BeFalse())
+		later := now + breakerFirst
+		Expect(bad.Usable(later)).To(BeTrue())
+		policy.Start(later, bad)
+		Expect(bad.Usable(later)).To(BeFalse(), "one probe at a time")
+		policy.Finish(later, bad, Ran, 10*time.Millisecond, Load{})
+		Expect(bad.Usable(later)).To(BeTrue())
+		_, known := policy.Wake(later+breakerFirst, "s")
+		Expect(known).To(BeFalse())
+	})
+
+	ginkgo.It("leaves out a worker that refused for a moment, and the one just tried where there is another", func() {
+		first := pick()
+		policy.Start(now, first)
+		policy.Finish(now, first, NotRun, time.Millisecond, Load{})
+		Expect(pick().ID).NotTo(Equal(first.ID))
+		Expect(policy.Pick(now, "s", "r", second, "i-1").ID).To(Equal("i-2"))
+	})
+})
+
+var _ = ginkgo.Describe("The pace of a service", func() {
+	ginkgo.It("keeps every window under the rate, over owners that follow each other", func() {
+		const rate, window = 39.0, 5 * second
+		var sent []time.Duration
+		now := time.Duration(0)
+		for owner := range 4 {
+			pace := Pace{}
+			pace.SetRate(rate)
+			if owner > 0 {
+				pace.Hold(now + 100*time.Millisecond)
+			}
+			for end := now + 3*second; now < end; now += time.Millisecond {
+				for pace.Take(now) {
+					sent = append(sent, now)
+				}
+			}
+		}
+		first := 0
+		for i, at := range sent {
+			for at-sent[first] > window {
+				first++
+			}
+			Expect(float64(i - first + 1)).To(BeNumerically("<=", rate*window.Seconds()*1.1+5))
+		}
+		Expect(float64(len(sent))).To(BeNumerically(">", 0.9*rate*12))
+	})
+
+	ginkgo.It("does not add up pauses", func() {
+		pace := Pace{}
+		pace.SetRate(10)
+		count := 0
+		for pace.Take(60 * second) {
+			count++
+		}
+		Expect(count).To(BeNumerically("<=", 2))
+	})
+
+	ginkgo.It("lets all through where there is no rate", func() {
+		pace := Pace{}
+		Expect(pace.Take(0)).To(BeTrue())
+		Expect(pace.Take(0)).To(BeTrue())
+	})
+})
--- a/internal/system/delivery/policy.go
+++ b/internal/system/delivery/policy.go
@@ -18,7 +18,9 @@
 	firstGuess      = 100 * time.Millisecond // of a run time while none was seen
 	learningWeight  = 0.15                   // of a new run time in a worker's mean
 	rateMemory      = 4 * time.Second        // of the arrival rate
-	otherZoneCost   = 0.03                   // of a message that crosses zones, against 1 for one that misses its aim
+	otherZoneCost   = 0.02                   // of a message that crosses zones, against 1 for one that misses its aim
+	tie             = 1e-4                   // costs that differ by less are alike: the least backlog is taken
+	waitingCost     = 0.15                   // of a message that waits at a worker for all the time that it has left
 	reportMemory    = 300 * time.Millisecond // how long a worker's report of its load is believed
 	queueAllowance  = 1.0                    // messages that a worker may hold waiting, for each of its slots
 	coldSlowdown    = 1.6
@@ -258,7 +260,7 @@
 			return worker
 		}
 		cost, backlog := p.cost(now, pool, worker, held, table, terms, left)
-		if best == nil || cost < bestCost || cost == bestCost && backlog < bestBacklog {
+		if best == nil || cost < bestCost-tie || cost < bestCost+tie && backlog < bestBacklog {
 			best, bestCost, bestBacklog = worker, cost, backlog
 		}
 	}
@@ -305,6 +307,8 @@
 	waiting := max(0, held-(slots-1)) * service
 	if waiting >= left.Seconds() {
 		cost++
+	} else {
+		cost += waitingCost * waiting / left.Seconds()
 	}
 	for _, t := range terms {
 		cost += t.share * (valueAt(table, t.deadline, backlog+service, service) - valueAt(table, t.deadline, backlog, service))
@@ -312,7 +316,7 @@
 	if worker.Zone != p.zone && worker.Zone != "" {
 		cost += otherZoneCost
 	}
-	return cost, backlog
+	return cost, backlog + service
 }
 
 // valueAt is v(u)-v(tau) of equation (16), in units of d.
--- a/internal/system/role/store/clean.go
+++ b/internal/system/role/store/clean.go
@@ -7,7 +7,8 @@
 
 // WantsCleaning tells whether the oldest of the log's segments should be emptied.
 func (c *Core) WantsCleaning(segments int) bool {
-	return segments > 2 && float64(c.bytes) > cleanShare*float64(c.options.DiskBytes)
+	grown := float64(c.bytes) > cleanGrowth*float64(c.cleaned)
+	return segments > 2 && grown && float64(c.bytes) > cleanShare*float64(c.options.DiskBytes)
 }
 
 // Clean writes again what is needed of the segments up to one, so that they can be removed once the batch is synced.
@@ -48,5 +49,6 @@
 // Removed tells that a segment is gone.
 func (c *Core) Removed(number uint64) {
 	c.bytes -= c.sizes[number]
+	c.cleaned = c.bytes
 	delete(c.sizes, number)
 }
--- a/internal/system/role/store/core.go
+++ b/internal/system/role/store/core.go
@@ -19,7 +19,9 @@
 // Shares of the disk.
 const (
 	fullShare  = 0.85 // past it no message is taken
-	cleanShare = 0.30 // past it the oldest segment is cleaned
+	cleanShare = 0.30 // past it the oldest segments are cleaned
+	// cleanGrowth is by how much the log has to grow from one cleaning to the next: each writes again what is needed.
+	cleanGrowth = 1.3
 )
 
 // Reader reads a record's payload from the log.
@@ -47,6 +49,7 @@
 	started  bool
 	complete bool
 	bytes    int64 // of all segments
+	cleaned  int64 // what the last cleaning left
 	sizes    map[uint64]int64
 	epoch    uint64 // of the roster that this store follows
 	founder  bool
--- /dev/null
+++ b/internal/system/role/store/store_test.go
@@ -0,0 +1,260 @@
+package store
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"granitewing/internal/system/message"
+	"granitewing/internal/system/segment"
+	"granitewing/internal/system/wire"
+)
+
+// bench is a store on a folder, with clocks that the test moves.
+type bench struct {
+	path string
+	core *Core
+	log  *segment.Log
+	now  time.Duration
+	wall int64
+}
+
+func (b *bench) open(bootstrap bool) {
+	folder, err := segment.OpenFolder(b.path)
+	Expect(err).NotTo(HaveOccurred())
+	b.log, err = segment.Open(folder, 8<<10)
+	Expect(err).NotTo(HaveOccurred())
+	b.core = New(Options{Status: 120 * time.Second, DiskBytes: 160 << 10}, b.log, b.now, b.wall)
+	Expect(b.log.Replay(b.core.Load)).To(Succeed())
+	b.core.Start(bootstrap, "disk-1")
+	b.flush()
+}
+
+func (b *bench) flush() {
+	batch := b.core.Take()
+	var positions []segment.Position
+	if len(batch.Payloads) > 0 {
+		var err error
+		positions, err = b.log.Append(batch.Payloads...)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(b.log.Sync()).To(Succeed())
+	}
+	b.core.Synced(b.now, batch, positions)
+}
+
+func (b *bench) pass(wait time.Duration) {
+	b.now += wait
+	b.wall += wait.Milliseconds()
+	b.core.Time(b.now, b.wall)
+}
+
+func newMessage(id string) *message.Message {
+	return &message.Message{ID: id, Unit: "u", Method: "POST", Target: "/x", Body: []byte("body of " + id), Retention: 90 * time.Second}
+}
+
+func (b *bench) put(id string) (refusal *wire.RefusalBody) {
+	answered := false
+	b.core.Put(newMessage(id), b.core.Epoch(), func(r *wire.RefusalBody) { refusal, answered = r, true })
+	b.flush()
+	Expect(answered).To(BeTrue())
+	return refusal
+}
+
+func (b *bench) void(id string) (refusal *wire.RefusalBody) {
+	b.core.Void(id, func(r *wire.RefusalBody) { refusal = r })
+	b.flush()
+	return refusal
+}
+
+func (b *bench) end(id string, phase message.Phase) {
+	b.core.Ends([]message.End{{ID: id, Phase: phase, Stamp: "stamp"}}, func() {})
+	b.flush()
+}
+
+func (b *bench) listed() []string {
+	var ids []string
+	body := wire.ListBody{Unit: "u"}
+	for {
+		answer, err := b.core.List(body)
+		Expect(err).NotTo(HaveOccurred())
+		for _, m := range answer.Messages {
+			Expect(string(m.Message.Body)).To(Equal("body of " + m.Message.ID))
+			ids = append(ids, m.Message.ID)
+		}
+		if !answer.More {
+			return ids
+		}
+		body.After = answer.Next
+	}
+}
+
+func (b *bench) find(id string) wire.FindAnswer {
+	answer, err := b.core.Find(wire.FindBody{ID: id, WithBody: true})
+	Expect(err).NotTo(HaveOccurred())
+	return answer
+}
+
+var _ = ginkgo.Describe("A store", func() {
+	var b *bench
+
+	ginkgo.BeforeEach(func() {
+		b = &bench{path: ginkgo.GinkgoT().TempDir(), wall: 1_800_000_000_000}
+		b.open(true)
+	})
+
+	ginkgo.It("answers a put only once it is synced", func() {
+		answered := false
+		b.core.Put(newMessage("a"), 0, func(*wire.RefusalBody) { answered = true })
+		Expect(answered).To(BeFalse())
+		Expect(b.listed()).To(BeEmpty())
+		b.flush()
+		Expect(answered).To(BeTrue())
+		Expect(b.listed()).To(Equal([]string{"a"}))
+	})
+
+	ginkgo.It("holds messages, ends and voids over a start", func() {
+		Expect(b.put("a")).To(BeNil())
+		Expect(b.put("b")).To(BeNil())
+		Expect(b.put("c")).To(BeNil())
+		Expect(b.void("c")).To(BeNil())
+		b.end("b", message.Succeeded)
+		b.open(false)
+		Expect(b.core.Complete()).To(BeTrue())
+		Expect(b.listed()).To(Equal([]string{"a"}))
+		Expect(b.find("b").Stamp).To(Equal("stamp"))
+		Expect(b.find("c").Known).To(BeFalse())
+		Expect(b.put("c")).NotTo(BeNil(), "a void message that comes late")
+	})
+
+	ginkgo.It("makes void what has not come yet", func() {
+		Expect(b.void("a")).To(BeNil())
+		refusal := b.put("a")
+		Expect(refusal.Code).To(Equal(wire.Voided))
+	})
+
+	ginkgo.It("does not make void what others may know of: listed, copied, ended, or loaded from an earlier life", func() {
+		for _, id := range []string{"listed", "ended", "loaded"} {
+			Expect(b.put(id)).To(BeNil())
+		}
+		b.end("ended", message.Succeeded)
+		Expect(b.void("ended")).NotTo(BeNil())
+		_ = b.listed()
+		Expect(b.void("listed")).NotTo(BeNil())
+		Expect(b.put("copied")).To(BeNil())
+		_, err := b.core.Copy(wire.CopyBody{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(b.void("copied")).NotTo(BeNil())
+		b.open(false)
+		Expect(b.void("loaded")).NotTo(BeNil())
+	})
+
+	ginkgo.It("takes nothing that is meant for an older roster", func() {
+		b.core.Follow(4, false)
+		var refusal *wire.RefusalBody
+		b.core.Put(newMessage("a"), 3, func(r *wire.RefusalBody) { refusal = r })
+		Expect(refusal.Code).To(Equal(wire.StaleRoster))
+	})
+
+	ginkgo.It("is not complete on an empty disk of a system that runs, until it was filled; and again once it was replaced", func() {
+		fresh := &bench{path: ginkgo.GinkgoT().TempDir(), wall: b.wall}
+		fresh.open(false)
+		Expect(fresh.core.Complete()).To(BeFalse())
+		for i := range 50 {
+			Expect(b.put(fmt.Sprintf("m%02d", i))).To(BeNil())
+		}
+		b.end("m00", message.Succeeded)
+		Expect(b.put("void")).To(BeNil())
+		Expect(b.void("void")).To(BeNil())
+		var after uint64
+		for more := true; more; {
+			answer, err := b.core.Copy(wire.CopyBody{After: after})
+			Expect(err).NotTo(HaveOccurred())
+			fresh.core.TakeCopy(answer.Messages)
+			fresh.flush()
+			after, more = answer.Next, answer.More
+		}
+		fresh.core.CopyFinished()
+		fresh.flush()
+		Expect(fresh.core.Complete()).To(BeTrue())
+		Expect(fresh.listed()).To(HaveLen(49))
+		Expect(fresh.find("m00").Phase).To(Equal(message.Succeeded))
+		Expect(fresh.put("void")).NotTo(BeNil())
+		b.end("m07", message.DeadLetter)
+		answer, err := b.core.Copy(wire.CopyBody{After: after})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Messages).To(HaveLen(1), "what changed since is copied again")
+		fresh.core.Follow(9, true)
+		Expect(fresh.core.Complete()).To(BeFalse())
+	})
+
+	ginkgo.It("tells a message's age by its own clocks, whatever the acceptor's said", func() {
+		m := newMessage("a")
+		m.Accepted = 5
+		b.core.Put(m, 0, func(*wire.RefusalBody) {})
+		b.flush()
+		b.pass(3 * time.Second)
+		b.open(false)
+		answer, err := b.core.List(wire.ListBody{Unit: "u"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Messages[0].Age).To(Equal(3 * time.Second))
+	})
+
+	ginkgo.It("refuses messages while the disk is full, and keeps ends for later", func() {
+		Expect(b.put("a")).To(BeNil())
+		var refusal *wire.RefusalBody
+		ended := false
+		b.core.Put(newMessage("b"), 0, func(r *wire.RefusalBody) { refusal = r })
+		b.core.Ends([]message.End{{ID: "a", Phase: message.Succeeded, Stamp: "s"}}, func() { ended = true })
+		b.core.Full(b.core.Take())
+		Expect(refusal.Code).To(Equal(wire.Failed))
+		Expect(ended).To(BeFalse())
+		b.flush()
+		Expect(ended).To(BeTrue())
+		b.open(false)
+		Expect(b.find("a").Phase).To(Equal(message.Succeeded))
+	})
+
+	ginkgo.It("forgets ends after their status was due, and ends what nobody ended within its retention", func() {
+		Expect(b.put("a")).To(BeNil())
+		Expect(b.put("b")).To(BeNil())
+		b.end("a", message.Succeeded)
+		b.pass(119 * time.Second)
+		Expect(b.find("a").Known).To(BeTrue())
+		b.pass(2 * time.Second)
+		Expect(b.find("a").Known).To(BeFalse())
+		Expect(b.find("b").Phase).To(Equal(message.DeadLetter))
+	})
+
+	ginkgo.It("wins space back from segments whose messages have ended, and loses none that has not", func() {
+		for i := range 400 {
+			if i%100 == 99 {
+				b.pass(20 * time.Second) // ends are forgotten in time
+			}
+			id := fmt.Sprintf("m%03d", i)
+			Expect(b.put(id)).To(BeNil())
+			if i%40 != 0 {
+				b.end(id, message.Succeeded)
+			}
+			segments := b.log.Segments()
+			if !b.core.WantsCleaning(len(segments)) {
+				continue
+			}
+			oldest := segments[len(segments)/2-1]
+			Expect(b.core.Clean(oldest)).To(Succeed())
+			b.flush()
+			for _, number := range segments[:len(segments)/2] {
+				Expect(b.log.RemoveOldest()).To(Succeed())
+				b.core.Removed(number)
+			}
+			b.pass(time.Millisecond)
+		}
+		names, err := os.ReadDir(b.path)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(names)).To(BeNumerically("<", 12))
+		b.open(false)
+		Expect(b.listed()).To(HaveLen(10))
+	})
+})
--- /dev/null
+++ b/internal/system/segment/log_test.go
@@ -0,0 +1,171 @@
+package segment
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// faultyFiles is a folder whose next write or sync fails.
+type faultyFiles struct {
+	*Folder
+	failWrite, failSync error
+}
+
+type faultyFile struct {
+	File
+	files *faultyFiles
+}
+
+func (f *faultyFiles) Create(name string) (File, error) {
+	file, err := f.Folder.Create(name)
+	return &faultyFile{File: file, files: f}, err
+}
+
+func (f *faultyFile) Write(data []byte) (int, error) {
+	if err := f.files.failWrite; err != nil {
+		f.files.failWrite = nil
+		half, _ := f.File.Write(data[:len(data)/2])
+		return half, err
+	}
+	return f.File.Write(data)
+}
+
+func (f *faultyFile) Sync() error {
+	if err := f.files.failSync; err != nil {
+		f.files.failSync = nil
+		return err
+	}
+	return f.File.Sync()
+}
+
+func openLog(files Files) (*Log, []string) {
+	log, err := Open(files, 1<<10)
+	Expect(err).NotTo(HaveOccurred())
+	var read []string
+	Expect(log.Replay(func(_ Position, payload []byte) error {
+		read = append(read, string(payload))
+		return nil
+	})).To(Succeed())
+	return log, read
+}
+
+var _ = ginkgo.Describe("A log in segments", func() {
+	var path string
+	var files *faultyFiles
+
+	ginkgo.BeforeEach(func() {
+		path = ginkgo.GinkgoT().TempDir()
+		folder, err := OpenFolder(path)
+		Expect(err).NotTo(HaveOccurred())
+		files = &faultyFiles{Folder: folder}
+	})
+
+	write := func(log *Log, texts ...string) []Position {
+		var payloads [][]byte
+		for _, text := range texts {
+			payloads = append(payloads, []byte(text))
+		}
+		positions, err := log.Append(payloads...)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(log.Sync()).To(Succeed())
+		return positions
+	}
+
+	ginkgo.It("gives back what was written, in order, over many segments and starts", func() {
+		var want []string
+		for life := range 3 {
+			log, read := openLog(files)
+			Expect(read).To(Equal(want))
+			for i := range 60 {
+				text := fmt.Sprintf("record %d of life %d", i, life)
+				positions := write(log, text)
+				want = append(want, text)
+				payload, err := log.Read(positions[0])
+				Expect(err).NotTo(HaveOccurred())
+				Expect(string(payload)).To(Equal(text))
+			}
+		}
+	})
+
+	ginkgo.It("stops at a torn record, and goes on with what a later life wrote", func() {
+		log, _ := openLog(files)
+		write(log, "one", "two")
+		name := filepath.Join(path, fileName(log.Current()))
+		data, err := os.ReadFile(name)
+		Expect(err).NotTo(HaveOccurred())
+		for cut := range data {
+			Expect(os.WriteFile(name, data[:cut], 0o644)).To(Succeed())
+			_, read := openLog(files)
+			Expect(len(read)).To(BeNumerically("<", 2), "cut at %d", cut)
+		}
+		Expect(os.WriteFile(name, data[:len(data)-1], 0o644)).To(Succeed())
+		log, read := openLog(files)
+		Expect(read).To(Equal([]string{"one"}))
+		write(log, "three")
+		_, read = openLog(files)
+		Expect(read).To(Equal([]string{"one", "three"}))
+	})
+
+	ginkgo.It("recognises a hole, and takes no record that follows it", func() {
+		log, _ := openLog(files)
+		positions := write(log, "one", "two", "three")
+		name := filepath.Join(path, fileName(log.Current()))
+		data, err := os.ReadFile(name)
+		Expect(err).NotTo(HaveOccurred())
+		clear(data[positions[1].Offset:positions[2].Offset])
+		Expect(os.WriteFile(name, data, 0o644)).To(Succeed())
+		_, read := openLog(files)
+		Expect(read).To(Equal([]string{"one"}))
+	})
+
+	ginkgo.It("takes no record that stands at another place", func() {
+		log, _ := openLog(files)
+		write(log, "one", "two")
+		name := filepath.Join(path, fileName(log.Current()))
+		data, err := os.ReadFile(name)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(os.WriteFile(filepath.Join(path, fileName(log.Current()+7)), data, 0o644)).To(Succeed())
+		_, read := openLog(files)
+		Expect(read).To(Equal([]string{"one", "two"}))
+	})
+
+	ginkgo.It("takes nothing more after a sync that failed, whatever a second try says", func() {
+		log, _ := openLog(files)
+		_, err := log.Append([]byte("one"))
+		Expect(err).NotTo(HaveOccurred())
+		files.failSync = errors.New("input/output error")
+		var broken *BrokenError
+		Expect(errors.As(log.Sync(), &broken)).To(BeTrue())
+		Expect(errors.As(log.Sync(), &broken)).To(BeTrue())
+		_, err = log.Append([]byte("two"))
+		Expect(errors.As(err, &broken)).To(BeTrue())
+	})
+
+	ginkgo.It("goes on in a new segment after a write that found no room", func() {
+		log, _ := openLog(files)
+		write(log, "one")
+		files.failWrite = syscall.ENOSPC
+		_, err := log.Append([]byte("two, which is longer"))
+		var full *FullError
+		Expect(errors.As(err, &full)).To(BeTrue())
+		write(log, "three")
+		_, read := openLog(files)
+		Expect(read).To(Equal([]string{"one", "three"}))
+	})
+
+	ginkgo.It("removes its oldest segment alone", func() {
+		log, _ := openLog(files)
+		write(log, "one")
+		Expect(log.Rotate()).To(Succeed())
+		write(log, "two")
+		Expect(log.RemoveOldest()).To(Succeed())
+		_, read := openLog(files)
+		Expect(read).To(Equal([]string{"two"}))
+	})
+})
--- /dev/null
+++ b/internal/system/session/state_test.go
@@ -0,0 +1,120 @@
+package session
+
+import (
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func join(node, incarnation string, role Role) Command {
+	return Command{Kind: Join, Member: Member{Node: node, Incarnation: incarnation, Role: role}}
+}
+
+func joinStore(node, disk string, founder bool) Command {
+	return Command{Kind: Join, Member: Member{Node: node, Incarnation: node + disk, Role: Store, Disk: disk, Founder: founder}}
+}
+
+var _ = ginkgo.Describe("The session table", func() {
+	var state *State
+
+	ginkgo.BeforeEach(func() { state = NewState() })
+
+	apply := func(commands ...Command) {
+		for _, command := range commands {
+			state.Apply(command)
+		}
+	}
+	counted := func() []string {
+		var ids []string
+		for id, disk := range state.Disks() {
+			if disk.Counted {
+				ids = append(ids, id)
+			}
+		}
+		return ids
+	}
+
+	ginkgo.It("gives a departed carrier to the one that adopted the fewest, and leaves it there", func() {
+		apply(join("a", "a1", Carrier), join("b", "b1", Carrier), join("c", "c1", Carrier))
+		apply(Command{Kind: Leave, Incarnation: "a1"})
+		first := state.Departed()[0].Adopter
+		apply(join("d", "d1", Carrier))
+		Expect(state.Departed()[0].Adopter).To(Equal(first))
+		apply(Command{Kind: Leave, Incarnation: first})
+		Expect(state.Departed()).To(HaveLen(2))
+		for _, gone := range state.Departed() {
+			Expect(gone.Adopter).NotTo(Equal(first))
+			Expect(gone.Adopter).NotTo(BeEmpty())
+		}
+	})
+
+	ginkgo.It("ends a process's former life when it joins again", func() {
+		apply(join("a", "a1", Carrier), join("a", "a2", Carrier))
+		Expect(state.Members(Carrier)).To(HaveLen(1))
+		Expect(state.Departed()).To(Equal([]Departed{{Incarnation: "a1", Adopter: "a2"}}))
+	})
+
+	ginkgo.It("gives a carrier back what it accepted, where its session was lost and the process lives", func() {
+		apply(join("a", "a1", Carrier), join("b", "b1", Carrier), Command{Kind: Leave, Incarnation: "a1"})
+		Expect(state.Departed()[0].Adopter).To(Equal("b1"))
+		again := join("a", "a2", Carrier)
+		again.Member.Replaces = "a1"
+		apply(again)
+		Expect(state.Departed()[0].Adopter).To(Equal("a2"))
+	})
+
+	ginkgo.It("has somebody adopt once the first carrier comes", func() {
+		apply(join("a", "a1", Carrier), Command{Kind: Leave, Incarnation: "a1"})
+		Expect(state.Departed()[0].Adopter).To(BeEmpty())
+		apply(join("b", "b1", Carrier))
+		Expect(state.Departed()[0].Adopter).To(Equal("b1"))
+		apply(Command{Kind: Settled, Incarnation: "a1"})
+		Expect(state.Departed()).To(BeEmpty())
+	})
+
+	ginkgo.It("counts founders' disks, and a new one only once it was filled, in the place of a lost one", func() {
+		apply(joinStore("x", "d1", true), joinStore("y", "d2", true), joinStore("z", "d3", true))
+		Expect(counted()).To(ConsistOf("d1", "d2", "d3"))
+		epoch := state.Epoch()
+		apply(Command{Kind: Leave, Incarnation: "xd1"}, joinStore("w", "d4", false))
+		Expect(counted()).To(ConsistOf("d1", "d2", "d3"))
+		apply(Command{Kind: Count, Disk: "d4"})
+		Expect(counted()).To(ConsistOf("d2", "d3", "d4"))
+		Expect(state.Epoch()).To(BeNumerically(">", epoch))
+	})
+
+	ginkgo.It("does not take a replaced disk that returns for a founder's", func() {
+		apply(joinStore("x", "d1", true), joinStore("y", "d2", true), joinStore("z", "d3", true),
+			Command{Kind: Leave, Incarnation: "xd1"}, joinStore("w", "d4", false), Command{Kind: Count, Disk: "d4"})
+		apply(joinStore("x", "d1", true))
+		Expect(counted()).To(ConsistOf("d2", "d3", "d4"))
+	})
+
+	ginkgo.It("takes the lost disk of the same machine first", func() {
+		apply(joinStore("x", "d1", true), joinStore("y", "d2", true), joinStore("z", "d3", true),
+			Command{Kind: Leave, Incarnation: "yd2"}, joinStore("x", "d4", false), Command{Kind: Count, Disk: "d4"})
+		Expect(counted()).To(ConsistOf("d2", "d3", "d4"))
+	})
+
+	ginkgo.It("lets a spare disk take the place of one that is lost later, and no other", func() {
+		apply(joinStore("x", "d1", true), joinStore("y", "d2", true), joinStore("w", "d4", false), Command{Kind: Count, Disk: "d4"})
+		Expect(counted()).To(ConsistOf("d1", "d2", "d4"))
+		apply(Command{Kind: Leave, Incarnation: "xd1"}, Command{Kind: Count, Disk: "d2"})
+		Expect(counted()).To(ConsistOf("d1", "d2", "d4"))
+		apply(Command{Kind: Count, Disk: "d4"})
+		Expect(counted()).To(ConsistOf("d2", "d4"))
+	})
+
+	ginkgo.It("forgets a disk that went before it was filled", func() {
+		apply(joinStore("w", "d4", false), Command{Kind: Leave, Incarnation: "wd4"})
+		Expect(state.Disks()).To(BeEmpty())
+	})
+
+	ginkgo.It("is the same after a snapshot", func() {
+		apply(join("a", "a1", Carrier), joinStore("x", "d1", true), Command{Kind: Leave, Incarnation: "a1"})
+		data, err := state.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		restored := NewState()
+		Expect(restored.Restore(data)).To(Succeed())
+		Expect(restored).To(Equal(state))
+	})
+})
