--- a/internal/system/agreement/types.go
+++ b/internal/system/agreement/types.go
@@ -54,10 +54,11 @@
 
 // Entry is one record of the log.
 type Entry struct {
-	Index   uint64
-	Term    uint64
-	Data    []byte      // nil for the empty entry with which a leader opens its term
-	Members *Membership // of a change of the group: in force from its append on
+	_msgpack struct{} `msgpack:",as_array"`
+	Index    uint64
+	Term     uint64
+	Data     []byte      // nil for the empty entry with which a leader opens its term
+	Members  *Membership // of a change of the group: in force from its append on
 }
 
 // HardState is what a member must have synced before it answers.
@@ -90,6 +91,7 @@
 
 // Message goes from one member to another.
 type Message struct {
+	_msgpack struct{} `msgpack:",as_array"`
 	Kind     Kind
 	From     string
 	To       string
--- a/internal/system/catalog/catalog.go
+++ b/internal/system/catalog/catalog.go
@@ -9,6 +9,7 @@
 
 // Instance is one start of a worker, as the platform lists it.
 type Instance struct {
+	_msgpack struct{} `msgpack:",as_array"`
 	ID       string
 	Service  string
 	Address  string
--- a/internal/system/feed/feed.go
+++ b/internal/system/feed/feed.go
@@ -11,18 +11,21 @@
 
 // Change sets a key, or deletes it where Value is nil.
 type Change struct {
-	Key   string
-	Value []byte
+	_msgpack struct{} `msgpack:",as_array"`
+	Key      string
+	Value    []byte
 }
 
 // Position of a subscriber.
 type Position struct {
-	Epoch  string // of the table's life
-	Offset uint64
+	_msgpack struct{} `msgpack:",as_array"`
+	Epoch    string   // of the table's life
+	Offset   uint64
 }
 
 // Update brings a subscriber from its position to another.
 type Update struct {
+	_msgpack struct{} `msgpack:",as_array"`
 	Position Position
 	Whole    bool // the changes are all there is: what isn't named is gone
 	Changes  []Change
--- a/internal/system/message/message.go
+++ b/internal/system/message/message.go
@@ -4,12 +4,16 @@
 import "time"
 
 // Header is one header of the client's request that a delivery repeats.
-type Header struct{ Name, Value string }
+type Header struct {
+	_msgpack    struct{} `msgpack:",as_array"`
+	Name, Value string
+}
 
 // Message is one accepted request, as it lies on the stores' disks.
 type Message struct {
-	ID       string // X-Request-Id
-	Unit     string // what orders, paces and delivers it
+	_msgpack struct{} `msgpack:",as_array"`
+	ID       string   // X-Request-Id
+	Unit     string   // what orders, paces and delivers it
 	Route    string
 	Host     string
 	Method   string
@@ -39,9 +43,10 @@
 
 // End is the end of a message.
 type End struct {
-	ID    string
-	Phase Phase
-	Stamp string // of the successful run
+	_msgpack struct{} `msgpack:",as_array"`
+	ID       string
+	Phase    Phase
+	Stamp    string // of the successful run
 	// CallbackOwed is set while the end has to be told to the message's call-back URL.
 	CallbackOwed bool
 }
--- a/internal/system/ownership/state.go
+++ b/internal/system/ownership/state.go
@@ -15,6 +15,7 @@
 
 // Owner of a unit.
 type Owner struct {
+	_msgpack    struct{} `msgpack:",as_array"`
 	Incarnation string
 	Token       uint64
 }
--- a/internal/system/session/state.go
+++ b/internal/system/session/state.go
@@ -21,8 +21,9 @@
 
 // Member is one life of a process in the fleet.
 type Member struct {
-	Incarnation string // drawn at each start
-	Node        string // the machine's name
+	_msgpack    struct{} `msgpack:",as_array"`
+	Incarnation string   // drawn at each start
+	Node        string   // the machine's name
 	Role        Role
 	Zone        string
 	Address     string // of its peer listener
@@ -33,13 +34,15 @@
 
 // Departed is a carrier that has gone and left messages.
 type Departed struct {
+	_msgpack    struct{} `msgpack:",as_array"`
 	Incarnation string
 	Adopter     string // incarnation of the carrier that carries on; empty while there is none
 }
 
 // Disk is one disk of the roster: a store by the identity drawn on it, not by its machine or address.
 type Disk struct {
-	Member Member // its latest life
+	_msgpack struct{} `msgpack:",as_array"`
+	Member   Member   // its latest life
 	// Counted disks hold messages: a message lies on one more of them than may be lost, and whoever reads asks all of
 	// them but as many. One that isn't counted is being filled.
 	Counted bool
--- a/internal/system/wire/messages.go
+++ b/internal/system/wire/messages.go
@@ -45,9 +45,10 @@
 
 // RefusalBody is the payload of a Refusal.
 type RefusalBody struct {
-	Code   RefusalCode
-	Reason string
-	Leader string // address of the keeper that leads, where that is known
+	_msgpack struct{} `msgpack:",as_array"`
+	Code     RefusalCode
+	Reason   string
+	Leader   string // address of the keeper that leads, where that is known
 }
 
 // RefusalCode tells why a call was not carried out.
@@ -67,73 +68,107 @@
 
 // AgreementBody carries messages of one group.
 type AgreementBody struct {
+	_msgpack struct{} `msgpack:",as_array"`
 	Group    int
 	Messages []agreement.Message
 }
 
 // JoinGroupBody asks a group's leader to let a newcomer follow.
 type JoinGroupBody struct {
-	Group  int
-	Member string
-	Knows  bool // the newcomer's disk names a group already
+	_msgpack struct{} `msgpack:",as_array"`
+	Group    int
+	Member   string
+	Knows    bool // the newcomer's disk names a group already
 }
 
 // OpenSessionBody opens a member's session, or renews it on another connection.
 type OpenSessionBody struct {
+	_msgpack struct{} `msgpack:",as_array"`
 	Member   session.Member
 	Position feed.Position
 	Renew    bool // the session was open before; where it is over, it can't be opened again
 }
 
 // OpenSessionAnswer tells how long the session lasts without a heartbeat.
-type OpenSessionAnswer struct{ Lease time.Duration }
+type OpenSessionAnswer struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Lease    time.Duration
+}
 
 // HeartbeatBody keeps a session.
-type HeartbeatBody struct{ Incarnation string }
+type HeartbeatBody struct {
+	_msgpack    struct{} `msgpack:",as_array"`
+	Incarnation string
+}
 
 // HeartbeatAnswer tells how old the keeper's list of workers is.
-type HeartbeatAnswer struct{ CatalogAge time.Duration }
+type HeartbeatAnswer struct {
+	_msgpack   struct{} `msgpack:",as_array"`
+	CatalogAge time.Duration
+}
 
 // CloseSessionBody ends a session; all that the member did is over.
-type CloseSessionBody struct{ Incarnation string }
+type CloseSessionBody struct {
+	_msgpack    struct{} `msgpack:",as_array"`
+	Incarnation string
+}
 
 // SettleBody tells that a departed carrier's messages have all ended.
-type SettleBody struct{ Incarnation string }
+type SettleBody struct {
+	_msgpack    struct{} `msgpack:",as_array"`
+	Incarnation string
+}
 
 // CountDiskBody tells that a store's disk was filled from the others.
-type CountDiskBody struct{ Disk string }
+type CountDiskBody struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Disk     string
+}
 
 // PutBody stores a message, at the disks of a roster.
 type PutBody struct {
-	Message message.Message
-	Epoch   uint64
+	_msgpack struct{} `msgpack:",as_array"`
+	Message  message.Message
+	Epoch    uint64
 }
 
 // VoidBody makes a message void: it never runs, whether or not its bytes came or still come.
-type VoidBody struct{ ID string }
+type VoidBody struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	ID       string
+}
 
 // EndsBody records ends.
-type EndsBody struct{ Ends []message.End }
+type EndsBody struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Ends     []message.End
+}
 
 // CallbackDoneBody records that the ends of messages were told.
-type CallbackDoneBody struct{ IDs []string }
+type CallbackDoneBody struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	IDs      []string
+}
 
 // ListBody asks for a unit's messages that have not ended, or whose call-back is owed.
 type ListBody struct {
-	Unit  string
-	After uint64 // place behind which the list goes on
+	_msgpack struct{} `msgpack:",as_array"`
+	Unit     string
+	After    uint64 // place behind which the list goes on
 }
 
 // ListedMessage is one message of a list.
 type ListedMessage struct {
-	Message message.Message
-	Phase   message.Phase
-	Stamp   string
-	Age     time.Duration // since it was accepted, by the store's monotonic clock where it has been up since
+	_msgpack struct{} `msgpack:",as_array"`
+	Message  message.Message
+	Phase    message.Phase
+	Stamp    string
+	Age      time.Duration // since it was accepted, by the store's monotonic clock where it has been up since
 }
 
 // ListAnswer is a part of a unit's list.
 type ListAnswer struct {
+	_msgpack struct{} `msgpack:",as_array"`
 	Messages []ListedMessage
 	Ended    []message.End // lately ended in the unit: others may list them as pending
 	Next     uint64        // for the next call
@@ -143,12 +178,14 @@
 
 // FindBody asks for a message's state.
 type FindBody struct {
+	_msgpack struct{} `msgpack:",as_array"`
 	ID       string
 	WithBody bool
 }
 
 // FindAnswer tells what a store knows of a message.
 type FindAnswer struct {
+	_msgpack struct{} `msgpack:",as_array"`
 	Known    bool
 	Phase    message.Phase
 	Stamp    string
@@ -158,18 +195,23 @@
 }
 
 // CopyBody asks for all that a store holds, from a place on.
-type CopyBody struct{ After uint64 }
+type CopyBody struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	After    uint64
+}
 
 // CopiedMessage is one record of a copy.
 type CopiedMessage struct {
-	Message message.Message // without body where it has ended
-	End     *message.End
-	Void    bool
-	Age     time.Duration // since it came to the store
+	_msgpack struct{}        `msgpack:",as_array"`
+	Message  message.Message // without body where it has ended
+	End      *message.End
+	Void     bool
+	Age      time.Duration // since it came to the store
 }
 
 // CopyAnswer is a part of a copy.
 type CopyAnswer struct {
+	_msgpack struct{} `msgpack:",as_array"`
 	Messages []CopiedMessage
 	Next     uint64
 	More     bool
@@ -178,19 +220,22 @@
 
 // ReserveBody asks the owner of a unit for a place in its order.
 type ReserveBody struct {
-	Unit string
-	ID   string
+	_msgpack struct{} `msgpack:",as_array"`
+	Unit     string
+	ID       string
 }
 
 // ReserveAnswer is the place.
 type ReserveAnswer struct {
+	_msgpack struct{} `msgpack:",as_array"`
 	Token    uint64
 	Sequence uint64
 }
 
 // DeliverBody hands a stored message to the owner of its unit; of ConfirmMessage and ForwardMessage.
 type DeliverBody struct {
-	Message message.Message
-	Holders []string // nodes of the stores that hold it
-	Age     time.Duration
+	_msgpack struct{} `msgpack:",as_array"`
+	Message  message.Message
+	Holders  []string // nodes of the stores that hold it
+	Age      time.Duration
 }
