Lose no request that was read when a carrier is stopped

Change: answers close their own connections; idle ones are ended by a read deadline, after the deliveries.

--- a/internal/system/node/carrier.go
+++ b/internal/system/node/carrier.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -48,11 +49,12 @@
 	})
 	readiness := newEcho()
 	readiness.GET("/-/ready", n.ready)
-	ready, err := startServer(s.Listen.Readiness, readiness, nil)
+	ready, err := startServer(s.Listen.Readiness, readiness)
 	if err != nil {
 		return err
 	}
-	front, err := startServer(s.Listen.Front, n.frontHandler(), nil)
+	connections := newIdleConnections()
+	_, front, err := startTracked(s.Listen.Front, n.frontHandler(), connections.note)
 	if err != nil {
 		return err
 	}
@@ -62,35 +64,33 @@
 	})
 	log.WithField("front", s.Listen.Front).Info("carrier serves")
 	<-ctx.Done()
-	n.drain(front)
+	n.drain(front, connections)
 	stopServer(ready, 100*time.Millisecond)
 	peers.Close()
 	return nil
 }
 
-// Parts of the grace in which a stopping carrier still takes clients.
-const (
-	acceptForPart = 0.40
-	answerByPart  = 0.50
-)
+// acceptForPart of the grace a stopping carrier still takes new connections: the platform needs two looks to send none.
+const acceptForPart = 0.40
 
-// drain stops in order: not ready at once, clients are served until the platform sends no more, then the core ends its
-// work.
-func (n *carrierNode) drain(front *http.Server) {
+// drain stops in order: not ready at once; each answer closes its connection; clients are served until the platform sends no
+// more; then the core ends its work. What comes on connections that are still open is refused at once.
+func (n *carrierNode) drain(front net.Listener, connections *idleConnections) {
 	grace := n.settings.Bounds.Grace
 	began := n.Now()
 	log.Info("stopping: clients are sent elsewhere")
 	n.draining.Store(true)
 	n.do(n.core.StopReady)
-	front.SetKeepAlivesEnabled(false)
 	time.Sleep(time.Duration(acceptForPart * float64(grace)))
-	stopServer(front, time.Duration((answerByPart-acceptForPart)*float64(grace)))
+	front.Close()
 	done := make(chan struct{})
 	n.do(func() { n.core.Drain(began, func() { close(done) }) })
+	left := func() time.Duration { return grace - (n.Now() - began) - grace/20 }
 	select {
 	case <-done:
-	case <-time.After(grace - (n.Now() - began) - grace/20):
+	case <-time.After(left()):
 	}
+	connections.endAll(left())
 	log.WithField("took", (n.Now() - began).String()).Info("stopped")
 }
 
--- a/internal/system/node/front.go
+++ b/internal/system/node/front.go
@@ -33,6 +33,14 @@
 // frontHandler serves clients.
 func (n *carrierNode) frontHandler() http.Handler {
 	e := newEcho()
+	e.Use(func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			if n.draining.Load() {
+				c.Response().Header().Set("Connection", "close")
+			}
+			return next(c)
+		}
+	})
 	e.GET("/-/message/:id", func(c echo.Context) error { return n.state(c, false) })
 	e.GET("/-/message-body/:id", func(c echo.Context) error { return n.state(c, true) })
 	e.Any("/*", n.submit)
--- a/internal/system/node/http.go
+++ b/internal/system/node/http.go
@@ -15,7 +15,6 @@
 	"github.com/labstack/echo/v4/middleware"
 
 	"granitewing/internal/system/catalog"
-	"granitewing/internal/system/configuration"
 	"granitewing/internal/system/link"
 )
 
@@ -27,24 +26,26 @@
 }
 
 // startServer serves HTTP at an address.
-func startServer(address string, handler http.Handler, limits *configuration.Limits) (*http.Server, error) {
+func startServer(address string, handler http.Handler) (*http.Server, error) {
+	server, _, err := startTracked(address, handler, nil)
+	return server, err
+}
+
+// startTracked serves HTTP at an address, and gives its listener; note is told the states of connections.
+func startTracked(address string, handler http.Handler, note func(net.Conn, http.ConnState)) (*http.Server, net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, &link.ListenError{Address: address, Err: err}
+		return nil, nil, &link.ListenError{Address: address, Err: err}
 	}
 	const headerTimeout, idleTimeout = 3 * time.Second, 30 * time.Second
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: stdlog.New(io.Discard, "", 0)}
-	if limits != nil {
-		server.ReadHeaderTimeout, server.IdleTimeout = limits.HeaderTimeout, limits.IdleTimeout
-		server.MaxHeaderBytes = limits.MaxHeaderBytes
-	}
+		ErrorLog: stdlog.New(io.Discard, "", 0), ConnState: note}
 	go func() {
-		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			log.WithError(err).WithField("address", address).Error("server ended")
 		}
 	}()
-	return server, nil
+	return server, listener, nil
 }
 
 func stopServer(server *http.Server, within time.Duration) {
--- a/internal/system/node/keeper.go
+++ b/internal/system/node/keeper.go
@@ -354,7 +354,7 @@
 	e.POST("/-/Retire.Start/:node", n.retire)
 	e.GET("/-/Retire.Get/:node", n.retire)
 	e.GET("/-/ready", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
-	return startServer(n.settings.Listen.Control, e, nil)
+	return startServer(n.settings.Listen.Control, e)
 }
 
 const (
--- a/internal/system/role/carrier/accept.go
+++ b/internal/system/role/carrier/accept.go
@@ -67,7 +67,7 @@
 // Submit takes a submission; answer is called once.
 func (c *Core) Submit(s *Submission, answer func(Answer)) {
 	view := c.session.View()
-	if view.Table == nil || !c.session.Joined() {
+	if view.Table == nil || !c.session.Joined() || c.paused {
 		c.refuse(answer, "not ready")
 		return
 	}
