Clear short keys first after an outage, and don't crowd workers that come back

Change: late messages of short keys go first; a carrier's part of a worker's slots and short queue bounds what it sends there.

--- a/internal/system/delivery/policy.go
+++ b/internal/system/delivery/policy.go
@@ -23,6 +23,7 @@
 	waitingCost     = 0.15                   // of a message that waits at a worker for all the time that it has left
 	reportMemory    = 300 * time.Millisecond // how long a worker's report of its load is believed
 	queueAllowance  = 1.0                    // messages that a worker may hold waiting, for each of its slots
+	leastPart       = 2                      // messages that a carrier may have at a worker at once, at least
 	coldSlowdown    = 1.6
 	avoidAfterShed  = 40 * time.Millisecond
 	badInRow        = 2 // silences or resets in a row that open a worker's breaker
@@ -202,10 +203,13 @@
 		// One carrier, its owner, calls a static endpoint; some connections are left to a former owner.
 		return max(1, int(float64(connections)*0.6))
 	}
+	// What all carriers together may send at once fits the worker's slots and a short queue, so that they don't crowd one
+	// that has just come back; each may send a little more than its part, since shares are uneven.
+	part := max(leastPart, int(worker.slots()*(1+queueAllowance))/p.carriers+1)
 	if connections <= 0 {
-		return worker.Capacity
+		return part
 	}
-	return max(1, int(float64(connections)*connectionShare)/p.carriers)
+	return min(part, max(1, int(float64(connections)*connectionShare)/p.carriers))
 }
 
 // runTime is the worker's mean run time as far as it is known, in seconds.
--- a/internal/system/role/carrier/queue.go
+++ b/internal/system/role/carrier/queue.go
@@ -1,17 +1,19 @@
 package carrier
 
 import (
+	"container/heap"
 	"time"
 
 	"granitewing/internal/system/delivery"
 )
 
 // queue is the due messages of a service. Those that can still start within their aim go first, the oldest ahead; the
-// late ones follow with what capacity is left.
+// late ones follow with what capacity is left, those of keys with the fewest messages ahead of the others: a key that is
+// cleared lets its next messages start in their aim, while keys that all advance alike leave every message late.
 type queue struct {
 	service string
 	fresh   fifo
-	late    fifo
+	late    lateHeap
 	pace    delivery.Pace
 	wakeAt  time.Duration // 0 while no wake-up is set
 }
@@ -39,6 +41,38 @@
 	return it
 }
 
+// lateItem is a late message, with the number of messages of its key when it came here.
+type lateItem struct {
+	item   *item
+	behind int
+	order  uint64
+}
+
+// lateHeap gives late messages of short keys first, and those of alike keys in the order in which they came.
+type lateHeap struct {
+	items []lateItem
+	order uint64
+}
+
+func (h *lateHeap) Len() int { return len(h.items) }
+func (h *lateHeap) Less(i, j int) bool {
+	a, b := h.items[i], h.items[j]
+	return a.behind < b.behind || a.behind == b.behind && a.order < b.order
+}
+func (h *lateHeap) Swap(i, j int) { h.items[i], h.items[j] = h.items[j], h.items[i] }
+func (h *lateHeap) Push(x any)    { h.items = append(h.items, x.(lateItem)) }
+func (h *lateHeap) Pop() any {
+	last := h.items[len(h.items)-1]
+	h.items[len(h.items)-1] = lateItem{}
+	h.items = h.items[:len(h.items)-1]
+	return last
+}
+
+func (h *lateHeap) add(it *item) {
+	h.order++
+	heap.Push(h, lateItem{item: it, behind: len(it.unit.keys[it.message.Key]), order: h.order})
+}
+
 // next gives the message whose turn it is, without taking it; nil where there is none. aim tells until when a message can
 // start within its aim.
 func (q *queue) next(now time.Duration, aim func(*item) time.Duration) *item {
@@ -49,15 +83,15 @@
 			continue
 		}
 		if now > aim(it) {
-			q.late.push(q.fresh.pop())
+			q.late.add(q.fresh.pop())
 			continue
 		}
 		return it
 	}
-	for q.late.len() > 0 {
-		it := q.late.front()
+	for q.late.Len() > 0 {
+		it := q.late.items[0].item
 		if it.ended || !it.queued {
-			q.late.pop()
+			heap.Pop(&q.late)
 			continue
 		}
 		return it
@@ -72,13 +106,13 @@
 		q.fresh.pop()
 		return
 	}
-	if q.late.len() > 0 && q.late.front() == it {
-		q.late.pop()
+	if q.late.Len() > 0 && q.late.items[0].item == it {
+		heap.Pop(&q.late)
 	}
 }
 
 // len is the number of messages that wait.
-func (q *queue) len() int { return q.fresh.len() + q.late.len() }
+func (q *queue) len() int { return q.fresh.len() + q.late.Len() }
 
 func (c *Core) queue(service string) *queue {
 	q := c.queues[service]
