Empty a store machine while it serves: Retire.Start and Retire.Get

Need: a machine's disk is taken away the moment it is told as empty. Change: a leaving disk takes no messages (the roster's epoch); all other live disks copy what lies there and say so; keepers on the machine lose their places to others first; 409 where fewer than twice the tolerated and one would stay. All storage machines run a keeper now, those beyond the needed stand by. Stores ask each other for the ends of what is pending for long.

--- a/internal/system/agreement/node.go
+++ b/internal/system/agreement/node.go
@@ -137,6 +137,9 @@
 	return nil
 }
 
+// GroupSettled tells whether the group as the member knows it is committed.
+func (n *Node) GroupSettled() bool { return n.groupIndex <= n.log.committed }
+
 // Silence is how long a member of the leader's group has not answered, and whether it holds all that is committed.
 func (n *Node) Silence(id string) (silence time.Duration, caughtUp bool) {
 	if id == n.options.Self {
--- a/internal/system/member/client.go
+++ b/internal/system/member/client.go
@@ -301,6 +301,12 @@
 	c.peers.Call(c.keepers[c.current], wire.CountDisk, wire.Encode(&body), openTimeout, func(_ []byte, err error) { done(err) })
 }
 
+// CopiedDisk tells the keepers that this store's disk holds all that lies on a leaving one.
+func (c *Client) CopiedDisk(source string, done func(err error)) {
+	body := wire.CopiedDiskBody{Source: source, Disk: c.member.Disk}
+	c.peers.Call(c.keepers[c.current], wire.CopiedDisk, wire.Encode(&body), openTimeout, func(_ []byte, err error) { done(err) })
+}
+
 // Close ends the session; done is called when the keepers have taken it, or on failure.
 func (c *Client) Close(done func(err error)) {
 	c.leaseUntil = 0
--- a/internal/system/node/keeper.go
+++ b/internal/system/node/keeper.go
@@ -351,8 +351,8 @@
 	e := newEcho()
 	e.POST("/-/Config.Replace", n.replaceConfiguration)
 	e.GET("/-/Config.Get", n.getConfiguration)
-	e.POST("/-/Retire.Start/:node", n.retire)
-	e.GET("/-/Retire.Get/:node", n.retire)
+	e.POST("/-/Retire.Start/:node", n.startRetirement)
+	e.GET("/-/Retire.Get/:node", n.getRetirement)
 	e.GET("/-/ready", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
 	return startServer(n.settings.Listen.Control, e)
 }
@@ -414,7 +414,13 @@
 	var invalid *configuration.InvalidError
 	var conflict *configuration.ConflictError
 	var notLeader *agreement.NotLeaderError
+	var unknown *keeper.UnknownMachineError
+	var tooFew *keeper.TooFewError
 	switch {
+	case errors.As(result.err, &unknown):
+		return c.JSON(http.StatusNotFound, &problem{Error: result.err.Error()})
+	case errors.As(result.err, &tooFew):
+		return c.JSON(http.StatusConflict, &problem{Error: result.err.Error()})
 	case result.err == nil && result.raw != nil:
 		return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, bytes.Clone(result.raw))
 	case result.err == nil && c.Request().Method == http.MethodGet:
@@ -432,7 +438,34 @@
 	return c.JSON(http.StatusServiceUnavailable, &problem{Error: result.err.Error()})
 }
 
-// retire is not carried out by this version; the operator is told so and nothing is begun.
-func (n *keeperNode) retire(c echo.Context) error {
-	return c.JSON(http.StatusNotFound, &problem{Error: "machines are not emptied by this version"})
+// startRetirement has a machine's disks emptied. The deadline is the operator's to watch: the emptying goes on past it.
+func (n *keeperNode) startRetirement(c echo.Context) error {
+	node := c.Param("node")
+	result := n.ask(func(done func(outcome)) {
+		n.core.RetireMachine(n.Now(), node, func(err error) { done(outcome{err: err}) })
+	})
+	if result.err == nil {
+		log.WithField("machine", node).Info("a machine is being emptied")
+	}
+	return n.answerOperator(c, result)
+}
+
+type retirementForm struct {
+	Phase string `json:"phase"`
+}
+
+func (n *keeperNode) getRetirement(c echo.Context) error {
+	var retired bool
+	result := n.ask(func(done func(outcome)) {
+		var err error
+		retired, err = n.core.Retired(n.Now(), c.Param("node"))
+		done(outcome{err: err})
+	})
+	switch {
+	case result.err != nil:
+		return n.answerOperator(c, result)
+	case retired:
+		return c.JSON(http.StatusOK, &retirementForm{Phase: "succeeded"})
+	}
+	return c.JSON(http.StatusOK, &retirementForm{Phase: "running"})
 }
--- a/internal/system/node/store.go
+++ b/internal/system/node/store.go
@@ -11,6 +11,7 @@
 
 	"granitewing/internal/system/link"
 	"granitewing/internal/system/member"
+	"granitewing/internal/system/message"
 	"granitewing/internal/system/role/store"
 	"granitewing/internal/system/segment"
 	"granitewing/internal/system/session"
@@ -34,6 +35,8 @@
 	calls    chan storeCall
 	session  *member.Client
 	filler   *store.Filler
+	follower *store.Follower
+	work     chan func() // things for the goroutine that owns the core
 	parts    chan filledPart
 	roster   atomic.Pointer[roster]
 
@@ -66,7 +69,7 @@
 // RunStore runs a store until the context ends.
 func RunStore(ctx context.Context, s *settings.Settings, changes <-chan *settings.Settings) error {
 	n := &storeNode{runner: newRunner(), settings: s, calls: make(chan storeCall, maxWaitingCalls),
-		parts: make(chan filledPart)}
+		parts: make(chan filledPart), work: make(chan func())}
 	if err := n.open(); err != nil {
 		return err
 	}
@@ -90,7 +93,7 @@
 	log.WithFields(log.Fields{"messages": known, "pending": pending, "complete": n.core.Complete()}).Info("store serves")
 	failure := make(chan error, 1)
 	stopped := make(chan struct{})
-	go n.work(stopped, failure)
+	go n.own(stopped, failure)
 	select {
 	case err := <-failure:
 		return err
@@ -139,8 +142,12 @@
 			Fault:   func(err error) { log.WithError(err).Warn("feed is unreadable") },
 		})
 		n.filler = store.NewFiller(n, n.session, n.core.Disk(), s.Tolerated)
+		n.follower = store.NewFollower(n, n.session, n.core.Disk(), n.longPending, func(ends []message.End) {
+			go func() { n.work <- func() { n.core.Ends(ends, func() {}) } }()
+		})
 		n.Connect(s.SeedKeepers())
 		n.session.Start()
+		n.follower.Start()
 	})
 }
 
@@ -150,7 +157,7 @@
 	n.roster.Store(&roster{epoch: view.Epoch, uncounted: known && !own.Counted})
 	n.filler.Follow(view)
 	for id, other := range view.Disks {
-		if id != n.core.Disk() && n.filler.Running() {
+		if id != n.core.Disk() {
 			addresses = append(addresses, other.Member.Address)
 		}
 	}
@@ -185,8 +192,8 @@
 	return nil
 }
 
-// work owns the core: it handles what has come, then flushes, until it is stopped.
-func (n *storeNode) work(stopped <-chan struct{}, failure chan<- error) {
+// own owns the core: it handles what has come, then flushes, until it is stopped.
+func (n *storeNode) own(stopped <-chan struct{}, failure chan<- error) {
 	idle := time.NewTicker(storeIdle)
 	defer idle.Stop()
 	for {
@@ -196,13 +203,21 @@
 			n.handle(call)
 			n.gather()
 		case part := <-n.parts:
-			n.waitingParts.Add(-1)
 			n.catchUp()
 			n.core.TakeCopy(part.messages)
 			if part.last {
 				n.core.CopyFinished()
 				log.Info("all that the lost disk held was copied; complete from now on")
 			}
+			err := n.flush()
+			n.waitingParts.Add(-1)
+			if err != nil {
+				failure <- err
+				return
+			}
+		case do := <-n.work:
+			n.catchUp()
+			do()
 		case <-idle.C:
 			n.catchUp()
 			if err := n.clean(); err != nil {
@@ -280,6 +295,16 @@
 	go func() { n.parts <- filledPart{messages: messages, last: last} }()
 }
 
+// longPending asks the goroutine that owns the core, and comes back under the mutex.
+func (n *storeNode) longPending(done func(ids []string)) {
+	go func() {
+		n.work <- func() {
+			ids := n.core.LongPending()
+			go n.do(func() { done(ids) })
+		}
+	}()
+}
+
 // Filling implements store.FillEnvironment.
 func (n *storeNode) Filling() bool { return n.waitingParts.Load() > 0 }
 
--- a/internal/system/role/carrier/storage.go
+++ b/internal/system/role/carrier/storage.go
@@ -75,8 +75,8 @@
 // reachable is the number of stores that messages can be put at: with a connection, and not silent.
 func (s *storage) reachable() int {
 	count := 0
-	for disk := range s.core.session.View().Counted() {
-		if s.isUp(disk) && s.silent(disk) < suspectAfter {
+	for disk, entry := range s.core.session.View().Counted() {
+		if !entry.Leaving && s.isUp(disk) && s.silent(disk) < suspectAfter {
 			count++
 		}
 	}
@@ -87,8 +87,8 @@
 func (s *storage) choose(count int, without []string) []string {
 	view := s.core.session.View()
 	var disks []string
-	for disk := range view.Counted() {
-		if s.isUp(disk) && !slices.Contains(without, disk) {
+	for disk, entry := range view.Counted() {
+		if !entry.Leaving && s.isUp(disk) && !slices.Contains(without, disk) {
 			disks = append(disks, disk)
 		}
 	}
--- a/internal/system/role/keeper/groups.go
+++ b/internal/system/role/keeper/groups.go
@@ -43,21 +43,29 @@
 func (c *Core) tendGroup(id int, node *agreement.Node) {
 	group := node.Group()
 	silentVoter, silence := longestSilence(node, group.Voters)
-	wanted := len(group.Voters) < c.options.Voters || silence > silentForPromotion
+	leaving := c.leavingVoter(group)
+	wanted := len(group.Voters) < c.options.Voters || silence > silentForPromotion || leaving != ""
 	if len(group.Voters) <= c.options.Voters && wanted {
 		for _, learner := range group.Learners {
-			if quiet, caughtUp := node.Silence(learner); caughtUp && quiet < learnerHeard {
+			if quiet, caughtUp := node.Silence(learner); caughtUp && quiet < learnerHeard && !c.leaves(learner) {
 				c.changeGroup(id, group.With(learner, agreement.AsVoter))
 				return
 			}
 		}
 	}
-	if len(group.Voters) > c.options.Voters && silence > silentForRemoval {
+	switch {
+	case len(group.Voters) > c.options.Voters && silence > silentForRemoval:
 		c.changeGroup(id, group.With(silentVoter, agreement.Out))
 		return
+	case len(group.Voters) > c.options.Voters && leaving != "":
+		c.changeGroup(id, group.With(leaving, agreement.Out))
+		return
 	}
-	if gone, quiet := longestSilence(node, group.Learners); quiet > learnerGone {
-		c.changeGroup(id, group.With(gone, agreement.Out))
+	for _, learner := range group.Learners {
+		if quiet, _ := node.Silence(learner); quiet > learnerGone || c.leaves(learner) {
+			c.changeGroup(id, group.With(learner, agreement.Out))
+			return
+		}
 	}
 }
 
@@ -80,6 +88,11 @@
 
 func (e *RemovedError) Error() string { return "the group does without " + e.ID }
 
+// EnoughError tells a newcomer that others follow already to take a voter's place: it stands by.
+type EnoughError struct{}
+
+func (e *EnoughError) Error() string { return "enough keepers follow the group" }
+
 // JoinGroup lets a newcomer follow a group. knows tells whether its disk names a group already.
 func (c *Core) JoinGroup(now time.Duration, id int, member string, knows bool) error {
 	c.now = now
@@ -94,6 +107,9 @@
 	if knows {
 		return &RemovedError{ID: member}
 	}
+	if len(group.Learners) >= c.options.Voters/2+1 || c.leaves(member) {
+		return &EnoughError{}
+	}
 	return node.ProposeGroup(now, group.With(member, agreement.AsLearner))
 }
 
--- a/internal/system/role/keeper/handle.go
+++ b/internal/system/role/keeper/handle.go
@@ -67,6 +67,12 @@
 			return err
 		}
 		c.CountDisk(now, body.Disk, done)
+	case wire.CopiedDisk:
+		var body wire.CopiedDiskBody
+		if err := wire.Decode(kind, payload, &body); err != nil {
+			return err
+		}
+		c.CopiedDisk(now, body.Source, body.Disk, done)
 	default:
 		return &wire.UnknownCallError{Kind: kind}
 	}
--- a/internal/system/role/store/handle.go
+++ b/internal/system/role/store/handle.go
@@ -60,6 +60,12 @@
 		}
 		answer, err := c.Find(body)
 		return reply(answerer, &answer, err)
+	case wire.FindEnds:
+		var body wire.FindEndsBody
+		if err := wire.Decode(kind, payload, &body); err != nil {
+			return err
+		}
+		return reply(answerer, &wire.EndsBody{Ends: c.FindEnds(body.IDs)}, nil)
 	case wire.CopyMessages:
 		var body wire.CopyBody
 		if err := wire.Decode(kind, payload, &body); err != nil {
--- a/internal/system/role/store/read.go
+++ b/internal/system/role/store/read.go
@@ -1,10 +1,18 @@
 package store
 
 import (
+	"time"
+
 	"granitewing/internal/system/message"
 	"granitewing/internal/system/wire"
 )
 
+// Bounds of asking others for ends.
+const (
+	askEndsAfter = 4 * time.Second
+	maxAsked     = 500
+)
+
 // Sizes of one answer.
 const (
 	answerBytes   = 512 << 10
@@ -70,6 +78,36 @@
 	return answer, nil
 }
 
+// FindEnds gives the ends of those of some messages that have ended.
+func (c *Core) FindEnds(ids []string) []message.End {
+	var ends []message.End
+	for _, id := range ids {
+		if e := c.index.get(id); e != nil && !e.void && e.phase != message.Pending {
+			ends = append(ends, message.End{ID: id, Phase: e.phase, Stamp: e.stamp, CallbackOwed: e.callbackOwed})
+		}
+	}
+	return ends
+}
+
+// LongPending gives some messages that have been pending for long: others may know of their ends.
+func (c *Core) LongPending() []string {
+	var ids []string
+	for _, unit := range c.index.units {
+		for _, e := range unit.entries {
+			if len(ids) >= maxAsked {
+				return ids
+			}
+			if c.now-e.arrived < askEndsAfter {
+				break
+			}
+			if e.pending() {
+				ids = append(ids, e.id)
+			}
+		}
+	}
+	return ids
+}
+
 // Copy gives a part of all that the store holds, for one that lost its disk.
 func (c *Core) Copy(body wire.CopyBody) (wire.CopyAnswer, error) {
 	answer := wire.CopyAnswer{Epoch: c.epoch, Next: body.After}
--- a/internal/system/session/state.go
+++ b/internal/system/session/state.go
@@ -48,6 +48,10 @@
 	Counted bool
 	// Spare disks began to count while none was missing; one takes the place of a disk that is lost later.
 	Spare bool
+	// Leaving disks take no messages any more; the others copy what lies on them.
+	Leaving bool
+	// CopiedBy names the disks that hold all that lies on a leaving one, sorted.
+	CopiedBy string
 }
 
 // CommandKind tells commands apart.
@@ -59,6 +63,8 @@
 	Leave               // by itself or by expiry
 	Settled             // a departed carrier's messages have all ended
 	Count               // a disk holds copies of all that the others hold, and counts from now on
+	Retire              // a machine's disks are to be emptied
+	Copied              // a disk holds copies of all that lies on a leaving one
 )
 
 // Command changes the table.
@@ -67,6 +73,8 @@
 	Member      Member
 	Incarnation string
 	Disk        string
+	Node        string // of Retire
+	Source      string // of Copied: the leaving disk
 }
 
 // State is the replicated table.
@@ -76,6 +84,7 @@
 	disks    map[string]Disk
 	epoch    uint64   // of the roster of disks: rises whenever a disk begins or ceases to count
 	replaced []string // disks that another took the place of, the latest last
+	retired  []string // machines whose disks are empty, the latest last
 }
 
 // NewState is the empty table.
@@ -146,6 +155,10 @@
 		delete(s.departed, command.Incarnation)
 	case Count:
 		s.count(command.Disk)
+	case Retire:
+		s.retire(command.Node)
+	case Copied:
+		s.copied(command.Source, command.Disk)
 	}
 	s.adopt()
 }
@@ -190,8 +203,13 @@
 	if lost == "" {
 		return
 	}
-	delete(s.disks, lost)
-	s.replaced = append(s.replaced, lost)
+	s.remove(lost)
+}
+
+// remove takes a disk out of the roster for good.
+func (s *State) remove(id string) {
+	delete(s.disks, id)
+	s.replaced = append(s.replaced, id)
 	if len(s.replaced) > maxReplaced {
 		s.replaced = slices.Clone(s.replaced[1:])
 	}
@@ -268,12 +286,13 @@
 	Disks    map[string]Disk
 	Epoch    uint64
 	Replaced []string
+	Retired  []string
 }
 
 // Snapshot is the whole table in bytes.
 func (s *State) Snapshot() ([]byte, error) {
 	return msgpack.Marshal(&stored{Members: s.members, Departed: s.departed, Disks: s.disks, Epoch: s.epoch,
-		Replaced: s.replaced})
+		Replaced: s.replaced, Retired: s.retired})
 }
 
 // Restore replaces the table by a snapshot.
@@ -292,7 +311,7 @@
 	for id, disk := range form.Disks {
 		fresh.disks[id] = disk
 	}
-	fresh.epoch, fresh.replaced = form.Epoch, form.Replaced
+	fresh.epoch, fresh.replaced, fresh.retired = form.Epoch, form.Replaced, form.Retired
 	*s = *fresh
 	return nil
 }
--- a/internal/system/simulation/day.go
+++ b/internal/system/simulation/day.go
@@ -9,6 +9,7 @@
 	"granitewing/internal/system/configuration"
 	"granitewing/internal/system/message"
 	"granitewing/internal/system/role/carrier"
+	"granitewing/internal/system/role/keeper"
 	"granitewing/internal/system/settings"
 )
 
@@ -47,6 +48,7 @@
 	version  uint64                  // that the operator knows to be current
 	sending  uint64                  // highest version that was sent
 	lastIP   int
+	retired  int // machines that were emptied and removed
 	failure  error
 }
 
@@ -241,6 +243,41 @@
 	})
 }
 
+// retire has a machine emptied; it is removed with its disk as soon as it is told as empty.
+func (d *day) retire(name string) {
+	again := func() { d.world.after(operatorPause, func() { d.retire(name) }) }
+	host := d.sessionLeader()
+	if host == nil {
+		again()
+		return
+	}
+	host.core.RetireMachine(host.Now(), name, func(err error) {
+		retired, getErr := host.core.Retired(host.Now(), name)
+		if err != nil || getErr != nil || !retired {
+			again()
+			return
+		}
+		m := d.world.machines[name]
+		if !m.removed {
+			d.powerOff(m, time.Hour, true)
+			m.removed = true
+			d.retired++
+		}
+	})
+	host.goOn()
+}
+
+// sessionLeader is the keeper that leads the sessions, nil where nobody does.
+func (d *day) sessionLeader() *keeperHost {
+	for _, name := range sortedKeys(d.keepers) {
+		host := d.keepers[name]
+		if _, self := host.core.Leader(keeper.SessionGroup); self && host.alive {
+			return host
+		}
+	}
+	return nil
+}
+
 // release replaces a worker of a service: the new one first, then the old one drains and ends.
 func (d *day) release(service string) {
 	for _, id := range d.platform.names() {
--- a/internal/system/simulation/hosts.go
+++ b/internal/system/simulation/hosts.go
@@ -8,6 +8,7 @@
 	"granitewing/internal/system/agreement"
 	"granitewing/internal/system/agreement/disk"
 	"granitewing/internal/system/member"
+	"granitewing/internal/system/message"
 	"granitewing/internal/system/role/carrier"
 	"granitewing/internal/system/role/keeper"
 	"granitewing/internal/system/role/store"
@@ -230,6 +231,11 @@
 	h.Connect(s.SeedKeepers())
 	h.flush()
 	h.session.Start()
+	store.NewFollower(h, h.session, h.core.Disk(), func(done func([]string)) { done(h.core.LongPending()) }, func(ends []message.End) {
+		h.catchUp()
+		h.core.Ends(ends, func() {})
+		h.flush()
+	}).Start()
 	h.idle()
 	h.stop = func() {
 		h.session.Close(func(error) {})
@@ -248,7 +254,7 @@
 	h.filler.Follow(view)
 	addresses := append([]string(nil), h.session.Keepers()...)
 	for id, other := range view.Disks {
-		if id != h.core.Disk() && h.filler.Running() {
+		if id != h.core.Disk() {
 			addresses = append(addresses, other.Member.Address)
 		}
 	}
--- a/internal/system/simulation/scenario.go
+++ b/internal/system/simulation/scenario.go
@@ -19,6 +19,8 @@
 //	at 4s cut storage-1 from all for 3s        'oneway' at the end: what the first sends is lost
 //	at 5s term edge-2                  SIGTERM, and a start after it has ended
 //	at 5s replace storage-1 after 1s   gone for good; an empty one comes at another address
+//	at 5s add storage                  an empty machine comes
+//	at 6s retire storage-1             it is emptied, and taken away at once when it is told as empty
 //	at 6s slowdisk storage-1 by 30 for 3s
 //	at 6s dark alert for 4s            workers of a service are silent
 //	at 7s release archive              a worker is replaced
@@ -27,12 +29,14 @@
 //	at 8s skew edge-1 by 2s            the time of day is stepped
 //	expect accepted 0.9                least share of what was sent
 //	expect ended 0.99                  least share of what was accepted
+//	expect retired 1                   machines that were emptied and taken away
 type Scenario struct {
 	Seed     uint64
 	Traffic  time.Duration
 	Events   []Event
 	Accepted float64
 	Ended    float64
+	Retired  int
 }
 
 // Event is one thing that happens.
@@ -85,11 +89,14 @@
 		if err = wants(3); err != nil {
 			return err
 		}
-		share, err := strconv.ParseFloat(words[2], 64)
-		if words[1] == "accepted" {
-			s.Accepted = share
-		} else {
-			s.Ended = share
+		number, err := strconv.ParseFloat(words[2], 64)
+		switch words[1] {
+		case "accepted":
+			s.Accepted = number
+		case "ended":
+			s.Ended = number
+		case "retired":
+			s.Retired = int(number)
 		}
 		return err
 	case "at":
@@ -127,6 +134,7 @@
 	Sent     int
 	Accepted float64 // share of what was sent
 	Ended    float64 // share of what was accepted
+	Retired  int     // machines that were emptied and taken away
 }
 
 // Play plays a scenario.
@@ -156,7 +164,8 @@
 	d.world.runUntil(begin + s.Traffic)
 	d.finish()
 	accepted, ended := d.checker.share()
-	result := &Result{Broken: d.checker.broken, Sent: len(d.checker.records), Accepted: accepted, Ended: ended}
+	result := &Result{Broken: d.checker.broken, Sent: len(d.checker.records), Accepted: accepted, Ended: ended,
+		Retired: d.retired}
 	return result, d.failure
 }
 
@@ -234,6 +243,13 @@
 				d.term(m)
 			}
 		}, nil
+	case "add":
+		return func() {
+			zone := zones[len(d.world.names)%len(zones)]
+			d.boot(d.world.add(fmt.Sprintf("storage-%d", len(d.world.names)+1), d.nextIP(), zone), false)
+		}, nil
+	case "retire":
+		return func() { d.retire(name) }, nil
 	case "release":
 		return func() { d.release(name) }, nil
 	case "configure":
--- a/internal/system/simulation/search.go
+++ b/internal/system/simulation/search.go
@@ -36,7 +36,7 @@
 	storage := fmt.Sprintf("storage-%d", 1+r.IntN(storageCount))
 	edge := fmt.Sprintf("edge-%d", 1+r.IntN(carrierCount))
 	length := time.Duration(200+r.IntN(3500)) * time.Millisecond
-	switch r.IntN(22) {
+	switch r.IntN(24) {
 	case 0, 1:
 		return fmt.Sprintf("kill %s for %s", storage, length/4), length / 4
 	case 2:
@@ -75,6 +75,10 @@
 		return fmt.Sprintf("dark %s for %s", []string{alert, archive, partner}[r.IntN(3)], length), 0
 	case 20:
 		return []string{"configure", "race", "release archive", "release alert"}[r.IntN(4)], 0
+	case 21:
+		return "add storage", 0
+	case 22:
+		return "retire " + storage, 0
 	default:
 		return fmt.Sprintf("skew %s by %s", edge, length-2*time.Second), 0
 	}
--- a/internal/system/wire/messages.go
+++ b/internal/system/wire/messages.go
@@ -26,6 +26,7 @@
 	SettleDeparted
 	JoinGroup
 	CountDisk
+	CopiedDisk
 	FeedUpdate // push: from a keeper to a member
 
 	// To stores.
@@ -36,6 +37,7 @@
 	ListUnit
 	FindMessage
 	CopyMessages
+	FindEnds
 
 	// To carriers.
 	ReserveSequence
@@ -125,6 +127,19 @@
 	Disk     string
 }
 
+// CopiedDiskBody tells that a disk holds copies of all that lies on a leaving one.
+type CopiedDiskBody struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Source   string
+	Disk     string
+}
+
+// FindEndsBody asks which of some messages have ended.
+type FindEndsBody struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	IDs      []string
+}
+
 // PutBody stores a message, at the disks of a roster.
 type PutBody struct {
 	_msgpack struct{} `msgpack:",as_array"`
