--- a/internal/system/member/client.go
+++ b/internal/system/member/client.go
@@ -32,6 +32,8 @@
 	Changed func(before, after *View)
 	// Lost is called when the session is over: what was owned under the incarnation is not any more.
 	Lost func()
+	// Keepers is called when connections to other keepers are wanted.
+	Keepers func()
 	// Fault is called with what a keeper sent that can't be read.
 	Fault func(err error)
 }
@@ -154,10 +156,8 @@
 	c.round++
 	round := c.round
 	c.current = (c.current + 1) % len(c.keepers)
-	for i, address := range c.keepers {
-		if address == leader {
-			c.current = i
-		}
+	if leader != "" {
+		c.head(leader)
 	}
 	c.failures++
 	pause := retryPause/2 + time.Duration(c.loop.Random(int64(retryPause)))
@@ -168,6 +168,17 @@
 	})
 }
 
+// head turns to a keeper that another named as the leader; it need be none of those that the settings name.
+func (c *Client) head(leader string) {
+	if !slices.Contains(c.keepers, leader) {
+		c.keepers = append(c.keepers, leader)
+		if c.events.Keepers != nil {
+			c.events.Keepers()
+		}
+	}
+	c.current = slices.Index(c.keepers, leader)
+}
+
 func (c *Client) scheduleBeat(round uint64) {
 	c.loop.After(heartbeatInterval, func() {
 		if c.round == round && !c.closed {
--- a/internal/system/node/store.go
+++ b/internal/system/node/store.go
@@ -139,6 +139,7 @@
 	n.do(func() {
 		n.session = member.NewClient(n, n, s.SeedKeepers(), self, member.Events{
 			Changed: func(_, after *member.View) { n.connect(after) },
+			Keepers: func() { n.connect(n.session.View()) },
 			Fault:   func(err error) { log.WithError(err).Warn("feed is unreadable") },
 		})
 		n.filler = store.NewFiller(n, n.session, n.core.Disk(), s.Tolerated)
--- a/internal/system/role/carrier/core.go
+++ b/internal/system/role/carrier/core.go
@@ -76,7 +76,7 @@
 	self := session.Member{Incarnation: member.NewIncarnation(env, s.NodeName), Node: s.NodeName, Role: session.Carrier,
 		Zone: s.Zone, Address: s.CarrierAddress()}
 	c.session = member.NewClient(env, env, s.SeedKeepers(), self, member.Events{
-		Changed: c.viewChanged, Lost: c.sessionLost,
+		Changed: c.viewChanged, Lost: c.sessionLost, Keepers: c.connect,
 		Fault: func(err error) { env.Report("feed is unreadable", err) },
 	})
 	c.newOwnUnit()
@@ -248,6 +248,7 @@
 	failures int // attempts that a worker answered as failed
 	tries    int
 	lastTry  string // worker that it was last sent to
+	takenDue bool   // it was due when it was taken over
 	queued   bool
 	flying   bool
 	ended    bool
--- a/internal/system/role/carrier/dispatch.go
+++ b/internal/system/role/carrier/dispatch.go
@@ -77,7 +77,11 @@
 		c.policy.Arrive(c.env.Now(), route.Service, route.Name, route.TargetStart)
 	}
 	q := c.queue(route.Service)
-	q.fresh.push(it)
+	if it.takenDue && it.tries == 0 {
+		q.taken.push(it)
+	} else {
+		q.fresh.push(it)
+	}
 	c.dispatch(q)
 }
 
--- a/internal/system/role/carrier/queue.go
+++ b/internal/system/role/carrier/queue.go
@@ -10,8 +10,12 @@
 // queue is the due messages of a service. Those that can still start within their aim go first, the oldest ahead; the
 // late ones follow with what capacity is left, those of keys with the fewest messages ahead of the others: a key that is
 // cleared lets its next messages start in their aim, while keys that all advance alike leave every message late.
+//
+// Messages that were taken over when they were already due go before all: their former carrier may have had them run just
+// before it was lost, and a second run is excused soon after the trouble only.
 type queue struct {
 	service string
+	taken   fifo
 	fresh   fifo
 	late    lateHeap
 	pace    delivery.Pace
@@ -41,6 +45,17 @@
 	return it
 }
 
+// live gives the front of what still waits, nil where nothing does.
+func (f *fifo) live() *item {
+	for f.len() > 0 {
+		if it := f.front(); !it.ended && it.queued {
+			return it
+		}
+		f.pop()
+	}
+	return nil
+}
+
 // lateItem is a late message, with the number of messages of its key when it came here.
 type lateItem struct {
 	item   *item
@@ -76,11 +91,13 @@
 // next gives the message whose turn it is, without taking it; nil where there is none. aim tells until when a message can
 // start within its aim.
 func (q *queue) next(now time.Duration, aim func(*item) time.Duration) *item {
-	for q.fresh.len() > 0 {
-		it := q.fresh.front()
-		if it.ended || !it.queued {
-			q.fresh.pop()
-			continue
+	if it := q.taken.live(); it != nil {
+		return it
+	}
+	for {
+		it := q.fresh.live()
+		if it == nil {
+			break
 		}
 		if now > aim(it) {
 			q.late.add(q.fresh.pop())
@@ -102,6 +119,10 @@
 // take removes the message that next gave.
 func (q *queue) take(it *item) {
 	it.queued = false
+	if q.taken.len() > 0 && q.taken.front() == it {
+		q.taken.pop()
+		return
+	}
 	if q.fresh.len() > 0 && q.fresh.front() == it {
 		q.fresh.pop()
 		return
@@ -112,7 +133,7 @@
 }
 
 // len is the number of messages that wait.
-func (q *queue) len() int { return q.fresh.len() + q.late.Len() }
+func (q *queue) len() int { return q.taken.len() + q.fresh.len() + q.late.Len() }
 
 func (c *Core) queue(service string) *queue {
 	q := c.queues[service]
--- a/internal/system/role/carrier/unit.go
+++ b/internal/system/role/carrier/unit.go
@@ -300,21 +300,34 @@
 	if u.items[m.ID] != nil {
 		return
 	}
-	it := c.take(u, &m, f.holders, c.env.Now()-f.listed.Age)
-	it.holders = append([]string(nil), f.holders...)
+	c.takeBack(u, &m, f.holders, c.env.Now()-f.listed.Age)
+}
+
+// takeBack makes this carrier responsible for a message that another was.
+func (c *Core) takeBack(u *unit, m *message.Message, holders []string, accepted time.Duration) {
+	it := c.newItem(u, m, holders, accepted)
+	it.takenDue = it.due <= c.env.Now()
+	c.keep(it)
 }
 
 // take makes this carrier responsible for a stored message.
-func (c *Core) take(u *unit, m *message.Message, holders []string, accepted time.Duration) *item {
+func (c *Core) take(u *unit, m *message.Message, holders []string, accepted time.Duration) {
+	c.keep(c.newItem(u, m, holders, accepted))
+}
+
+func (c *Core) newItem(u *unit, m *message.Message, holders []string, accepted time.Duration) *item {
+	return &item{message: m, unit: u, holders: append([]string(nil), holders...), accepted: accepted, due: accepted + m.Delay}
+}
+
+func (c *Core) keep(it *item) {
+	u, m := it.unit, it.message
 	if old := c.inFlight[m.ID]; old != nil && old.unit.dropped {
 		// It came back while an attempt of ours is still out: that attempt counts.
 		old.unit = u
 		u.items[m.ID] = old
 		c.joinKey(old)
-		return old
+		return
 	}
-	it := &item{message: m, unit: u, holders: append([]string(nil), holders...), accepted: accepted}
-	it.due = accepted + m.Delay
 	u.items[m.ID] = it
 	c.bodyBytes += int64(len(m.Body))
 	c.limitBytes(it)
@@ -322,7 +335,6 @@
 	if m.Key == "" || u.keys[m.Key][0] == it {
 		c.ready(it)
 	}
-	return it
 }
 
 // joinKey places a message in its key's order.
--- a/internal/system/simulation/hosts.go
+++ b/internal/system/simulation/hosts.go
@@ -216,6 +216,7 @@
 		Zone: s.Zone, Address: s.StoreAddress(), Disk: h.core.Disk(), Founder: h.core.Founder()}
 	h.session = member.NewClient(h, h, s.SeedKeepers(), self, member.Events{
 		Changed: func(_, after *member.View) { h.follow(after) },
+		Keepers: func() { h.follow(h.session.View()) },
 		Fault:   func(err error) { h.Report("feed", err) },
 	})
 	h.filler = store.NewFiller(h, h.session, h.core.Disk(), s.Tolerated)
--- a/internal/system/simulation/platform.go
+++ b/internal/system/simulation/platform.go
@@ -107,6 +107,9 @@
 			from.run(func() {
 				if !answered {
 					answered = true
+					if outcome.Kind == carrier.RunSucceeded {
+						p.checker.readSuccess(attempt.Message.ID)
+					}
 					done(outcome)
 				}
 			})
