Ask stores for the ends of what is listed, instead of sending all ends of a unit

Need: after a loss of all power each takeover carried up to two minutes of ends over from every store.

--- a/internal/system/role/carrier/unit.go
+++ b/internal/system/role/carrier/unit.go
@@ -121,6 +121,7 @@
 	unit     *unit
 	began    time.Duration
 	listed   map[string]*listing // by disk
+	asking   bool                // for the ends of what is listed
 	finished bool
 }
 
@@ -179,7 +180,6 @@
 			return
 		}
 		l.messages = append(l.messages, answer.Messages...)
-		l.ended = append(l.ended, answer.Ended...)
 		l.after, l.complete = answer.Next, answer.Complete
 		if answer.More {
 			r.askStore(disk, l)
@@ -190,12 +190,17 @@
 	})
 }
 
-// judge ends the recovery once all stores have told everything, or, after a while, all but those that may be lost.
+// judge goes on once enough stores have told everything.
 func (r *recovery) judge() {
-	c := r.core
-	if r.finished || r.unit.dropped {
+	if r.finished || r.unit.dropped || !r.enough() {
 		return
 	}
+	r.askEnds()
+}
+
+// enough tells whether all stores have told everything, or, after a while, all but those that may be lost.
+func (r *recovery) enough() bool {
+	c := r.core
 	counted := c.session.View().Counted()
 	complete, done := 0, 0
 	for disk := range counted {
@@ -207,11 +212,74 @@
 		}
 	}
 	needed := len(counted) - c.settings.Tolerated
-	all := done == len(counted)
 	late := c.env.Now()-r.began >= listAllWithin
-	if len(counted) < c.copies() || complete < needed || !all && !late {
+	return len(counted) >= c.copies() && complete >= needed && (done == len(counted) || late)
+}
+
+// askEnds asks all that have told everything for the ends of what any of them lists: they may not agree.
+func (r *recovery) askEnds() {
+	if r.asking {
+		return
+	}
+	r.asking = true
+	ids := map[string]bool{}
+	var told []string
+	for disk, l := range r.listed {
+		if !l.done {
+			continue
+		}
+		told = append(told, disk)
+		for i := range l.messages {
+			ids[l.messages[i].Message.ID] = true
+		}
+	}
+	if len(ids) == 0 {
+		r.finished = true
+		r.finish()
 		return
 	}
+	body := wire.FindEndsBody{}
+	for id := range ids {
+		body.IDs = append(body.IDs, id)
+	}
+	sort.Strings(body.IDs)
+	payload := wire.Encode(&body)
+	open := len(told)
+	for _, disk := range told {
+		r.askEndsAt(disk, payload, func() {
+			if open--; open == 0 {
+				r.asked()
+			}
+		})
+	}
+}
+
+func (r *recovery) askEndsAt(disk string, payload []byte, answered func()) {
+	c := r.core
+	l := r.listed[disk]
+	c.env.Call(c.stores.address(disk), wire.FindEnds, payload, listTimeout, func(payload []byte, err error) {
+		var answer wire.EndsBody
+		if err == nil {
+			err = wire.Decode(wire.FindEnds, payload, &answer)
+		}
+		if err != nil {
+			*l = listing{} // it is listed anew
+		} else {
+			l.ended = answer.Ends
+		}
+		answered()
+	})
+}
+
+// asked goes on where all that told everything have told the ends as well, and back to listing where one has not.
+func (r *recovery) asked() {
+	r.asking = false
+	if r.finished || r.unit.dropped {
+		return
+	}
+	if !r.enough() {
+		return // ask comes again
+	}
 	r.finished = true
 	r.finish()
 }
--- a/internal/system/role/store/read.go
+++ b/internal/system/role/store/read.go
@@ -32,19 +32,16 @@
 	return r.Message, nil
 }
 
-// List gives a part of a unit's messages that have not ended or whose call-back is owed, and the ends of the others.
+// List gives a part of a unit's messages that have not ended or whose call-back is owed.
 func (c *Core) List(body wire.ListBody) (wire.ListAnswer, error) {
 	answer := wire.ListAnswer{Complete: c.complete, Next: body.After}
 	size := 0
 	for _, e := range c.index.after(body.Unit, body.After) {
-		if size > answerBytes || len(answer.Ended) > answerRecords {
+		if size > answerBytes || len(answer.Messages) > answerRecords {
 			answer.More = true
 			break
 		}
 		answer.Next = e.place
-		if e.phase != message.Pending {
-			answer.Ended = append(answer.Ended, message.End{ID: e.id, Phase: e.phase, Stamp: e.stamp, CallbackOwed: e.callbackOwed})
-		}
 		if !e.listed() {
 			continue
 		}
--- a/internal/system/wire/messages.go
+++ b/internal/system/wire/messages.go
@@ -185,8 +185,7 @@
 type ListAnswer struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	Messages []ListedMessage
-	Ended    []message.End // lately ended in the unit: others may list them as pending
-	Next     uint64        // for the next call
+	Next     uint64 // for the next call
 	More     bool
 	Complete bool // the store holds all that a counted one has to
 }
