Hand on nothing over a laboratory's link that was reset

Cause of TestLinksBetweenProcesses/reset, 'hosts got 1 attempts', seen once beside load: a refused connection's reader was started before its reset, and what it had read was handed on, since the read's select chose at random. Change: the reset comes first, and a reset connection passes nothing.

--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -96,11 +96,11 @@
 	l.conns[w] = struct{}{}
 	refuse := l.faults.Refuse
 	l.mu.Unlock()
-	go w.receive()
-	go w.deliver()
 	if refuse {
-		w.Reset()
+		w.Reset() // before anything can be read from it
 	}
+	go w.receive()
+	go w.deliver()
 	return w
 }
 
@@ -161,6 +161,9 @@
 // first.
 func (c *Conn) pass(p piece, way func(*Faults) *Way, halt <-chan struct{}) (n int, ok bool) {
 	for {
+		if c.isReset() {
+			return 0, false
+		}
 		c.l.mu.Lock()
 		w := way(&c.l.faults)
 		wait := time.Until(p.at.Add(w.Delay))
@@ -194,6 +197,16 @@
 	}
 }
 
+// isReset tells whether the connection was reset: what had come over it by then is lost.
+func (c *Conn) isReset() bool {
+	select {
+	case <-c.closed:
+		return true
+	default:
+		return false
+	}
+}
+
 func towards(f *Faults) *Way { return &f.To }
 func back(f *Faults) *Way    { return &f.From }
 
