--- a/internal/system/member/client.go
+++ b/internal/system/member/client.go
@@ -122,12 +122,7 @@
 	if err == nil {
 		err = wire.Decode(wire.OpenSession, payload, &answer)
 	}
-	if sessionOver(err) {
-		c.sessionLost()
-		return
-	}
-	if err != nil {
-		c.turn(leaderOf(err))
+	if c.refused(err) {
 		return
 	}
 	c.open, c.failures = true, 0
@@ -144,6 +139,19 @@
 	return ""
 }
 
+// refused deals with a call of the session that failed: another session, or another keeper.
+func (c *Client) refused(err error) bool {
+	switch {
+	case err == nil:
+		return false
+	case sessionOver(err):
+		c.sessionLost()
+	default:
+		c.turn(leaderOf(err))
+	}
+	return true
+}
+
 // sessionOver tells whether a keeper said that the session has ended.
 func sessionOver(err error) bool {
 	var refused RefusedError
@@ -203,12 +211,7 @@
 	if err == nil {
 		err = wire.Decode(wire.Heartbeat, payload, &answer)
 	}
-	if sessionOver(err) {
-		c.sessionLost()
-		return
-	}
-	if err != nil {
-		c.turn(leaderOf(err))
+	if c.refused(err) {
 		return
 	}
 	c.leaseUntil = max(c.leaseUntil, sent+keeper.MemberLease)
--- /dev/null
+++ b/internal/system/role/carrier/owner.go
@@ -0,0 +1,130 @@
+package carrier
+
+import (
+	"time"
+
+	"granitewing/internal/system/link"
+	"granitewing/internal/system/message"
+	"granitewing/internal/system/wire"
+)
+
+// reserve asks the owner of a unit for the next place in its order.
+func (c *Core) reserve(name, id string, done func(wire.ReserveAnswer, error)) {
+	owner := c.session.View().Owners[name]
+	if owner.Incarnation == c.session.Incarnation() {
+		answer, refusal := c.Reserve(wire.ReserveBody{Unit: name, ID: id})
+		if refusal != nil {
+			done(wire.ReserveAnswer{}, &link.RefusedError{Body: *refusal})
+			return
+		}
+		done(answer, nil)
+		return
+	}
+	address := c.session.View().Members[owner.Incarnation].Address
+	if address == "" || !c.env.Up(address) {
+		done(wire.ReserveAnswer{}, &link.ClosedError{Peer: address})
+		return
+	}
+	body := wire.ReserveBody{Unit: name, ID: id}
+	c.env.Call(address, wire.ReserveSequence, wire.Encode(&body), reserveTimeout, func(payload []byte, err error) {
+		var answer wire.ReserveAnswer
+		if err == nil {
+			err = wire.Decode(wire.ReserveSequence, payload, &answer)
+		}
+		done(answer, err)
+	})
+}
+
+// Reserve gives a place in the order of a unit that this carrier owns, while its session holds: no other owner can be
+// giving places then.
+func (c *Core) Reserve(body wire.ReserveBody) (wire.ReserveAnswer, *wire.RefusalBody) {
+	u := c.units[body.Unit]
+	if u == nil || !c.session.Holds() || c.paused {
+		return wire.ReserveAnswer{}, &wire.RefusalBody{Code: wire.NotOwner, Reason: "not the owner of " + body.Unit}
+	}
+	if !u.active {
+		return wire.ReserveAnswer{}, &wire.RefusalBody{Code: wire.NotReady, Reason: "the unit is being recovered"}
+	}
+	u.sequence++
+	return wire.ReserveAnswer{Token: u.token, Sequence: u.sequence}, nil
+}
+
+// confirmAtOwner hands a stored message to the owner of its order; it is accepted once the owner has it.
+func (c *Core) confirmAtOwner(a *acceptance) {
+	m := a.message
+	body := wire.DeliverBody{Message: *m, Holders: a.tried, Age: c.env.Now() - a.at}
+	owner := c.session.View().Owners[m.Unit]
+	finish := func(err error) {
+		if a.done {
+			return
+		}
+		if err == nil {
+			a.accept()
+			return
+		}
+		c.env.After(confirmRetry, func() {
+			if !a.done {
+				c.confirmAtOwner(a)
+			}
+		})
+	}
+	if owner.Incarnation == c.session.Incarnation() {
+		if refusal := c.Deliver(body); refusal != nil {
+			finish(&link.RefusedError{Body: *refusal})
+			return
+		}
+		finish(nil)
+		return
+	}
+	address := c.session.View().Members[owner.Incarnation].Address
+	c.env.Call(address, wire.ConfirmMessage, wire.Encode(&body), confirmTimeout, func(_ []byte, err error) { finish(err) })
+}
+
+const (
+	confirmRetry = 30 * time.Millisecond
+	forwardRetry = 100 * time.Millisecond
+)
+
+// Deliver takes a stored message for a unit that this carrier owns. The answer is nil once it is responsible for it; a
+// message that comes twice is taken once.
+func (c *Core) Deliver(body wire.DeliverBody) *wire.RefusalBody {
+	u := c.units[body.Message.Unit]
+	if u == nil || !c.session.Holds() || c.paused {
+		return &wire.RefusalBody{Code: wire.NotOwner, Reason: "not the owner of " + body.Message.Unit}
+	}
+	if !u.active {
+		return &wire.RefusalBody{Code: wire.NotReady, Reason: "the unit is being recovered"}
+	}
+	if _, ended := c.recent.get(body.Message.ID); ended || u.items[body.Message.ID] != nil {
+		return nil
+	}
+	m := body.Message
+	c.take(u, &m, body.Holders, c.env.Now()-body.Age)
+	return nil
+}
+
+// forward hands an accepted message to the owner of its unit, however long that takes: until then this carrier holds it.
+func (c *Core) forward(m *message.Message, holders []string, accepted time.Duration) {
+	owner := c.session.View().Owners[m.Unit]
+	body := wire.DeliverBody{Message: *m, Holders: holders, Age: c.env.Now() - accepted}
+	again := func() { c.env.After(forwardRetry, func() { c.forward(m, holders, accepted) }) }
+	if owner.Incarnation == c.session.Incarnation() {
+		if refusal := c.Deliver(body); refusal != nil {
+			again()
+		}
+		return
+	}
+	if c.env.Now()-accepted > m.Retention {
+		return
+	}
+	address := c.session.View().Members[owner.Incarnation].Address
+	if address == "" || !c.env.Up(address) {
+		again()
+		return
+	}
+	c.env.Call(address, wire.ForwardMessage, wire.Encode(&body), confirmTimeout, func(_ []byte, err error) {
+		if err != nil {
+			again()
+		}
+	})
+}
--- /dev/null
+++ b/internal/system/role/carrier/recovery.go
@@ -0,0 +1,274 @@
+package carrier
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"granitewing/internal/system/message"
+	"granitewing/internal/system/wire"
+)
+
+// Times and sizes of a recovery.
+const (
+	listTimeout     = 1500 * time.Millisecond
+	listRetry       = 150 * time.Millisecond
+	listAllWithin   = 1200 * time.Millisecond // after it, the stores that have to answer are enough
+	relistAfterGone = 300 * time.Millisecond
+)
+
+// recovery reads a unit's messages from the stores.
+type recovery struct {
+	core     *Core
+	unit     *unit
+	began    time.Duration
+	listed   map[string]*listing // by disk
+	asking   bool                // for the ends of what is listed
+	finished bool
+}
+
+// listing is what one store told.
+type listing struct {
+	messages []wire.ListedMessage
+	ended    []message.End
+	complete bool
+	done     bool
+	busy     bool
+	after    uint64
+}
+
+func (c *Core) recover(u *unit) {
+	u.recovering = true
+	r := &recovery{core: c, unit: u, began: c.env.Now(), listed: map[string]*listing{}}
+	r.ask()
+}
+
+// ask lists at all stores that are there and have not told everything; and looks again after a while.
+func (r *recovery) ask() {
+	if r.finished || r.unit.dropped {
+		return
+	}
+	c := r.core
+	for disk := range c.session.View().Disks {
+		l := r.listed[disk]
+		if l == nil {
+			l = &listing{}
+			r.listed[disk] = l
+		}
+		if !l.done && !l.busy && c.stores.isUp(disk) {
+			r.askStore(disk, l)
+		}
+	}
+	r.judge()
+	c.env.After(listRetry, r.ask)
+}
+
+func (r *recovery) askStore(disk string, l *listing) {
+	c := r.core
+	l.busy = true
+	body := wire.ListBody{Unit: r.unit.name, After: l.after}
+	c.env.Call(c.stores.address(disk), wire.ListUnit, wire.Encode(&body), listTimeout, func(payload []byte, err error) {
+		l.busy = false
+		var answer wire.ListAnswer
+		if err == nil {
+			err = wire.Decode(wire.ListUnit, payload, &answer)
+		}
+		if r.finished || r.unit.dropped {
+			return
+		}
+		if err != nil {
+			// The store may have started anew, and counts its places anew then: ask lists it from the start.
+			*l = listing{}
+			return
+		}
+		l.messages = append(l.messages, answer.Messages...)
+		l.after, l.complete = answer.Next, answer.Complete
+		if answer.More {
+			r.askStore(disk, l)
+			return
+		}
+		l.done = true
+		r.judge()
+	})
+}
+
+// judge goes on once enough stores have told everything.
+func (r *recovery) judge() {
+	if r.finished || r.unit.dropped || !r.enough() {
+		return
+	}
+	r.askEnds()
+}
+
+// enough tells whether all stores have told everything, or, after a while, all but those that may be lost.
+func (r *recovery) enough() bool {
+	c := r.core
+	counted := c.session.View().Counted()
+	complete, done := 0, 0
+	for disk := range counted {
+		if l := r.listed[disk]; l != nil && l.done {
+			done++
+			if l.complete {
+				complete++
+			}
+		}
+	}
+	needed := len(counted) - c.settings.Tolerated
+	late := c.env.Now()-r.began >= listAllWithin
+	return len(counted) >= c.copies() && complete >= needed && (done == len(counted) || late)
+}
+
+// askEnds asks all that have told everything for the ends of what any of them lists: they may not agree.
+func (r *recovery) askEnds() {
+	if r.asking {
+		return
+	}
+	r.asking = true
+	ids := map[string]bool{}
+	var told []string
+	for disk, l := range r.listed {
+		if !l.done {
+			continue
+		}
+		told = append(told, disk)
+		for i := range l.messages {
+			ids[l.messages[i].Message.ID] = true
+		}
+	}
+	if len(ids) == 0 {
+		r.finished = true
+		r.finish()
+		return
+	}
+	body := wire.FindEndsBody{}
+	for id := range ids {
+		body.IDs = append(body.IDs, id)
+	}
+	sort.Strings(body.IDs)
+	payload := wire.Encode(&body)
+	open := len(told)
+	for _, disk := range told {
+		r.askEndsAt(disk, payload, func() {
+			if open--; open == 0 {
+				r.asked()
+			}
+		})
+	}
+}
+
+func (r *recovery) askEndsAt(disk string, payload []byte, answered func()) {
+	c := r.core
+	l := r.listed[disk]
+	c.env.Call(c.stores.address(disk), wire.FindEnds, payload, listTimeout, func(payload []byte, err error) {
+		var answer wire.EndsBody
+		if err == nil {
+			err = wire.Decode(wire.FindEnds, payload, &answer)
+		}
+		if err != nil {
+			*l = listing{} // it is listed anew
+		} else {
+			l.ended = answer.Ends
+		}
+		answered()
+	})
+}
+
+// asked goes on where all that told everything have told the ends as well, and back to listing where one has not.
+func (r *recovery) asked() {
+	r.asking = false
+	if r.finished || r.unit.dropped {
+		return
+	}
+	if !r.enough() {
+		return // ask comes again
+	}
+	r.finished = true
+	r.finish()
+}
+
+// found is a message put together from what the stores told.
+type found struct {
+	listed  wire.ListedMessage
+	holders []string
+	end     *message.End
+}
+
+func (r *recovery) finish() {
+	c, u := r.core, r.unit
+	u.recovering = false
+	messages := r.merge()
+	ids := make([]string, 0, len(messages))
+	for id := range messages {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool {
+		a, b := &messages[ids[i]].listed.Message, &messages[ids[j]].listed.Message
+		if a.Token != b.Token {
+			return a.Token < b.Token
+		}
+		if a.Sequence != b.Sequence {
+			return a.Sequence < b.Sequence
+		}
+		if a.Accepted != b.Accepted {
+			return a.Accepted < b.Accepted
+		}
+		return a.ID < b.ID
+	})
+	u.active = true
+	for _, id := range ids {
+		r.adopt(messages[id])
+	}
+	if len(u.items) > 0 {
+		c.env.Inform(fmt.Sprintf("unit %s is taken over with %d messages, after %s", u.name, len(u.items), c.env.Now()-r.began))
+	}
+	c.settleDeparted()
+}
+
+func (r *recovery) merge() map[string]*found {
+	ends := map[string]message.End{}
+	for _, l := range r.listed {
+		for _, end := range l.ended {
+			if old, known := ends[end.ID]; !known || old.CallbackOwed {
+				ends[end.ID] = end
+			}
+		}
+	}
+	messages := map[string]*found{}
+	for disk, l := range r.listed {
+		for _, listed := range l.messages {
+			f := messages[listed.Message.ID]
+			if f == nil {
+				f = &found{listed: listed}
+				messages[listed.Message.ID] = f
+			}
+			f.listed.Age = min(f.listed.Age, listed.Age)
+			f.holders = append(f.holders, disk)
+			if end, ended := ends[listed.Message.ID]; ended {
+				f.end = &end
+			}
+		}
+	}
+	return messages
+}
+
+// adopt takes a message that the stores hold.
+func (r *recovery) adopt(f *found) {
+	c, u := r.core, r.unit
+	m := f.listed.Message
+	if f.end == nil {
+		if end, known := c.recent.get(m.ID); known {
+			f.end = &end
+		}
+	}
+	if f.end != nil {
+		c.stores.recordEnd(f.holders, *f.end)
+		if f.end.CallbackOwed && m.Callback != "" {
+			c.tell(m.Callback, *f.end, f.holders)
+		}
+		return
+	}
+	if u.items[m.ID] != nil {
+		return
+	}
+	c.takeBack(u, &m, f.holders, c.env.Now()-f.listed.Age)
+}
