--- a/internal/system/simulation/clients.go
+++ b/internal/system/simulation/clients.go
@@ -20,6 +20,7 @@
 	operatorWait   = time.Second
 	readyInterval  = time.Second
 	missesToLeave  = 2
+	maxDelay       = 14 * time.Second
 )
 
 // traffic is the clients' messages of one route.
@@ -58,7 +59,7 @@
 		m.Key = r.key
 	}
 	if t.delayed > 0 && w.random.IntN(t.delayed) == 0 {
-		r.delay = time.Duration(w.random.Int64N(int64(9 * time.Second)))
+		r.delay = time.Duration(w.random.Int64N(int64(maxDelay)))
 		m.Delay = r.delay
 	}
 	if t.called {
