--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run demo
+.PHONY: build test lint run demo system-demo
 
 build:
 	mkdir -p bin
@@ -20,5 +20,8 @@
 	ROUTER_CONFIG=$${ROUTER_CONFIG:-deploy/example.json} exec bin/granitewing
 
 # The newcomer's one command: an emulated fleet, three real dispatchers and 20 s of load, audited.
+system-demo: build
+	bin/granitewing-demo bin/granitewing-system
+
 demo: build
 	bin/gwlab demo
--- a/internal/system/agreement/cluster_test.go
+++ b/internal/system/agreement/cluster_test.go
@@ -229,6 +229,44 @@
 		Expect(c.members[leader].node.Role()).NotTo(Equal(Leader))
 	})
 
+	ginkgo.It("hands its leadership over without a silence, to a member that lacks nothing", func() {
+		c := newCluster(8, 3)
+		leader := c.settle()
+		term, began := c.members[leader].node.Term(), c.now
+		Expect(c.members[leader].node.HandOver(c.now)).To(BeTrue())
+		c.carryOut(leader, false)
+		for c.now < began+testElection/2 {
+			c.step()
+		}
+		Expect(c.leader()).NotTo(Or(BeEmpty(), Equal(leader)))
+		Expect(c.members[c.leader()].node.Term()).To(Equal(term + 1))
+		Expect(c.faults).To(BeEmpty())
+	})
+
+	ginkgo.It("names no successor while nobody else holds what is committed, and follows the word of nobody but its leader", func() {
+		c := newCluster(9, 3)
+		leader := c.settle()
+		follower := without(c.names, leader)[0]
+		stranger := without(without(c.names, leader), follower)[0]
+		node := c.members[follower].node
+		node.Step(c.now, Message{Kind: StandForElection, From: stranger, To: follower, Term: node.Term()})
+		Expect(node.Role()).To(Equal(Follower))
+		Expect(node.HandOver(c.now)).To(BeFalse())
+		for _, name := range c.names {
+			c.cut[[2]string{name, leader}] = true
+		}
+		for began := c.now; c.now < began+testElection/2; {
+			c.step()
+		}
+		_, err := c.members[leader].node.Propose(c.now, []byte("unknown"))
+		Expect(err).NotTo(HaveOccurred())
+		c.carryOut(leader, false)
+		for began := c.now; c.now < began+2*testElection; {
+			c.step()
+		}
+		Expect(c.members[leader].node.HandOver(c.now)).To(BeFalse())
+	})
+
 	ginkgo.It("does not lose its leader to a member that comes back from a cut", func() {
 		c := newCluster(7, 3)
 		leader := c.settle()
@@ -262,7 +300,12 @@
 		}
 		leader := c.leader()
 		name := c.names[c.random.IntN(len(c.names))]
-		switch c.random.IntN(8) {
+		switch c.random.IntN(9) {
+		case 8:
+			if leader != "" {
+				c.members[leader].node.HandOver(c.now)
+				c.carryOut(leader, false)
+			}
 		case 0:
 			c.members[name].alive = false
 		case 1:
--- /dev/null
+++ b/internal/system/agreement/election.go
@@ -0,0 +1,153 @@
+package agreement
+
+import "time"
+
+// followsLeader tells whether a leader was heard within the least election timeout: no vote is given then.
+func (n *Node) followsLeader() bool {
+	if n.role == Leader {
+		return n.quorumHeard() >= n.now-n.options.ElectionTimeout
+	}
+	return n.leader != "" && n.now-n.heardLeader < n.options.ElectionTimeout
+}
+
+func (n *Node) upToDate(message Message) bool {
+	if message.LogTerm != n.log.lastTerm() {
+		return message.LogTerm > n.log.lastTerm()
+	}
+	return message.Index >= n.log.lastIndex()
+}
+
+func (n *Node) answerPreVote(message Message) {
+	grant := n.hasVote(n.options.Self) && message.Term > n.term && n.upToDate(message) && !n.followsLeader()
+	answer := Message{Kind: PreVoteAnswer, To: message.From, Reject: !grant}
+	n.send(answer)
+	if grant {
+		n.messages[len(n.messages)-1].Term = message.Term
+	}
+}
+
+func (n *Node) answerVote(message Message) {
+	free := n.vote == "" && n.leader == "" || n.vote == message.From
+	grant := n.hasVote(n.options.Self) && free && n.upToDate(message)
+	if grant {
+		n.heardLeader = n.now
+		if n.vote != message.From {
+			n.vote = message.From
+			n.stateChanged = true
+		}
+	}
+	n.send(Message{Kind: VoteAnswer, To: message.From, Reject: !grant})
+}
+
+// campaign asks all others for their votes, or first whether they would give them.
+func (n *Node) campaign(role Role) {
+	n.heardLeader = n.now
+	// Asking again soon disturbs nobody: the others answer by what they know of a leader.
+	n.timeout = 2*n.options.HeartbeatInterval + time.Duration(n.options.Random(int64(2*n.options.HeartbeatInterval)))
+	if !n.hasVote(n.options.Self) {
+		return
+	}
+	n.role = role
+	n.leader = ""
+	n.votes = map[string]bool{n.options.Self: true}
+	request := Message{Kind: PreVote, Term: n.term + 1}
+	if role == Candidate {
+		n.term++
+		n.vote = n.options.Self
+		n.stateChanged = true
+		request = Message{Kind: Vote, Term: n.term, Handover: n.named}
+	}
+	request.Index, request.LogTerm = n.log.lastIndex(), n.log.lastTerm()
+	for _, peer := range without(n.group.Voters, n.options.Self) {
+		request.To = peer
+		n.sendWithTerm(request)
+	}
+	n.tally()
+}
+
+func (n *Node) countVote(message Message) {
+	expected := message.Kind == PreVoteAnswer && n.role == PreCandidate && message.Term == n.term+1 ||
+		message.Kind == VoteAnswer && n.role == Candidate && message.Term == n.term
+	if !expected || message.Reject || !n.hasVote(message.From) {
+		return
+	}
+	n.votes[message.From] = true
+	n.tally()
+}
+
+func (n *Node) tally() {
+	if len(n.votes) < n.quorum() {
+		return
+	}
+	switch n.role {
+	case PreCandidate:
+		n.campaign(Candidate)
+	case Candidate:
+		n.becomeLeader()
+	}
+}
+
+func (n *Node) becomeFollower(term uint64, leader string) {
+	if term != n.term {
+		n.term, n.vote = term, ""
+		n.stateChanged = true
+	}
+	n.role = Follower
+	n.leader = leader
+	n.followers, n.votes = nil, nil
+	n.heardLeader = n.now
+	n.drawTimeout()
+}
+
+func (n *Node) drawTimeout() {
+	least := n.options.ElectionTimeout
+	n.timeout = least + time.Duration(n.options.Random(int64(least)))
+}
+
+func (n *Node) becomeLeader() {
+	n.role = Leader
+	n.leader = n.options.Self
+	n.followers = map[string]*progress{}
+	n.readGroup()
+	n.openingIndex = n.appendOwn(nil)
+	n.broadcast()
+}
+
+// HandOver has another voter that holds the whole log stand for election at once, without waiting for this leader's
+// silence. This one leads on until the other is elected. The answer is false where it does not lead, or where nobody can.
+func (n *Node) HandOver(now time.Duration) bool {
+	n.now = now
+	successor := n.successor()
+	if successor == "" {
+		return false
+	}
+	n.send(Message{Kind: StandForElection, To: successor, Index: n.log.lastIndex()})
+	return true
+}
+
+// successor is the voter that has answered last of those that lack nothing that is committed, empty where there is none.
+func (n *Node) successor() string {
+	if n.role != Leader {
+		return ""
+	}
+	best := ""
+	for _, id := range without(n.group.Voters, n.options.Self) {
+		follower := n.followers[id]
+		if follower == nil || follower.match < n.log.committed || n.now-follower.heard > n.options.ElectionTimeout {
+			continue
+		}
+		if best == "" || follower.match > n.followers[best].match {
+			best = id
+		}
+	}
+	return best
+}
+
+// standForElection follows the leader's word to succeed it.
+func (n *Node) standForElection(message Message) {
+	if n.role == Follower && n.leader == message.From && n.hasVote(n.options.Self) {
+		n.named = true
+		n.campaign(Candidate)
+		n.named = false
+	}
+}
--- a/internal/system/agreement/node.go
+++ b/internal/system/agreement/node.go
@@ -40,18 +40,18 @@
 	votes     map[string]bool
 	followers map[string]*progress
 
-	now           time.Duration
-	heardLeader   time.Duration
-	timeout       time.Duration // of this wait for a leader, by lot
-	heartbeatDue  time.Duration
-	group         Membership // the latest in the log, committed or not
-	groupIndex    uint64     // of the entry that made it so
-	stateChanged  bool
-	installed     *Snapshot
-	messages      []Message
-	persisted     uint64 // last index of our own log that is synced
-	openingIndex  uint64 // of the empty entry that opened our term as leader
-	quorumChecked time.Duration
+	now          time.Duration
+	heardLeader  time.Duration
+	timeout      time.Duration // of this wait for a leader, by lot
+	heartbeatDue time.Duration
+	group        Membership // the latest in the log, committed or not
+	groupIndex   uint64     // of the entry that made it so
+	stateChanged bool
+	installed    *Snapshot
+	messages     []Message
+	persisted    uint64 // last index of our own log that is synced
+	openingIndex uint64 // of the empty entry that opened our term as leader
+	named        bool   // the leader has asked this member to succeed it
 }
 
 // New makes a member from what its disk holds.
@@ -230,6 +230,11 @@
 	return times[len(times)-n.quorum()]
 }
 
+// Followed tells whether a leader is known to have been followed by a majority within a while.
+func (n *Node) Followed(within time.Duration) bool {
+	return n.role == Leader && n.quorumHeard() >= n.now-within
+}
+
 func (n *Node) quorum() int { return len(n.group.Voters)/2 + 1 }
 
 // Step takes a message.
@@ -260,6 +265,8 @@
 		n.followSnapshot(message)
 	case AppendAnswer:
 		n.leaderAnswer(message)
+	case StandForElection:
+		n.standForElection(message)
 	}
 }
 
@@ -275,7 +282,7 @@
 			return false
 		}
 	case Vote:
-		if n.followsLeader() {
+		if n.followsLeader() && !message.Handover {
 			return false
 		}
 	}
@@ -287,14 +294,6 @@
 	return true
 }
 
-// followsLeader tells whether a leader was heard within the least election timeout: no vote is given then.
-func (n *Node) followsLeader() bool {
-	if n.role == Leader {
-		return n.quorumHeard() >= n.now-n.options.ElectionTimeout
-	}
-	return n.leader != "" && n.now-n.heardLeader < n.options.ElectionTimeout
-}
-
 // answerStale tells a sender of an earlier term about ours, so that a deposed leader or a returned member learns it.
 func (n *Node) answerStale(message Message) {
 	switch message.Kind {
@@ -305,109 +304,6 @@
 	}
 }
 
-func (n *Node) upToDate(message Message) bool {
-	if message.LogTerm != n.log.lastTerm() {
-		return message.LogTerm > n.log.lastTerm()
-	}
-	return message.Index >= n.log.lastIndex()
-}
-
-func (n *Node) answerPreVote(message Message) {
-	grant := n.hasVote(n.options.Self) && message.Term > n.term && n.upToDate(message) && !n.followsLeader()
-	answer := Message{Kind: PreVoteAnswer, To: message.From, Reject: !grant}
-	n.send(answer)
-	if grant {
-		n.messages[len(n.messages)-1].Term = message.Term
-	}
-}
-
-func (n *Node) answerVote(message Message) {
-	free := n.vote == "" && n.leader == "" || n.vote == message.From
-	grant := n.hasVote(n.options.Self) && free && n.upToDate(message)
-	if grant {
-		n.heardLeader = n.now
-		if n.vote != message.From {
-			n.vote = message.From
-			n.stateChanged = true
-		}
-	}
-	n.send(Message{Kind: VoteAnswer, To: message.From, Reject: !grant})
-}
-
-// campaign asks all others for their votes, or first whether they would give them.
-func (n *Node) campaign(role Role) {
-	n.heardLeader = n.now
-	// Asking again soon disturbs nobody: the others answer by what they know of a leader.
-	n.timeout = 2*n.options.HeartbeatInterval + time.Duration(n.options.Random(int64(2*n.options.HeartbeatInterval)))
-	if !n.hasVote(n.options.Self) {
-		return
-	}
-	n.role = role
-	n.leader = ""
-	n.votes = map[string]bool{n.options.Self: true}
-	request := Message{Kind: PreVote, Term: n.term + 1}
-	if role == Candidate {
-		n.term++
-		n.vote = n.options.Self
-		n.stateChanged = true
-		request = Message{Kind: Vote, Term: n.term}
-	}
-	request.Index, request.LogTerm = n.log.lastIndex(), n.log.lastTerm()
-	for _, peer := range without(n.group.Voters, n.options.Self) {
-		request.To = peer
-		n.sendWithTerm(request)
-	}
-	n.tally()
-}
-
-func (n *Node) countVote(message Message) {
-	expected := message.Kind == PreVoteAnswer && n.role == PreCandidate && message.Term == n.term+1 ||
-		message.Kind == VoteAnswer && n.role == Candidate && message.Term == n.term
-	if !expected || message.Reject || !n.hasVote(message.From) {
-		return
-	}
-	n.votes[message.From] = true
-	n.tally()
-}
-
-func (n *Node) tally() {
-	if len(n.votes) < n.quorum() {
-		return
-	}
-	switch n.role {
-	case PreCandidate:
-		n.campaign(Candidate)
-	case Candidate:
-		n.becomeLeader()
-	}
-}
-
-func (n *Node) becomeFollower(term uint64, leader string) {
-	if term != n.term {
-		n.term, n.vote = term, ""
-		n.stateChanged = true
-	}
-	n.role = Follower
-	n.leader = leader
-	n.followers, n.votes = nil, nil
-	n.heardLeader = n.now
-	n.drawTimeout()
-}
-
-func (n *Node) drawTimeout() {
-	least := n.options.ElectionTimeout
-	n.timeout = least + time.Duration(n.options.Random(int64(least)))
-}
-
-func (n *Node) becomeLeader() {
-	n.role = Leader
-	n.leader = n.options.Self
-	n.followers = map[string]*progress{}
-	n.readGroup()
-	n.openingIndex = n.appendOwn(nil)
-	n.broadcast()
-}
-
 func (n *Node) appendOwn(data []byte) uint64 {
 	index := n.log.lastIndex() + 1
 	n.log.entries = append(n.log.entries, Entry{Index: index, Term: n.term, Data: data})
--- a/internal/system/agreement/types.go
+++ b/internal/system/agreement/types.go
@@ -87,6 +87,7 @@
 	Append
 	AppendAnswer
 	InstallSnapshot
+	StandForElection // a leader names its successor
 )
 
 // Message goes from one member to another.
@@ -104,6 +105,8 @@
 	Reject   bool
 	// Sent is the leader's time of sending, which an answer returns: what the check of quorum is measured from.
 	Sent time.Duration
+	// Handover marks a request of one that the leader has named: it is judged although a leader is heard.
+	Handover bool
 }
 
 // Options of a member. All members of a group are given the same timeouts.
--- a/internal/system/command/command.go
+++ b/internal/system/command/command.go
@@ -67,7 +67,7 @@
 		newRole("carrier", "Take clients' messages and deliver them", node.RunCarrier),
 		newRole("keeper", "Keep the configuration, the sessions and who owns what", node.RunKeeper),
 		newRole("store", "Keep messages on disk", node.RunStore),
-		newCheck(), newInspect(),
+		newCheck(), newInspect(), newStatus(),
 	)
 	return root
 }
--- a/internal/system/command/command_test.go
+++ b/internal/system/command/command_test.go
@@ -21,7 +21,7 @@
 	ginkgo.It("shows its roles with an example each", func() {
 		code, output, _ := run("--help")
 		Expect(code).To(BeZero())
-		for _, role := range []string{"carrier", "keeper", "store", "check", "inspect"} {
+		for _, role := range []string{"carrier", "keeper", "store", "check", "inspect", "status"} {
 			Expect(output).To(ContainSubstring(role))
 			_, help, _ := run(role, "--help")
 			Expect(help).To(ContainSubstring("Examples:"))
@@ -29,7 +29,7 @@
 	})
 
 	ginkgo.It("ends with 2 and one line on wrong usage", func() {
-		for _, arguments := range [][]string{{"keeper", "extra"}, {"keeper", "--nothing"}, {"nobody"}, {"check"}} {
+		for _, arguments := range [][]string{{"keeper", "extra"}, {"keeper", "--nothing"}, {"nobody"}, {"check"}, {"status"}} {
 			code, _, errors := run(arguments...)
 			Expect(code).To(Equal(exitUsage), "%v", arguments)
 			Expect(bytes.Count([]byte(errors), []byte("\n"))).To(Equal(1), errors)
--- /dev/null
+++ b/internal/system/demo/demo_suite_test.go
@@ -0,0 +1,32 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestDemo(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Demo")
+}
+
+var _ = Describe("The whole system on loopback", func() {
+	It("takes, delivers and tells of messages, and goes on when a machine is stopped", func(ctx context.Context) {
+		folder := GinkgoT().TempDir()
+		binary := filepath.Join(folder, "granitewing")
+		built, err := exec.CommandContext(ctx, "go", "build", "-o", binary, "granitewing/cmd/granitewing-system").CombinedOutput()
+		Expect(err).NotTo(HaveOccurred(), string(built))
+		var output bytes.Buffer
+		Expect(Run(ctx, Options{Binary: binary, Folder: folder, Output: &output})).To(Succeed(), output.String())
+		for _, line := range []string{"message first was accepted by edge-1", "edge-2 tells of it: succeeded", "group +sessions +leader 127",
+			"storage-1 was stopped", "message second was accepted by edge-2", `ran it 1 time\(s\)`} {
+			Expect(output.String()).To(MatchRegexp(line))
+		}
+	})
+})
--- a/internal/system/member/client.go
+++ b/internal/system/member/client.go
@@ -57,6 +57,7 @@
 	leaseUntil time.Duration
 	catalogAt  time.Duration // when the list of workers that the feed gives was read
 	round      uint64        // of the connection; answers of former ones are passed over
+	ownersAt   string        // keeper that leads the owners' shard asked last, as far as known
 }
 
 // NewClient makes a client; Start begins.
@@ -321,6 +322,34 @@
 	c.peers.Call(c.keepers[c.current], wire.CopiedDisk, wire.Encode(&body), openTimeout, func(_ []byte, err error) { done(err) })
 }
 
+// Stopping tells the keepers that the process was asked to stop, so that what it owns moves to others.
+func (c *Client) Stopping() {
+	if c.member.Stopping {
+		return
+	}
+	c.member.Stopping = true
+	if c.open {
+		c.tryOpen()
+	}
+}
+
+// Release hands a unit over as its owner was asked to. The error is a refusal with the code StaleOffer where the unit
+// stays with its owner; after any other the outcome is not known, and the call is to be repeated.
+func (c *Client) Release(unit string, token, offer uint64, done func(err error)) {
+	address := c.ownersAt
+	if address == "" || !c.peers.Up(address) {
+		address = c.keepers[c.loop.Random(int64(len(c.keepers)))]
+	}
+	body := wire.ReleaseUnitBody{Unit: unit, Token: token, Offer: offer}
+	c.peers.Call(address, wire.ReleaseUnit, wire.Encode(&body), callTimeout, func(_ []byte, err error) {
+		c.ownersAt = address
+		if err != nil {
+			c.ownersAt = leaderOf(err)
+		}
+		done(err)
+	})
+}
+
 // Close ends the session; done is called when the keepers have taken it, or on failure.
 func (c *Client) Close(done func(err error)) {
 	c.leaseUntil = 0
--- a/internal/system/member/view.go
+++ b/internal/system/member/view.go
@@ -43,8 +43,8 @@
 // touched tells which tables an update changes, so that only these are copied.
 type touched struct{ members, disks, departed, owners, instances, keepers bool }
 
-// next gives the view that follows from an update. A configuration is never left for an older one, nor an owner for one
-// of a lower token.
+// next gives the view that follows from an update. A configuration is never left for an older one, nor an owner for an
+// older record of it.
 func (v *View) next(update feed.Update) (*View, error) {
 	fresh := *v
 	var copied touched
@@ -98,7 +98,7 @@
 		if err := set(&v.Owners, &copied.owners, name, change.Value); err != nil {
 			return err
 		}
-		if old := before.Owners[name]; old.Token > v.Owners[name].Token {
+		if old := before.Owners[name]; v.Owners[name].OlderThan(old) {
 			v.Owners[name] = old
 		}
 	case keeper.PrefixKeeper:
--- a/internal/system/node/keeper.go
+++ b/internal/system/node/keeper.go
@@ -76,11 +76,32 @@
 		return err
 	case <-ctx.Done():
 	}
+	n.yield()
 	stopServer(operators, time.Second)
 	server.Close()
 	return nil
 }
 
+// Times of handing over what a stopping keeper leads.
+const (
+	yieldInterval = 150 * time.Millisecond
+	yieldMost     = 900 * time.Millisecond
+)
+
+// yield has other keepers lead what this one leads, as far as they can in a while.
+func (n *keeperNode) yield() {
+	for until := n.Now() + yieldMost; n.Now() < until; time.Sleep(yieldInterval) {
+		yielded := false
+		n.do(func() {
+			yielded = n.core.Yield(n.Now())
+			n.after()
+		})
+		if yielded {
+			return
+		}
+	}
+}
+
 // connect keeps connections to all keepers that are known, and to the seeds.
 func (n *keeperNode) connect() {
 	var others []string
--- a/internal/system/node/operators.go
+++ b/internal/system/node/operators.go
@@ -24,6 +24,7 @@
 	e.POST("/-/Retire.Start/:node", n.startRetirement)
 	e.GET("/-/Retire.Get/:node", n.getRetirement)
 	e.GET("/-/ready", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
+	e.GET(StatusPath, n.getStatus)
 	return startServer(n.settings.Listen.Control, e)
 }
 
@@ -32,6 +33,15 @@
 	versionHeader         = "X-Base-Version"
 )
 
+// StatusPath is where a keeper tells what it knows.
+const StatusPath = "/-/status"
+
+func (n *keeperNode) getStatus(c echo.Context) error {
+	var status keeper.Status
+	n.do(func() { status = n.core.Status(n.Now()) })
+	return c.JSON(http.StatusOK, &status)
+}
+
 type problem struct {
 	Error string `json:"error"`
 }
--- a/internal/system/ownership/state.go
+++ b/internal/system/ownership/state.go
@@ -5,7 +5,7 @@
 import (
 	"fmt"
 	"hash/fnv"
-	"sort"
+	"strings"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -18,14 +18,41 @@
 	_msgpack    struct{} `msgpack:",as_array"`
 	Incarnation string
 	Token       uint64
+	// Next is the carrier that the owner is asked to hand the unit to; empty where it keeps it.
+	Next string
+	// Offer rises whenever Next is set or taken back.
+	Offer uint64
 }
 
-// Assignment gives a unit to a carrier.
-type Assignment struct {
+// OlderThan tells whether another record of the same unit is newer.
+func (o Owner) OlderThan(other Owner) bool {
+	return o.Token < other.Token || o.Token == other.Token && o.Offer < other.Offer
+}
+
+// ChangeKind tells changes apart.
+type ChangeKind uint8
+
+// The changes.
+const (
+	Assign  ChangeKind = iota // names the owner of a unit whose former owner is gone
+	Offer                     // asks the owner to hand the unit over, or takes that back
+	Release                   // the owner hands the unit over: it does nothing more under its token
+)
+
+// Change of one unit's owner.
+type Change struct {
+	Kind        ChangeKind
 	Unit        string
-	Incarnation string
+	Incarnation string // of the new owner, or of the one that it is offered to; empty takes an offer back
+	Token       uint64 // of Offer and Release: the owner's, else nothing changes
+	Offer       uint64 // of Offer: the number before it; of Release: the one that is followed
 }
 
+// StaleOfferError tells an owner that an offer does not stand any more: the unit stays with it.
+type StaleOfferError struct{ Unit string }
+
+func (e *StaleOfferError) Error() string { return "the offer of " + e.Unit + " does not stand" }
+
 // State is the replicated table of one shard.
 type State struct{ owners map[string]Owner }
 
@@ -42,12 +69,37 @@
 // Owners gives the table; it must not be changed.
 func (s *State) Owners() map[string]Owner { return s.owners }
 
-// Apply carries out assignments; each raises its unit's token.
-func (s *State) Apply(assignments []Assignment) {
-	for _, assignment := range assignments {
-		token := s.owners[assignment.Unit].Token + 1
-		s.owners[assignment.Unit] = Owner{Incarnation: assignment.Incarnation, Token: token}
+// Apply carries out changes. The error is that of the last release that came too late.
+func (s *State) Apply(changes []Change) error {
+	var failure error
+	for _, change := range changes {
+		if err := s.apply(change); err != nil {
+			failure = err
+		}
 	}
+	return failure
+}
+
+func (s *State) apply(change Change) error {
+	owner := s.owners[change.Unit]
+	switch change.Kind {
+	case Assign:
+		s.owners[change.Unit] = Owner{Incarnation: change.Incarnation, Token: owner.Token + 1}
+	case Offer:
+		if owner.Token == change.Token && owner.Offer == change.Offer {
+			owner.Next, owner.Offer = change.Incarnation, owner.Offer+1
+			s.owners[change.Unit] = owner
+		}
+	case Release:
+		switch {
+		case owner.Token > change.Token:
+			return nil // it was released, or given to another, before
+		case owner.Token < change.Token || owner.Offer != change.Offer || owner.Next == "":
+			return &StaleOfferError{Unit: change.Unit}
+		}
+		s.owners[change.Unit] = Owner{Incarnation: owner.Next, Token: owner.Token + 1}
+	}
+	return nil
 }
 
 // Snapshot is the whole table in bytes.
@@ -63,40 +115,6 @@
 	return nil
 }
 
-// Assign names an owner for each unit whose owner is not live, the carrier that owns fewest first. Units that have a
-// live owner stay where they are.
-func (s *State) Assign(units []string, live []string) []Assignment {
-	if len(live) == 0 {
-		return nil
-	}
-	load := map[string]int{}
-	for _, incarnation := range live {
-		load[incarnation] = 0
-	}
-	var without []string
-	for _, unit := range units {
-		owner, owned := s.owners[unit]
-		if _, isLive := load[owner.Incarnation]; owned && isLive {
-			load[owner.Incarnation]++
-			continue
-		}
-		without = append(without, unit)
-	}
-	sort.Strings(without)
-	assignments := make([]Assignment, 0, len(without))
-	for _, unit := range without {
-		least := live[0]
-		for _, incarnation := range live {
-			if load[incarnation] < load[least] {
-				least = incarnation
-			}
-		}
-		load[least]++
-		assignments = append(assignments, Assignment{Unit: unit, Incarnation: least})
-	}
-	return assignments
-}
-
 // Shard is the shard of a service, from 0 up to shards.
 func Shard(service string, shards int) int { return int(hash(service) % uint32(shards)) }
 
@@ -114,10 +132,30 @@
 	return units
 }
 
-func bucketUnit(service string, bucket int) string { return fmt.Sprintf("key/%s/%d", service, bucket) }
+// Prefixes of units' names.
+const (
+	keyPrefix   = "key/"
+	pacedPrefix = "paced/"
+)
+
+func bucketUnit(service string, bucket int) string {
+	return fmt.Sprintf("%s%s/%d", keyPrefix, service, bucket)
+}
 
 // PacedUnit is the one unit of a service that is paced or has a single endpoint.
-func PacedUnit(service string) string { return "paced/" + service }
+func PacedUnit(service string) string { return pacedPrefix + service }
+
+// ServiceOf is the service of a unit of keys or of a paced service, empty for any other name.
+func ServiceOf(unit string) string {
+	if service, paced := strings.CutPrefix(unit, pacedPrefix); paced {
+		return service
+	}
+	rest, keyed := strings.CutPrefix(unit, keyPrefix)
+	if at := strings.LastIndexByte(rest, '/'); keyed && at > 0 {
+		return rest[:at]
+	}
+	return ""
+}
 
 // CarrierUnit is the unit of what a carrier accepted and delivers by itself.
 func CarrierUnit(incarnation string) string { return "carrier/" + incarnation }
--- a/internal/system/role/carrier/accept.go
+++ b/internal/system/role/carrier/accept.go
@@ -133,6 +133,10 @@
 func (a *acceptance) reserve() {
 	c := a.core
 	c.reserve(a.message.Unit, a.message.ID, func(place wire.ReserveAnswer, err error) {
+		if err != nil && ownerChanges(err) && c.env.Now()-a.at < placeRetryFor {
+			c.env.After(placeRetry, a.reserve)
+			return
+		}
 		if err != nil {
 			c.refuse(a.answer, "the order's owner is not reachable")
 			return
--- a/internal/system/role/carrier/callback.go
+++ b/internal/system/role/carrier/callback.go
@@ -21,6 +21,7 @@
 
 // callback is one end that is owed to a URL.
 type callback struct {
+	unit     *unit
 	url      string
 	end      message.End
 	holders  []string
@@ -44,10 +45,10 @@
 }
 
 // tell queues an end for its call-back URL.
-func (c *Core) tell(address string, end message.End, holders []string) {
+func (c *Core) tell(u *unit, address string, end message.End, holders []string) {
 	parsed, err := url.Parse(address)
 	if err != nil || parsed.Host == "" {
-		c.stores.recordCallback(holders, end.ID)
+		c.stores.recordCallback(u, holders, end.ID)
 		return
 	}
 	r := c.receivers[parsed.Host]
@@ -58,7 +59,8 @@
 		r = &receiver{}
 		c.receivers[parsed.Host] = r
 	}
-	r.waiting = append(r.waiting, &callback{url: address, end: end, holders: holders})
+	u.unrecorded++
+	r.waiting = append(r.waiting, &callback{unit: u, url: address, end: end, holders: holders})
 	c.callOut(r)
 }
 
@@ -130,7 +132,8 @@
 	if err == nil && status == taken || call.refusals >= maxRefusals || call.tries >= maxCallbackTries {
 		r.failures = 0
 		c.figures.Callbacks++
-		c.stores.recordCallback(call.holders, call.end.ID)
+		call.unit.unrecorded--
+		c.stores.recordCallback(call.unit, call.holders, call.end.ID)
 		return
 	}
 	r.failures++
--- a/internal/system/role/carrier/core.go
+++ b/internal/system/role/carrier/core.go
@@ -235,6 +235,9 @@
 // copies is the number of disks that a message lies on before it is accepted.
 func (c *Core) copies() int { return c.settings.Tolerated + 1 }
 
+// Incarnation is that of this carrier's session.
+func (c *Core) Incarnation() string { return c.session.Incarnation() }
+
 // Figures gives the counts.
 func (c *Core) Figures() Figures { return c.figures }
 
--- a/internal/system/role/carrier/dispatch.go
+++ b/internal/system/role/carrier/dispatch.go
@@ -52,7 +52,7 @@
 
 // ready puts a message into its service's queue once it is due.
 func (c *Core) ready(it *item) {
-	if it.ended || it.queued || it.flying || it.unit.dropped {
+	if it.ended || it.queued || it.flying || it.unit.dropped || it.waits() {
 		return
 	}
 	if wait := it.due - c.env.Now(); wait > 0 {
@@ -262,9 +262,9 @@
 	c.figures.Ended++
 	end := message.End{ID: it.message.ID, Phase: phase, Stamp: stamp, CallbackOwed: it.message.Callback != ""}
 	c.recent.add(end)
-	c.stores.recordEnd(it.holders, end)
+	c.stores.recordEnd(it.unit, it.holders, end)
 	if end.CallbackOwed {
-		c.tell(it.message.Callback, end, it.holders)
+		c.tell(it.unit, it.message.Callback, end, it.holders)
 	}
 	c.leave(it)
 }
--- a/internal/system/role/carrier/drain.go
+++ b/internal/system/role/carrier/drain.go
@@ -11,13 +11,17 @@
 )
 
 // StopReady has the platform send no more clients.
-func (c *Core) StopReady() { c.draining = true }
+func (c *Core) StopReady() {
+	c.draining = true
+	c.session.Stopping()
+}
 
 // Drain ends the carrier's work in order: it serves on for a part of the grace, begins no more deliveries, lets those
-// that are out end, has all ends recorded, and gives up its session so that another carries on. done is called at its end.
+// that are out end, has all ends recorded, and gives up its session so that another carries on. What it owns for
+// the fleet is handed over meanwhile. done is called at its end.
 // began is when the stop was asked for.
 func (c *Core) Drain(began time.Duration, done func()) {
-	c.draining = true
+	c.StopReady()
 	grace := c.settings.Bounds.Grace
 	part := func(share float64) time.Duration { return began + time.Duration(share*float64(grace)) }
 	now := c.env.Now()
--- a/internal/system/role/carrier/owner.go
+++ b/internal/system/role/carrier/owner.go
@@ -42,8 +42,8 @@
 	if u == nil || !c.session.Holds() || c.paused {
 		return wire.ReserveAnswer{}, &wire.RefusalBody{Code: wire.NotOwner, Reason: "not the owner of " + body.Unit}
 	}
-	if !u.active {
-		return wire.ReserveAnswer{}, &wire.RefusalBody{Code: wire.NotReady, Reason: "the unit is being recovered"}
+	if !u.active || u.rests() {
+		return wire.ReserveAnswer{}, &wire.RefusalBody{Code: wire.NotReady, Reason: "the unit changes its owner"}
 	}
 	u.sequence++
 	return wire.ReserveAnswer{Token: u.token, Sequence: u.sequence}, nil
@@ -92,8 +92,8 @@
 	if u == nil || !c.session.Holds() || c.paused {
 		return &wire.RefusalBody{Code: wire.NotOwner, Reason: "not the owner of " + body.Message.Unit}
 	}
-	if !u.active {
-		return &wire.RefusalBody{Code: wire.NotReady, Reason: "the unit is being recovered"}
+	if !u.active || u.rests() {
+		return &wire.RefusalBody{Code: wire.NotReady, Reason: "the unit changes its owner"}
 	}
 	if _, ended := c.recent.get(body.Message.ID); ended || u.items[body.Message.ID] != nil {
 		return nil
--- a/internal/system/role/carrier/recovery.go
+++ b/internal/system/role/carrier/recovery.go
@@ -261,9 +261,9 @@
 		}
 	}
 	if f.end != nil {
-		c.stores.recordEnd(f.holders, *f.end)
+		c.stores.recordEnd(u, f.holders, *f.end)
 		if f.end.CallbackOwed && m.Callback != "" {
-			c.tell(m.Callback, *f.end, f.holders)
+			c.tell(u, m.Callback, *f.end, f.holders)
 		}
 		return
 	}
--- a/internal/system/role/carrier/storage.go
+++ b/internal/system/role/carrier/storage.go
@@ -20,10 +20,46 @@
 	slowFor      = 2 * time.Second        // a store that was silent for so long is asked last for a while
 )
 
-// outbox is what a store has to be told, in order, until it has answered.
+// owedRecord is an end that a store has to be told, or that was told to its call-back URL.
+type owedRecord struct {
+	unit *unit
+	end  message.End
+}
+
+// owedRecords are to be told in order.
+type owedRecords struct {
+	records []owedRecord
+	out     int // number of the first ones, with the call that is out
+}
+
+func (o *owedRecords) add(record owedRecord) {
+	if len(o.records) >= maxOutbox {
+		o.forget(maxOutbox / 2)
+	}
+	record.unit.unrecorded++
+	o.records = append(o.records, record)
+}
+
+// begin gives the first ones, and counts them as being out.
+func (o *owedRecords) begin() []owedRecord {
+	o.out = min(len(o.records), endsAtOnce)
+	return o.records[:o.out]
+}
+
+// forget takes the first records out.
+func (o *owedRecords) forget(count int) {
+	for _, record := range o.records[:count] {
+		record.unit.unrecorded--
+	}
+	o.records = append([]owedRecord(nil), o.records[count:]...)
+	o.out = max(0, o.out-count)
+}
+
+// outbox is what a store has to be told, until it has answered. Ends go first: a store has to know an end before it can
+// know that it was told.
 type outbox struct {
-	ends      []message.End
-	callbacks []string
+	ends      owedRecords
+	callbacks owedRecords
 	busy      bool
 }
 
@@ -161,26 +197,18 @@
 	return box
 }
 
-// recordEnd tells the holders about an end.
-func (s *storage) recordEnd(holders []string, end message.End) {
+// recordEnd tells the holders about an end of a unit.
+func (s *storage) recordEnd(u *unit, holders []string, end message.End) {
 	for _, disk := range holders {
-		box := s.box(disk)
-		if len(box.ends) >= maxOutbox {
-			box.ends = append([]message.End(nil), box.ends[maxOutbox/2:]...)
-		}
-		box.ends = append(box.ends, end)
+		s.box(disk).ends.add(owedRecord{unit: u, end: end})
 		s.flush(disk)
 	}
 }
 
-// recordCallback tells the holders that an end was told.
-func (s *storage) recordCallback(holders []string, id string) {
+// recordCallback tells the holders that an end of a unit was told.
+func (s *storage) recordCallback(u *unit, holders []string, id string) {
 	for _, disk := range holders {
-		box := s.box(disk)
-		if len(box.callbacks) >= maxOutbox {
-			box.callbacks = append([]string(nil), box.callbacks[maxOutbox/2:]...)
-		}
-		box.callbacks = append(box.callbacks, id)
+		s.box(disk).callbacks.add(owedRecord{unit: u, end: message.End{ID: id}})
 		s.flush(disk)
 	}
 }
@@ -206,25 +234,29 @@
 		return
 	}
 	switch {
-	case len(box.ends) > 0:
-		count := min(len(box.ends), endsAtOnce)
-		body := wire.EndsBody{Ends: box.ends[:count]}
-		s.send(disk, box, wire.PutEnds, wire.Encode(&body), func() { box.ends = append([]message.End(nil), box.ends[count:]...) })
-	case len(box.callbacks) > 0:
-		count := min(len(box.callbacks), endsAtOnce)
-		body := wire.CallbackDoneBody{IDs: box.callbacks[:count]}
-		s.send(disk, box, wire.CallbackDone, wire.Encode(&body), func() { box.callbacks = append([]string(nil), box.callbacks[count:]...) })
+	case len(box.ends.records) > 0:
+		var body wire.EndsBody
+		for _, record := range box.ends.begin() {
+			body.Ends = append(body.Ends, record.end)
+		}
+		s.send(disk, box, wire.PutEnds, wire.Encode(&body), &box.ends)
+	case len(box.callbacks.records) > 0:
+		var body wire.CallbackDoneBody
+		for _, record := range box.callbacks.begin() {
+			body.IDs = append(body.IDs, record.end.ID)
+		}
+		s.send(disk, box, wire.CallbackDone, wire.Encode(&body), &box.callbacks)
 	}
 }
 
-func (s *storage) send(disk string, box *outbox, kind wire.Kind, payload []byte, taken func()) {
+func (s *storage) send(disk string, box *outbox, kind wire.Kind, payload []byte, records *owedRecords) {
 	box.busy = true
 	s.core.env.Call(s.address(disk), kind, payload, endsTimeout, func(_ []byte, err error) {
 		box.busy = false
 		if err != nil {
 			return // housekeeping or a new connection tries again
 		}
-		taken()
+		records.forget(records.out)
 		s.flush(disk)
 	})
 }
@@ -233,7 +265,7 @@
 func (s *storage) unwritten() int {
 	count := 0
 	for _, box := range s.boxes {
-		count += len(box.ends) + len(box.callbacks)
+		count += len(box.ends.records) + len(box.callbacks.records)
 	}
 	return count
 }
--- a/internal/system/role/carrier/unit.go
+++ b/internal/system/role/carrier/unit.go
@@ -21,6 +21,9 @@
 	keys       map[string][]*item // by ordering key, in order; the first is due or being delivered
 	settled    bool
 	settling   bool
+	unrecorded int       // records of its ends that some store has not taken
+	handover   *handover // nil unless the unit is on its way to another carrier
+	declined   uint64    // latest offer that was not followed
 }
 
 func newUnit(name string) *unit {
@@ -45,8 +48,9 @@
 			if known != nil {
 				c.drop(known)
 			}
-			c.begin(name, owner.Token)
+			known = c.begin(name, owner.Token)
 		}
+		c.followOffer(known, owner)
 	}
 	for incarnation, gone := range after.Departed {
 		name := ownership.CarrierUnit(incarnation)
@@ -68,7 +72,7 @@
 	}
 }
 
-func (c *Core) begin(name string, token uint64) {
+func (c *Core) begin(name string, token uint64) *unit {
 	u := newUnit(name)
 	u.token = token
 	c.units[name] = u
@@ -77,6 +81,7 @@
 		c.queue(service).pace.Hold(c.env.Now() + pacedHandover)
 	}
 	c.recover(u)
+	return u
 }
 
 const pacedHandover = 100 * time.Millisecond
--- a/internal/system/role/keeper/core.go
+++ b/internal/system/role/keeper/core.go
@@ -33,7 +33,10 @@
 	SessionLife = 3 * time.Second
 	// MemberLease is how long a member may act on its session after it sent a heartbeat that was answered. It ends well
 	// before the session does, whatever the two clocks' rates.
-	MemberLease     = 2400 * time.Millisecond
+	MemberLease = 2400 * time.Millisecond
+	// followedWithin is how long ago a majority must have followed the keeper that lengthens a session: with MemberLease
+	// less than SessionLife.
+	followedWithin  = 400 * time.Millisecond
 	catalogInterval = 600 * time.Millisecond
 	catalogHurry    = 200 * time.Millisecond  // while a service has no worker
 	orderWait       = 2500 * time.Millisecond // an order without majority by then gets no clear answer
@@ -85,17 +88,20 @@
 	configuration *configuration.State
 	sessions      *session.State
 	owners        [OwnershipShards]*ownership.State
-	assigning     [OwnershipShards]time.Duration // until when an assignment is under way
-	feed          *feed.Table
-	subscribers   map[Subscriber]feed.Position
-	lastHeard     map[string]time.Duration // by incarnation, of members, on the leader of sessions
-	leaving       map[string]time.Duration // members whose expiry is under way
-	instances     map[string]catalog.Instance
-	catalogRead   time.Duration
-	catalogKnown  bool
-	catalogDue    time.Duration
-	reconcileDue  time.Duration
-	keepers       map[string]bool // addresses of the keepers that this one knows
+	assigning     [OwnershipShards]time.Duration // until when a change is under way
+	moves         [OwnershipShards]moves
+	// carriersChanged is when a carrier came or went.
+	carriersChanged time.Duration
+	feed            *feed.Table
+	subscribers     map[Subscriber]feed.Position
+	lastHeard       map[string]time.Duration // by incarnation, of members, on the leader of sessions
+	leaving         map[string]time.Duration // members whose expiry is under way
+	instances       map[string]catalog.Instance
+	catalogRead     time.Duration
+	catalogKnown    bool
+	catalogDue      time.Duration
+	reconcileDue    time.Duration
+	keepers         map[string]bool // addresses of the keepers that this one knows
 }
 
 // LostError tells a waiter that its order may or may not be taken.
@@ -142,7 +148,7 @@
 		g.reset = func() { *c.sessions = *session.NewState() }
 	default:
 		shard := id - firstOwnershipGroup
-		g.apply = func(_ uint64, data []byte) error { return c.applyAssignments(shard, data) }
+		g.apply = func(_ uint64, data []byte) error { return c.applyOwners(shard, data) }
 		g.snap, g.restore = c.owners[shard].Snapshot, c.owners[shard].Restore
 		g.reset = func() { *c.owners[shard] = *ownership.NewState() }
 	}
--- a/internal/system/role/keeper/groups.go
+++ b/internal/system/role/keeper/groups.go
@@ -53,6 +53,10 @@
 			}
 		}
 	}
+	if leaving == c.options.IDs[id] && len(group.Voters) > c.options.Voters {
+		node.HandOver(c.now) // its successor takes it out
+		return
+	}
 	switch {
 	case len(group.Voters) > c.options.Voters && silence > silentForRemoval:
 		c.changeGroup(id, group.With(silentVoter, agreement.Out))
@@ -69,6 +73,19 @@
 	}
 }
 
+// Yield has other keepers lead what this one leads, before it stops. The answer tells whether it leads nothing any more.
+func (c *Core) Yield(now time.Duration) bool {
+	c.now = now
+	yielded := true
+	for _, g := range c.groups {
+		if g.node.Leading() {
+			yielded = false
+			g.node.HandOver(now)
+		}
+	}
+	return yielded
+}
+
 func longestSilence(node *agreement.Node, ids []string) (id string, silence time.Duration) {
 	for _, other := range ids {
 		if quiet, _ := node.Silence(other); quiet > silence {
--- a/internal/system/role/keeper/handle.go
+++ b/internal/system/role/keeper/handle.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"granitewing/internal/system/agreement"
+	"granitewing/internal/system/ownership"
 	"granitewing/internal/system/wire"
 )
 
@@ -46,7 +47,7 @@
 	return nil
 }
 
-// handleOrder carries out the calls that change the session table for good.
+// handleOrder carries out the calls that change the tables of sessions and owners for good.
 func (c *Core) handleOrder(now time.Duration, kind wire.Kind, payload []byte, _ wire.Answerer, done func(err error)) error {
 	switch kind {
 	case wire.CloseSession:
@@ -67,6 +68,12 @@
 			return err
 		}
 		c.CountDisk(now, body.Disk, done)
+	case wire.ReleaseUnit:
+		var body wire.ReleaseUnitBody
+		if err := wire.Decode(kind, payload, &body); err != nil {
+			return err
+		}
+		c.ReleaseUnit(now, body.Unit, body.Token, body.Offer, done)
 	case wire.CopiedDisk:
 		var body wire.CopiedDiskBody
 		if err := wire.Decode(kind, payload, &body); err != nil {
@@ -84,6 +91,7 @@
 	var notLeader *agreement.NotLeaderError
 	var unknown *UnknownSessionError
 	var removed *RemovedError
+	var stale *ownership.StaleOfferError
 	switch {
 	case err == nil:
 		answerer.Answer(body)
@@ -93,6 +101,8 @@
 		answerer.Refuse(wire.RefusalBody{Code: wire.NotLeader, Reason: err.Error(), Leader: notLeader.Leader})
 	case errors.As(err, &unknown):
 		answerer.Refuse(wire.RefusalBody{Code: wire.UnknownSession, Reason: err.Error()})
+	case errors.As(err, &stale):
+		answerer.Refuse(wire.RefusalBody{Code: wire.StaleOffer, Reason: err.Error()})
 	default:
 		answerer.Refuse(wire.RefusalBody{Code: wire.Failed, Reason: err.Error()})
 	}
--- a/internal/system/role/keeper/sessions.go
+++ b/internal/system/role/keeper/sessions.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -30,8 +31,7 @@
 func (c *Core) OpenSession(now time.Duration, subscriber Subscriber, body wire.OpenSessionBody, done func(err error)) {
 	c.now = now
 	member, position := body.Member, body.Position
-	g := c.groups[SessionGroup]
-	if !g.node.Leading() {
+	if !c.vouches() {
 		done(c.notLeader(SessionGroup))
 		return
 	}
@@ -59,12 +59,7 @@
 // Heartbeat keeps a session; the age is that of the list of workers.
 func (c *Core) Heartbeat(now time.Duration, incarnation string) (catalogAge time.Duration, err error) {
 	c.now = now
-	g := c.groups[SessionGroup]
-	if now >= g.node.NextWake() {
-		// A process that stood still must not vouch for a session before it knows that it still leads.
-		g.node.Tick(now)
-	}
-	if !g.node.Leading() {
+	if !c.vouches() {
 		return 0, c.notLeader(SessionGroup)
 	}
 	if _, live := c.sessions.Member(incarnation); !live {
@@ -77,6 +72,17 @@
 	return c.CatalogAge(), nil
 }
 
+// vouches tells whether this keeper may lengthen sessions. A successor that it named may lead already, and has given
+// every member a full session then: what this one answers until it knows must end before that does.
+func (c *Core) vouches() bool {
+	node := c.groups[SessionGroup].node
+	if c.now >= node.NextWake() {
+		// A process that stood still must not vouch for a session before it knows that it still leads.
+		node.Tick(c.now)
+	}
+	return node.Leading() && node.Followed(followedWithin)
+}
+
 // CloseSession ends a session at its member's wish.
 func (c *Core) CloseSession(now time.Duration, incarnation string, done func(err error)) {
 	c.now = now
@@ -133,10 +139,14 @@
 	if err := msgpack.Unmarshal(data, &command); err != nil {
 		return &session.MalformedError{Err: err}
 	}
+	before := c.sessions.Members(session.Carrier)
 	c.sessions.Apply(command)
 	if command.Kind == session.Join {
 		c.lastHeard[command.Member.Incarnation] = c.now
 	}
+	if after := c.sessions.Members(session.Carrier); !slices.Equal(before, after) {
+		c.carriersChanged = c.now
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/system/role/keeper/status.go
@@ -0,0 +1,164 @@
+package keeper
+
+import (
+	"sort"
+	"time"
+
+	"granitewing/internal/system/session"
+)
+
+// Status is what one keeper knows of the fleet, for people.
+type Status struct {
+	Keeper        string           `json:"keeper"` // its address
+	Configuration uint64           `json:"configuration"`
+	Roster        uint64           `json:"roster"`
+	CatalogAge    string           `json:"catalog_age,omitempty"` // of the list of workers; empty where it reads none
+	Groups        []GroupStatus    `json:"groups"`
+	Members       []MemberStatus   `json:"members"`
+	Disks         []DiskStatus     `json:"disks"`
+	Units         []UnitStatus     `json:"units"`
+	Services      []ServiceStatus  `json:"services"`
+	Departed      []DepartedStatus `json:"departed"`
+}
+
+// GroupStatus is one replica group.
+type GroupStatus struct {
+	Name     string   `json:"name"`
+	Leader   string   `json:"leader"`
+	Term     uint64   `json:"term"`
+	Applied  uint64   `json:"applied"`
+	Voters   []string `json:"voters"`
+	Learners []string `json:"learners"`
+}
+
+// MemberStatus is one session.
+type MemberStatus struct {
+	Node        string `json:"node"`
+	Role        string `json:"role"`
+	Zone        string `json:"zone"`
+	Address     string `json:"address"`
+	Incarnation string `json:"incarnation"`
+	Stopping    bool   `json:"stopping"`
+}
+
+// DiskStatus is one disk of the roster.
+type DiskStatus struct {
+	Disk    string `json:"disk"`
+	Node    string `json:"node"`
+	Live    bool   `json:"live"`
+	Counted bool   `json:"counted"`
+	Leaving bool   `json:"leaving"`
+}
+
+// UnitStatus is who owns a unit.
+type UnitStatus struct {
+	Unit  string `json:"unit"`
+	Owner string `json:"owner"` // incarnation
+	Token uint64 `json:"token"`
+	Next  string `json:"next,omitempty"`
+}
+
+// ServiceStatus counts a service's workers.
+type ServiceStatus struct {
+	Service  string `json:"service"`
+	Workers  int    `json:"workers"`
+	Draining int    `json:"draining"`
+}
+
+// DepartedStatus is a carrier that has gone and left messages.
+type DepartedStatus struct {
+	Incarnation string `json:"incarnation"`
+	Adopter     string `json:"adopter"`
+}
+
+// groupNames are what people call the groups.
+var groupNames = [Groups]string{"configuration", "sessions", "owners-0", "owners-1"}
+
+// Status tells what this keeper knows; where it leads nothing, that may be old.
+func (c *Core) Status(now time.Duration) Status {
+	c.now = now
+	status := Status{Keeper: c.options.Address, Roster: c.sessions.Epoch()}
+	if document := c.configuration.Current(); document != nil {
+		status.Configuration = document.Version
+	}
+	if c.catalogKnown {
+		status.CatalogAge = c.CatalogAge().Round(time.Millisecond).String()
+	}
+	for id, g := range c.groups {
+		group := g.node.Group()
+		status.Groups = append(status.Groups, GroupStatus{Name: groupNames[id], Leader: AddressOf(g.node.Leader()),
+			Term: g.node.Term(), Applied: g.node.Applied(), Voters: group.Voters, Learners: group.Learners})
+	}
+	status.Members, status.Disks = c.memberStatus(), c.diskStatus()
+	status.Units, status.Services = c.unitStatus(), c.serviceStatus()
+	for _, gone := range c.sessions.Departed() {
+		status.Departed = append(status.Departed, DepartedStatus{Incarnation: gone.Incarnation, Adopter: gone.Adopter})
+	}
+	return status
+}
+
+func (c *Core) memberStatus() []MemberStatus {
+	var members []MemberStatus
+	for _, role := range []session.Role{session.Carrier, session.Store} {
+		for _, m := range c.sessions.Members(role) {
+			members = append(members, MemberStatus{Node: m.Node, Role: string(m.Role), Zone: m.Zone, Address: m.Address,
+				Incarnation: m.Incarnation, Stopping: m.Stopping})
+		}
+	}
+	return members
+}
+
+func (c *Core) diskStatus() []DiskStatus {
+	live := map[string]bool{}
+	for _, store := range c.sessions.Members(session.Store) {
+		live[store.Disk] = true
+	}
+	var disks []DiskStatus
+	for id, disk := range c.sessions.Disks() {
+		disks = append(disks, DiskStatus{Disk: id, Node: disk.Member.Node, Live: live[id], Counted: disk.Counted, Leaving: disk.Leaving})
+	}
+	sort.Slice(disks, func(i, j int) bool {
+		return disks[i].Node < disks[j].Node || disks[i].Node == disks[j].Node && disks[i].Disk < disks[j].Disk
+	})
+	return disks
+}
+
+func (c *Core) unitStatus() []UnitStatus {
+	var units []UnitStatus
+	for _, shard := range c.owners {
+		for unit, owner := range shard.Owners() {
+			units = append(units, UnitStatus{Unit: unit, Owner: owner.Incarnation, Token: owner.Token, Next: owner.Next})
+		}
+	}
+	sort.Slice(units, func(i, j int) bool { return units[i].Unit < units[j].Unit })
+	return units
+}
+
+func (c *Core) serviceStatus() []ServiceStatus {
+	document := c.configuration.Current()
+	if document == nil {
+		return nil
+	}
+	counts := map[string]*ServiceStatus{}
+	var services []string
+	for name := range document.Services {
+		counts[name] = &ServiceStatus{Service: name}
+		services = append(services, name)
+	}
+	for _, instance := range c.instances {
+		count := counts[instance.Service]
+		switch {
+		case count == nil:
+		case instance.Draining:
+			count.Draining++
+		default:
+			count.Workers++
+		}
+	}
+	sort.Strings(services)
+	var status []ServiceStatus
+	for _, name := range services {
+		status = append(status, *counts[name])
+	}
+	return status
+}
--- a/internal/system/role/keeper/tables.go
+++ b/internal/system/role/keeper/tables.go
@@ -4,81 +4,11 @@
 	"sort"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"granitewing/internal/system/catalog"
-	"granitewing/internal/system/ownership"
 	"granitewing/internal/system/session"
 	"granitewing/internal/system/wire"
 )
 
-// reconcile gives each unit without a live owner to a carrier, in the shards that this keeper leads.
-func (c *Core) reconcile() {
-	live := c.liveCarriers()
-	for shard := range c.owners {
-		g := c.groups[firstOwnershipGroup+shard]
-		if !g.node.Leading() || c.now < c.assigning[shard] || len(live) == 0 {
-			continue
-		}
-		turned := append(append([]string(nil), live[shard*len(live)/OwnershipShards:]...), live[:shard*len(live)/OwnershipShards]...)
-		assignments := c.owners[shard].Assign(c.units(shard), turned)
-		if len(assignments) == 0 {
-			continue
-		}
-		data, err := msgpack.Marshal(assignments)
-		if err != nil {
-			continue
-		}
-		c.assigning[shard] = c.now + orderWait
-		c.propose(firstOwnershipGroup+shard, data, func(error) { c.assigning[shard] = 0 })
-	}
-}
-
-func (c *Core) liveCarriers() []string {
-	var live []string
-	for _, member := range c.sessions.Members(session.Carrier) {
-		live = append(live, member.Incarnation)
-	}
-	return live
-}
-
-// units gives the units of a shard that need an owner under the current configuration.
-func (c *Core) units(shard int) []string {
-	document := c.configuration.Current()
-	if document == nil {
-		return nil
-	}
-	ordered := map[string]bool{}
-	for i := range document.Routes {
-		if document.Routes[i].Ordered {
-			ordered[document.Routes[i].Service] = true
-		}
-	}
-	var units []string
-	for name, service := range document.Services {
-		if ownership.Shard(name, OwnershipShards) != shard {
-			continue
-		}
-		switch {
-		case service.Rate > 0 || service.Static != "":
-			units = append(units, ownership.PacedUnit(name))
-		case ordered[name]:
-			units = append(units, ownership.KeyUnits(name)...)
-		}
-	}
-	sort.Strings(units)
-	return units
-}
-
-func (c *Core) applyAssignments(shard int, data []byte) error {
-	var assignments []ownership.Assignment
-	if err := msgpack.Unmarshal(data, &assignments); err != nil {
-		return &ownership.MalformedError{Err: err}
-	}
-	c.owners[shard].Apply(assignments)
-	return nil
-}
-
 // Keys of the feed. What follows a prefix is the name of the thing.
 const (
 	KeyConfiguration = "configuration"
--- a/internal/system/session/state.go
+++ b/internal/system/session/state.go
@@ -30,6 +30,7 @@
 	Disk        string // identity drawn on the disk, of stores
 	Founder     bool   // of stores: the disk is as old as the system
 	Replaces    string // incarnation that this process had before its session was lost
+	Stopping    bool   // it was asked to stop, and hands over what it owns
 }
 
 // Departed is a carrier that has gone and left messages.
--- a/internal/system/simulation/hosts.go
+++ b/internal/system/simulation/hosts.go
@@ -74,9 +74,26 @@
 	}
 	h.tick()
 	h.joiner.Step()
+	h.stop = func() { h.yield(h.Now() + yieldMost) }
 	return h, nil
 }
 
+// Times of handing over what a stopping keeper leads, as its driver has them.
+const (
+	yieldInterval = 150 * time.Millisecond
+	yieldMost     = 900 * time.Millisecond
+)
+
+func (h *keeperHost) yield(until time.Duration) {
+	yielded := h.core.Yield(h.Now())
+	h.goOn()
+	if yielded || h.Now() >= until {
+		h.end()
+		return
+	}
+	h.After(yieldInterval, func() { h.yield(until) })
+}
+
 func (h *keeperHost) identity() disk.Identity {
 	founders := h.settings.SeedKeepers()
 	if h.settings.Bootstrap && slices.Contains(founders, h.address) {
--- a/internal/system/simulation/scenario.go
+++ b/internal/system/simulation/scenario.go
@@ -30,6 +30,7 @@
 //	expect accepted 0.9                least share of what was sent
 //	expect ended 0.99                  least share of what was accepted
 //	expect retired 1                   machines that were emptied and taken away
+//	expect spread 1                    most units of ordering keys that one carrier owns more than another, at the end
 type Scenario struct {
 	Seed     uint64
 	Traffic  time.Duration
@@ -37,6 +38,7 @@
 	Accepted float64
 	Ended    float64
 	Retired  int
+	Spread   int // 0 where it does not matter
 }
 
 // Event is one thing that happens.
@@ -97,6 +99,8 @@
 			s.Ended = number
 		case "retired":
 			s.Retired = int(number)
+		case "spread":
+			s.Spread = int(number)
 		}
 		return err
 	case "at":
@@ -135,6 +139,7 @@
 	Accepted float64 // share of what was sent
 	Ended    float64 // share of what was accepted
 	Retired  int     // machines that were emptied and taken away
+	Spread   int     // units of ordering keys that one carrier owns more than another
 }
 
 // Play plays a scenario.
@@ -165,7 +170,7 @@
 	d.finish()
 	accepted, ended := d.checker.share()
 	result := &Result{Broken: d.checker.broken, Sent: len(d.checker.records), Accepted: accepted, Ended: ended,
-		Retired: d.retired}
+		Retired: d.retired, Spread: d.spread()}
 	return result, d.failure
 }
 
--- /dev/null
+++ b/internal/system/simulation/trouble.go
@@ -0,0 +1,147 @@
+package simulation
+
+import (
+	"fmt"
+	"time"
+)
+
+// kill ends a machine's processes; they start again after a while.
+func (d *day) kill(m *machine, down time.Duration) {
+	for len(m.processes) > 0 {
+		m.processes[0].end()
+	}
+	d.world.after(down, func() { d.boot(m, false) })
+}
+
+// powerOff takes a machine's power away for a while.
+func (d *day) powerOff(m *machine, down time.Duration, wipe bool) {
+	m.dark = true
+	for len(m.processes) > 0 {
+		m.processes[0].end()
+	}
+	for _, name := range sortedKeys(m.disks) {
+		m.disks[name].losePower()
+	}
+	if wipe {
+		m.disks = map[string]*simulatedDisk{}
+	}
+	d.world.after(down, func() {
+		m.dark = false
+		d.boot(m, false)
+	})
+}
+
+// replace takes a machine away for good; an empty one comes at another address.
+func (d *day) replace(m *machine, after time.Duration) {
+	d.powerOff(m, time.Hour, true)
+	m.removed = true
+	d.world.after(after, func() {
+		d.boot(d.world.add(fmt.Sprintf("storage-%d", len(d.world.names)+1), d.nextIP(), m.zone), false)
+	})
+}
+
+func (d *day) freeze(m *machine, length time.Duration) {
+	m.frozen = true
+	d.world.after(length, func() {
+		m.frozen = false
+		for _, p := range append([]*process(nil), m.processes...) {
+			p.thaw()
+		}
+	})
+}
+
+// term stops a machine's processes in order; they start again.
+func (d *day) term(m *machine) {
+	for _, p := range append([]*process(nil), m.processes...) {
+		if p.stop != nil {
+			p.run(p.stop)
+		} else {
+			d.world.after(20*time.Millisecond, p.end)
+		}
+	}
+	var restart func()
+	stopBy := d.world.now + grace
+	restart = func() {
+		if len(m.processes) == 0 || d.world.now >= stopBy {
+			d.kill(m, restartPause)
+			return
+		}
+		d.world.after(50*time.Millisecond, restart)
+	}
+	d.world.after(50*time.Millisecond, restart)
+}
+
+// cut closes the ways between machines for a while.
+func (d *day) cut(from, to []*machine, oneWay bool, length time.Duration) {
+	var pairs [][2]string
+	for _, a := range from {
+		for _, b := range to {
+			if a == b {
+				continue
+			}
+			pairs = append(pairs, [2]string{a.name, b.name})
+			if !oneWay {
+				pairs = append(pairs, [2]string{b.name, a.name})
+			}
+		}
+	}
+	for _, pair := range pairs {
+		d.world.cuts[pair] = true
+	}
+	d.world.after(length, func() {
+		for _, pair := range pairs {
+			delete(d.world.cuts, pair)
+		}
+	})
+}
+
+// retire has a machine emptied; it is removed with its disk as soon as it is told as empty.
+func (d *day) retire(name string) {
+	again := func() { d.world.after(operatorPause, func() { d.retire(name) }) }
+	host := d.sessionLeader()
+	if host == nil {
+		again()
+		return
+	}
+	host.core.RetireMachine(host.Now(), name, func(err error) {
+		retired, getErr := host.core.Retired(host.Now(), name)
+		if err != nil || getErr != nil || !retired {
+			again()
+			return
+		}
+		m := d.world.machines[name]
+		if !m.removed {
+			d.powerOff(m, time.Hour, true)
+			m.removed = true
+			d.retired++
+		}
+	})
+	host.goOn()
+}
+
+// release replaces a worker of a service: the new one first, then the old one drains and ends.
+func (d *day) release(service string) {
+	for _, id := range d.platform.names() {
+		old := d.platform.workers[id]
+		if old.service.name != service || old.draining || old.service.static != "" {
+			continue
+		}
+		d.platform.addWorker(service, old.zone)
+		old.draining = true
+		d.world.after(3500*time.Millisecond, func() {
+			old.gone = true
+			delete(d.platform.workers, old.id)
+		})
+		return
+	}
+}
+
+// dark silences a service's workers for a while.
+func (d *day) darken(service string, length time.Duration) {
+	for _, id := range d.platform.names() {
+		if w := d.platform.workers[id]; w.service.name == service {
+			w.dark = true
+			d.world.after(length, func() { w.dark = false })
+		}
+	}
+}
--- a/internal/system/wire/messages.go
+++ b/internal/system/wire/messages.go
@@ -43,6 +43,9 @@
 	ReserveSequence
 	ConfirmMessage
 	ForwardMessage
+
+	// To keepers.
+	ReleaseUnit
 )
 
 // RefusalBody is the payload of a Refusal.
@@ -66,6 +69,7 @@
 	Failed
 	Removed
 	StaleRoster
+	StaleOffer
 )
 
 // AgreementBody carries messages of one group.
@@ -134,6 +138,14 @@
 	Disk     string
 }
 
+// ReleaseUnitBody hands a unit over to the carrier that it was offered to.
+type ReleaseUnitBody struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Unit     string
+	Token    uint64
+	Offer    uint64
+}
+
 // FindEndsBody asks which of some messages have ended.
 type FindEndsBody struct {
 	_msgpack struct{} `msgpack:",as_array"`
