--- a/internal/system/simulation/clients.go
+++ b/internal/system/simulation/clients.go
@@ -147,12 +147,16 @@
 		return
 	}
 	answered := false
+	heard := d.history.begin(w.now, configurationCall{base: o.Base, version: o.version, content: d.history.content(o.Raw)})
 	answer := func(err error) {
 		if answered || host.machine.dark {
 			return
 		}
 		answered = true
-		w.after(clientWay, func() { d.orderAnswered(o, err, again) })
+		w.after(clientWay, func() {
+			heard(w.now, orderVerdict(err))
+			d.orderAnswered(o, err, again)
+		})
 	}
 	w.after(clientWay, func() {
 		host.run(func() {
@@ -168,6 +172,18 @@
 	})
 }
 
+func orderVerdict(err error) configurationAnswer {
+	var invalid *configuration.InvalidError
+	var conflict *configuration.ConflictError
+	switch {
+	case err == nil:
+		return configurationAnswer{verdict: taken}
+	case errors.As(err, &invalid), errors.As(err, &conflict):
+		return configurationAnswer{verdict: refused}
+	}
+	return configurationAnswer{verdict: unanswered}
+}
+
 func (d *day) orderAnswered(o *order, err error, again func()) {
 	var invalid *configuration.InvalidError
 	var conflict *configuration.ConflictError
--- a/internal/system/simulation/day.go
+++ b/internal/system/simulation/day.go
@@ -22,6 +22,8 @@
 	orderedKeys    = 25
 	failuresToEnd  = 4
 	sampleInterval = 100 * time.Millisecond
+	// readingInterval is how often the operator reads the configuration back.
+	readingInterval = 370 * time.Millisecond
 )
 
 // Names of the services.
@@ -46,6 +48,7 @@
 	lastIP   int
 	retired  int // machines that were emptied and removed
 	failure  error
+	history  *configurationHistory
 }
 
 var zones = []string{"a", "b", "c"}
@@ -53,7 +56,7 @@
 func newDay(seed uint64) *day {
 	w := newWorld(seed)
 	d := &day{world: w, checker: newChecker(failuresToEnd), keepers: map[string]*keeperHost{}, stores: map[string]*storeHost{},
-		carriers: map[string]*carrierHost{}, misses: map[string]int{}, seen: map[*carrierHost]uint64{}}
+		carriers: map[string]*carrierHost{}, misses: map[string]int{}, seen: map[*carrierHost]uint64{}, history: newConfigurationHistory()}
 	d.platform = newPlatform(w, d.checker)
 	d.addServices()
 	for i := range storageCount {
@@ -67,6 +70,7 @@
 	}
 	w.after(readyInterval, d.probe)
 	w.after(sampleInterval, d.sample)
+	w.after(readingInterval, func() { d.readAgain(0) })
 	return d
 }
 
--- a/internal/system/simulation/judge.go
+++ b/internal/system/simulation/judge.go
@@ -13,6 +13,9 @@
 	d.world.runUntil(d.world.now + settleTime)
 	d.judgeStates()
 	d.judgeConfiguration()
+	if !d.history.linearizable() {
+		d.checker.breakRule(d.world.now, "CONFIG", "no order of the operator's calls explains their answers")
+	}
 	for _, name := range sortedKeys(d.platform.services) {
 		d.checker.ceiling(d.platform.services[name])
 	}
--- a/internal/system/simulation/operators.go
+++ b/internal/system/simulation/operators.go
@@ -68,3 +68,29 @@
 	}
 	return nil
 }
+
+// readAgain reads the configuration at one keeper after the other, as far as each answers.
+func (d *day) readAgain(turn int) {
+	w := d.world
+	w.after(readingInterval, func() { d.readAgain(turn + 1) })
+	host := d.someKeeper(turn)
+	if host == nil {
+		return
+	}
+	heard := d.history.begin(w.now, configurationCall{})
+	w.after(clientWay, func() {
+		host.run(func() {
+			host.core.Read(host.Now(), func(raw []byte, err error) {
+				if err != nil || host.machine.dark {
+					return
+				}
+				content := ""
+				if raw != nil {
+					content = d.history.content(raw)
+				}
+				w.after(clientWay, func() { heard(w.now, configurationAnswer{verdict: read, content: content}) })
+			})
+			host.goOn()
+		})
+	})
+}
