Start sooner after a loss of power: bytes passed over in the log, groups opened at once, tries on connect

Of the 1.3 s from the machines' return to service 0.5 s were the stores' start, 0.1 to 0.3 s the members' pauses between tries, and recoveries that began before all stores were connected looked again after 150 ms.

Change: a start reads what the index keeps and passes over the bytes; a keeper opens its groups at once; a member tries a keeper as soon as it is connected, a recovery asks a store likewise; pauses between connection tries are 0.12 s for few peers.

--- a/internal/system/link/client.go
+++ b/internal/system/link/client.go
@@ -18,6 +18,8 @@
 	Up   func()
 	Down func()
 	Push func(frame wire.Frame)
+	// Peers is the number of peers that the process keeps connections to; nil where there is one.
+	Peers func() int
 }
 
 // Client keeps one connection to a peer until it is closed.
@@ -114,7 +116,7 @@
 			wait = reconnectWait
 		}
 		pause := wait/2 + time.Duration(rand.Int64N(int64(wait)))
-		wait = min(2*wait, reconnectMost)
+		wait = min(2*wait, c.reconnectMost())
 		select {
 		case <-c.stop:
 			return
@@ -123,6 +125,13 @@
 	}
 }
 
+func (c *Client) reconnectMost() time.Duration {
+	if c.events.Peers == nil {
+		return reconnectMost
+	}
+	return max(reconnectMost, time.Duration(c.events.Peers())*reconnectPerPeer)
+}
+
 // connectOnce makes a connection and serves it until it breaks.
 func (c *Client) connectOnce() {
 	connection, err := net.DialTimeout("tcp", c.address, dialTimeout)
--- a/internal/system/link/link.go
+++ b/internal/system/link/link.go
@@ -21,8 +21,10 @@
 	silenceLimit  = 1500 * time.Millisecond // unacknowledged bytes and probes end a connection after it
 	maxQueued     = 48 << 20                // bytes that wait to be written; past it the connection is ended
 	readBuffer    = 32 << 10
-	reconnectWait = 100 * time.Millisecond
-	reconnectMost = 250 * time.Millisecond
+	reconnectWait = 50 * time.Millisecond
+	// The pause between two tries grows to reconnectMost, later the more peers a process has.
+	reconnectMost    = 120 * time.Millisecond
+	reconnectPerPeer = 2500 * time.Microsecond
 )
 
 // ClosedError answers a call whose connection broke: it may or may not have been carried out.
--- a/internal/system/member/client.go
+++ b/internal/system/member/client.go
@@ -17,7 +17,8 @@
 	heartbeatInterval = 450 * time.Millisecond
 	callTimeout       = 600 * time.Millisecond
 	openTimeout       = 1500 * time.Millisecond
-	retryPause        = 120 * time.Millisecond
+	retryPause        = 100 * time.Millisecond
+	leaderPause       = 20 * time.Millisecond // where a keeper has named the one that leads
 )
 
 // RefusedError is a keeper's refusal, as the driver hands it on.
@@ -169,7 +170,11 @@
 		c.head(leader)
 	}
 	c.failures++
-	pause := retryPause/2 + time.Duration(c.loop.Random(int64(retryPause)))
+	pause := retryPause
+	if leader != "" && c.failures == 1 {
+		pause = leaderPause
+	}
+	pause = pause/2 + time.Duration(c.loop.Random(int64(pause)))
 	c.loop.After(pause, func() {
 		if c.round == round {
 			c.tryOpen()
@@ -286,6 +291,16 @@
 // Keepers gives the addresses of all keepers that connections are wanted to.
 func (c *Client) Keepers() []string { return c.keepers }
 
+// Up tells that a connection to a peer came about: where no session is open it is tried there at once.
+func (c *Client) Up(address string) {
+	at := slices.Index(c.keepers, address)
+	if at < 0 || c.open || c.opening || c.closed {
+		return
+	}
+	c.current = at
+	c.tryOpen()
+}
+
 // Down tells that the connection to a peer broke.
 func (c *Client) Down(address string) {
 	if address == c.keepers[c.current] && (c.open || c.opening) {
--- a/internal/system/node/keeper.go
+++ b/internal/system/node/keeper.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -70,7 +71,7 @@
 	for group := range keeper.Groups {
 		go n.persist(group, failures)
 	}
-	log.WithField("members", n.connected).Info("keeper serves")
+	log.WithFields(log.Fields{"members": n.connected, "after": n.Now().Round(time.Millisecond).String()}).Info("keeper serves")
 	select {
 	case err := <-failures:
 		return err
@@ -132,16 +133,10 @@
 	var stored [keeper.Groups]agreement.Stored
 	options := keeper.Options{Address: n.address(), Voters: 2*n.settings.Tolerated + 1, Random: n.Random,
 		FeedEpoch: member.NewIncarnation(n, n.settings.NodeName)}
-	for group := range keeper.Groups {
-		folder, err := segment.OpenFolder(filepath.Join(n.settings.DataDir, "control-"+strconv.Itoa(group)))
-		if err != nil {
-			return err
-		}
-		member, err := disk.Open(folder, n.fresh())
-		if err != nil {
-			return err
-		}
-		n.disks[group] = member
+	if err := n.openDisks(); err != nil {
+		return err
+	}
+	for group, member := range n.disks {
 		stored[group], options.IDs[group] = member.Stored(), member.ID()
 		n.wake[group] = make(chan struct{}, 1)
 	}
@@ -150,6 +145,25 @@
 	return err
 }
 
+// openDisks reads what the disk holds of each group, all at once: most of it is waiting for syncs.
+func (n *keeperNode) openDisks() error {
+	var failures [keeper.Groups]error
+	var opened sync.WaitGroup
+	for group := range keeper.Groups {
+		fresh := n.fresh()
+		opened.Go(func() {
+			folder, err := segment.OpenFolder(filepath.Join(n.settings.DataDir, "control-"+strconv.Itoa(group)))
+			if err != nil {
+				failures[group] = err
+				return
+			}
+			n.disks[group], failures[group] = disk.Open(folder, fresh)
+		})
+	}
+	opened.Wait()
+	return errors.Join(failures[:]...)
+}
+
 // Others implements keeper.JoinEnvironment.
 func (n *keeperNode) Others() []string { return n.connected }
 
--- a/internal/system/node/loop.go
+++ b/internal/system/node/loop.go
@@ -172,6 +172,10 @@
 		})
 	}
 	peer.client = link.NewClient(address, link.Events{
+		Peers: func() (count int) {
+			r.do(func() { count = len(r.clients) })
+			return count
+		},
 		Up: func() {
 			locked(func() {
 				peer.up = true
--- a/internal/system/node/store.go
+++ b/internal/system/node/store.go
@@ -90,7 +90,8 @@
 		n.connect(n.session.View())
 	})
 	known, pending := n.core.Counts()
-	log.WithFields(log.Fields{"messages": known, "pending": pending, "complete": n.core.Complete()}).Info("store serves")
+	log.WithFields(log.Fields{"messages": known, "pending": pending, "complete": n.core.Complete(),
+		"after": n.Now().Round(time.Millisecond).String()}).Info("store serves")
 	failure := make(chan error, 1)
 	stopped := make(chan struct{})
 	go n.own(stopped, failure)
@@ -130,6 +131,7 @@
 
 func (n *storeNode) join() {
 	n.events = peerEvents{
+		up:   func(address string) { n.session.Up(address) },
 		down: func(address string) { n.session.Down(address) },
 		push: func(address string, frame wire.Frame) { n.session.Push(address, frame.Payload) },
 	}
--- a/internal/system/role/carrier/core.go
+++ b/internal/system/role/carrier/core.go
@@ -141,7 +141,15 @@
 }
 
 // PeerUp tells that a connection to a peer came about.
-func (c *Core) PeerUp(address string) { c.stores.up(address) }
+func (c *Core) PeerUp(address string) {
+	c.session.Up(address)
+	c.stores.up(address)
+	for _, u := range c.units {
+		if u.recovering {
+			u.recovery.askStores()
+		}
+	}
+}
 
 // PeerDown tells that a connection to a peer broke.
 func (c *Core) PeerDown(address string) { c.session.Down(address) }
--- a/internal/system/role/carrier/recovery.go
+++ b/internal/system/role/carrier/recovery.go
@@ -40,11 +40,22 @@
 func (c *Core) recover(u *unit) {
 	u.recovering = true
 	r := &recovery{core: c, unit: u, began: c.env.Now(), listed: map[string]*listing{}}
+	u.recovery = r
 	r.ask()
 }
 
-// ask lists at all stores that are there and have not told everything; and looks again after a while.
+// ask lists at the stores, and looks again after a while.
 func (r *recovery) ask() {
+	if r.finished || r.unit.dropped {
+		return
+	}
+	r.askStores()
+	r.judge()
+	r.core.env.After(listRetry, r.ask)
+}
+
+// askStores lists at those that are there and have not told everything.
+func (r *recovery) askStores() {
 	if r.finished || r.unit.dropped {
 		return
 	}
@@ -59,8 +70,6 @@
 			r.askStore(disk, l)
 		}
 	}
-	r.judge()
-	c.env.After(listRetry, r.ask)
 }
 
 func (r *recovery) askStore(disk string, l *listing) {
--- a/internal/system/role/carrier/unit.go
+++ b/internal/system/role/carrier/unit.go
@@ -15,6 +15,7 @@
 	token      uint64 // fencing token of the ownership; 0 for what no token guards
 	active     bool   // all that former owners left is known
 	recovering bool
+	recovery   *recovery // the latest one
 	dropped    bool // another carrier is responsible now
 	sequence   uint64
 	items      map[string]*item
--- a/internal/system/role/store/core.go
+++ b/internal/system/role/store/core.go
@@ -60,34 +60,6 @@
 	return &Core{options: options, reader: reader, now: now, wall: wall, index: newIndex(), sizes: map[uint64]int64{}}
 }
 
-// Load takes a record of the log at the start.
-func (c *Core) Load(position segment.Position, payload []byte) error {
-	r, err := decodeRecord(position, payload)
-	if err != nil {
-		return err
-	}
-	c.count(position, payload)
-	switch r.Kind {
-	case recordStarted:
-		c.started = true
-		c.disk = r.Disk
-		c.complete, c.founder = !r.Incomplete, r.Founder
-	case recordComplete:
-		c.complete = true
-	case recordMessage:
-		c.loadMessage(position, uint32(len(payload)), r)
-	case recordVoid:
-		c.loadVoid(r)
-	case recordEnd:
-		c.loadEnd(r)
-	case recordCallbackDone:
-		if e := c.index.get(r.ID); e != nil {
-			e.callbackOwed = false
-		}
-	}
-	return nil
-}
-
 func (c *Core) count(position segment.Position, payload []byte) {
 	const overhead = 16
 	size := int64(len(payload) + overhead)
@@ -103,35 +75,6 @@
 	return c.now - max(0, time.Duration(c.wall-wall)*time.Millisecond)
 }
 
-func (c *Core) loadMessage(position segment.Position, size uint32, r *record) {
-	e := c.index.get(r.Message.ID)
-	if e == nil {
-		e = c.index.add(r.Message.ID, r.Message.Unit, c.since(r.Wall))
-	}
-	if e.unit == "" {
-		e.unit = r.Message.Unit
-		c.index.join(e)
-	}
-	e.held, e.position, e.size, e.retention = true, position, size, r.Message.Retention
-	e.shared = true
-}
-
-func (c *Core) loadVoid(r *record) {
-	e := c.index.get(r.ID)
-	if e == nil {
-		e = c.index.add(r.ID, r.Unit, c.since(r.Wall))
-	}
-	c.void(e, c.since(r.Wall))
-}
-
-func (c *Core) loadEnd(r *record) {
-	e := c.index.get(r.ID)
-	if e == nil {
-		e = c.index.add(r.ID, r.Unit, c.since(r.Wall))
-	}
-	c.end(e, *r.End, c.since(r.Wall))
-}
-
 // Start ends the replay. On an empty disk the store begins as complete where the whole system starts for the first
 // time, else as one whose disk was lost.
 func (c *Core) Start(bootstrap bool, disk string) {
--- a/internal/system/simulation/hosts.go
+++ b/internal/system/simulation/hosts.go
@@ -237,7 +237,7 @@
 		Fault:   func(err error) { h.Report("feed", err) },
 	})
 	h.filler = store.NewFiller(h, h.session, h.core.Disk(), s.Tolerated)
-	h.down = h.session.Down
+	h.up, h.down = h.session.Up, h.session.Down
 	h.push = func(address string, _ wire.Kind, payload []byte) { h.session.Push(address, payload) }
 	h.serve = func(_ *process, kind wire.Kind, payload []byte, answerer wire.Answerer) {
 		h.catchUp()
