Elect and connect sooner after a loss of power

Cause: of the 0.4 s from the keepers' start to the carriers' sessions most was waiting: a dial to a machine without power held its 300 ms, answers to votes were lost while the way back was not connected, split votes waited 0.24 to 0.48 s, and a candidate deposed another that had just got its votes.

Change: dials are given up after 0.1 s and begun again when the peer is heard; a keeper holds answers for a connection that is about to come; elections are hastened by a connection; the first pauses between campaigns are half a heartbeat, and longer each time; no pre-vote within a heartbeat of another's vote; the message log is decoded without its bytes by hand.

--- a/internal/system/agreement/election.go
+++ b/internal/system/agreement/election.go
@@ -18,7 +18,9 @@
 }
 
 func (n *Node) answerPreVote(message Message) {
-	grant := n.hasVote(n.options.Self) && message.Term > n.term && n.upToDate(message) && !n.followsLeader()
+	// Where another has just got this vote it is likely to lead in a moment: a second candidate would only depose it.
+	another := n.vote != "" && n.vote != message.From && n.votedAt > 0 && n.now-n.votedAt < n.options.HeartbeatInterval
+	grant := n.hasVote(n.options.Self) && message.Term > n.term && n.upToDate(message) && !n.followsLeader() && !another
 	answer := Message{Kind: PreVoteAnswer, To: message.From, Reject: !grant}
 	n.send(answer)
 	if grant {
@@ -31,6 +33,7 @@
 	grant := n.hasVote(n.options.Self) && free && n.upToDate(message)
 	if grant {
 		n.heardLeader = n.now
+		n.votedAt = n.now
 		if n.vote != message.From {
 			n.vote = message.From
 			n.stateChanged = true
@@ -39,11 +42,17 @@
 	n.send(Message{Kind: VoteAnswer, To: message.From, Reject: !grant})
 }
 
+// longestCampaign is how often the pause between two campaigns is doubled, from half a heartbeat interval on.
+const longestCampaign = 3
+
 // campaign asks all others for their votes, or first whether they would give them.
 func (n *Node) campaign(role Role) {
 	n.heardLeader = n.now
-	// Asking again soon disturbs nobody: the others answer by what they know of a leader.
-	n.timeout = 2*n.options.HeartbeatInterval + time.Duration(n.options.Random(int64(2*n.options.HeartbeatInterval)))
+	// Asking again soon disturbs nobody: the others answer by what they know of a leader. It takes longer each time, since
+	// the others may be slow to sync their votes.
+	pause := n.options.HeartbeatInterval << min(n.campaigns, longestCampaign) / 2
+	n.timeout = pause + time.Duration(n.options.Random(int64(pause)))
+	n.campaigns++
 	if !n.hasVote(n.options.Self) {
 		return
 	}
@@ -94,6 +103,9 @@
 	}
 	n.role = Follower
 	n.leader = leader
+	if leader != "" {
+		n.campaigns = 0
+	}
 	n.followers, n.votes = nil, nil
 	n.heardLeader = n.now
 	n.drawTimeout()
@@ -106,6 +118,7 @@
 
 func (n *Node) becomeLeader() {
 	n.role = Leader
+	n.campaigns = 0
 	n.leader = n.options.Self
 	n.followers = map[string]*progress{}
 	n.readGroup()
@@ -151,3 +164,13 @@
 		n.named = false
 	}
 }
+
+// Hasten has a member that knows of no leader ask for votes soon: another has come that may give one.
+func (n *Node) Hasten(now time.Duration) {
+	n.now = now
+	if n.role == Leader || n.role == Candidate || n.leader != "" {
+		return
+	}
+	soon := now - n.heardLeader + time.Duration(n.options.Random(int64(n.options.HeartbeatInterval/2)))
+	n.timeout = min(n.timeout, soon)
+}
--- a/internal/system/agreement/types.go
+++ b/internal/system/agreement/types.go
@@ -90,6 +90,9 @@
 	StandForElection // a leader names its successor
 )
 
+// IsAnswer tells whether a message of this kind goes to one that was heard.
+func (k Kind) IsAnswer() bool { return k == PreVoteAnswer || k == VoteAnswer || k == AppendAnswer }
+
 // Message goes from one member to another.
 type Message struct {
 	_msgpack struct{} `msgpack:",as_array"`
--- a/internal/system/link/client.go
+++ b/internal/system/link/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"math/rand/v2"
 	"net"
@@ -27,6 +28,7 @@
 	address string
 	events  Events
 	stop    chan struct{}
+	hurry   chan struct{}
 	once    sync.Once
 
 	mutex   sync.Mutex
@@ -38,7 +40,7 @@
 
 // NewClient starts to connect.
 func NewClient(address string, events Events) *Client {
-	client := &Client{address: address, events: events, stop: make(chan struct{}),
+	client := &Client{address: address, events: events, stop: make(chan struct{}), hurry: make(chan struct{}, 1),
 		calls: map[uint64]func([]byte, error){}}
 	go client.run()
 	return client
@@ -83,6 +85,17 @@
 	}
 }
 
+// Hurry has a broken connection be tried at once, where the peer is known to be there.
+func (c *Client) Hurry() {
+	c.mutex.Lock()
+	broken := c.writer == nil
+	c.mutex.Unlock()
+	if !broken {
+		return
+	}
+	c.again()
+}
+
 // Close ends the connection for good.
 func (c *Client) Close() {
 	c.once.Do(func() {
@@ -108,10 +121,13 @@
 }
 
 func (c *Client) run() {
-	wait := reconnectWait
+	wait, tries := reconnectWait, 0
 	for {
 		started := time.Now()
-		c.connectOnce()
+		if c.connectOnce(tries) {
+			tries = 0
+		}
+		tries++
 		if time.Since(started) > 5*time.Second {
 			wait = reconnectWait
 		}
@@ -120,6 +136,7 @@
 		select {
 		case <-c.stop:
 			return
+		case <-c.hurry:
 		case <-time.After(pause):
 		}
 	}
@@ -132,28 +149,59 @@
 	return max(reconnectMost, time.Duration(c.events.Peers())*reconnectPerPeer)
 }
 
-// connectOnce makes a connection and serves it until it breaks.
-func (c *Client) connectOnce() {
-	connection, err := net.DialTimeout("tcp", c.address, dialTimeout)
+// dial tries to connect, after so many tries in vain. A try that is under way when the peer is known to be there is begun
+// again: its SYN may have been lost.
+func (c *Client) dial(tries int) (net.Conn, error) {
+	timeout := dialSoon
+	if tries >= triesDialSoon {
+		timeout = dialTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	over := make(chan struct{})
+	defer close(over)
+	go func() {
+		select {
+		case <-c.hurry:
+			cancel()
+			c.again()
+		case <-over:
+		}
+	}()
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", c.address)
+}
+
+// again has the next pause be none.
+func (c *Client) again() {
+	select {
+	case c.hurry <- struct{}{}:
+	default:
+	}
+}
+
+// connectOnce makes a connection and serves it until it breaks; false where none came about.
+func (c *Client) connectOnce(tries int) bool {
+	connection, err := c.dial(tries)
 	if err != nil {
-		return
+		return false
 	}
 	limitSilence(connection)
 	if _, err := connection.Write([]byte(wire.Preamble)); err != nil {
 		connection.Close()
-		return
+		return false
 	}
 	reader := bufio.NewReaderSize(connection, readBuffer)
 	if !readGreeting(connection, reader) {
 		connection.Close()
-		return
+		return false
 	}
 	current := newWriter(connection)
 	c.mutex.Lock()
 	if c.stopped {
 		c.mutex.Unlock()
 		connection.Close()
-		return
+		return false
 	}
 	c.writer = current
 	c.mutex.Unlock()
@@ -167,6 +215,7 @@
 	if c.events.Down != nil {
 		c.events.Down()
 	}
+	return true
 }
 
 func readGreeting(connection net.Conn, reader *bufio.Reader) bool {
--- a/internal/system/link/link.go
+++ b/internal/system/link/link.go
@@ -17,7 +17,11 @@
 
 // Bounds of a connection.
 const (
-	dialTimeout   = 300 * time.Millisecond  // also of the peer's greeting; a machine without power answers no SYN
+	// A machine without power answers no SYN: a try is given up soon, so that the next finds it when it is back. Only
+	// after many tries a slow network is thought of.
+	dialSoon      = 100 * time.Millisecond
+	triesDialSoon = 30
+	dialTimeout   = 300 * time.Millisecond  // also of the peer's greeting
 	silenceLimit  = 1500 * time.Millisecond // unacknowledged bytes and probes end a connection after it
 	maxQueued     = 48 << 20                // bytes that wait to be written; past it the connection is ended
 	readBuffer    = 32 << 10
--- a/internal/system/node/keeper.go
+++ b/internal/system/node/keeper.go
@@ -39,18 +39,29 @@
 	connected []string
 	resetting [keeper.Groups]bool
 	leaders   [keeper.Groups]string
+	held      map[string][]heldMessages // by peer
 }
 
-const maxKeeperPeers = 1024
+const (
+	maxKeeperPeers = 1024
+	peerUpTick     = 20 * time.Millisecond // after a connection came about, until an election that was hastened by it
+)
 
 // RunKeeper runs a keeper until the context ends.
 func RunKeeper(ctx context.Context, s *settings.Settings, changes <-chan *settings.Settings) error {
 	n := &keeperNode{runner: newRunner(), settings: s, members: map[*link.Peer]keeper.Subscriber{},
-		byNumber: map[keeper.Subscriber]*link.Peer{}, reader: newCatalogReader(s.Cloud.Address)}
+		byNumber: map[keeper.Subscriber]*link.Peer{}, held: map[string][]heldMessages{}, reader: newCatalogReader(s.Cloud.Address)}
 	if err := n.open(); err != nil {
 		return err
 	}
-	n.events = peerEvents{}
+	n.events = peerEvents{up: func(address string) {
+		n.release(address)
+		n.core.PeerUp(n.Now())
+		n.After(peerUpTick, func() {
+			n.core.Tick(n.Now())
+			n.after()
+		})
+	}}
 	server, err := link.Listen(s.KeeperAddress(s.IP), maxKeeperPeers, n.frame, n.closed)
 	if err != nil {
 		return err
@@ -320,10 +331,53 @@
 		byPeer[address] = append(byPeer[address], message)
 	}
 	for address, batch := range byPeer {
-		if peer := n.clients[address]; peer != nil && peer.up {
+		switch peer := n.clients[address]; {
+		case peer == nil:
+		case peer.up:
 			peer.client.Push(wire.AgreementMessages, wire.Encode(&wire.AgreementBody{Group: group, Messages: batch}))
+		case answers(batch):
+			n.hold(address, heldMessages{group: group, messages: batch, until: n.Now() + holdAnswers})
+			peer.client.Hurry()
+		}
+	}
+}
+
+// heldMessages wait for the connection to one that has just been heard.
+type heldMessages struct {
+	group    int
+	messages []agreement.Message
+	until    time.Duration
+}
+
+// Bounds of what is held for a peer.
+const (
+	holdAnswers = 200 * time.Millisecond // the one who asked goes on asking after a while
+	mostHeld    = 64
+)
+
+func (n *keeperNode) hold(address string, messages heldMessages) {
+	held := append(n.held[address], messages)
+	n.held[address] = held[max(0, len(held)-mostHeld):]
+}
+
+// release sends what was held for a peer that is connected now.
+func (n *keeperNode) release(address string) {
+	for _, held := range n.held[address] {
+		if n.Now() <= held.until {
+			n.send(held.group, held.messages)
+		}
+	}
+	delete(n.held, address)
+}
+
+// answers tells whether messages go to one that has just been heard, so that it must be there.
+func answers(messages []agreement.Message) bool {
+	for _, message := range messages {
+		if message.Kind.IsAnswer() {
+			return true
 		}
 	}
+	return false
 }
 
 func (n *keeperNode) readCatalog() {
--- a/internal/system/node/store.go
+++ b/internal/system/node/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"path/filepath"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -122,13 +123,19 @@
 	}
 	n.core = store.New(store.Options{Status: n.settings.Bounds.Status, DiskBytes: n.settings.Limits.DiskBytes}, n.log,
 		n.Now(), n.Wall())
-	if err := n.log.Replay(n.core.Load); err != nil {
+	if err := n.replay(); err != nil {
 		return err
 	}
 	n.core.Start(n.settings.Bootstrap, member.NewIncarnation(n, n.settings.NodeName))
 	return n.flush()
 }
 
+// replay reads the whole log, without the collector's turns: what is read is kept, and the limit on memory stands.
+func (n *storeNode) replay() error {
+	defer debug.SetGCPercent(debug.SetGCPercent(-1))
+	return n.log.Replay(n.core.Load)
+}
+
 func (n *storeNode) join() {
 	n.events = peerEvents{
 		up:   func(address string) { n.session.Up(address) },
--- a/internal/system/role/carrier/unit.go
+++ b/internal/system/role/carrier/unit.go
@@ -16,7 +16,7 @@
 	active     bool   // all that former owners left is known
 	recovering bool
 	recovery   *recovery // the latest one
-	dropped    bool // another carrier is responsible now
+	dropped    bool      // another carrier is responsible now
 	sequence   uint64
 	items      map[string]*item
 	keys       map[string][]*item // by ordering key, in order; the first is due or being delivered
--- a/internal/system/role/keeper/core.go
+++ b/internal/system/role/keeper/core.go
@@ -236,6 +236,14 @@
 	g.waiting[index] = waiter{term: g.node.Term(), until: c.now + orderWait, done: done}
 }
 
+// PeerUp tells that a connection to another keeper came about.
+func (c *Core) PeerUp(now time.Duration) {
+	c.now = now
+	for _, g := range c.groups {
+		g.node.Hasten(now)
+	}
+}
+
 // Ready hands out what a group's driver has to do.
 func (c *Core) Ready(id int) agreement.Ready { return c.groups[id].node.Ready() }
 
--- a/internal/system/role/store/core.go
+++ b/internal/system/role/store/core.go
@@ -53,6 +53,7 @@
 	sizes    map[uint64]int64
 	epoch    uint64 // of the roster that this store follows
 	founder  bool
+	loader   *loader // nil once the log was read
 }
 
 // New makes a store whose log is about to be replayed.
@@ -78,6 +79,7 @@
 // Start ends the replay. On an empty disk the store begins as complete where the whole system starts for the first
 // time, else as one whose disk was lost.
 func (c *Core) Start(bootstrap bool, disk string) {
+	c.loader = nil
 	if c.started {
 		return
 	}
--- a/internal/system/role/store/load.go
+++ b/internal/system/role/store/load.go
@@ -1,66 +1,174 @@
 package store
 
 import (
+	"bytes"
+	"fmt"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
 
 	"granitewing/internal/system/message"
 	"granitewing/internal/system/segment"
 )
 
-// loadedRecord is a record as a start reads it: what the index doesn't keep, a message's bytes above all, is passed over.
-// Its fields are those of record, in the same order.
+// loadedRecord is what a start reads of a record. A message's bytes, which are most of the log, are passed over: every
+// start reads the whole log, and what is accepted waits for it.
 type loadedRecord struct {
-	_msgpack   struct{} `msgpack:",as_array"`
 	Kind       recordKind
 	Incomplete bool
 	Founder    bool
 	Disk       string
-	Message    *loadedMessage
-	ID         string
+	ID         string // of the message, whichever kind of record it is
 	Unit       string
-	End        *message.End
+	Retention  time.Duration
+	End        message.End
 	Wall       int64
 }
 
-// loadedMessage has the fields of message.Message, in the same order.
-type loadedMessage struct {
-	_msgpack  struct{} `msgpack:",as_array"`
-	ID        string
-	Unit      string
-	Route     passedOver
-	Host      passedOver
-	Method    passedOver
-	Target    passedOver
-	Headers   passedOver
-	Key       passedOver
-	Callback  passedOver
-	Body      passedOver
-	Token     passedOver
-	Sequence  passedOver
-	Accepted  passedOver
-	Delay     passedOver
-	Retention time.Duration
-}
-
-// passedOver is a field that is not read.
-type passedOver struct{}
-
-// DecodeMsgpack implements msgpack.CustomDecoder.
-func (*passedOver) DecodeMsgpack(decoder *msgpack.Decoder) error { return decoder.Skip() }
-
-func decodeLoaded(position segment.Position, payload []byte) (*loadedRecord, error) {
+// Numbers of fields: the records are arrays, in the order of the fields of record and of message.Message.
+const (
+	recordFields        = 9
+	messageFields       = 15
+	passedMessageFields = messageFields - 3 // between the unit and the retention
+)
+
+// FieldsError tells of a record with other fields than this program's.
+type FieldsError struct{ Found, Wanted int }
+
+func (e *FieldsError) Error() string {
+	return fmt.Sprintf("%d fields instead of %d", e.Found, e.Wanted)
+}
+
+// loader reads records of the log, one after the other.
+type loader struct {
+	reader  bytes.Reader
+	decoder *msgpack.Decoder
+	units   map[string]string // one string for all messages of a unit
+}
+
+func newLoader() *loader {
+	return &loader{decoder: msgpack.NewDecoder(nil), units: map[string]string{}}
+}
+
+func (l *loader) read(position segment.Position, payload []byte) (loadedRecord, error) {
+	l.reader.Reset(payload)
+	l.decoder.Reset(&l.reader)
 	var r loadedRecord
-	if err := msgpack.Unmarshal(payload, &r); err != nil {
-		return nil, &RecordError{Position: position, Err: err}
+	if err := l.readRecord(&r); err != nil {
+		return r, &RecordError{Position: position, Err: err}
+	}
+	return r, nil
+}
+
+// field is one field of an array, read into its place.
+type field func() error
+
+func inOrder(fields ...field) error {
+	for _, read := range fields {
+		if err := read(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *loader) arrayOf(wanted int) error {
+	found, err := l.decoder.DecodeArrayLen()
+	if err == nil && found != wanted {
+		return &FieldsError{Found: found, Wanted: wanted}
+	}
+	return err
+}
+
+func (l *loader) readRecord(r *loadedRecord) error {
+	if err := l.arrayOf(recordFields); err != nil {
+		return err
+	}
+	d := l.decoder
+	kind, err := d.DecodeUint8()
+	if err != nil {
+		return err
+	}
+	r.Kind = recordKind(kind)
+	return inOrder(
+		func() (err error) { r.Incomplete, err = d.DecodeBool(); return err },
+		func() (err error) { r.Founder, err = d.DecodeBool(); return err },
+		func() (err error) { r.Disk, err = d.DecodeString(); return err },
+		func() error { return l.readMessage(r) },
+		func() error { return l.readName(&r.ID) },
+		func() error { return l.readUnit(r) },
+		func() error { return l.readEnd(r) },
+		func() (err error) { r.Wall, err = d.DecodeInt64(); return err },
+	)
+}
+
+// readMessage reads what the index keeps of a message; most kinds of records have none.
+func (l *loader) readMessage(r *loadedRecord) error {
+	if done, err := l.nothing(); done || err != nil {
+		return err
+	}
+	if err := l.arrayOf(messageFields); err != nil {
+		return err
+	}
+	err := inOrder(func() error { return l.readName(&r.ID) }, func() error { return l.readUnit(r) })
+	for range passedMessageFields {
+		if err != nil {
+			return err
+		}
+		err = l.decoder.Skip()
+	}
+	if err != nil {
+		return err
 	}
-	return &r, nil
+	retention, err := l.decoder.DecodeInt64()
+	r.Retention = time.Duration(retention)
+	return err
+}
+
+func (l *loader) nothing() (bool, error) {
+	code, err := l.decoder.PeekCode()
+	if err != nil || code != msgpcode.Nil {
+		return false, err
+	}
+	return true, l.decoder.DecodeNil()
+}
+
+// readName reads a text, which an empty one does not replace.
+func (l *loader) readName(name *string) error {
+	text, err := l.decoder.DecodeString()
+	if text != "" {
+		*name = text
+	}
+	return err
+}
+
+func (l *loader) readUnit(r *loadedRecord) error {
+	if err := l.readName(&r.Unit); err != nil {
+		return err
+	}
+	known, there := l.units[r.Unit]
+	if !there {
+		l.units[r.Unit] = r.Unit
+		return nil
+	}
+	r.Unit = known
+	return nil
+}
+
+func (l *loader) readEnd(r *loadedRecord) error {
+	if done, err := l.nothing(); done || err != nil {
+		return err
+	}
+	return l.decoder.Decode(&r.End)
 }
 
 // Load takes a record of the log at the start.
 func (c *Core) Load(position segment.Position, payload []byte) error {
-	r, err := decodeLoaded(position, payload)
+	if c.loader == nil {
+		c.loader = newLoader()
+	}
+	r, err := c.loader.read(position, payload)
 	if err != nil {
 		return err
 	}
@@ -73,11 +181,11 @@
 	case recordComplete:
 		c.complete = true
 	case recordMessage:
-		c.loadMessage(position, uint32(len(payload)), r)
+		c.loadMessage(position, uint32(len(payload)), &r)
 	case recordVoid:
-		c.void(c.loadedEntry(r), c.since(r.Wall))
+		c.void(c.loadedEntry(&r), c.since(r.Wall))
 	case recordEnd:
-		c.end(c.loadedEntry(r), *r.End, c.since(r.Wall))
+		c.end(c.loadedEntry(&r), r.End, c.since(r.Wall))
 	case recordCallbackDone:
 		if e := c.index.get(r.ID); e != nil {
 			e.callbackOwed = false
@@ -95,14 +203,11 @@
 }
 
 func (c *Core) loadMessage(position segment.Position, size uint32, r *loadedRecord) {
-	e := c.index.get(r.Message.ID)
-	if e == nil {
-		e = c.index.add(r.Message.ID, r.Message.Unit, c.since(r.Wall))
-	}
+	e := c.loadedEntry(r)
 	if e.unit == "" {
-		e.unit = r.Message.Unit
+		e.unit = r.Unit
 		c.index.join(e)
 	}
-	e.held, e.position, e.size, e.retention = true, position, size, r.Message.Retention
+	e.held, e.position, e.size, e.retention = true, position, size, r.Retention
 	e.shared = true
 }
--- /dev/null
+++ b/internal/system/role/store/load_test.go
@@ -0,0 +1,53 @@
+package store
+
+import (
+	"reflect"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"granitewing/internal/system/message"
+	"granitewing/internal/system/segment"
+)
+
+var _ = ginkgo.Describe("Reading the log at a start", func() {
+	ginkgo.It("knows the fields of a record and of a message", func() {
+		const marker = 1 // the field that has msgpack write an array
+		Expect(reflect.TypeFor[record]().NumField() - marker).To(Equal(recordFields))
+		whole := reflect.TypeFor[message.Message]()
+		Expect(whole.NumField() - marker).To(Equal(messageFields))
+		Expect(whole.Field(1).Name).To(Equal("ID"))
+		Expect(whole.Field(2).Name).To(Equal("Unit"))
+		Expect(whole.Field(messageFields).Name).To(Equal("Retention"))
+	})
+
+	ginkgo.It("reads what the index keeps of each kind of record", func() {
+		m := newMessage("m1")
+		m.Headers = []message.Header{{Name: "Content-Type", Value: "text/plain"}}
+		end := message.End{ID: "m2", Phase: message.Succeeded, Stamp: "s", CallbackOwed: true}
+		l := newLoader()
+		for _, one := range []struct {
+			written record
+			read    loadedRecord
+		}{
+			{record{Kind: recordMessage, Message: m, Wall: 7}, loadedRecord{Kind: recordMessage, ID: "m1", Unit: "u", Retention: 90 * time.Second, Wall: 7}},
+			{record{Kind: recordEnd, ID: "m2", Unit: "u", End: &end, Wall: 8}, loadedRecord{Kind: recordEnd, ID: "m2", Unit: "u", End: end, Wall: 8}},
+			{record{Kind: recordVoid, ID: "m3"}, loadedRecord{Kind: recordVoid, ID: "m3"}},
+			{record{Kind: recordStarted, Incomplete: true, Founder: true, Disk: "d"}, loadedRecord{Kind: recordStarted, Incomplete: true, Founder: true, Disk: "d"}},
+		} {
+			read, err := l.read(segment.Position{}, one.written.encode())
+			Expect(err).NotTo(HaveOccurred())
+			Expect(read).To(Equal(one.read))
+		}
+	})
+
+	ginkgo.It("tells of a record that is not ours, wherever it ends", func() {
+		whole := record{Kind: recordMessage, Message: newMessage("m1")}
+		payload := whole.encode()
+		for length := range len(payload) {
+			_, err := newLoader().read(segment.Position{Segment: 3}, payload[:length])
+			Expect(err).To(BeAssignableToTypeOf(&RecordError{}), "%d bytes", length)
+		}
+	})
+})
--- a/internal/system/segment/log.go
+++ b/internal/system/segment/log.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"io"
 	"strings"
 	"syscall"
 )
@@ -15,6 +16,8 @@
 	maxRecord     = 64 << 20
 	namePrefix    = "segment-"
 	defaultLength = 8 << 20
+
+	firstReplayBuffer = 256 << 10
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -79,6 +82,7 @@
 	torn     bool // the last write found no room: what it left is no record, and nothing may follow it
 	buffer   []byte
 	readers  map[uint64]File
+	replayed []byte // buffer of Replay
 }
 
 // Open reads the folder. Records are appended to a new segment, so that a torn tail is never written over. Replay must
@@ -109,7 +113,7 @@
 // Empty tells whether the folder held no segment.
 func (l *Log) Empty() bool { return len(l.segments) == 0 }
 
-// Replay hands over every whole record in order, then opens a new segment. Within a segment it stops at the first record
+// Replay hands over every whole record in order, then opens a new segment. A payload stands until visit returns. Within a segment it stops at the first record
 // that is not whole: what follows was never synced. The files are synced first, so that nothing is acted on which a
 // loss of power could still take away.
 func (l *Log) Replay(visit func(position Position, payload []byte) error) error {
@@ -118,17 +122,14 @@
 			return err
 		}
 	}
+	l.replayed = nil
 	return l.rotate()
 }
 
 func (l *Log) replaySegment(number uint64, visit func(Position, []byte) error) error {
-	name := fileName(number)
-	if err := l.syncFile(name); err != nil {
-		return err
-	}
-	data, err := l.files.ReadFile(name)
+	data, err := l.readSynced(fileName(number))
 	if err != nil {
-		return &FileError{Operation: "read", Name: name, Err: err}
+		return err
 	}
 	offset := 0
 	for {
@@ -144,16 +145,30 @@
 	}
 }
 
-func (l *Log) syncFile(name string) error {
+// readSynced syncs a file and gives its bytes, which stand until the next call: all segments are read into one buffer.
+func (l *Log) readSynced(name string) ([]byte, error) {
 	file, err := l.files.Open(name)
 	if err != nil {
-		return &FileError{Operation: "open", Name: name, Err: err}
+		return nil, &FileError{Operation: "open", Name: name, Err: err}
 	}
 	defer file.Close()
 	if err := file.Sync(); err != nil {
-		return &FileError{Operation: "sync", Name: name, Err: err}
+		return nil, &FileError{Operation: "sync", Name: name, Err: err}
+	}
+	length := 0
+	for {
+		if length == len(l.replayed) {
+			l.replayed = append(l.replayed, make([]byte, max(firstReplayBuffer, len(l.replayed)))...)
+		}
+		count, err := file.ReadAt(l.replayed[length:], int64(length))
+		length += count
+		if errors.Is(err, io.EOF) {
+			return l.replayed[:length], nil
+		}
+		if err != nil {
+			return nil, &FileError{Operation: "read", Name: name, Err: err}
+		}
 	}
-	return nil
 }
 
 // encode appends a record to buffer. The place is part of the checks, so that bytes of an older file are no record.
--- a/internal/system/simulation/disk.go
+++ b/internal/system/simulation/disk.go
@@ -94,7 +94,7 @@
 	}
 	count := copy(buffer, f.data[offset:])
 	if count < len(buffer) {
-		return count, io.ErrUnexpectedEOF
+		return count, io.EOF
 	}
 	return count, nil
 }
--- a/internal/system/simulation/hosts.go
+++ b/internal/system/simulation/hosts.go
@@ -18,6 +18,8 @@
 	"granitewing/internal/system/wire"
 )
 
+const peerUpTick = 20 * time.Millisecond // as the keeper's driver has it
+
 const syncTime = 4 * time.Millisecond
 
 func (m *machine) disk(w *world, name string) *simulatedDisk {
@@ -72,6 +74,13 @@
 		}
 		h.goOn()
 	}
+	h.up = func(string) {
+		core.PeerUp(h.Now())
+		h.After(peerUpTick, func() {
+			core.Tick(h.Now())
+			h.goOn()
+		})
+	}
 	h.tick()
 	h.joiner.Step()
 	h.stop = func() { h.yield(h.Now() + yieldMost) }
