--- a/internal/system/member/client.go
+++ b/internal/system/member/client.go
@@ -18,6 +18,8 @@
 	callTimeout       = 600 * time.Millisecond
 	openTimeout       = 1500 * time.Millisecond
 	retryPause        = 100 * time.Millisecond
+	soonPause         = 40 * time.Millisecond // of a member that has just started, as long as soonTries last
+	soonTries         = 25
 	leaderPause       = 20 * time.Millisecond // where a keeper has named the one that leads
 )
 
@@ -171,6 +173,9 @@
 	}
 	c.failures++
 	pause := retryPause
+	if !c.Joined() && c.failures <= soonTries {
+		pause = soonPause
+	}
 	if leader != "" && c.failures == 1 {
 		pause = leaderPause
 	}
