--- /dev/null
+++ b/internal/system/agreement/model_test.go
@@ -0,0 +1,472 @@
+package agreement
+
+import (
+	"fmt"
+	"math/bits"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// The rules of a group and its changes, as a model that is searched exhaustively: members with a log and a vote on disk,
+// atomic elections, one entry copied at a time, crashes that lose what was not synced. Taking a rule away once gives a
+// counter-example, which is kept in testdata/model and played again.
+
+// rules in force; a model without one of them is a mutant.
+type rules struct {
+	oneVoteInTerm     bool // a member votes once in a term
+	logsCompared      bool // votes go to logs that lack nothing that the voter has
+	ownTermCommits    bool // a leader counts majorities for entries of its own term only
+	syncedCounts      bool // a leader counts its own entries once they are synced
+	changeWaits       bool // no change of the group before the last one is committed
+	leaderOpensTerm   bool // no change of the group before an entry of the leader's term is committed
+	oneMemberAtATime  bool // a change moves one member
+	diskIsIdentity    bool // a member that lost its disk is another member
+	previousEntryFits bool // a follower takes an entry only behind the one that the leader has before it
+}
+
+func allRules() rules {
+	return rules{oneVoteInTerm: true, logsCompared: true, ownTermCommits: true, syncedCounts: true,
+		changeWaits: true, leaderOpensTerm: true, oneMemberAtATime: true, diskIsIdentity: true, previousEntryFits: true}
+}
+
+// mutants gives each set of rules that lacks one, by the name of what it lacks.
+func mutants() map[string]rules {
+	found := map[string]rules{}
+	add := func(name string, take func(r *rules)) {
+		r := allRules()
+		take(&r)
+		found[name] = r
+	}
+	add("one-vote-in-term", func(r *rules) { r.oneVoteInTerm = false })
+	add("logs-compared", func(r *rules) { r.logsCompared = false })
+	add("own-term-commits", func(r *rules) { r.ownTermCommits = false })
+	add("synced-counts", func(r *rules) { r.syncedCounts = false })
+	add("change-waits", func(r *rules) { r.changeWaits = false })
+	add("leader-opens-term", func(r *rules) { r.leaderOpensTerm = false })
+	add("one-member-at-a-time", func(r *rules) { r.oneMemberAtATime = false })
+	add("disk-is-identity", func(r *rules) { r.diskIsIdentity = false })
+	add("previous-entry-fits", func(r *rules) { r.previousEntryFits = false })
+	return found
+}
+
+// bounds of a search.
+type bounds struct {
+	members  int
+	founders uint8
+	terms    uint8
+	entries  int
+	changes  int // of the group, altogether
+	crashes  int // and losses of a disk
+}
+
+// modelEntry is one record: an empty or ordinary one, or a group of voters.
+type modelEntry struct {
+	term  uint8
+	group uint8 // set of voters, 0 for an ordinary entry
+}
+
+type modelMember struct {
+	term    uint8
+	vote    int8 // -1 for none
+	leads   bool
+	synced  uint8
+	log     string // entries, two bytes each
+	commits uint8  // as a leader
+}
+
+type modelState struct {
+	members   [5]modelMember
+	committed string // the longest log that any leader counted as committed
+	changes   uint8
+	crashes   uint8
+	broken    bool
+}
+
+func (m *modelMember) entries() int { return len(m.log) / 2 }
+func (m *modelMember) entry(i int) modelEntry {
+	return modelEntry{term: m.log[2*i], group: m.log[2*i+1]}
+}
+func (m *modelMember) append(entry modelEntry) { m.log += string([]byte{entry.term, entry.group}) }
+
+func (m *modelMember) lastTerm() uint8 {
+	if len(m.log) == 0 {
+		return 0
+	}
+	return m.log[len(m.log)-2]
+}
+
+// group gives the voters of the latest group within the first entries.
+func (m *modelMember) group(within int, founders uint8) (voters uint8, at int) {
+	for i := min(within, m.entries()) - 1; i >= 0; i-- {
+		if group := m.entry(i).group; group != 0 {
+			return group, i + 1
+		}
+	}
+	return founders, 0
+}
+
+// model is what is searched.
+type model struct {
+	rules  rules
+	bounds bounds
+}
+
+func (m *model) groupOf(member *modelMember) uint8 {
+	voters, _ := member.group(member.entries(), m.bounds.founders)
+	return voters
+}
+
+func majority(of, have uint8) bool { return 2*bits.OnesCount8(of&have) > bits.OnesCount8(of) }
+
+// moves calls visit with every state that follows from one, and what leads there.
+func (m *model) moves(s *modelState, visit func(name string, next modelState)) {
+	for i := range m.bounds.members {
+		m.elections(s, i, visit)
+		if s.members[i].leads {
+			m.leaderMoves(s, i, visit)
+		}
+		if int(s.crashes) < m.bounds.crashes {
+			m.failures(s, i, visit)
+		}
+	}
+}
+
+func (m *model) elections(s *modelState, candidate int, visit func(string, modelState)) {
+	c := &s.members[candidate]
+	group := m.groupOf(c)
+	if c.term >= m.bounds.terms || group&(1<<candidate) == 0 {
+		return
+	}
+	for term := c.term + 1; term <= m.bounds.terms; term++ {
+		var willing uint8
+		for other := range m.bounds.members {
+			if other == candidate || m.votes(s, other, candidate, term) {
+				willing |= 1 << other
+			}
+		}
+		for voters := willing; voters > 0; voters = (voters - 1) & willing {
+			if voters&(1<<candidate) == 0 || !majority(group, voters) || m.superfluous(group, voters, candidate) {
+				continue
+			}
+			next := *s
+			for other := range m.bounds.members {
+				if voters&(1<<other) != 0 {
+					next.members[other].term, next.members[other].vote, next.members[other].leads = term, int8(candidate), false
+				}
+			}
+			next.members[candidate].leads = true
+			next.members[candidate].append(modelEntry{term: term})
+			if next.members[candidate].entries() <= m.bounds.entries {
+				visit(fmt.Sprintf("elect %d term %d by %05b", candidate, term, voters), next)
+			}
+		}
+	}
+}
+
+// superfluous tells whether fewer voters would do: only the least majorities are tried.
+func (m *model) superfluous(group, voters uint8, candidate int) bool {
+	for other := range m.bounds.members {
+		rest := voters &^ (1 << other)
+		if other != candidate && rest != voters && majority(group, rest) {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *model) votes(s *modelState, voter, candidate int, term uint8) bool {
+	v, c := &s.members[voter], &s.members[candidate]
+	if v.term > term || m.rules.oneVoteInTerm && v.term == term && (v.vote != int8(candidate) || v.leads) {
+		return false
+	}
+	if m.groupOf(v)&(1<<voter) == 0 {
+		return false
+	}
+	ahead := v.lastTerm() > c.lastTerm() || v.lastTerm() == c.lastTerm() && v.entries() > c.entries()
+	return !m.rules.logsCompared || !ahead
+}
+
+func (m *model) leaderMoves(s *modelState, i int, visit func(string, modelState)) {
+	leader := &s.members[i]
+	if int(leader.synced) < leader.entries() {
+		next := *s
+		next.members[i].synced = uint8(leader.entries())
+		visit(fmt.Sprintf("sync %d", i), next)
+	}
+	for other := range m.bounds.members {
+		if other != i {
+			m.copyOne(s, i, other, visit)
+		}
+	}
+	m.commit(s, i, visit)
+	m.change(s, i, visit)
+}
+
+// copyOne has a follower take the leader's next entry, synced at once.
+func (m *model) copyOne(s *modelState, i, other int, visit func(string, modelState)) {
+	leader, follower := &s.members[i], &s.members[other]
+	if follower.term > leader.term {
+		return
+	}
+	common := 0
+	for common < len(leader.log) && common < len(follower.log) && leader.log[common:common+2] == follower.log[common:common+2] {
+		common += 2
+	}
+	first := common
+	if !m.rules.previousEntryFits {
+		first = max(common, min(len(follower.log), len(leader.log)-2))
+	}
+	if first >= len(leader.log) && follower.term == leader.term {
+		return
+	}
+	next := *s
+	f := &next.members[other]
+	if f.term < leader.term {
+		f.term, f.vote, f.leads = leader.term, -1, false
+	}
+	if first < len(leader.log) {
+		f.log = f.log[:first] + leader.log[first:first+2]
+		f.synced = uint8(f.entries())
+	}
+	f.commits = min(f.commits, uint8(f.entries()))
+	visit(fmt.Sprintf("copy %d to %d", i, other), next)
+}
+
+func (m *model) commit(s *modelState, i int, visit func(string, modelState)) {
+	leader := &s.members[i]
+	group := m.groupOf(leader)
+	for count := int(leader.commits) + 1; count <= leader.entries(); count++ {
+		if m.rules.ownTermCommits && leader.entry(count-1).term != leader.term {
+			continue
+		}
+		var have uint8
+		for other := range m.bounds.members {
+			f := &s.members[other]
+			holds := len(f.log) >= 2*count && (f.log[:2*count] == leader.log[:2*count] || !m.rules.previousEntryFits)
+			if other == i {
+				holds = !m.rules.syncedCounts || int(leader.synced) >= count
+			}
+			if holds && f.term == leader.term {
+				have |= 1 << other
+			}
+		}
+		if !majority(group, have) {
+			continue
+		}
+		next := *s
+		next.members[i].commits = uint8(count)
+		log := leader.log[:2*count]
+		switch {
+		case strings.HasPrefix(log, s.committed):
+			next.committed = log
+		case !strings.HasPrefix(s.committed, log):
+			next.broken = true
+		}
+		visit(fmt.Sprintf("commit %d at %d", count, i), next)
+	}
+}
+
+func (m *model) change(s *modelState, i int, visit func(string, modelState)) {
+	leader := &s.members[i]
+	if int(s.changes) >= m.bounds.changes || leader.entries() >= m.bounds.entries {
+		return
+	}
+	group, at := leader.group(leader.entries(), m.bounds.founders)
+	if m.rules.changeWaits && at > int(leader.commits) {
+		return
+	}
+	if m.rules.leaderOpensTerm && (leader.commits == 0 || leader.entry(int(leader.commits)-1).term != leader.term) {
+		return
+	}
+	for wanted := uint8(1); wanted < 1<<m.bounds.members; wanted++ {
+		moved := bits.OnesCount8(wanted ^ group)
+		if moved == 0 || m.rules.oneMemberAtATime && moved > 1 {
+			continue
+		}
+		next := *s
+		next.changes++
+		next.members[i].append(modelEntry{term: leader.term, group: wanted})
+		visit(fmt.Sprintf("change to %05b at %d", wanted, i), next)
+	}
+}
+
+// failures lets a member crash and lose what it had not synced, or, in a mutant, come back under its name without its disk.
+func (m *model) failures(s *modelState, i int, visit func(string, modelState)) {
+	member := &s.members[i]
+	if int(member.synced) < member.entries() {
+		next := *s
+		f := &next.members[i]
+		f.log, f.leads, f.commits = f.log[:2*int(f.synced)], false, min(f.commits, f.synced)
+		next.crashes++
+		visit(fmt.Sprintf("crash %d", i), next)
+	}
+	if !m.rules.diskIsIdentity {
+		next := *s
+		next.members[i] = modelMember{vote: -1}
+		next.crashes++
+		visit(fmt.Sprintf("empty the disk of %d", i), next)
+	}
+}
+
+// broken tells whether a state breaks what is promised: one leader in a term, and each leader has all that was committed
+// in earlier terms.
+func (s *modelState) brokenNow(members int) bool {
+	for i := range members {
+		leader := &s.members[i]
+		if !leader.leads {
+			continue
+		}
+		for other := range i {
+			if s.members[other].leads && s.members[other].term == leader.term {
+				return true
+			}
+		}
+		if len(s.committed) > 0 && s.committed[len(s.committed)-2] < leader.term && !strings.HasPrefix(leader.log, s.committed) {
+			return true
+		}
+	}
+	return s.broken
+}
+
+func firstState() modelState {
+	var s modelState
+	for i := range s.members {
+		s.members[i].vote = -1
+	}
+	return s
+}
+
+// search visits all states within the bounds, nearest first. It gives the moves to a broken one, nil where there is none.
+func (m *model) search(most int) (trace []string, visited int) {
+	type step struct {
+		from int
+		name string
+	}
+	first := firstState()
+	states := []modelState{first}
+	steps := []step{{from: -1}}
+	known := map[modelState]bool{first: true}
+	for at := 0; at < len(states) && len(states) < most; at++ {
+		found := -1
+		m.moves(&states[at], func(name string, next modelState) {
+			if found >= 0 || known[next] {
+				return
+			}
+			known[next] = true
+			states, steps = append(states, next), append(steps, step{from: at, name: name})
+			if next.brokenNow(m.bounds.members) {
+				found = len(states) - 1
+			}
+		})
+		for found >= 0 && steps[found].from >= 0 {
+			trace = append([]string{steps[found].name}, trace...)
+			found = steps[found].from
+		}
+		if trace != nil {
+			return trace, len(states)
+		}
+	}
+	return nil, len(states)
+}
+
+// play follows a trace; it gives the number of moves that were possible, and whether the end is broken.
+func (m *model) play(trace []string) (possible int, broken bool) {
+	s := firstState()
+	for _, wanted := range trace {
+		var reached *modelState
+		m.moves(&s, func(name string, next modelState) {
+			if name == wanted && reached == nil {
+				reached = &next
+			}
+		})
+		if reached == nil {
+			return possible, false
+		}
+		s = *reached
+		possible++
+	}
+	return possible, s.brokenNow(m.bounds.members)
+}
+
+// mutantBounds are wide enough for the counter-example of a mutant.
+func mutantBounds(name string) bounds {
+	switch name {
+	case "leader-opens-term":
+		// Too deep for a search within seconds: written by hand, after the fault in the first publication of such changes.
+		return bounds{members: 5, founders: 0b01111, terms: 3, entries: 4, changes: 2}
+	case "own-term-commits", "previous-entry-fits":
+		return bounds{members: 3, founders: 0b111, terms: 4, entries: 3}
+	case "synced-counts", "one-vote-in-term", "logs-compared":
+		return bounds{members: 3, founders: 0b111, terms: 3, entries: 3, crashes: 1}
+	}
+	return bounds{members: 4, founders: 0b0111, terms: 3, entries: 4, changes: 2, crashes: 1}
+}
+
+var _ = ginkgo.Describe("The model of a group and its changes", func() {
+	searchesWhole := func(b bounds, most int) {
+		m := &model{rules: allRules(), bounds: b}
+		trace, visited := m.search(most)
+		Expect(trace).To(BeNil(), strings.Join(trace, "\n"))
+		Expect(visited).To(BeNumerically("<", most), "the search is whole")
+		ginkgo.AddReportEntry("states", visited)
+	}
+	ginkgo.DescribeTable("finds nothing with all rules in force", func(b bounds) { searchesWhole(b, 1_000_000) },
+		ginkgo.Entry("three members that may be let go", bounds{members: 3, founders: 0b111, terms: 2, entries: 3, changes: 2, crashes: 1}),
+		ginkgo.Entry("three members and a newcomer", bounds{members: 4, founders: 0b0111, terms: 2, entries: 3, changes: 1, crashes: 1}),
+		ginkgo.Entry("two members and two newcomers", bounds{members: 4, founders: 0b0011, terms: 2, entries: 3, changes: 1, crashes: 1}),
+		ginkgo.Entry("five members", bounds{members: 5, founders: 0b11111, terms: 2, entries: 2}),
+	)
+
+	ginkgo.DescribeTable("finds nothing within wider bounds, asked for by WIDE_SEARCH=1", func(b bounds) {
+		if os.Getenv("WIDE_SEARCH") == "" {
+			ginkgo.Skip("asked for by WIDE_SEARCH=1")
+		}
+		searchesWhole(b, 12_000_000)
+	},
+		ginkgo.Entry("three members, three terms", bounds{members: 3, founders: 0b111, terms: 3, entries: 4, changes: 2, crashes: 1}),
+		ginkgo.Entry("three members and a newcomer, three terms", bounds{members: 4, founders: 0b0111, terms: 3, entries: 3, changes: 1}),
+		ginkgo.Entry("five members, one of which may be let go", bounds{members: 5, founders: 0b11111, terms: 2, entries: 3, changes: 1}),
+	)
+
+	ginkgo.It("finds the kept counter-example where a rule is taken away, and that the rule forbids it", func() {
+		for name, taken := range mutants() {
+			text, err := os.ReadFile(filepath.Join("testdata", "model", name+".txt"))
+			Expect(err).NotTo(HaveOccurred())
+			trace := strings.Split(strings.TrimSpace(string(text)), "\n")
+			mutant := &model{rules: taken, bounds: mutantBounds(name)}
+			possible, broken := mutant.play(trace)
+			Expect(possible).To(Equal(len(trace)), name)
+			Expect(broken).To(BeTrue(), name)
+			whole := &model{rules: allRules(), bounds: mutantBounds(name)}
+			_, broken = whole.play(trace)
+			Expect(broken).To(BeFalse(), name)
+		}
+	})
+
+	// Asked for by name, it searches for the counter-examples anew.
+	ginkgo.It("keeps counter-examples", func() {
+		if os.Getenv("KEEP_COUNTEREXAMPLES") == "" {
+			ginkgo.Skip("asked for by KEEP_COUNTEREXAMPLES=1")
+		}
+		var names []string
+		for name := range mutants() {
+			names = append(names, name)
+		}
+		sort.Strings(names)
+		for _, name := range names {
+			if name == "leader-opens-term" {
+				continue
+			}
+			m := &model{rules: mutants()[name], bounds: mutantBounds(name)}
+			trace, visited := m.search(12_000_000)
+			fmt.Printf("%s: %d moves, %d states\n", name, len(trace), visited)
+			Expect(trace).NotTo(BeNil(), name)
+			Expect(os.WriteFile(filepath.Join("testdata", "model", name+".txt"), []byte(strings.Join(trace, "\n")+"\n"), 0o600)).To(Succeed())
+		}
+	})
+})
