Bear the loss of zones and regions where the settings ask for it

Need: the settings' fault-tolerance names machines, zones or regions; only machines were read, so a deployment that is to bear the loss of a zone would have had one copy of each message.

Change: internal/system/tolerance says where copies must lie, who may be silent, and whether voters keep a majority; carriers, recoveries, fillings and the groups' changes ask it. The simulation plays six storage machines that bear a zone's loss in every fourth drawn schedule, with zones without power, without disks, cut off and frozen.

--- a/internal/system/command/people.go
+++ b/internal/system/command/people.go
@@ -49,7 +49,8 @@
 			if err != nil {
 				return err
 			}
-			fmt.Fprintf(command.OutOrStdout(), "%s in zone %s, %d seeds, %d machines may be lost\n", s.NodeName, s.Zone, len(s.Seeds), s.Tolerated)
+			fmt.Fprintf(command.OutOrStdout(), "%s in zone %s, %d seeds, %d machines, %d zones or %d regions may be lost\n",
+				s.NodeName, s.Zone, len(s.Seeds), s.Tolerance.Machines, s.Tolerance.Zones, s.Tolerance.Regions)
 			return nil
 		},
 	}
--- a/internal/system/node/keeper.go
+++ b/internal/system/node/keeper.go
@@ -142,7 +142,7 @@
 
 func (n *keeperNode) open() error {
 	var stored [keeper.Groups]agreement.Stored
-	options := keeper.Options{Address: n.address(), Voters: 2*n.settings.Tolerated + 1, Random: n.Random,
+	options := keeper.Options{Address: n.address(), Tolerance: &n.settings.Tolerance, Random: n.Random,
 		FeedEpoch: member.NewIncarnation(n, n.settings.NodeName)}
 	if err := n.openDisks(); err != nil {
 		return err
--- a/internal/system/node/store.go
+++ b/internal/system/node/store.go
@@ -151,7 +151,7 @@
 			Keepers: func() { n.connect(n.session.View()) },
 			Fault:   func(err error) { log.WithError(err).Warn("feed is unreadable") },
 		})
-		n.filler = store.NewFiller(n, n.session, n.core.Disk(), s.Tolerated)
+		n.filler = store.NewFiller(n, n.session, n.core.Disk(), &s.Tolerance)
 		n.follower = store.NewFollower(n, n.session, n.core.Disk(), n.longPending, func(ends []message.End) {
 			go func() { n.work <- func() { n.core.Ends(ends, func() {}) } }()
 		})
--- a/internal/system/role/carrier/accept.go
+++ b/internal/system/role/carrier/accept.go
@@ -80,7 +80,7 @@
 		c.refuse(answer, "too much is waiting")
 		return
 	}
-	if c.stores.reachable() < c.copies() {
+	if !c.stores.enoughReachable() {
 		c.refuse(answer, "too few stores are reachable")
 		return
 	}
@@ -149,10 +149,10 @@
 // store sends the message to as many stores as it has to lie on.
 func (a *acceptance) store() {
 	c := a.core
-	for _, disk := range c.stores.choose(c.copies(), nil) {
+	for _, disk := range c.stores.choose() {
 		a.put(disk)
 	}
-	if len(a.tried) < c.copies() {
+	if !c.enough(a.tried) {
 		a.giveUp()
 		return
 	}
@@ -171,7 +171,7 @@
 			return
 		}
 		a.holders = append(a.holders, disk)
-		if !a.stored && len(a.holders) >= c.copies() && !a.done {
+		if !a.stored && !a.done && c.enough(a.holders) {
 			a.stored = true
 			a.confirm()
 		}
@@ -184,8 +184,8 @@
 		return
 	}
 	c := a.core
-	if more := c.stores.choose(1, a.tried); len(more) > 0 {
-		a.put(more[0])
+	if another := c.stores.another(a.tried, a.holders); another != "" {
+		a.put(another)
 		return
 	}
 	if a.open == 0 {
@@ -197,8 +197,8 @@
 	if a.done || a.stored {
 		return
 	}
-	if more := a.core.stores.choose(1, a.tried); len(more) > 0 {
-		a.put(more[0])
+	if another := a.core.stores.another(a.tried, a.holders); another != "" {
+		a.put(another)
 	}
 }
 
--- a/internal/system/role/carrier/core.go
+++ b/internal/system/role/carrier/core.go
@@ -230,7 +230,7 @@
 	if c.draining || c.session.View().Table == nil || !c.session.Joined() {
 		return false
 	}
-	if c.stores.reachable() >= c.copies() {
+	if c.stores.enoughReachable() {
 		c.lacking = false
 		return true
 	}
@@ -240,8 +240,8 @@
 	return c.env.Now()-c.lackedStores < storesLackedFor
 }
 
-// copies is the number of disks that a message lies on before it is accepted.
-func (c *Core) copies() int { return c.settings.Tolerated + 1 }
+// enough tells whether a message outlives every tolerated loss on some disks.
+func (c *Core) enough(disks []string) bool { return c.settings.Tolerance.Enough(c.stores.zones(disks)) }
 
 // Incarnation is that of this carrier's session.
 func (c *Core) Incarnation() string { return c.session.Incarnation() }
--- a/internal/system/role/carrier/recovery.go
+++ b/internal/system/role/carrier/recovery.go
@@ -112,19 +112,21 @@
 // enough tells whether all stores have told everything, or, after a while, all but those that may be lost.
 func (r *recovery) enough() bool {
 	c := r.core
-	counted := c.session.View().Counted()
-	complete, done := 0, 0
-	for disk := range counted {
-		if l := r.listed[disk]; l != nil && l.done {
+	var counted, silent []string
+	done := 0
+	for disk, entry := range c.session.View().Counted() {
+		counted = append(counted, entry.Member.Zone)
+		l := r.listed[disk]
+		if l != nil && l.done {
 			done++
-			if l.complete {
-				complete++
-			}
+		}
+		if l == nil || !l.done || !l.complete {
+			silent = append(silent, entry.Member.Zone)
 		}
 	}
-	needed := len(counted) - c.settings.Tolerated
+	tolerance := &c.settings.Tolerance
 	late := c.env.Now()-r.began >= listAllWithin
-	return len(counted) >= c.copies() && complete >= needed && (done == len(counted) || late)
+	return tolerance.Enough(counted) && tolerance.May(silent) && (done == len(counted) || late)
 }
 
 // askEnds asks all that have told everything for the ends of what any of them lists: they may not agree.
--- a/internal/system/role/carrier/storage.go
+++ b/internal/system/role/carrier/storage.go
@@ -108,19 +108,54 @@
 	return s.core.env.Now() - calls.since
 }
 
-// reachable is the number of stores that messages can be put at: with a connection, and not silent.
-func (s *storage) reachable() int {
-	count := 0
+// zones gives the zones of disks; one that is not in the roster any more has none.
+func (s *storage) zones(disks []string) []string {
+	view := s.core.session.View()
+	zones := make([]string, 0, len(disks))
+	for _, disk := range disks {
+		if entry, known := view.Disks[disk]; known {
+			zones = append(zones, entry.Member.Zone)
+		}
+	}
+	return zones
+}
+
+// enoughReachable tells whether messages can be stored: enough stores have a connection and are not silent.
+func (s *storage) enoughReachable() bool {
+	var reachable []string
 	for disk, entry := range s.core.session.View().Counted() {
 		if !entry.Leaving && s.isUp(disk) && s.silent(disk) < suspectAfter {
-			count++
+			reachable = append(reachable, disk)
 		}
 	}
-	return count
+	return s.core.enough(reachable)
+}
+
+// choose gives the disks for a message: as few as are enough, the nearest first; fewer where they are too few.
+func (s *storage) choose() []string {
+	ranked := s.ranked(nil)
+	var chosen []string
+	for _, pick := range s.core.settings.Tolerance.Choose(nil, s.zones(ranked)) {
+		chosen = append(chosen, ranked[pick])
+	}
+	return chosen
+}
+
+// another gives one more disk for a message that was tried at some and is held by some: one that it lacks, where there is
+// one; empty where there is none at all.
+func (s *storage) another(tried, holders []string) string {
+	ranked := s.ranked(tried)
+	if picks := s.core.settings.Tolerance.Choose(s.zones(holders), s.zones(ranked)); len(picks) > 0 {
+		return ranked[picks[0]]
+	}
+	if len(ranked) > 0 {
+		return ranked[0]
+	}
+	return ""
 }
 
-// choose gives stores for a message, the nearest first, none of those in without.
-func (s *storage) choose(count int, without []string) []string {
+// ranked gives the disks that messages can be put at, the best first, none of those in without.
+func (s *storage) ranked(without []string) []string {
 	view := s.core.session.View()
 	var disks []string
 	for disk, entry := range view.Counted() {
@@ -148,7 +183,7 @@
 		disks = append(append([]string(nil), disks[turn:]...), disks[:turn]...)
 	}
 	sort.SliceStable(disks, func(i, j int) bool { return rank(disks[i]) < rank(disks[j]) })
-	return disks[:min(count, len(disks))]
+	return disks
 }
 
 func (s *storage) put(disk string, m *message.Message, done func(err error)) {
--- a/internal/system/role/keeper/core.go
+++ b/internal/system/role/keeper/core.go
@@ -14,6 +14,7 @@
 	"granitewing/internal/system/feed"
 	"granitewing/internal/system/ownership"
 	"granitewing/internal/system/session"
+	"granitewing/internal/system/tolerance"
 )
 
 // Numbers of the groups.
@@ -47,8 +48,9 @@
 type Options struct {
 	Address string         // of its peer listener
 	IDs     [Groups]string // its identity in each group, drawn on the disk
-	Voters  int            // that a group should have: one more than twice the machines that may be lost
-	Random  func(n int64) int64
+	// Tolerance is what may be lost at one time: how many voters a group should have, and where.
+	Tolerance *tolerance.Tolerance
+	Random    func(n int64) int64
 	// FeedEpoch tells this life's feed from any other.
 	FeedEpoch string
 }
--- a/internal/system/role/keeper/groups.go
+++ b/internal/system/role/keeper/groups.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"net"
 	"slices"
 	"strings"
 	"time"
@@ -27,6 +28,7 @@
 	silentForRemoval   = 1400 * time.Millisecond // of a voter, while there are voters enough without it
 	learnerGone        = 8 * time.Second
 	learnerHeard       = 600 * time.Millisecond
+	learnerSilent      = 1500 * time.Millisecond // from then on it takes no newcomer's place
 )
 
 // tendGroups changes the groups that this keeper leads, one member at a time: a newcomer that has caught up gets a vote
@@ -42,27 +44,19 @@
 
 func (c *Core) tendGroup(id int, node *agreement.Node) {
 	group := node.Group()
+	wanted := c.options.Tolerance.Voters()
 	silentVoter, silence := longestSilence(node, group.Voters)
 	leaving := c.leavingVoter(group)
-	wanted := len(group.Voters) < c.options.Voters || silence > silentForPromotion || leaving != ""
-	if len(group.Voters) <= c.options.Voters && wanted {
-		for _, learner := range group.Learners {
-			if quiet, caughtUp := node.Silence(learner); caughtUp && quiet < learnerHeard && !c.leaves(learner) {
-				c.changeGroup(id, group.With(learner, agreement.AsVoter))
-				return
-			}
-		}
-	}
-	if leaving == c.options.IDs[id] && len(group.Voters) > c.options.Voters {
-		node.HandOver(c.now) // its successor takes it out
+	if len(group.Voters) > wanted {
+		c.letGo(id, node, silentVoter, silence, leaving)
 		return
 	}
-	switch {
-	case len(group.Voters) > c.options.Voters && silence > silentForRemoval:
-		c.changeGroup(id, group.With(silentVoter, agreement.Out))
-		return
-	case len(group.Voters) > c.options.Voters && leaving != "":
-		c.changeGroup(id, group.With(leaving, agreement.Out))
+	goes := leaving
+	if goes == "" && silence > silentForPromotion {
+		goes = silentVoter
+	}
+	if learner := c.nextVoter(node, group, goes); learner != "" {
+		c.changeGroup(id, group.With(learner, agreement.AsVoter))
 		return
 	}
 	for _, learner := range group.Learners {
@@ -73,6 +67,96 @@
 	}
 }
 
+// letGo takes a voter out of a group that has one more than it needs: one that is leaving or silent, or one of a zone that
+// has too many.
+func (c *Core) letGo(id int, node *agreement.Node, silentVoter string, silence time.Duration, leaving string) {
+	group := node.Group()
+	goes := ""
+	switch {
+	case silence > silentForRemoval:
+		goes = silentVoter
+	case leaving != "":
+		goes = leaving
+	case !c.options.Tolerance.Survives(c.zonesOf(group.Voters, "")):
+		goes = c.crowding(group.Voters)
+	}
+	if goes == "" {
+		return
+	}
+	if goes == c.options.IDs[id] {
+		node.HandOver(c.now) // its successor takes it out
+		return
+	}
+	c.changeGroup(id, group.With(goes, agreement.Out))
+}
+
+// crowding is a voter without whom the others keep a majority through every tolerated loss; empty where there is none.
+func (c *Core) crowding(voters []string) string {
+	for _, voter := range voters {
+		if c.options.Tolerance.Survives(c.zonesOf(voters, voter)) {
+			return voter
+		}
+	}
+	return ""
+}
+
+func (c *Core) zonesOf(ids []string, without string) []string {
+	zones := make([]string, 0, len(ids))
+	for _, id := range ids {
+		if id != without {
+			zones = append(zones, c.zoneOf(id))
+		}
+	}
+	return zones
+}
+
+// nextVoter is a learner that has caught up and should have a vote: since the group has too few, or instead of a voter that
+// goes, or instead of one of a zone that has too many. Empty where there is none, or none with whom the voters would keep
+// a majority through every tolerated loss; but a group that has too few takes whom it gets.
+func (c *Core) nextVoter(node *agreement.Node, group agreement.Membership, goes string) string {
+	tolerance := c.options.Tolerance
+	lacking := len(group.Voters) < tolerance.Voters()
+	survives := tolerance.Survives(c.zonesOf(group.Voters, ""))
+	if !lacking && goes == "" && survives {
+		return ""
+	}
+	any := ""
+	for _, learner := range group.Learners {
+		quiet, caughtUp := node.Silence(learner)
+		if !caughtUp || quiet >= learnerHeard || c.leaves(learner) {
+			continue
+		}
+		any = learner
+		with := append(slices.Clone(group.Voters), learner)
+		switch {
+		case lacking && tolerance.Survives(c.zonesOf(with, "")):
+			return learner
+		case goes != "" && tolerance.Survives(c.zonesOf(with, goes)):
+			return learner
+		case goes == "" && !survives && c.crowding(with) != "":
+			return learner
+		}
+	}
+	if lacking {
+		return any
+	}
+	return ""
+}
+
+// zoneOf is the zone of a member's machine, which its store tells; empty where that is not known.
+func (c *Core) zoneOf(id string) string {
+	host, _, err := net.SplitHostPort(AddressOf(id))
+	if err != nil {
+		return ""
+	}
+	for _, disk := range c.sessions.Disks() {
+		if other, _, err := net.SplitHostPort(disk.Member.Address); err == nil && other == host {
+			return disk.Member.Zone
+		}
+	}
+	return ""
+}
+
 // Yield has other keepers lead what this one leads, before it stops. The answer tells whether it leads nothing any more.
 func (c *Core) Yield(now time.Duration) bool {
 	c.now = now
@@ -124,12 +208,31 @@
 	if knows {
 		return &RemovedError{ID: member}
 	}
-	if len(group.Learners) >= c.options.Voters/2+1 || c.leaves(member) {
+	if c.enoughFollow(node, member) || c.leaves(member) {
 		return &EnoughError{}
 	}
 	return node.ProposeGroup(now, group.With(member, agreement.AsLearner))
 }
 
+// enoughFollow tells whether a group has learners enough to take a voter's place: some at all, and, where zones may be lost,
+// one in the newcomer's zone.
+func (c *Core) enoughFollow(node *agreement.Node, newcomer string) bool {
+	tolerance := c.options.Tolerance
+	var following []string
+	for _, learner := range node.Group().Learners {
+		if quiet, _ := node.Silence(learner); quiet < learnerSilent {
+			following = append(following, learner)
+		}
+	}
+	if len(following) < tolerance.Voters()/2+1 {
+		return false
+	}
+	if tolerance.Zones == 0 && tolerance.Regions == 0 {
+		return true
+	}
+	return slices.Contains(c.zonesOf(following, ""), c.zoneOf(newcomer))
+}
+
 // Joining tells whether a group's member should ask to join: it knows of no group, or has heard no leader for long.
 func (c *Core) Joining(now time.Duration, id int) (member string, knows, wanted bool) {
 	node := c.groups[id].node
--- a/internal/system/role/keeper/retire.go
+++ b/internal/system/role/keeper/retire.go
@@ -38,8 +38,8 @@
 		return
 	}
 	// As many stay as there are voters: messages then find their copies, and one more may be lost.
-	if left := c.sessions.Staying(node); left < c.options.Voters {
-		done(&TooFewError{Left: left, Needed: c.options.Voters})
+	if left := c.sessions.Staying(node); left < c.options.Tolerance.Voters() {
+		done(&TooFewError{Left: left, Needed: c.options.Tolerance.Voters()})
 		return
 	}
 	c.proposeSession(session.Command{Kind: session.Retire, Node: node}, done)
--- a/internal/system/role/store/fill.go
+++ b/internal/system/role/store/fill.go
@@ -7,6 +7,7 @@
 	"granitewing/internal/system/member"
 	"granitewing/internal/system/role/keeper"
 	"granitewing/internal/system/session"
+	"granitewing/internal/system/tolerance"
 	"granitewing/internal/system/wire"
 )
 
@@ -28,13 +29,13 @@
 	env       FillEnvironment
 	session   *member.Client
 	disk      string // this store's
-	tolerated int
+	tolerance *tolerance.Tolerance
 	running   bool
 	sources   map[string]*copySource // by incarnation: the places of a store are those of one life
 	asked     bool                   // to be counted
 	began     time.Duration
-	epoch     uint64 // of the roster in which this disk was counted; 0 before
-	before    int    // counted disks, before that
+	epoch     uint64            // of the roster in which this disk was counted; 0 before
+	before    map[string]string // counted disks before that, by identity, with their zones
 }
 
 type copySource struct {
@@ -52,9 +53,9 @@
 	spareAfter = keeper.SessionLife + time.Second
 )
 
-// NewFiller makes a filler for a disk; tolerated is how many disks may be lost at once.
-func NewFiller(env FillEnvironment, session *member.Client, disk string, tolerated int) *Filler {
-	return &Filler{env: env, session: session, disk: disk, tolerated: tolerated}
+// NewFiller makes a filler for a disk.
+func NewFiller(env FillEnvironment, session *member.Client, disk string, tolerated *tolerance.Tolerance) *Filler {
+	return &Filler{env: env, session: session, disk: disk, tolerance: tolerated}
 }
 
 // Running tells whether the disk is being filled: connections to the other stores are wanted.
@@ -75,36 +76,42 @@
 // step asks each of the other stores for its next part, and goes on to the next stage once enough have told all.
 func (c *Filler) step() {
 	view := c.session.View()
-	others, done, missing := 0, 0, 0
+	done, asked := 0, 0
+	silent := c.replaced(view)
 	for id, other := range view.Disks {
 		if id == c.disk || !other.Counted {
 			continue
 		}
-		others++
 		source := c.source(other)
 		if source.done && source.epoch >= c.epoch {
 			done++
 			continue
 		}
+		silent = append(silent, other.Member.Zone)
 		if c.env.Up(other.Member.Address) {
-			missing++
+			asked++
 			c.ask(source, other.Member.Address)
 		}
 	}
-	if others > 0 && missing == 0 && done >= c.enough(others) && c.advance(view) {
+	if done > 0 && asked == 0 && c.tolerance.May(silent) && c.advance(view) {
 		return
 	}
 	c.env.After(copyInterval, c.step)
 }
 
-// enough is how many of the other counted disks have to be copied: all but those that may be lost, of which one whose
-// place this disk took is lost already.
-func (c *Filler) enough(others int) int {
-	mayMiss := c.tolerated
-	if c.epoch > 0 && others < c.before {
-		mayMiss--
+// replaced gives the zones of disks whose place was taken since this one asked to count: they are lost already, and count
+// among those that may be.
+func (c *Filler) replaced(view *member.View) []string {
+	var zones []string
+	if c.epoch == 0 {
+		return nil
 	}
-	return max(1, others-max(0, mayMiss))
+	for id, zone := range c.before {
+		if _, still := view.Disks[id]; !still {
+			zones = append(zones, zone)
+		}
+	}
+	return zones
 }
 
 func (c *Filler) source(other session.Disk) *copySource {
@@ -147,10 +154,10 @@
 		return
 	}
 	c.asked = true
-	c.before = 0
-	for id := range view.Counted() {
+	c.before = map[string]string{}
+	for id, other := range view.Counted() {
 		if id != c.disk {
-			c.before++
+			c.before[id] = other.Member.Zone
 		}
 	}
 	c.session.CountDisk(func(err error) {
--- a/internal/system/settings/settings.go
+++ b/internal/system/settings/settings.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"granitewing/internal/system/tolerance"
 )
 
 // PathVariable names the environment variable with the file's path.
@@ -33,7 +35,7 @@
 	DataDir         string
 	Listen          Listen
 	Limits          Limits
-	Tolerated       int // machines with a disk that may be lost at once
+	Tolerance       tolerance.Tolerance // what may be lost at one time
 	Bounds          Bounds
 	Cloud           Cloud
 }
@@ -109,7 +111,10 @@
 	} `toml:"limits"`
 	FaultTolerance struct {
 		Machines int `toml:"machines"`
+		Zones    int `toml:"zones"`
+		Regions  int `toml:"regions"`
 	} `toml:"fault-tolerance"`
+	Zones  map[string]string `toml:"zones"` // the region of each
 	Bounds struct {
 		Contact     float64 `toml:"contact-ms"`
 		Ack         float64 `toml:"ack-ms"`
@@ -171,6 +176,10 @@
 		return fault("seeds", "are missing")
 	case f.FaultTolerance.Machines < 0:
 		return fault("fault-tolerance.machines", "is negative")
+	case f.FaultTolerance.Zones < 0:
+		return fault("fault-tolerance.zones", "is negative")
+	case f.FaultTolerance.Regions < 0:
+		return fault("fault-tolerance.regions", "is negative")
 	}
 	for i, seed := range f.Seeds {
 		if _, _, err := net.SplitHostPort(seed); err != nil {
@@ -208,7 +217,8 @@
 		Listen: Listen{Front: f.Listen.Front, Readiness: f.Listen.Readiness, Control: f.Listen.Control},
 		Limits: Limits{CPUShare: f.Limits.CPUShare, MemoryMB: int(f.Limits.MemoryMB), MaxFiles: f.Limits.MaxFiles,
 			DiskBytes: int64(f.Limits.DiskMB * (1 << 20))},
-		Tolerated: f.FaultTolerance.Machines,
+		Tolerance: tolerance.Tolerance{Machines: f.FaultTolerance.Machines, Zones: f.FaultTolerance.Zones,
+			Regions: f.FaultTolerance.Regions, RegionOf: f.Zones},
 		Bounds: Bounds{
 			Contact: milliseconds(f.Bounds.Contact, 4000), Ack: milliseconds(f.Bounds.Ack, 5000),
 			Drain: milliseconds(f.Bounds.Drain, 3000), Grace: milliseconds(1000*f.Bounds.Grace, 6000),
--- a/internal/system/settings/settings_test.go
+++ b/internal/system/settings/settings_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"granitewing/internal/system/tolerance"
 )
 
 const file = `
@@ -26,6 +28,11 @@
 disk-mb = 400
 [fault-tolerance]
 machines = 1
+zones = 2
+regions = 0
+[zones]
+a = "north"
+b = "south"
 [bounds]
 grace-s = 6
 status-s = 120
@@ -37,7 +44,7 @@
 	ginkgo.It("is read, with keys of later versions passed over", func() {
 		s, err := Parse("local.toml", []byte(file))
 		Expect(err).NotTo(HaveOccurred())
-		Expect(s.Tolerated).To(Equal(1))
+		Expect(s.Tolerance).To(Equal(tolerance.Tolerance{Machines: 1, Zones: 2, RegionOf: map[string]string{"a": "north", "b": "south"}}))
 		Expect(s.Bounds.Grace).To(Equal(6 * time.Second))
 		Expect(s.Limits.DiskBytes).To(Equal(int64(400 << 20)))
 		Expect(s.KeeperAddress("10.2.0.43")).To(Equal("10.2.0.43:7780"))
--- a/internal/system/simulation/day.go
+++ b/internal/system/simulation/day.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"granitewing/internal/system/settings"
+	"granitewing/internal/system/tolerance"
 )
 
 // Shape of a day.
@@ -35,31 +36,32 @@
 
 // day is one play.
 type day struct {
-	world    *world
-	checker  *checker
-	platform *platform
-	keepers  map[string]*keeperHost
-	stores   map[string]*storeHost
-	carriers map[string]*carrierHost
-	misses   map[string]int
-	seen     map[*carrierHost]uint64 // version of the configuration
-	version  uint64                  // that the operator knows to be current
-	sending  uint64                  // highest version that was sent
-	lastIP   int
-	retired  int // machines that were emptied and removed
-	failure  error
-	history  *configurationHistory
+	world     *world
+	checker   *checker
+	platform  *platform
+	keepers   map[string]*keeperHost
+	stores    map[string]*storeHost
+	carriers  map[string]*carrierHost
+	misses    map[string]int
+	seen      map[*carrierHost]uint64 // version of the configuration
+	version   uint64                  // that the operator knows to be current
+	sending   uint64                  // highest version that was sent
+	lastIP    int
+	retired   int // machines that were emptied and removed
+	failure   error
+	tolerance tolerance.Tolerance
+	history   *configurationHistory
 }
 
 var zones = []string{"a", "b", "c"}
 
-func newDay(seed uint64) *day {
-	w := newWorld(seed)
-	d := &day{world: w, checker: newChecker(failuresToEnd), keepers: map[string]*keeperHost{}, stores: map[string]*storeHost{},
+func newDay(s *Scenario) *day {
+	w := newWorld(s.Seed)
+	d := &day{world: w, tolerance: s.Tolerate, checker: newChecker(failuresToEnd), keepers: map[string]*keeperHost{}, stores: map[string]*storeHost{},
 		carriers: map[string]*carrierHost{}, misses: map[string]int{}, seen: map[*carrierHost]uint64{}, history: newConfigurationHistory()}
 	d.platform = newPlatform(w, d.checker)
 	d.addServices()
-	for i := range storageCount {
+	for i := range s.Storage {
 		w.add(fmt.Sprintf("storage-%d", i+1), d.nextIP(), zones[i%len(zones)])
 	}
 	for i := range carrierCount {
@@ -116,7 +118,7 @@
 		}
 	}
 	return &settings.Settings{NodeName: m.name, IP: m.ip, Zone: m.zone, FirstPort: firstPort, LastPort: firstPort + 15,
-		Seeds: seeds, Bootstrap: bootstrap, Tolerated: 1,
+		Seeds: seeds, Bootstrap: bootstrap, Tolerance: d.tolerance,
 		Limits: settings.Limits{MemoryMB: 284, DiskBytes: 400 << 20},
 		Bounds: settings.Bounds{Grace: grace, Status: 120 * time.Second}}
 }
--- a/internal/system/simulation/hosts.go
+++ b/internal/system/simulation/hosts.go
@@ -50,7 +50,7 @@
 	h := &keeperHost{settings: s, subscribers: map[*process]keeper.Subscriber{}, members: map[keeper.Subscriber]*process{},
 		platform: platform}
 	h.process = w.start(m, "keeper", s.KeeperAddress(s.IP))
-	options := keeper.Options{Address: h.address, Voters: 2*s.Tolerated + 1, Random: h.Random,
+	options := keeper.Options{Address: h.address, Tolerance: &s.Tolerance, Random: h.Random,
 		FeedEpoch: member.NewIncarnation(h, m.name)}
 	var stored [keeper.Groups]agreement.Stored
 	for group := range keeper.Groups {
@@ -245,7 +245,7 @@
 		Keepers: func() { h.follow(h.session.View()) },
 		Fault:   func(err error) { h.Report("feed", err) },
 	})
-	h.filler = store.NewFiller(h, h.session, h.core.Disk(), s.Tolerated)
+	h.filler = store.NewFiller(h, h.session, h.core.Disk(), &s.Tolerance)
 	h.up, h.down = h.session.Up, h.session.Down
 	h.push = func(address string, _ wire.Kind, payload []byte) { h.session.Push(address, payload) }
 	h.serve = func(_ *process, kind wire.Kind, payload []byte, answerer wire.Answerer) {
--- a/internal/system/simulation/scenario.go
+++ b/internal/system/simulation/scenario.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"granitewing/internal/system/tolerance"
 )
 
 // Scenario is a day as a text: one line for each thing that happens.
@@ -12,8 +14,10 @@
 //	# what it is about
 //	seed 7
 //	traffic 12s
+//	storage 6                          storage machines at the start; 3 without it
+//	tolerate zones 1                   what may be lost: 'machines', 'zones'; 'machines 1' without it
 //	at 2s kill storage-1 for 1s
-//	at 3s power storage-2 for 2s       power is lost; 'storage', 'edge' and 'all' name many machines
+//	at 3s power storage-2 for 2s       power is lost; 'storage', 'edge', 'zone-a' and 'all' name many machines
 //	at 3s wipe storage-2 for 1s        power and disk are lost
 //	at 4s freeze edge-1 for 5s
 //	at 4s cut storage-1 from all for 3s        'oneway' at the end: what the first sends is lost
@@ -34,6 +38,8 @@
 type Scenario struct {
 	Seed     uint64
 	Traffic  time.Duration
+	Storage  int
+	Tolerate tolerance.Tolerance
 	Events   []Event
 	Accepted float64
 	Ended    float64
@@ -57,7 +63,7 @@
 
 // Parse reads a scenario.
 func Parse(text string) (*Scenario, error) {
-	s := &Scenario{Seed: 1, Traffic: 10 * time.Second}
+	s := &Scenario{Seed: 1, Traffic: 10 * time.Second, Storage: storageCount, Tolerate: tolerance.Tolerance{Machines: 1}}
 	for i, line := range strings.Split(text, "\n") {
 		line, _, _ = strings.Cut(line, "#")
 		words := strings.Fields(line)
@@ -87,6 +93,24 @@
 		if err = wants(2); err == nil {
 			s.Traffic, err = time.ParseDuration(words[1])
 		}
+	case "storage":
+		if err = wants(2); err == nil {
+			s.Storage, err = strconv.Atoi(words[1])
+		}
+	case "tolerate":
+		if err = wants(3); err != nil {
+			return err
+		}
+		number, err := strconv.Atoi(words[2])
+		switch words[1] {
+		case "machines":
+			s.Tolerate.Machines = number
+		case "zones":
+			s.Tolerate.Zones = number
+		default:
+			return &ParseError{Reason: "unknown word " + words[1]}
+		}
+		return err
 	case "expect":
 		if err = wants(3); err != nil {
 			return err
@@ -119,7 +143,8 @@
 // String gives the scenario's text.
 func (s *Scenario) String() string {
 	var text strings.Builder
-	fmt.Fprintf(&text, "seed %d\ntraffic %s\n", s.Seed, s.Traffic)
+	fmt.Fprintf(&text, "seed %d\ntraffic %s\nstorage %d\ntolerate machines %d\ntolerate zones %d\n", s.Seed, s.Traffic, s.Storage,
+		s.Tolerate.Machines, s.Tolerate.Zones)
 	for _, event := range s.Events {
 		fmt.Fprintf(&text, "at %s %s\n", event.At, event.What)
 	}
@@ -148,7 +173,7 @@
 }
 
 func play(s *Scenario, report func(process, event string, err error)) (*Result, error) {
-	d := newDay(s.Seed)
+	d := newDay(s)
 	d.world.report = report
 	d.world.runUntil(2 * time.Second)
 	d.configure(0)
@@ -270,7 +295,7 @@
 	var found []*machine
 	for _, other := range d.world.names {
 		m := d.world.machines[other]
-		if !m.removed && (other == name || name == "all" || strings.HasPrefix(other, name+"-")) {
+		if !m.removed && (other == name || name == "zone-"+m.zone || name == "all" || strings.HasPrefix(other, name+"-")) {
 			found = append(found, m)
 		}
 	}
--- a/internal/system/simulation/search.go
+++ b/internal/system/simulation/search.go
@@ -4,13 +4,26 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"granitewing/internal/system/tolerance"
+)
+
+// One of zonalEvery schedules is of a system of six storage machines that bears the loss of a zone.
+const (
+	zonalEvery   = 4
+	zonalStorage = 6
 )
 
-// Draw draws a scenario: some troubles of all kinds, never more than one counted machine lost at a time but where every
-// machine is struck at once.
+// Draw draws a scenario: some troubles of all kinds, never more than one counted machine, or zone where that is borne, lost
+// at a time but where every machine is struck at once.
 func Draw(seed uint64) *Scenario {
 	r := rand.New(rand.NewPCG(seed, 2))
-	s := &Scenario{Seed: seed, Traffic: time.Duration(8+r.IntN(6)) * time.Second}
+	s := &Scenario{Seed: seed, Traffic: time.Duration(8+r.IntN(6)) * time.Second, Storage: storageCount,
+		Tolerate: tolerance.Tolerance{Machines: 1}}
+	zonal := seed%zonalEvery == 0
+	if zonal {
+		s.Storage, s.Tolerate.Zones = zonalStorage, 1
+	}
 	busy := time.Duration(0) // until when a counted machine counts as lost
 	at := 300 * time.Millisecond
 	for len(s.Events) < 2+r.IntN(7) {
@@ -18,7 +31,10 @@
 		if at > s.Traffic-500*time.Millisecond {
 			break
 		}
-		what, lost := drawEvent(r)
+		what, lost := drawEvent(r, s.Storage)
+		if zonal && r.IntN(zonalEvery) == 0 {
+			what, lost = drawZone(r)
+		}
 		if lost > 0 {
 			at = max(at, busy)
 			busy = at + lost + catchUp
@@ -32,8 +48,8 @@
 const catchUp = 4500 * time.Millisecond
 
 // drawEvent gives an event, and how long a counted machine is lost by it.
-func drawEvent(r *rand.Rand) (what string, lost time.Duration) {
-	storage := fmt.Sprintf("storage-%d", 1+r.IntN(storageCount))
+func drawEvent(r *rand.Rand, machines int) (what string, lost time.Duration) {
+	storage := fmt.Sprintf("storage-%d", 1+r.IntN(machines))
 	edge := fmt.Sprintf("edge-%d", 1+r.IntN(carrierCount))
 	length := time.Duration(200+r.IntN(3500)) * time.Millisecond
 	switch r.IntN(24) {
@@ -84,6 +100,22 @@
 	}
 }
 
+// drawZone gives a trouble of a whole zone.
+func drawZone(r *rand.Rand) (what string, lost time.Duration) {
+	zone := "zone-" + zones[r.IntN(len(zones))]
+	length := time.Duration(200+r.IntN(3000)) * time.Millisecond
+	switch r.IntN(4) {
+	case 0:
+		return fmt.Sprintf("power %s for %s", zone, length), length
+	case 1:
+		return fmt.Sprintf("wipe %s for %s", zone, length), length
+	case 2:
+		return fmt.Sprintf("cut %s from all for %s", zone, length), length
+	default:
+		return fmt.Sprintf("freeze %s for %s", zone, length), length
+	}
+}
+
 // Shorten takes events out of a failing scenario as long as it still fails.
 func Shorten(s *Scenario, fails func(*Scenario) bool) *Scenario {
 	for i := 0; i < len(s.Events); {
--- /dev/null
+++ b/internal/system/tolerance/tolerance_suite_test.go
@@ -0,0 +1,92 @@
+package tolerance
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestTolerance(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Tolerance")
+}
+
+var regionOf = map[string]string{"a": "r1", "b": "r1", "c": "r2", "d": "r3"}
+
+// subsets calls visit with each choice of places: all that are in it, and all that are not.
+func subsets(places []string, visit func(in, out []string)) {
+	for set := range 1 << len(places) {
+		var in, out []string
+		for i, place := range places {
+			if set&(1<<i) != 0 {
+				in = append(in, place)
+			} else {
+				out = append(out, place)
+			}
+		}
+		visit(in, out)
+	}
+}
+
+var _ = Describe("Tolerance", func() {
+	places := []string{"a", "a", "b", "b", "c", "c", "d"}
+
+	It("lets no message be wholly on disks that may be lost, whatever may be", func() {
+		for machines := range 3 {
+			for zones := range 3 {
+				for regions := range 2 {
+					t := &Tolerance{Machines: machines, Zones: zones, Regions: regions, RegionOf: regionOf}
+					subsets(places, func(in, _ []string) {
+						if len(in) > 0 && t.Enough(in) {
+							Expect(t.May(in)).To(BeFalse(), "%+v %v", t, in)
+						}
+					})
+				}
+			}
+		}
+	})
+
+	It("chooses disks that are enough wherever some are, the best first and no more than needed", func() {
+		for machines := range 3 {
+			for zones := range 3 {
+				t := &Tolerance{Machines: machines, Zones: zones, RegionOf: regionOf}
+				subsets(places, func(there, candidates []string) {
+					chosen := append([]string(nil), there...)
+					for _, pick := range t.Choose(there, candidates) {
+						chosen = append(chosen, candidates[pick])
+					}
+					Expect(t.Enough(chosen)).To(BeTrue(), "%+v %v", t, there)
+					Expect(len(chosen)).To(BeNumerically("<=", max(len(there)+t.Copies(), t.Copies())))
+				})
+			}
+		}
+		near := &Tolerance{Machines: 2, RegionOf: regionOf}
+		Expect(near.Choose(nil, []string{"a", "a", "a", "b"})).To(Equal([]int{0, 1, 2}))
+		far := &Tolerance{Machines: 2, Zones: 1, RegionOf: regionOf}
+		Expect(far.Choose(nil, []string{"a", "a", "a", "b"})).To(Equal([]int{0, 1, 3}))
+		Expect(far.Choose([]string{"b"}, []string{"a", "a"})).To(Equal([]int{0, 1}))
+		Expect(far.Choose(nil, []string{"a"})).To(Equal([]int{0}))
+	})
+
+	It("knows whether voters keep a majority", func() {
+		three := &Tolerance{Machines: 1, Zones: 1}
+		Expect(three.Survives([]string{"a", "b", "c"})).To(BeTrue())
+		Expect(three.Survives([]string{"a", "b", "b"})).To(BeFalse())
+		Expect((&Tolerance{Machines: 1}).Survives([]string{"a", "b", "b"})).To(BeTrue())
+		Expect((&Tolerance{Machines: 2}).Survives([]string{"a", "b", "b", "c"})).To(BeFalse())
+		five := &Tolerance{Machines: 2, Zones: 1}
+		Expect(five.Survives([]string{"a", "a", "b", "b", "c"})).To(BeTrue())
+		Expect(five.Survives([]string{"a", "a", "a", "b", "c"})).To(BeFalse())
+		abroad := &Tolerance{Regions: 1, RegionOf: regionOf}
+		Expect(abroad.Survives([]string{"a", "c", "d"})).To(BeTrue())
+		Expect(abroad.Survives([]string{"a", "b", "c"})).To(BeFalse())
+	})
+
+	It("wants as many copies and voters as the largest loss asks for", func() {
+		t := &Tolerance{Machines: 1, Zones: 2}
+		Expect(t.Copies()).To(Equal(3))
+		Expect(t.Voters()).To(Equal(5))
+		Expect((&Tolerance{}).Copies()).To(Equal(1))
+	})
+})
