Weigh a worker's failed attempts in its cost

Change: the share of a worker's latest attempts that failed (500, broken, silent; a refusal a quarter) beyond the mean of its pool costs 0.8 of a missed aim; it halves in 3 s without attempts, so that a worker that is avoided is tried again. Failed attempts teach no run time.

--- a/internal/system/delivery/delivery_test.go
+++ b/internal/system/delivery/delivery_test.go
@@ -50,6 +50,48 @@
 		Expect(held["i-0"]).To(BeNumerically(">=", 4))
 	})
 
+	// busy keeps six attempts out; it gives how many each worker got.
+	busy := func(attempts int, fails func(turn int, id string) bool) map[string]int {
+		taken := map[string]int{}
+		var out []*Worker
+		for turn := range attempts {
+			now += 20 * time.Millisecond
+			policy.Arrive(now, "s", "r", second)
+			worker := pick()
+			policy.Start(now, worker)
+			taken[worker.ID]++
+			out = append(out, worker)
+			if len(out) <= 6 {
+				continue
+			}
+			result := Ran
+			if fails(turn, out[0].ID) {
+				result = Failed
+			}
+			policy.Finish(now, out[0], result, 120*time.Millisecond, Load{})
+			out = out[1:]
+		}
+		for _, worker := range out {
+			policy.Finish(now, worker, Ran, 120*time.Millisecond, Load{})
+		}
+		return taken
+	}
+
+	ginkgo.It("sends little to a worker at which attempts fail, and tries it again after a while", func() {
+		grey := func(_ int, id string) bool { return id == "i-1" }
+		Expect(busy(300, grey)["i-1"]).To(BeNumerically("<", 30))
+		now += 30 * second
+		Expect(busy(300, func(int, string) bool { return false })["i-1"]).To(BeNumerically(">", 60))
+	})
+
+	ginkgo.It("holds against no worker what fails at all of them", func() {
+		taken := busy(300, func(turn int, _ string) bool { return turn%3 == 0 })
+		Expect(taken).To(HaveLen(3))
+		for id, count := range taken {
+			Expect(count).To(BeNumerically(">", 50), id)
+		}
+	})
+
 	ginkgo.It("spreads messages over workers by their backlog", func() {
 		policy.Arrive(now, "s", "r", second)
 		held := map[string]int{}
--- a/internal/system/delivery/learn.go
+++ b/internal/system/delivery/learn.go
@@ -1,6 +1,7 @@
 package delivery
 
 import (
+	"math"
 	"sort"
 	"time"
 )
@@ -11,6 +12,7 @@
 // The results.
 const (
 	Ran      Result = iota + 1 // an answer of the run itself
+	Failed                     // an answer that this attempt failed
 	NotRun                     // the worker said that it did not run the message
 	Broken                     // reset, closed, garbled
 	Silent                     // no answer by the deadline
@@ -45,10 +47,14 @@
 		worker.held--
 	}
 	worker.probing = false
+	worker.noteFailure(now, result)
 	switch result {
 	case Ran:
 		worker.badRow, worker.openFor = 0, 0
 		p.learn(worker, took)
+	case Failed:
+		// It answers; how long a failed attempt takes says nothing of the others.
+		worker.badRow, worker.openFor = 0, 0
 	case NotRun:
 		worker.badRow, worker.openFor = 0, 0
 		worker.avoidUntil = now + avoidAfterShed
@@ -61,6 +67,29 @@
 	}
 }
 
+// noteFailure takes an outcome into the worker's share of failures.
+func (w *Worker) noteFailure(now time.Duration, result Result) {
+	outcome := 0.0
+	switch result {
+	case Failed, Broken, Silent, NoAnswer:
+		outcome = 1
+	case NotRun:
+		outcome = shedFailure
+	}
+	share := w.failing(now)
+	w.failures = share + failureWeight*(outcome-share)
+	w.failuresAt = now
+}
+
+// failing is the share of the worker's latest attempts that failed. It fades while nothing is sent there, so that a worker
+// that is avoided is tried again now and then.
+func (w *Worker) failing(now time.Duration) float64 {
+	if w.failures == 0 {
+		return 0
+	}
+	return w.failures * math.Exp2(-float64(now-w.failuresAt)/float64(failureMemory))
+}
+
 func (p *Policy) learn(worker *Worker, took time.Duration) {
 	seconds := max(took.Seconds(), 0.001)
 	blend := func(mean float64, weight float64) float64 {
--- a/internal/system/delivery/policy.go
+++ b/internal/system/delivery/policy.go
@@ -30,7 +30,11 @@
 	breakerFirst    = 300 * time.Millisecond
 	breakerMost     = 2500 * time.Millisecond
 	maxClasses      = 64
-	connectionShare = 0.85 // of a worker's connections that the fleet's carriers use together
+	failureCost     = 0.8             // of an attempt that fails, against 1 for a message that misses its aim
+	failureWeight   = 0.12            // of the latest attempt in a worker's share of failures
+	failureMemory   = 3 * time.Second // in which that share halves while nothing is sent there
+	shedFailure     = 0.25            // of a failure is a message that a worker did not run
+	connectionShare = 0.85            // of a worker's connections that the fleet's carriers use together
 )
 
 // Worker is one start of a worker, or a static endpoint, as this carrier sees it.
@@ -50,6 +54,9 @@
 	probing    bool
 	avoidUntil time.Duration
 	gone       bool
+
+	failures   float64 // share of its latest attempts that failed, as of failuresAt
+	failuresAt time.Duration
 }
 
 // Held is the number of our messages that the worker has.
@@ -246,8 +253,7 @@
 	pool.decay(now)
 	var best, fallback *Worker
 	bestCost, bestBacklog := 0.0, 0.0
-	terms := pool.terms(now)
-	table := value.For(pool.utilisation(now))
+	moment := pool.moment(now, left)
 	for _, worker := range pool.order {
 		if !worker.Usable(now) || now < worker.avoidUntil || worker.held >= p.limit(pool, worker) {
 			continue
@@ -263,7 +269,7 @@
 		if worker.Static {
 			return worker
 		}
-		cost, backlog := p.cost(now, pool, worker, held, table, terms, left)
+		cost, backlog := p.cost(pool, worker, held, &moment)
 		if best == nil || cost < bestCost-tie || cost < bestCost+tie && backlog < bestBacklog {
 			best, bestCost, bestBacklog = worker, cost, backlog
 		}
@@ -274,6 +280,25 @@
 	return best
 }
 
+// moment is what the costs of all workers of a pool have in common at one pick.
+type moment struct {
+	now   time.Duration
+	left  float64 // seconds until the message should start
+	table *value.Table
+	terms []term
+	// failing is the share of attempts that fail at a worker of the pool, in the mean: what is due to the messages, or to
+	// all workers alike, is held against none.
+	failing float64
+}
+
+func (p *pool) moment(now, left time.Duration) moment {
+	m := moment{now: now, left: left.Seconds(), table: value.For(p.utilisation(now)), terms: p.terms(now)}
+	for _, worker := range p.order {
+		m.failing += worker.failing(now) / float64(len(p.order))
+	}
+	return m
+}
+
 // term is one class in the value function: its part of the arrivals and its deadline.
 type term struct {
 	share    float64
@@ -303,20 +328,22 @@
 }
 
 // cost is the admission cost of a message: whether it misses its own aim, and the increase of the value function.
-func (p *Policy) cost(now time.Duration, pool *pool, worker *Worker, held float64, table *value.Table, terms []term, left time.Duration) (cost, backlog float64) {
+// A worker at which more attempts fail than at the others costs what a failed attempt costs, by that share.
+func (p *Policy) cost(pool *pool, worker *Worker, held float64, m *moment) (cost, backlog float64) {
 	slots := worker.slots()
-	run := pool.runTime(now, worker)
+	run := pool.runTime(m.now, worker)
 	service := run / slots
 	backlog = held * service
 	waiting := max(0, held-(slots-1)) * service
-	if waiting >= left.Seconds() {
+	if waiting >= m.left {
 		cost++
 	} else {
-		cost += waitingCost * waiting / left.Seconds()
+		cost += waitingCost * waiting / m.left
 	}
-	for _, t := range terms {
-		cost += t.share * (valueAt(table, t.deadline, backlog+service, service) - valueAt(table, t.deadline, backlog, service))
+	for _, t := range m.terms {
+		cost += t.share * (valueAt(m.table, t.deadline, backlog+service, service) - valueAt(m.table, t.deadline, backlog, service))
 	}
+	cost += failureCost * max(0, worker.failing(m.now)-m.failing)
 	if worker.Zone != p.zone && worker.Zone != "" {
 		cost += otherZoneCost
 	}
--- a/internal/system/role/carrier/dispatch.go
+++ b/internal/system/role/carrier/dispatch.go
@@ -199,8 +199,10 @@
 
 func resultOf(outcome Outcome) delivery.Result {
 	switch outcome.Kind {
-	case RunSucceeded, RunFailed, RunRefused:
+	case RunSucceeded, RunRefused:
 		return delivery.Ran
+	case RunFailed:
+		return delivery.Failed
 	case NotRun:
 		return delivery.NotRun
 	case NotSent:
