--- a/internal/system/delivery/policy.go
+++ b/internal/system/delivery/policy.go
@@ -34,6 +34,7 @@
 	failureWeight   = 0.12            // of the latest attempt in a worker's share of failures
 	failureMemory   = 3 * time.Second // in which that share halves while nothing is sent there
 	shedFailure     = 0.25            // of a failure is a message that a worker did not run
+	staticShare     = 0.45            // of a static endpoint's connections that its owner uses; a former owner's may still rest there
 	connectionShare = 0.85            // of a worker's connections that the fleet's carriers use together
 )
 
@@ -208,7 +209,7 @@
 	connections := pool.maxConns
 	if worker.Static {
 		// One carrier, its owner, calls a static endpoint; some connections are left to a former owner.
-		return max(1, int(float64(connections)*0.6))
+		return max(1, int(float64(connections)*staticShare))
 	}
 	// What all carriers together may send at once fits the worker's slots and a short queue, so that they don't crowd one
 	// that has just come back; each may send a little more than its part, since shares are uneven.
--- a/internal/system/node/worker.go
+++ b/internal/system/node/worker.go
@@ -151,14 +151,14 @@
 }
 
 // Post implements carrier.Environment.
-func (n *carrierNode) Post(url string, body []byte, timeout time.Duration, done func(int, error)) {
+func (n *carrierNode) Post(url string, body []byte, keep bool, timeout time.Duration, done func(int, error)) {
 	go func() {
-		status, err := n.post(url, body, timeout)
+		status, err := n.post(url, body, keep, timeout)
 		n.do(func() { done(status, err) })
 	}()
 }
 
-func (n *carrierNode) post(url string, body []byte, timeout time.Duration) (int, error) {
+func (n *carrierNode) post(url string, body []byte, keep bool, timeout time.Duration) (int, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
@@ -166,6 +166,7 @@
 		return 0, err
 	}
 	request.Header.Set(headerContentType, "application/json")
+	request.Close = !keep
 	response, err := n.posts.Do(request)
 	if err != nil {
 		return 0, err
--- a/internal/system/role/carrier/callback.go
+++ b/internal/system/role/carrier/callback.go
@@ -117,7 +117,9 @@
 		return
 	}
 	call.tries++
-	c.env.Post(call.url, body, callbackTimeout, func(status int, err error) {
+	// Where the fleet has more carriers than a receiver takes connections, none may rest.
+	keep := c.session.View().Carriers() <= receiverConnections
+	c.env.Post(call.url, body, keep, callbackTimeout, func(status int, err error) {
 		r.open--
 		c.posted(r, call, status, err)
 		c.callOut(r)
--- a/internal/system/role/carrier/core.go
+++ b/internal/system/role/carrier/core.go
@@ -27,8 +27,8 @@
 	loop.Peers
 	// Deliver sends a message to a worker; done is called once, later.
 	Deliver(attempt Attempt, done func(outcome Outcome))
-	// Post tells a call-back URL about an end.
-	Post(url string, body []byte, timeout time.Duration, done func(status int, err error))
+	// Post tells a call-back URL about an end; keep has the connection be kept for the next.
+	Post(url string, body []byte, keep bool, timeout time.Duration, done func(status int, err error))
 	// ReadCatalog reads the platform's list of workers.
 	ReadCatalog(done func(instances map[string]catalog.Instance, err error))
 	// Report logs what an operator should know.
