--- a/internal/system/node/keeper.go
+++ b/internal/system/node/keeper.go
@@ -2,11 +2,7 @@
 
 import (
 	"context"
-	"errors"
-	"path/filepath"
 	"slices"
-	"strconv"
-	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -16,7 +12,6 @@
 	"granitewing/internal/system/link"
 	"granitewing/internal/system/member"
 	"granitewing/internal/system/role/keeper"
-	"granitewing/internal/system/segment"
 	"granitewing/internal/system/settings"
 	"granitewing/internal/system/wire"
 )
@@ -156,25 +151,6 @@
 	return err
 }
 
-// openDisks reads what the disk holds of each group, all at once: most of it is waiting for syncs.
-func (n *keeperNode) openDisks() error {
-	var failures [keeper.Groups]error
-	var opened sync.WaitGroup
-	for group := range keeper.Groups {
-		fresh := n.fresh()
-		opened.Go(func() {
-			folder, err := segment.OpenFolder(filepath.Join(n.settings.DataDir, "control-"+strconv.Itoa(group)))
-			if err != nil {
-				failures[group] = err
-				return
-			}
-			n.disks[group], failures[group] = disk.Open(folder, fresh)
-		})
-	}
-	opened.Wait()
-	return errors.Join(failures[:]...)
-}
-
 // Others implements keeper.JoinEnvironment.
 func (n *keeperNode) Others() []string { return n.connected }
 
@@ -187,26 +163,6 @@
 	}
 }
 
-// reset gives a group's member another identity; it runs on the goroutine that owns the group's disk.
-func (n *keeperNode) reset(group int) error {
-	wanted := false
-	n.do(func() { wanted = n.resetting[group] })
-	if !wanted {
-		return nil
-	}
-	identity := disk.Identity{ID: keeper.FreshIdentity(n.address(), member.NewIncarnation(n, n.settings.NodeName))}
-	log.WithField("group", group).Warn("the group does without this keeper; it joins anew")
-	if err := n.disks[group].Begin(identity); err != nil {
-		return err
-	}
-	n.do(func() {
-		n.resetting[group] = false
-		n.core.ResetGroup(n.Now(), group, identity.ID)
-		n.joiner.WasReset(group)
-	})
-	return nil
-}
-
 // tick lets the core's time pass, and sets its next timer.
 func (n *keeperNode) tick() {
 	n.core.Tick(n.Now())
@@ -258,128 +214,6 @@
 	})
 }
 
-// persist writes, syncs, sends and applies what a group has ready, one after the other.
-func (n *keeperNode) persist(group int, failures chan<- error) {
-	for range n.wake[group] {
-		if err := n.reset(group); err != nil {
-			failures <- err
-			return
-		}
-		for {
-			var ready agreement.Ready
-			n.do(func() { ready = n.core.Ready(group) })
-			if ready.Empty() {
-				break
-			}
-			if err := n.carryOut(group, &ready); err != nil {
-				failures <- err
-				return
-			}
-		}
-	}
-}
-
-func (n *keeperNode) carryOut(group int, ready *agreement.Ready) error {
-	if err := n.save(group, ready); err != nil {
-		return err
-	}
-	var failure error
-	n.do(func() {
-		n.send(group, ready.Messages)
-		failure = n.core.Persisted(n.Now(), group, ready)
-		n.push()
-	})
-	if failure != nil {
-		return failure
-	}
-	return n.compact(group)
-}
-
-// save writes and syncs; while the disk is full it tries again, and the group goes on without this member.
-func (n *keeperNode) save(group int, ready *agreement.Ready) error {
-	for {
-		err := n.disks[group].Save(ready)
-		var full *segment.FullError
-		if !errors.As(err, &full) {
-			return err
-		}
-		log.WithError(err).WithField("group", group).Error("the group's member stands still until there is room")
-		time.Sleep(fullPause)
-	}
-}
-
-func (n *keeperNode) compact(group int) error {
-	var stored agreement.Stored
-	var compacted bool
-	var err error
-	n.do(func() {
-		if n.disks[group].WantsCompaction(n.core.LogLength(group)) {
-			stored, compacted, err = n.core.Compact(group)
-		}
-	})
-	if err != nil || !compacted {
-		return err
-	}
-	return n.disks[group].Compact(stored)
-}
-
-// send passes messages to other keepers; one that can't be reached misses them, which the group makes good.
-func (n *keeperNode) send(group int, messages []agreement.Message) {
-	byPeer := map[string][]agreement.Message{}
-	for _, message := range messages {
-		address := keeper.AddressOf(message.To)
-		byPeer[address] = append(byPeer[address], message)
-	}
-	for address, batch := range byPeer {
-		switch peer := n.clients[address]; {
-		case peer == nil:
-		case peer.up:
-			peer.client.Push(wire.AgreementMessages, wire.Encode(&wire.AgreementBody{Group: group, Messages: batch}))
-		case answers(batch):
-			n.hold(address, heldMessages{group: group, messages: batch, until: n.Now() + holdAnswers})
-			peer.client.Hurry()
-		}
-	}
-}
-
-// heldMessages wait for the connection to one that has just been heard.
-type heldMessages struct {
-	group    int
-	messages []agreement.Message
-	until    time.Duration
-}
-
-// Bounds of what is held for a peer.
-const (
-	holdAnswers = 200 * time.Millisecond // the one who asked goes on asking after a while
-	mostHeld    = 64
-)
-
-func (n *keeperNode) hold(address string, messages heldMessages) {
-	held := append(n.held[address], messages)
-	n.held[address] = held[max(0, len(held)-mostHeld):]
-}
-
-// release sends what was held for a peer that is connected now.
-func (n *keeperNode) release(address string) {
-	for _, held := range n.held[address] {
-		if n.Now() <= held.until {
-			n.send(held.group, held.messages)
-		}
-	}
-	delete(n.held, address)
-}
-
-// answers tells whether messages go to one that has just been heard, so that it must be there.
-func answers(messages []agreement.Message) bool {
-	for _, message := range messages {
-		if message.Kind.IsAnswer() {
-			return true
-		}
-	}
-	return false
-}
-
 func (n *keeperNode) readCatalog() {
 	if n.settings.Cloud.Address == "" || !n.core.WantsCatalog(n.Now()) {
 		return
@@ -397,35 +231,3 @@
 		})
 	}()
 }
-
-// frame takes a frame of a member or another keeper.
-func (n *keeperNode) frame(peer *link.Peer, frame wire.Frame) {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	err := n.core.Handle(n.Now(), n.subscriber(peer), frame.Kind, frame.Payload, peer.Answerer(frame.Call))
-	if err != nil {
-		log.WithError(err).WithField("peer", peer.Remote()).Warn("peer's frame is unreadable")
-		go peer.Close()
-	}
-	n.after()
-}
-
-func (n *keeperNode) closed(peer *link.Peer) {
-	n.do(func() {
-		if number, known := n.members[peer]; known {
-			n.core.Unsubscribe(number)
-			delete(n.members, peer)
-			delete(n.byNumber, number)
-		}
-	})
-}
-
-func (n *keeperNode) subscriber(peer *link.Peer) keeper.Subscriber {
-	if number, known := n.members[peer]; known {
-		return number
-	}
-	n.last++
-	n.members[peer] = n.last
-	n.byNumber[n.last] = peer
-	return n.last
-}
