Have a reset of the laboratory's link never end as an orderly close

Link.Reset told the deliverer of the end before it had set the socket's linger, so the deliverer's own Close could send a FIN.

--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -315,10 +315,11 @@
 		return
 	}
 	c.over = true
-	close(c.closed)
+	// Before closed is told of: deliver closes the socket as well, and whoever comes first must send a reset.
 	if t, ok := c.Conn.(*net.TCPConn); ok {
 		t.SetLinger(0)
 	}
+	close(c.closed)
 	c.Conn.Close()
 }
 
--- a/internal/lab/link/reset_test.go
+++ b/internal/lab/link/reset_test.go
@@ -1,6 +1,8 @@
 package link
 
 import (
+	"errors"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -22,3 +24,17 @@
 		}
 	}
 }
+
+// Whichever goroutine closes the socket, the caller sees a reset and never an orderly end.
+func TestResetIsNeverAnOrderlyEnd(t *testing.T) {
+	const resets = 3000
+	for range resets {
+		var l Link
+		caller, c := pair(t, &l, nil)
+		c.Reset()
+		if _, err := caller.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+			t.Fatalf("the caller read %v; want a reset", err)
+		}
+		caller.Close()
+	}
+}
