Repair by lists: fetch what lies on too few disks, hand over what an emptied disk would leave short

Now stores tell what they hold (identities and states), a newcomer fetches what lies on too few disks, the fewest copies first, each from one holder; an emptied disk hands over what would be short without it, and tells the keepers itself. A roster's epoch is told only once all taken for older ones is synced. Records owed to a disk that is gone were kept for ever, so that stops waited for them. A store that renewed its session after its disk was emptied came back into the roster.

--- a/internal/system/member/client.go
+++ b/internal/system/member/client.go
@@ -336,10 +336,10 @@
 	c.peers.Call(c.keepers[c.current], wire.CountDisk, wire.Encode(&body), openTimeout, func(_ []byte, err error) { done(err) })
 }
 
-// CopiedDisk tells the keepers that this store's disk holds all that lies on a leaving one.
-func (c *Client) CopiedDisk(source string, done func(err error)) {
-	body := wire.CopiedDiskBody{Source: source, Disk: c.member.Disk}
-	c.peers.Call(c.keepers[c.current], wire.CopiedDisk, wire.Encode(&body), openTimeout, func(_ []byte, err error) { done(err) })
+// DiskEmptied tells the keepers that all that lies on this store's leaving disk lies on enough others.
+func (c *Client) DiskEmptied(done func(err error)) {
+	body := wire.DiskEmptiedBody{Disk: c.member.Disk}
+	c.peers.Call(c.keepers[c.current], wire.DiskEmptied, wire.Encode(&body), openTimeout, func(_ []byte, err error) { done(err) })
 }
 
 // Stopping tells the keepers that the process was asked to stop, so that what it owns moves to others.
--- a/internal/system/node/store.go
+++ b/internal/system/node/store.go
@@ -36,7 +36,6 @@
 	calls    chan storeCall
 	session  *member.Client
 	filler   *store.Filler
-	follower *store.Follower
 	work     chan func() // things for the goroutine that owns the core
 	parts    chan filledPart
 	roster   atomic.Pointer[roster]
@@ -152,12 +151,14 @@
 			Fault:   func(err error) { log.WithError(err).Warn("feed is unreadable") },
 		})
 		n.filler = store.NewFiller(n, n.session, n.core.Disk(), &s.Tolerance)
-		n.follower = store.NewFollower(n, n.session, n.core.Disk(), n.longPending, func(ends []message.End) {
+		emptier := store.NewEmptier(n, n.session, n.core.Disk(), &s.Tolerance)
+		asker := store.NewEndsAsker(n, n.session, n.core.Disk(), n.longPending, func(ends []message.End) {
 			go func() { n.work <- func() { n.core.Ends(ends, func() {}) } }()
 		})
 		n.Connect(s.SeedKeepers())
 		n.session.Start()
-		n.follower.Start()
+		emptier.Start()
+		asker.Start()
 	})
 }
 
@@ -217,7 +218,7 @@
 			n.core.TakeCopy(part.messages)
 			if part.last {
 				n.core.CopyFinished()
-				log.Info("all that the lost disk held was copied; complete from now on")
+				log.Info("all that lay on too few disks was copied; complete from now on")
 			}
 			err := n.flush()
 			n.waitingParts.Add(-1)
@@ -298,25 +299,48 @@
 	}
 }
 
-// Fill implements store.FillEnvironment. Calls come under the mutex, and never more than the channel holds: the filler
+// Fill implements store.RepairEnvironment. Calls come under the mutex, and never more than the channel holds: the filler
 // asks each source for one part at a time, and for none while parts wait.
 func (n *storeNode) Fill(messages []wire.CopiedMessage, last bool) {
 	n.waitingParts.Add(1)
 	go func() { n.parts <- filledPart{messages: messages, last: last} }()
 }
 
-// longPending asks the goroutine that owns the core, and comes back under the mutex.
-func (n *storeNode) longPending(done func(ids []string)) {
+// askCore has the goroutine that owns the core ask it something; what ask gives is done under the mutex.
+func (n *storeNode) askCore(ask func(core *store.Core) (done func())) {
 	go func() {
 		n.work <- func() {
-			ids := n.core.LongPending()
-			go n.do(func() { done(ids) })
+			done := ask(n.core)
+			go n.do(done)
 		}
 	}()
 }
 
-// Filling implements store.FillEnvironment.
+func (n *storeNode) longPending(done func(ids []string)) {
+	n.askCore(func(core *store.Core) func() {
+		ids := core.LongPending()
+		return func() { done(ids) }
+	})
+}
+
+// Held implements store.RepairEnvironment.
+func (n *storeNode) Held(body wire.HeldBody, done func(wire.HeldAnswer)) {
+	n.askCore(func(core *store.Core) func() {
+		answer := core.Held(body)
+		return func() { done(answer) }
+	})
+}
+
+// Copies implements store.RepairEnvironment.
+func (n *storeNode) Copies(ids []string, done func(wire.CopiesBody, error)) {
+	n.askCore(func(core *store.Core) func() {
+		copies, err := core.Copies(ids)
+		return func() { done(copies, err) }
+	})
+}
+
+// Filling implements store.RepairEnvironment.
 func (n *storeNode) Filling() bool { return n.waitingParts.Load() > 0 }
 
-// Report implements store.FillEnvironment.
+// Report implements store.RepairEnvironment.
 func (n *storeNode) Report(event string, err error) { report(event, err) }
--- a/internal/system/role/carrier/core.go
+++ b/internal/system/role/carrier/core.go
@@ -161,6 +161,7 @@
 	now := c.env.Now()
 	if !sameMap(before.Members, after.Members) || !sameMap(before.Disks, after.Disks) || !sameMap(before.Keepers, after.Keepers) {
 		c.connect()
+		c.stores.followRoster()
 		c.policy.SetCarriers(after.Carriers())
 	}
 	if before.Table != after.Table {
--- a/internal/system/role/carrier/dispatch.go
+++ b/internal/system/role/carrier/dispatch.go
@@ -286,12 +286,17 @@
 
 // fetch reads a message's bytes back from one of its holders.
 func (c *Core) fetch(it *item, turn int) {
-	if it.ended || it.unit.dropped || len(it.holders) == 0 {
+	if it.ended || it.unit.dropped {
 		return
 	}
+	holders := c.stores.recipients(it.holders)
 	most := keepBodiesShare * float64(c.settings.Limits.MemoryMB) * (1 << 20)
 	retry := func() { c.env.After(fetchPause, func() { c.fetch(it, turn+1) }) }
-	disk := it.holders[turn%len(it.holders)]
+	if len(holders) == 0 {
+		retry()
+		return
+	}
+	disk := holders[turn%len(holders)]
 	if float64(c.bodyBytes) > most || !c.stores.isUp(disk) {
 		retry()
 		return
--- /dev/null
+++ b/internal/system/role/carrier/outbox.go
@@ -0,0 +1,194 @@
+package carrier
+
+import (
+	"time"
+
+	"granitewing/internal/system/message"
+	"granitewing/internal/system/wire"
+)
+
+// Bounds of telling the stores about ends.
+const (
+	endsTimeout = 2 * time.Second
+	endsAtOnce  = 512
+	maxOutbox   = 100000
+)
+
+// owedRecord is an end that a store has to be told, or that was told to its call-back URL.
+type owedRecord struct {
+	unit *unit
+	end  message.End
+}
+
+// owedRecords are to be told in order.
+type owedRecords struct {
+	records []owedRecord
+	out     int // number of the first ones, with the call that is out
+}
+
+func (o *owedRecords) add(record owedRecord) {
+	if len(o.records) >= maxOutbox {
+		o.forget(maxOutbox / 2)
+	}
+	record.unit.unrecorded++
+	o.records = append(o.records, record)
+}
+
+// begin gives the first ones, and counts them as being out.
+func (o *owedRecords) begin() []owedRecord {
+	o.out = min(len(o.records), endsAtOnce)
+	return o.records[:o.out]
+}
+
+// forget takes the first records out.
+func (o *owedRecords) forget(count int) {
+	for _, record := range o.records[:count] {
+		record.unit.unrecorded--
+	}
+	o.records = append([]owedRecord(nil), o.records[count:]...)
+	o.out = max(0, o.out-count)
+}
+
+// takeAll takes all records out, those with a call that is out among them.
+func (o *owedRecords) takeAll() []owedRecord {
+	records := o.records
+	for _, record := range records {
+		record.unit.unrecorded--
+	}
+	o.records, o.out = nil, 0
+	return records
+}
+
+// outbox is what a store has to be told, until it has answered. Ends go first: a store has to know an end before it can
+// know that it was told.
+type outbox struct {
+	ends      owedRecords
+	callbacks owedRecords
+	busy      bool
+}
+
+func (s *storage) box(disk string) *outbox {
+	box := s.boxes[disk]
+	if box == nil {
+		box = &outbox{}
+		s.boxes[disk] = box
+	}
+	return box
+}
+
+// recipients gives the disks to tell about a message: those that hold it. Where one of these is out of the roster, others
+// were given copies of what lay on it, and all that count are told.
+func (s *storage) recipients(holders []string) []string {
+	view := s.core.session.View()
+	counted := s.counted()
+	for _, disk := range holders {
+		if _, there := view.Disks[disk]; !there && len(counted) > 0 {
+			return counted
+		}
+	}
+	return holders
+}
+
+// counted gives the disks of the roster that count.
+func (s *storage) counted() []string {
+	var disks []string
+	for disk := range s.core.session.View().Counted() {
+		disks = append(disks, disk)
+	}
+	return disks
+}
+
+// followRoster tells all disks that count what those that are out of the roster have not taken.
+func (s *storage) followRoster() {
+	view := s.core.session.View()
+	if len(s.counted()) == 0 {
+		return // the roster is not known
+	}
+	for disk, box := range s.boxes {
+		if _, there := view.Disks[disk]; there {
+			continue
+		}
+		ends, callbacks := box.ends.takeAll(), box.callbacks.takeAll()
+		delete(s.boxes, disk)
+		delete(s.calls, disk)
+		for _, record := range ends {
+			s.recordEnd(record.unit, s.counted(), record.end)
+		}
+		for _, record := range callbacks {
+			s.recordCallback(record.unit, s.counted(), record.end.ID)
+		}
+	}
+}
+
+// recordEnd tells the holders about an end of a unit.
+func (s *storage) recordEnd(u *unit, holders []string, end message.End) {
+	for _, disk := range s.recipients(holders) {
+		s.box(disk).ends.add(owedRecord{unit: u, end: end})
+		s.flush(disk)
+	}
+}
+
+// recordCallback tells the holders that an end of a unit was told.
+func (s *storage) recordCallback(u *unit, holders []string, id string) {
+	for _, disk := range s.recipients(holders) {
+		s.box(disk).callbacks.add(owedRecord{unit: u, end: message.End{ID: id}})
+		s.flush(disk)
+	}
+}
+
+func (s *storage) up(address string) {
+	for disk := range s.boxes {
+		if s.address(disk) == address {
+			s.flush(disk)
+		}
+	}
+}
+
+func (s *storage) flushAll() {
+	for disk := range s.boxes {
+		s.flush(disk)
+	}
+}
+
+// flush sends what a store lacks; one call is out at a time, and what gathers meanwhile goes with the next.
+func (s *storage) flush(disk string) {
+	box := s.box(disk)
+	if box.busy || !s.isUp(disk) {
+		return
+	}
+	switch {
+	case len(box.ends.records) > 0:
+		var body wire.EndsBody
+		for _, record := range box.ends.begin() {
+			body.Ends = append(body.Ends, record.end)
+		}
+		s.send(disk, box, wire.PutEnds, wire.Encode(&body), &box.ends)
+	case len(box.callbacks.records) > 0:
+		var body wire.CallbackDoneBody
+		for _, record := range box.callbacks.begin() {
+			body.IDs = append(body.IDs, record.end.ID)
+		}
+		s.send(disk, box, wire.CallbackDone, wire.Encode(&body), &box.callbacks)
+	}
+}
+
+func (s *storage) send(disk string, box *outbox, kind wire.Kind, payload []byte, records *owedRecords) {
+	box.busy = true
+	s.core.env.Call(s.address(disk), kind, payload, endsTimeout, func(_ []byte, err error) {
+		box.busy = false
+		if err != nil {
+			return // housekeeping or a new connection tries again
+		}
+		records.forget(records.out)
+		s.flush(disk)
+	})
+}
+
+// unwritten is the number of records that some store has not taken, of stores that are there.
+func (s *storage) unwritten() int {
+	count := 0
+	for _, box := range s.boxes {
+		count += len(box.ends.records) + len(box.callbacks.records)
+	}
+	return count
+}
--- a/internal/system/role/carrier/storage.go
+++ b/internal/system/role/carrier/storage.go
@@ -12,57 +12,11 @@
 // Times and bounds of the stores' use.
 const (
 	putTimeout   = 3 * time.Second
-	endsTimeout  = 2 * time.Second
-	endsAtOnce   = 512
-	maxOutbox    = 100000
 	suspectAfter = 150 * time.Millisecond // of a store's silence while puts wait for it: it is asked last
 	breakAfter   = 450 * time.Millisecond // of silence: the connection is tried anew
 	slowFor      = 2 * time.Second        // a store that was silent for so long is asked last for a while
 )
 
-// owedRecord is an end that a store has to be told, or that was told to its call-back URL.
-type owedRecord struct {
-	unit *unit
-	end  message.End
-}
-
-// owedRecords are to be told in order.
-type owedRecords struct {
-	records []owedRecord
-	out     int // number of the first ones, with the call that is out
-}
-
-func (o *owedRecords) add(record owedRecord) {
-	if len(o.records) >= maxOutbox {
-		o.forget(maxOutbox / 2)
-	}
-	record.unit.unrecorded++
-	o.records = append(o.records, record)
-}
-
-// begin gives the first ones, and counts them as being out.
-func (o *owedRecords) begin() []owedRecord {
-	o.out = min(len(o.records), endsAtOnce)
-	return o.records[:o.out]
-}
-
-// forget takes the first records out.
-func (o *owedRecords) forget(count int) {
-	for _, record := range o.records[:count] {
-		record.unit.unrecorded--
-	}
-	o.records = append([]owedRecord(nil), o.records[count:]...)
-	o.out = max(0, o.out-count)
-}
-
-// outbox is what a store has to be told, until it has answered. Ends go first: a store has to know an end before it can
-// know that it was told.
-type outbox struct {
-	ends      owedRecords
-	callbacks owedRecords
-	busy      bool
-}
-
 // storage is this carrier's side of the stores.
 type storage struct {
 	core  *Core
@@ -222,85 +176,3 @@
 		done(err)
 	})
 }
-
-func (s *storage) box(disk string) *outbox {
-	box := s.boxes[disk]
-	if box == nil {
-		box = &outbox{}
-		s.boxes[disk] = box
-	}
-	return box
-}
-
-// recordEnd tells the holders about an end of a unit.
-func (s *storage) recordEnd(u *unit, holders []string, end message.End) {
-	for _, disk := range holders {
-		s.box(disk).ends.add(owedRecord{unit: u, end: end})
-		s.flush(disk)
-	}
-}
-
-// recordCallback tells the holders that an end of a unit was told.
-func (s *storage) recordCallback(u *unit, holders []string, id string) {
-	for _, disk := range holders {
-		s.box(disk).callbacks.add(owedRecord{unit: u, end: message.End{ID: id}})
-		s.flush(disk)
-	}
-}
-
-func (s *storage) up(address string) {
-	for disk := range s.boxes {
-		if s.address(disk) == address {
-			s.flush(disk)
-		}
-	}
-}
-
-func (s *storage) flushAll() {
-	for disk := range s.boxes {
-		s.flush(disk)
-	}
-}
-
-// flush sends what a store lacks; one call is out at a time, and what gathers meanwhile goes with the next.
-func (s *storage) flush(disk string) {
-	box := s.box(disk)
-	if box.busy || !s.isUp(disk) {
-		return
-	}
-	switch {
-	case len(box.ends.records) > 0:
-		var body wire.EndsBody
-		for _, record := range box.ends.begin() {
-			body.Ends = append(body.Ends, record.end)
-		}
-		s.send(disk, box, wire.PutEnds, wire.Encode(&body), &box.ends)
-	case len(box.callbacks.records) > 0:
-		var body wire.CallbackDoneBody
-		for _, record := range box.callbacks.begin() {
-			body.IDs = append(body.IDs, record.end.ID)
-		}
-		s.send(disk, box, wire.CallbackDone, wire.Encode(&body), &box.callbacks)
-	}
-}
-
-func (s *storage) send(disk string, box *outbox, kind wire.Kind, payload []byte, records *owedRecords) {
-	box.busy = true
-	s.core.env.Call(s.address(disk), kind, payload, endsTimeout, func(_ []byte, err error) {
-		box.busy = false
-		if err != nil {
-			return // housekeeping or a new connection tries again
-		}
-		records.forget(records.out)
-		s.flush(disk)
-	})
-}
-
-// unwritten is the number of records that some store has not taken, of stores that are there.
-func (s *storage) unwritten() int {
-	count := 0
-	for _, box := range s.boxes {
-		count += len(box.ends.records) + len(box.callbacks.records)
-	}
-	return count
-}
--- a/internal/system/role/keeper/handle.go
+++ b/internal/system/role/keeper/handle.go
@@ -74,12 +74,12 @@
 			return err
 		}
 		c.ReleaseUnit(now, body.Unit, body.Token, body.Offer, done)
-	case wire.CopiedDisk:
-		var body wire.CopiedDiskBody
+	case wire.DiskEmptied:
+		var body wire.DiskEmptiedBody
 		if err := wire.Decode(kind, payload, &body); err != nil {
 			return err
 		}
-		c.CopiedDisk(now, body.Source, body.Disk, done)
+		c.DiskEmptied(now, body.Disk, done)
 	default:
 		return &wire.UnknownCallError{Kind: kind}
 	}
--- a/internal/system/role/keeper/retire.go
+++ b/internal/system/role/keeper/retire.go
@@ -100,8 +100,8 @@
 	return ""
 }
 
-// CopiedDisk notes that a disk holds copies of all that lies on a leaving one.
-func (c *Core) CopiedDisk(now time.Duration, source, by string, done func(err error)) {
+// DiskEmptied notes that all that lies on a leaving disk lies on enough others.
+func (c *Core) DiskEmptied(now time.Duration, disk string, done func(err error)) {
 	c.now = now
-	c.proposeSession(session.Command{Kind: session.Copied, Source: source, Disk: by}, done)
+	c.proposeSession(session.Command{Kind: session.DiskEmptied, Disk: disk}, done)
 }
--- a/internal/system/role/store/clean.go
+++ b/internal/system/role/store/clean.go
@@ -13,7 +13,7 @@
 
 // Clean writes again what is needed of the segments up to one, so that they can be removed once the batch is synced.
 func (c *Core) Clean(oldest uint64) error {
-	for _, e := range c.index.changedSince(0) {
+	for _, e := range c.index.changedSince(0, len(c.index.entries)) {
 		if err := c.rewrite(e, oldest); err != nil {
 			return err
 		}
--- a/internal/system/role/store/copy.go
+++ b/internal/system/role/store/copy.go
@@ -6,7 +6,7 @@
 	"granitewing/internal/system/wire"
 )
 
-// TakeCopy takes what another store held, after this one's disk was lost.
+// TakeCopy takes copies of what another store holds.
 func (c *Core) TakeCopy(messages []wire.CopiedMessage) {
 	for i := range messages {
 		c.takeCopied(&messages[i])
@@ -46,7 +46,7 @@
 	})
 }
 
-// CopyFinished tells that all other stores' messages were taken: the store holds all that it ever acknowledged.
+// CopyFinished tells that all was taken that lies on too few other disks: the store counts as if it had never lost anything.
 func (c *Core) CopyFinished() {
 	if c.complete {
 		return
--- a/internal/system/role/store/core.go
+++ b/internal/system/role/store/core.go
@@ -52,6 +52,7 @@
 	cleaned  int64 // what the last cleaning left
 	sizes    map[uint64]int64
 	epoch    uint64 // of the roster that this store follows
+	settled  uint64 // of a roster: all that was taken for an older one is synced
 	founder  bool
 	loader   *loader // nil once the log was read
 }
@@ -160,11 +161,12 @@
 	Payloads [][]byte
 	records  []pendingRecord
 	answers  []func()
+	epoch    uint64 // that the store followed when the batch was taken
 }
 
 // Take gives the batch that has gathered.
 func (c *Core) Take() *Batch {
-	batch := &Batch{records: c.batch, answers: c.answers}
+	batch := &Batch{records: c.batch, answers: c.answers, epoch: c.epoch}
 	for _, r := range batch.records {
 		batch.Payloads = append(batch.Payloads, r.payload)
 	}
@@ -181,6 +183,7 @@
 			r.synced(positions[i])
 		}
 	}
+	c.settled = batch.epoch
 	for _, answer := range batch.answers {
 		answer()
 	}
@@ -285,6 +288,7 @@
 			continue
 		}
 		e.callbackOwed = false
+		c.index.touch(e)
 		c.append(record{Kind: recordCallbackDone, ID: id}, nil)
 	}
 	c.answers = append(c.answers, done)
--- /dev/null
+++ b/internal/system/role/store/empty.go
@@ -0,0 +1,162 @@
+package store
+
+import (
+	"sort"
+	"time"
+
+	"granitewing/internal/system/member"
+	"granitewing/internal/system/tolerance"
+	"granitewing/internal/system/wire"
+)
+
+// emptyInterval is the time between two steps of emptying a disk.
+const emptyInterval = 100 * time.Millisecond
+
+// Emptier empties a leaving disk: it has other disks take copies of what would lie on too few without it, and tells the
+// keepers once nothing does.
+type Emptier struct {
+	env       RepairEnvironment
+	session   *member.Client
+	disk      string // this store's
+	tolerance *tolerance.Tolerance
+	lists     *lists
+	sending   int
+	planned   bool // copies were sent since the lists were read
+}
+
+// NewEmptier makes an emptier for a disk; Start begins.
+func NewEmptier(env RepairEnvironment, session *member.Client, disk string, tolerated *tolerance.Tolerance) *Emptier {
+	return &Emptier{env: env, session: session, disk: disk, tolerance: tolerated}
+}
+
+// Start begins.
+func (e *Emptier) Start() {
+	e.env.After(emptyInterval, e.Start)
+	view := e.session.View()
+	if !view.Disks[e.disk].Leaving {
+		e.lists = nil
+		return
+	}
+	if e.lists == nil {
+		e.env.Report("this disk is being emptied", nil)
+		e.lists = newLists(e.env, e.session, e.disk, e.tolerance)
+		e.planned = false
+	}
+	e.step(view)
+}
+
+func (e *Emptier) step(view *member.View) {
+	if e.sending > 0 {
+		return
+	}
+	if e.planned {
+		e.planned = false
+		e.lists.again()
+	}
+	// Of the others any list will do; of this disk all that it took before it was to leave must be told.
+	ownTold := e.lists.readOwn(view.Epoch)
+	told, asked, silent := e.lists.read(view, 0)
+	if !ownTold || told == 0 || asked > 0 || !e.tolerance.May(silent) {
+		return
+	}
+	lacking := e.lacking(view)
+	if len(lacking) == 0 {
+		e.session.DiskEmptied(func(error) {})
+		return
+	}
+	e.planned = true
+	e.send(view, lacking)
+}
+
+// lacking gives what this disk holds and lies on too few of the others.
+func (e *Emptier) lacking(view *member.View) []shortage {
+	var found []shortage
+	for _, s := range e.lists.census.shortages(view) {
+		if e.lists.census.state(e.disk, s.id).Has(s.wanted) {
+			found = append(found, s)
+		}
+	}
+	return found
+}
+
+// send gives each message to as many disks as it lacks, one call to a disk.
+func (e *Emptier) send(view *member.View, lacking []shortage) {
+	batches := map[string][]string{}
+	candidates := e.candidates(view)
+	for turn := range lacking {
+		s := &lacking[turn]
+		without := e.without(candidates, s.holders, turn)
+		zones := make([]string, 0, len(without))
+		for _, disk := range without {
+			zones = append(zones, view.Disks[disk].Member.Zone)
+		}
+		for _, pick := range e.tolerance.Choose(s.zones(view), zones) {
+			if disk := without[pick]; len(batches[disk]) < copiesAtOnce {
+				batches[disk] = append(batches[disk], s.id)
+			}
+		}
+	}
+	for disk, ids := range batches {
+		e.copyTo(disk, view.Disks[disk].Member.Address, ids)
+	}
+}
+
+// candidates gives the disks that can take copies, those of this zone first.
+func (e *Emptier) candidates(view *member.View) []string {
+	zone := view.Disks[e.disk].Member.Zone
+	var disks []string
+	for id, other := range view.Disks {
+		if id != e.disk && holds(other) && e.env.Up(other.Member.Address) {
+			disks = append(disks, id)
+		}
+	}
+	sort.Slice(disks, func(i, j int) bool {
+		a, b := view.Disks[disks[i]].Member.Zone == zone, view.Disks[disks[j]].Member.Zone == zone
+		if a != b {
+			return a
+		}
+		return disks[i] < disks[j]
+	})
+	return disks
+}
+
+// without gives candidates that do not hold a message; those of this zone take turns.
+func (e *Emptier) without(candidates, holders []string, turn int) []string {
+	held := map[string]bool{}
+	for _, disk := range holders {
+		held[disk] = true
+	}
+	view := e.session.View()
+	zone := view.Disks[e.disk].Member.Zone
+	var near, far []string
+	for i := range candidates {
+		disk := candidates[(i+turn)%len(candidates)]
+		switch {
+		case held[disk]:
+		case view.Disks[disk].Member.Zone == zone:
+			near = append(near, disk)
+		default:
+			far = append(far, disk)
+		}
+	}
+	return append(near, far...)
+}
+
+// copyTo has a store keep copies of messages.
+func (e *Emptier) copyTo(disk, address string, ids []string) {
+	e.sending++
+	e.env.Copies(ids, func(body wire.CopiesBody, err error) {
+		if err != nil {
+			e.sending--
+			e.env.Report("messages of a disk that is being emptied can't be read", err)
+			return
+		}
+		body.More = false
+		e.env.Call(address, wire.PutCopies, wire.Encode(&body), repairTimeout, func(_ []byte, err error) {
+			e.sending--
+			if err == nil {
+				e.lists.noteCopies(disk, body.Messages)
+			}
+		})
+	})
+}
--- a/internal/system/role/store/fill.go
+++ b/internal/system/role/store/fill.go
@@ -1,112 +1,91 @@
 package store
 
 import (
-	"time"
-
-	"granitewing/internal/system/loop"
 	"granitewing/internal/system/member"
 	"granitewing/internal/system/role/keeper"
-	"granitewing/internal/system/session"
 	"granitewing/internal/system/tolerance"
 	"granitewing/internal/system/wire"
+	"time"
 )
 
-// FillEnvironment is what the driver or the simulation gives a Filler.
-type FillEnvironment interface {
-	loop.Loop
-	loop.Peers
-	// Fill hands a part of another store's messages to the core; last is the end of the filling.
-	Fill(messages []wire.CopiedMessage, last bool)
-	// Filling tells whether parts wait for the disk.
-	Filling() bool
-	// Report logs what an operator should know.
-	Report(event string, err error)
-}
+// A newcomer begins to count without a disk being lost only after this time: one whose place it is here to take may have
+// ended without a word, and its session lasts on for a while.
+const spareAfter = keeper.SessionLife + time.Second
 
-// Filler fills a disk from the others, first until it may count in the roster, then once more for what was written
-// meanwhile at disks of the former roster.
+// Filler fills a disk with what lies on too few others, first until it may count in the roster, then once more with what
+// was written meanwhile at disks of the former roster.
 type Filler struct {
-	env       FillEnvironment
+	env       RepairEnvironment
 	session   *member.Client
 	disk      string // this store's
 	tolerance *tolerance.Tolerance
 	running   bool
-	sources   map[string]*copySource // by incarnation: the places of a store are those of one life
-	asked     bool                   // to be counted
+	lists     *lists
+	plan      *fetchPlan // nil until the lists were read
+	asked     bool       // to be counted
 	began     time.Duration
 	epoch     uint64            // of the roster in which this disk was counted; 0 before
 	before    map[string]string // counted disks before that, by identity, with their zones
 }
 
-type copySource struct {
-	after uint64
-	epoch uint64 // that the source followed when it last had no more
-	done  bool
-	busy  bool
-}
-
-const (
-	copyInterval = 60 * time.Millisecond
-	copyTimeout  = 2 * time.Second
-	// A newcomer begins to count without a disk being lost only after this time: one whose place it is here to take may
-	// have ended without a word, and its session lasts on for a while.
-	spareAfter = keeper.SessionLife + time.Second
-)
-
 // NewFiller makes a filler for a disk.
-func NewFiller(env FillEnvironment, session *member.Client, disk string, tolerated *tolerance.Tolerance) *Filler {
+func NewFiller(env RepairEnvironment, session *member.Client, disk string, tolerated *tolerance.Tolerance) *Filler {
 	return &Filler{env: env, session: session, disk: disk, tolerance: tolerated}
 }
 
 // Running tells whether the disk is being filled: connections to the other stores are wanted.
-func (c *Filler) Running() bool { return c.running }
+func (f *Filler) Running() bool { return f.running }
 
 // Follow begins a filling where the roster calls for one: this disk doesn't count, or it is spare and another is missing.
-func (c *Filler) Follow(view *member.View) {
-	own, known := view.Disks[c.disk]
-	if c.running || !known || own.Counted && (!own.Spare || len(view.Missing()) == 0) {
+func (f *Filler) Follow(view *member.View) {
+	own, known := view.Disks[f.disk]
+	if f.running || !known || own.Counted && (!own.Spare || len(view.Missing()) == 0) {
 		return
 	}
-	c.env.Report("a disk is missing or this one is new: it is filled from the other stores", nil)
-	c.running, c.asked, c.began, c.epoch = true, false, c.env.Now(), 0
-	c.sources = map[string]*copySource{}
-	c.step()
+	f.env.Report("a disk is missing or this one is new: it is filled from the other stores", nil)
+	f.running, f.asked, f.began, f.epoch = true, false, f.env.Now(), 0
+	f.lists, f.plan = newLists(f.env, f.session, f.disk, f.tolerance), nil
+	f.step()
 }
 
-// step asks each of the other stores for its next part, and goes on to the next stage once enough have told all.
-func (c *Filler) step() {
-	view := c.session.View()
-	done, asked := 0, 0
-	silent := c.replaced(view)
-	for id, other := range view.Disks {
-		if id == c.disk || !other.Counted {
-			continue
-		}
-		source := c.source(other)
-		if source.done && source.epoch >= c.epoch {
-			done++
-			continue
-		}
-		silent = append(silent, other.Member.Zone)
-		if c.env.Up(other.Member.Address) {
-			asked++
-			c.ask(source, other.Member.Address)
-		}
-	}
-	if done > 0 && asked == 0 && c.tolerance.May(silent) && c.advance(view) {
+// step reads the stores' lists, has what lies on too few disks be fetched, and goes on to the next stage after that.
+func (f *Filler) step() {
+	if f.stage(f.session.View()) {
 		return
 	}
-	c.env.After(copyInterval, c.step)
+	f.env.After(repairInterval, f.step)
+}
+
+// stage tells whether the filling is over.
+func (f *Filler) stage(view *member.View) bool {
+	ownTold := f.lists.readOwn(0)
+	told, asked, silent := f.lists.read(view, f.epoch)
+	silent = append(silent, f.replaced(view)...)
+	if !ownTold || told == 0 || asked > 0 || !f.tolerance.May(silent) {
+		return false
+	}
+	if f.plan == nil {
+		f.plan = newFetchPlan(f, view)
+	}
+	if !f.plan.fetched(view) || f.env.Filling() {
+		return false
+	}
+	if f.plan.failed {
+		f.plan = nil
+		f.lists.again()
+		return false
+	}
+	return f.advance(view)
 }
 
 // replaced gives the zones of disks whose place was taken since this one asked to count: they are lost already, and count
 // among those that may be.
-func (c *Filler) replaced(view *member.View) []string {
+func (f *Filler) replaced(view *member.View) []string {
 	var zones []string
-	if c.epoch == 0 {
+	if f.epoch == 0 {
 		return nil
 	}
-	for id, zone := range c.before {
+	for id, zone := range f.before {
 		if _, still := view.Disks[id]; !still {
 			zones = append(zones, zone)
 		}
@@ -114,76 +93,146 @@
 	return zones
 }
 
-func (c *Filler) source(other session.Disk) *copySource {
-	source := c.sources[other.Member.Incarnation]
-	if source == nil {
-		source = &copySource{}
-		c.sources[other.Member.Incarnation] = source
-	}
-	return source
-}
-
-// advance goes to the next stage; true where the copying is over.
-func (c *Filler) advance(view *member.View) bool {
-	own := view.Disks[c.disk]
+// advance goes to the next stage; true where the filling is over.
+func (f *Filler) advance(view *member.View) bool {
+	own := view.Disks[f.disk]
 	missing := len(view.Missing())
 	switch {
-	case c.epoch > 0:
-		if c.env.Filling() {
-			return false
-		}
-		c.env.Fill(nil, true)
-		c.running = false
+	case f.epoch > 0:
+		f.env.Fill(nil, true)
+		f.running = false
 		return true
-	case c.asked && own.Counted && (missing == 0 || !own.Spare):
-		c.epoch = view.Epoch
+	case f.asked && own.Counted && (missing == 0 || !own.Spare):
+		f.epoch = view.Epoch
+		f.plan = nil
+		f.lists.again()
 		return false
 	case own.Counted && missing == 0:
-		c.running = false // the missing one is back
+		f.running = false // the missing one is back
 		return true
-	case missing == 0 && c.env.Now()-c.began < spareAfter:
+	case missing == 0 && f.env.Now()-f.began < spareAfter:
 		return false
 	}
-	c.count(view)
+	f.count(view)
 	return false
 }
 
 // count asks the keepers to let this disk count.
-func (c *Filler) count(view *member.View) {
-	if c.asked {
+func (f *Filler) count(view *member.View) {
+	if f.asked {
 		return
 	}
-	c.asked = true
-	c.before = map[string]string{}
+	f.asked = true
+	f.before = map[string]string{}
 	for id, other := range view.Counted() {
-		if id != c.disk {
-			c.before[id] = other.Member.Zone
+		if id != f.disk {
+			f.before[id] = other.Member.Zone
 		}
 	}
-	c.session.CountDisk(func(err error) {
+	f.session.CountDisk(func(err error) {
 		if err != nil {
-			c.asked = false
+			f.asked = false
 		}
 	})
 }
 
-func (c *Filler) ask(source *copySource, address string) {
-	if source.busy || c.env.Filling() {
+// fetchPlan is what a filling fetches from which store: what lies on too few disks, and not on this one.
+type fetchPlan struct {
+	filler *Filler
+	queues map[string][]string // messages by the disk that they are fetched from, those with the fewest copies first
+	busy   map[string]bool
+	failed bool // some could not be fetched, or were not there any more
+}
+
+func newFetchPlan(f *Filler, view *member.View) *fetchPlan {
+	p := &fetchPlan{filler: f, queues: map[string][]string{}, busy: map[string]bool{}}
+	for _, lacking := range f.lists.census.shortages(view) {
+		if f.lists.census.state(f.disk, lacking.id).Has(lacking.wanted) {
+			continue
+		}
+		if from := p.nearest(view, lacking.holders); from != "" {
+			p.queues[from] = append(p.queues[from], lacking.id)
+		}
+	}
+	return p
+}
+
+// nearest chooses the holder to fetch from: one of this zone before others, and then the one with the shortest queue.
+func (p *fetchPlan) nearest(view *member.View, holders []string) string {
+	zone := p.filler.session.View().Disks[p.filler.disk].Member.Zone
+	best, bestCost := "", 0
+	for _, disk := range holders {
+		other := view.Disks[disk].Member
+		if disk == p.filler.disk || !p.filler.env.Up(other.Address) {
+			continue
+		}
+		const awayCost = 1 << 30
+		cost := len(p.queues[disk])
+		if other.Zone != zone {
+			cost += awayCost
+		}
+		if best == "" || cost < bestCost {
+			best, bestCost = disk, cost
+		}
+	}
+	return best
+}
+
+// fetched fetches on, and tells whether nothing is left to be fetched.
+func (p *fetchPlan) fetched(view *member.View) bool {
+	done := true
+	for disk, ids := range p.queues {
+		if len(ids) == 0 {
+			continue
+		}
+		address := view.Disks[disk].Member.Address
+		if !p.busy[disk] && !p.filler.env.Up(address) {
+			p.queues[disk], p.failed = nil, true
+			continue
+		}
+		done = false
+		p.fetch(disk, address)
+	}
+	return done
+}
+
+func (p *fetchPlan) fetch(disk, address string) {
+	f := p.filler
+	if p.busy[disk] || f.env.Filling() {
 		return
 	}
-	source.busy = true
-	body := wire.CopyBody{After: source.after}
-	c.env.Call(address, wire.CopyMessages, wire.Encode(&body), copyTimeout, func(payload []byte, err error) {
-		source.busy = false
-		var answer wire.CopyAnswer
+	p.busy[disk] = true
+	ids := p.queues[disk][:min(copiesAtOnce, len(p.queues[disk]))]
+	body := wire.FetchBody{IDs: ids}
+	f.env.Call(address, wire.FetchCopies, wire.Encode(&body), repairTimeout, func(payload []byte, err error) {
+		p.busy[disk] = false
+		var answer wire.CopiesBody
 		if err == nil {
-			err = wire.Decode(wire.CopyMessages, payload, &answer)
+			err = wire.Decode(wire.FetchCopies, payload, &answer)
 		}
-		if err != nil {
-			return // step asks again
+		if err != nil || f.plan != p {
+			p.failed = true
+			p.queues[disk] = nil
+			return
 		}
-		c.env.Fill(answer.Messages, false)
-		source.after = answer.Next
-		source.done, source.epoch = !answer.More, answer.Epoch
+		f.env.Fill(answer.Messages, false)
+		copied := f.lists.noteCopies(f.disk, answer.Messages)
+		p.queues[disk] = p.rest(disk, ids, copied, answer.More)
 	})
 }
+
+// rest gives what is left to be fetched from a disk, after an answer for some messages. What the answer passed over though
+// it was not cut short is not there any more.
+func (p *fetchPlan) rest(disk string, ids []string, copied map[string]bool, more bool) []string {
+	var again []string
+	for _, id := range ids {
+		switch {
+		case copied[id]:
+		case more:
+			again = append(again, id)
+		default:
+			p.filler.lists.census.note(disk, id, 0)
+		}
+	}
+	return append(again, p.queues[disk][len(ids):]...)
+}
--- a/internal/system/role/store/handle.go
+++ b/internal/system/role/store/handle.go
@@ -37,6 +37,13 @@
 			return err
 		}
 		c.CallbackDone(body.IDs, taken)
+	case wire.PutCopies:
+		var body wire.CopiesBody
+		if err := wire.Decode(kind, payload, &body); err != nil {
+			return err
+		}
+		c.TakeCopy(body.Messages)
+		c.answers = append(c.answers, taken)
 	default:
 		return c.handleRead(kind, payload, answerer)
 	}
@@ -66,12 +73,19 @@
 			return err
 		}
 		return reply(answerer, &wire.EndsBody{Ends: c.FindEnds(body.IDs)}, nil)
-	case wire.CopyMessages:
-		var body wire.CopyBody
+	case wire.ListHeld:
+		var body wire.HeldBody
+		if err := wire.Decode(kind, payload, &body); err != nil {
+			return err
+		}
+		answer := c.Held(body)
+		return reply(answerer, &answer, nil)
+	case wire.FetchCopies:
+		var body wire.FetchBody
 		if err := wire.Decode(kind, payload, &body); err != nil {
 			return err
 		}
-		answer, err := c.Copy(body)
+		answer, err := c.Copies(body.IDs)
 		return reply(answerer, &answer, err)
 	}
 	return &wire.UnknownCallError{Kind: kind}
--- a/internal/system/role/store/index.go
+++ b/internal/system/role/store/index.go
@@ -17,6 +17,7 @@
 	unit         string
 	place        uint64 // in the order of arrival at this store
 	changed      uint64 // in the order of changes
+	older, newer *entry // those that changed just before and just after
 	position     segment.Position
 	size         uint32
 	held         bool // the message's record is on disk at position
@@ -56,12 +57,33 @@
 	expiry  []*entry // ended and void ones, ascending by the time of their end
 	place   uint64
 	change  uint64
+	newest  *entry // of those that have changed
 }
 
-// touch notes that an entry has changed, so that a copy that follows the changes takes it again.
+// touch notes that an entry has changed, so that whoever follows the changes is told of it again.
 func (x *index) touch(e *entry) {
+	x.unlink(e)
 	x.change++
 	e.changed = x.change
+	e.older = x.newest
+	if x.newest != nil {
+		x.newest.newer = e
+	}
+	x.newest = e
+}
+
+// unlink takes an entry out of the order of changes.
+func (x *index) unlink(e *entry) {
+	if e.older != nil {
+		e.older.newer = e.newer
+	}
+	if e.newer != nil {
+		e.newer.older = e.older
+	}
+	if x.newest == e {
+		x.newest = e.older
+	}
+	e.older, e.newer = nil, nil
 }
 
 func newIndex() *index { return &index{entries: map[string]*entry{}, units: map[string]*unitIndex{}} }
@@ -116,6 +138,7 @@
 		return
 	}
 	delete(x.entries, e.id)
+	x.unlink(e)
 	unit := x.units[e.unit]
 	if unit == nil {
 		return
@@ -147,14 +170,18 @@
 	return found.entries[first:]
 }
 
-// changedSince gives all entries that have changed behind a point, in the order of their changes.
-func (x *index) changedSince(point uint64) []*entry {
+// changedSince gives the entries that have changed behind a point, in the order of their changes, and no more than most.
+func (x *index) changedSince(point uint64, most int) []*entry {
+	first := x.newest
+	if first == nil || first.changed <= point {
+		return nil
+	}
+	for first.older != nil && first.older.changed > point {
+		first = first.older
+	}
 	var found []*entry
-	for _, e := range x.entries {
-		if e.changed > point {
-			found = append(found, e)
-		}
+	for e := first; e != nil && len(found) < most; e = e.newer {
+		found = append(found, e)
 	}
-	sort.Slice(found, func(i, j int) bool { return found[i].changed < found[j].changed })
 	return found
 }
--- a/internal/system/role/store/store_test.go
+++ b/internal/system/role/store/store_test.go
@@ -97,6 +97,22 @@
 	return answer
 }
 
+// copyTo copies messages to another store, part by part as calls do, and gives how many there were.
+func (b *bench) copyTo(other *bench, ids []string) int {
+	count := 0
+	for rest := ids; ; {
+		copies, err := b.core.Copies(rest)
+		Expect(err).NotTo(HaveOccurred())
+		other.core.TakeCopy(copies.Messages)
+		other.flush()
+		count += len(copies.Messages)
+		if !copies.More {
+			return count
+		}
+		rest = rest[len(copies.Messages):]
+	}
+}
+
 var _ = ginkgo.Describe("A store", func() {
 	var b *bench
 
@@ -144,7 +160,7 @@
 		_ = b.listed()
 		Expect(b.void("listed")).NotTo(BeNil())
 		Expect(b.put("copied")).To(BeNil())
-		_, err := b.core.Copy(wire.CopyBody{})
+		_, err := b.core.Copies([]string{"copied"})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(b.void("copied")).NotTo(BeNil())
 		b.open(false)
@@ -168,14 +184,10 @@
 		b.end("m00", message.Succeeded)
 		Expect(b.put("void")).To(BeNil())
 		Expect(b.void("void")).To(BeNil())
-		var after uint64
-		for more := true; more; {
-			answer, err := b.core.Copy(wire.CopyBody{After: after})
-			Expect(err).NotTo(HaveOccurred())
-			fresh.core.TakeCopy(answer.Messages)
-			fresh.flush()
-			after, more = answer.Next, answer.More
-		}
+		held := b.core.Held(wire.HeldBody{})
+		Expect(held.IDs).To(HaveLen(51))
+		Expect(held.More).To(BeFalse())
+		Expect(b.copyTo(fresh, held.IDs)).To(Equal(51))
 		fresh.core.CopyFinished()
 		fresh.flush()
 		Expect(fresh.core.Complete()).To(BeTrue())
@@ -183,13 +195,50 @@
 		Expect(fresh.find("m00").Phase).To(Equal(message.Succeeded))
 		Expect(fresh.put("void")).NotTo(BeNil())
 		b.end("m07", message.DeadLetter)
-		answer, err := b.core.Copy(wire.CopyBody{After: after})
-		Expect(err).NotTo(HaveOccurred())
-		Expect(answer.Messages).To(HaveLen(1), "what changed since is copied again")
+		held = b.core.Held(wire.HeldBody{After: held.Next})
+		Expect(held.IDs).To(Equal([]string{"m07"}), "what changed since is told again")
+		Expect(held.States).To(Equal([]wire.HeldState{wire.HeldBytes | wire.HeldEnd}), "bytes of a dead letter may be asked for")
 		fresh.core.Follow(9, true)
 		Expect(fresh.core.Complete()).To(BeFalse())
 	})
 
+	ginkgo.It("tells a roster's epoch only once all that was taken for older ones is synced", func() {
+		b.core.Follow(3, false)
+		b.flush()
+		b.core.Put(newMessage("a"), 3, func(*wire.RefusalBody) {})
+		unsynced := b.core.Take()
+		b.core.Follow(4, false)
+		Expect(b.core.Held(wire.HeldBody{}).Epoch).To(BeNumerically("<", 4))
+		positions, err := b.log.Append(unsynced.Payloads...)
+		Expect(err).NotTo(HaveOccurred())
+		b.core.Synced(b.now, unsynced, positions)
+		Expect(b.core.Held(wire.HeldBody{}).Epoch).To(BeNumerically("<", 4), "the batch was taken under the former roster")
+		b.flush()
+		held := b.core.Held(wire.HeldBody{})
+		Expect(held.Epoch).To(BeNumerically("==", 4))
+		Expect(held.IDs).To(Equal([]string{"a"}))
+	})
+
+	ginkgo.It("tells all that it holds in parts, whatever changes meanwhile", func() {
+		big := &bench{path: ginkgo.GinkgoT().TempDir(), wall: b.wall}
+		big.open(true)
+		big.core.options.DiskBytes = 64 << 20
+		const count = heldRecords + 500
+		for i := range count {
+			big.core.Put(newMessage(fmt.Sprintf("m%05d", i)), 0, func(*wire.RefusalBody) {})
+		}
+		big.flush()
+		first := big.core.Held(wire.HeldBody{})
+		Expect(first.More).To(BeTrue())
+		big.end("m00000", message.Succeeded)
+		second := big.core.Held(wire.HeldBody{After: first.Next})
+		Expect(second.More).To(BeFalse())
+		Expect(first.IDs).To(HaveLen(heldRecords))
+		Expect(second.IDs).To(HaveLen(501))
+		Expect(second.IDs[500]).To(Equal("m00000"))
+		Expect(second.States[500]).To(Equal(wire.HeldEnd))
+	})
+
 	ginkgo.It("tells a message's age by its own clocks, whatever the acceptor's said", func() {
 		m := newMessage("a")
 		m.Accepted = 5
--- a/internal/system/session/retire.go
+++ b/internal/system/session/retire.go
@@ -1,9 +1,6 @@
 package session
 
-import (
-	"slices"
-	"strings"
-)
+import "slices"
 
 // Retirement is how far the emptying of a machine is.
 type Retirement uint8
@@ -16,9 +13,6 @@
 	Emptied
 )
 
-// separator stands between the disks of CopiedBy.
-const separator = ","
-
 // Retirement tells how far the emptying of a machine's disks is.
 func (s *State) Retirement(node string) Retirement {
 	stage := UnknownMachine
@@ -75,30 +69,13 @@
 	}
 }
 
-// copied notes that a disk holds all that lies on a leaving one; once every other counted disk with a live store does, the
-// leaving one is out of the roster.
-func (s *State) copied(source, by string) {
-	disk, known := s.disks[source]
+// emptied takes a leaving disk out of the roster, once all that lies on it lies on enough others.
+func (s *State) emptied(id string) {
+	disk, known := s.disks[id]
 	if !known || !disk.Leaving {
 		return
 	}
-	holders := strings.Split(disk.CopiedBy, separator)
-	if !slices.Contains(holders, by) {
-		holders = append(holders, by)
-	}
-	slices.Sort(holders)
-	disk.CopiedBy = strings.Trim(strings.Join(holders, separator), separator)
-	s.disks[source] = disk
-	live := map[string]bool{}
-	for _, member := range s.members {
-		live[member.Disk] = true
-	}
-	for id, other := range s.disks {
-		if id != source && other.Counted && !other.Leaving && live[id] && !slices.Contains(holders, id) {
-			return
-		}
-	}
-	s.remove(source)
+	s.remove(id)
 	s.epoch++
 	if s.retired = append(s.retired, disk.Member.Node); len(s.retired) > maxReplaced {
 		s.retired = slices.Clone(s.retired[1:])
--- a/internal/system/session/state.go
+++ b/internal/system/session/state.go
@@ -49,10 +49,8 @@
 	Counted bool
 	// Spare disks began to count while none was missing; one takes the place of a disk that is lost later.
 	Spare bool
-	// Leaving disks take no messages any more; the others copy what lies on them.
+	// Leaving disks take no messages any more, and have others copy what lies on them.
 	Leaving bool
-	// CopiedBy names the disks that hold all that lies on a leaving one, sorted.
-	CopiedBy string
 }
 
 // CommandKind tells commands apart.
@@ -60,12 +58,12 @@
 
 // The commands of the table.
 const (
-	Join    CommandKind = iota + 1
-	Leave               // by itself or by expiry
-	Settled             // a departed carrier's messages have all ended
-	Count               // a disk holds copies of all that the others hold, and counts from now on
-	Retire              // a machine's disks are to be emptied
-	Copied              // a disk holds copies of all that lies on a leaving one
+	Join        CommandKind = iota + 1
+	Leave                   // by itself or by expiry
+	Settled                 // a departed carrier's messages have all ended
+	Count                   // a disk holds copies of all that the others hold, and counts from now on
+	Retire                  // a machine's disks are to be emptied
+	DiskEmptied             // all that lies on a leaving disk lies on enough others
 )
 
 // Command changes the table.
@@ -75,7 +73,6 @@
 	Incarnation string
 	Disk        string
 	Node        string // of Retire
-	Source      string // of Copied: the leaving disk
 }
 
 // State is the replicated table.
@@ -158,8 +155,8 @@
 		s.count(command.Disk)
 	case Retire:
 		s.retire(command.Node)
-	case Copied:
-		s.copied(command.Source, command.Disk)
+	case DiskEmptied:
+		s.emptied(command.Disk)
 	}
 	s.adopt()
 }
@@ -182,6 +179,9 @@
 
 func (s *State) joinDisk(member Member) {
 	disk, known := s.disks[member.Disk]
+	if !known && slices.Contains(s.retired, member.Node) && slices.Contains(s.replaced, member.Disk) {
+		return // it was emptied, and stays out
+	}
 	disk.Member = member
 	if !known && member.Founder && !slices.Contains(s.replaced, member.Disk) {
 		disk.Counted = true
--- a/internal/system/simulation/hosts.go
+++ b/internal/system/simulation/hosts.go
@@ -258,7 +258,8 @@
 	h.Connect(s.SeedKeepers())
 	h.flush()
 	h.session.Start()
-	store.NewFollower(h, h.session, h.core.Disk(), func(done func([]string)) { done(h.core.LongPending()) }, func(ends []message.End) {
+	store.NewEmptier(h, h.session, h.core.Disk(), &s.Tolerance).Start()
+	store.NewEndsAsker(h, h.session, h.core.Disk(), func(done func([]string)) { done(h.core.LongPending()) }, func(ends []message.End) {
 		h.catchUp()
 		h.core.Ends(ends, func() {})
 		h.flush()
@@ -295,7 +296,7 @@
 	h.core.Follow(view.Epoch, known && !own.Counted)
 }
 
-// Fill implements store.FillEnvironment.
+// Fill implements store.RepairEnvironment.
 func (h *storeHost) Fill(messages []wire.CopiedMessage, last bool) {
 	h.catchUp()
 	h.core.TakeCopy(messages)
@@ -305,11 +306,24 @@
 	h.flush()
 }
 
-// Filling implements store.FillEnvironment.
+// Filling implements store.RepairEnvironment.
 func (h *storeHost) Filling() bool { return h.busy }
 
+// Held implements store.RepairEnvironment.
+func (h *storeHost) Held(body wire.HeldBody, done func(wire.HeldAnswer)) {
+	h.After(0, func() {
+		h.catchUp()
+		done(h.core.Held(body))
+	})
+}
+
+// Copies implements store.RepairEnvironment.
+func (h *storeHost) Copies(ids []string, done func(wire.CopiesBody, error)) {
+	h.After(0, func() { done(h.core.Copies(ids)) })
+}
+
 func (h *storeHost) flush() {
-	if h.busy || !h.core.Waiting() {
+	if h.busy {
 		return
 	}
 	batch := h.core.Take()
--- a/internal/system/simulation/judge.go
+++ b/internal/system/simulation/judge.go
@@ -1,17 +1,20 @@
 package simulation
 
 import (
+	"fmt"
 	"time"
 
 	"granitewing/internal/system/message"
 	"granitewing/internal/system/ownership"
 	"granitewing/internal/system/role/carrier"
+	"granitewing/internal/system/wire"
 )
 
 // finish lets everything be well, waits, and judges what was accepted.
 func (d *day) finish() {
 	d.world.runUntil(d.world.now + settleTime)
 	d.judgeStates()
+	d.judgeCopies()
 	d.judgeConfiguration()
 	if !d.history.linearizable() {
 		d.checker.breakRule(d.world.now, "CONFIG", "no order of the operator's calls explains their answers")
@@ -123,3 +126,27 @@
 	}
 	return most - least
 }
+
+// judgeCopies sees that what was accepted lies on as many disks as outlive every tolerated loss, now that all is well.
+func (d *day) judgeCopies() {
+	zonesOf := map[string][]string{}
+	for _, name := range sortedKeys(d.stores) {
+		host := d.stores[name]
+		disk, known := host.session.View().Disks[host.core.Disk()]
+		if !host.alive || !known || !disk.Counted || disk.Leaving {
+			continue
+		}
+		for body, more := (wire.HeldBody{}), true; more; {
+			held := host.core.Held(body)
+			for _, id := range held.IDs {
+				zonesOf[id] = append(zonesOf[id], host.machine.zone)
+			}
+			body.After, more = held.Next, held.More
+		}
+	}
+	for _, r := range d.checker.accepted() {
+		if zones := zonesOf[r.id]; !d.tolerance.Enough(zones) {
+			d.checker.breakRule(d.world.now, "COPIES", fmt.Sprintf("%s lies on %d disks at the end", r.id, len(zones)))
+		}
+	}
+}
--- a/internal/system/wire/messages.go
+++ b/internal/system/wire/messages.go
@@ -26,7 +26,7 @@
 	SettleDeparted
 	JoinGroup
 	CountDisk
-	CopiedDisk
+	DiskEmptied
 	FeedUpdate // push: from a keeper to a member
 
 	// To stores.
@@ -36,7 +36,9 @@
 	CallbackDone
 	ListUnit
 	FindMessage
-	CopyMessages
+	ListHeld
+	FetchCopies
+	PutCopies
 	FindEnds
 
 	// To carriers.
@@ -131,10 +133,9 @@
 	Disk     string
 }
 
-// CopiedDiskBody tells that a disk holds copies of all that lies on a leaving one.
-type CopiedDiskBody struct {
+// DiskEmptiedBody tells that all that lies on a leaving disk lies on enough others.
+type DiskEmptiedBody struct {
 	_msgpack struct{} `msgpack:",as_array"`
-	Source   string
 	Disk     string
 }
 
@@ -220,12 +221,42 @@
 	Complete bool
 }
 
-// CopyBody asks for all that a store holds, from a place on.
-type CopyBody struct {
+// HeldBody asks what a store holds, from a place on.
+type HeldBody struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	After    uint64
 }
 
+// HeldState tells what a store holds of a message.
+type HeldState uint8
+
+// The parts of a HeldState.
+const (
+	HeldBytes HeldState = 1 << iota // the message itself, which somebody may still need
+	HeldEnd                         // that it has ended
+	HeldVoid                        // that it is void
+	HeldOwed                        // that its end is still owed to its call-back URL
+)
+
+// Has tells whether all of some parts are held.
+func (s HeldState) Has(parts HeldState) bool { return s&parts == parts }
+
+// HeldAnswer is a part of what a store holds, in the order of the latest changes. A message that has changed comes again.
+type HeldAnswer struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	IDs      []string
+	States   []HeldState // of the messages in IDs
+	Next     uint64      // for the next call
+	More     bool
+	Epoch    uint64 // of a roster: all that was taken for an older one is told, and nothing more is taken for one
+}
+
+// FetchBody asks for copies of some messages.
+type FetchBody struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	IDs      []string
+}
+
 // CopiedMessage is one record of a copy.
 type CopiedMessage struct {
 	_msgpack struct{}        `msgpack:",as_array"`
@@ -235,13 +266,12 @@
 	Age      time.Duration // since it came to the store
 }
 
-// CopyAnswer is a part of a copy.
-type CopyAnswer struct {
+// CopiesBody is copies of messages: the answer of FetchCopies, which may be of the first ones only, and what PutCopies
+// has a store keep.
+type CopiesBody struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	Messages []CopiedMessage
-	Next     uint64
-	More     bool
-	Epoch    uint64 // of the roster that the store follows: it takes nothing for an older one any more
+	More     bool // of an answer: of the others there may be copies as well
 }
 
 // ReserveBody asks the owner of a unit for a place in its order.
