Ask the stores for ends of messages that were taken over, as long as they wait

Who takes its messages over waits for a silent endpoint, and tries again long after the first carrier is back and has told the end.

--- a/internal/system/role/carrier/core.go
+++ b/internal/system/role/carrier/core.go
@@ -95,6 +95,7 @@
 	c.connect()
 	c.session.Start()
 	c.housekeep()
+	c.reviewTaken()
 }
 
 func (c *Core) housekeep() {
@@ -260,7 +261,8 @@
 	failures int // attempts that a worker answered as failed
 	tries    int
 	lastTry  string // worker that it was last sent to
-	takenDue bool   // it was due when it was taken over
+	taken    bool   // it was taken over from another carrier
+	takenDue bool   // and was due then
 	queued   bool
 	flying   bool
 	ended    bool
--- a/internal/system/role/carrier/dispatch.go
+++ b/internal/system/role/carrier/dispatch.go
@@ -259,13 +259,17 @@
 	if it.ended {
 		return
 	}
+	c.figures.Ended++
+	c.conclude(it, message.End{ID: it.message.ID, Phase: phase, Stamp: stamp, CallbackOwed: it.message.Callback != ""})
+}
+
+// conclude has the stores record a message's end, and lets go of it.
+func (c *Core) conclude(it *item, end message.End) {
 	it.ended = true
 	it.queued = false
-	c.figures.Ended++
-	end := message.End{ID: it.message.ID, Phase: phase, Stamp: stamp, CallbackOwed: it.message.Callback != ""}
 	c.recent.add(end)
 	c.stores.recordEnd(it.unit, it.holders, end)
-	if end.CallbackOwed {
+	if end.CallbackOwed && it.message.Callback != "" {
 		c.tell(it.unit, it.message.Callback, end, it.holders)
 	}
 	c.leave(it)
--- a/internal/system/role/carrier/unit.go
+++ b/internal/system/role/carrier/unit.go
@@ -112,7 +112,7 @@
 // takeBack makes this carrier responsible for a message that another was.
 func (c *Core) takeBack(u *unit, m *message.Message, holders []string, accepted time.Duration) {
 	it := c.newItem(u, m, holders, accepted)
-	it.takenDue = it.due <= c.env.Now()
+	it.taken, it.takenDue = true, it.due <= c.env.Now()
 	c.keep(it)
 }
 
