--- a/internal/system/simulation/platform.go
+++ b/internal/system/simulation/platform.go
@@ -33,10 +33,26 @@
 	draining bool
 	dark     bool // silent
 	slow     int
+	fault    workerFault
 	gone     bool
 	held     int
 }
 
+// workerFault is what a worker does wrong while its health is good.
+type workerFault uint8
+
+// The faults.
+const (
+	noFault      workerFault = iota
+	losesAnswers             // it runs a message, and its answer never comes
+	breaksOff                // it breaks off in the middle of a run
+	sheds                    // it turns everything away
+	failsAll                 // each attempt fails
+)
+
+// faultNames are the faults as scenarios name them.
+var faultNames = map[string]workerFault{"loses": losesAnswers, "resets": breaksOff, "sheds": sheds, "fails": failsAll}
+
 // platform knows the workers and keeps the list.
 type platform struct {
 	world    *world
@@ -139,7 +155,7 @@
 	const queueOfSlots = 4
 	model, id := w.service, attempt.Message.ID
 	model.arrivals = append(model.arrivals, p.world.now)
-	if w.held >= model.slots*(1+queueOfSlots) {
+	if w.fault == sheds || w.held >= model.slots*(1+queueOfSlots) {
 		finish(carrier.Outcome{Kind: carrier.NotRun})
 		return
 	}
@@ -174,12 +190,12 @@
 		p.checker.broke(m.ID)
 		return
 	}
-	if late {
+	if late || w.fault == breaksOff {
 		p.checker.broke(m.ID)
 		finish(carrier.Outcome{Kind: carrier.RunUnknown, Load: load})
 		return
 	}
-	if p.world.random.IntN(failShare) == 0 {
+	if w.fault == failsAll || p.world.random.IntN(failShare) == 0 {
 		p.checker.failed(p.world.now, m.ID)
 		finish(carrier.Outcome{Kind: carrier.RunFailed, Load: load})
 		return
@@ -189,6 +205,9 @@
 		w.service.table[m.ID] = stamp
 	}
 	p.checker.succeeded(p.world.now, m.ID, stamp)
+	if w.fault == losesAnswers {
+		return
+	}
 	finish(carrier.Outcome{Kind: carrier.RunSucceeded, Stamp: stamp, Load: load})
 }
 
--- a/internal/system/simulation/scenario.go
+++ b/internal/system/simulation/scenario.go
@@ -27,6 +27,8 @@
 //	at 6s retire storage-1             it is emptied, and taken away at once when it is told as empty
 //	at 6s slowdisk storage-1 by 30 for 3s
 //	at 6s dark alert for 4s            workers of a service are silent
+//	at 6s grey alert loses for 4s      some workers run and 'loses' answers, 'resets', 'sheds' or 'fails', their health being good
+//	at 6s crash archive for 2s         some workers are gone, and others start later
 //	at 7s release archive              a worker is replaced
 //	at 7s configure                    a change of the configuration
 //	at 7s race                         two changes on the same version
@@ -267,6 +269,20 @@
 			d.checker.unplanned(d.world.now, lasts)
 			d.darken(name, lasts)
 		}, nil
+	case "grey":
+		fault, known := faultNames[wordAt(words, 2)]
+		if !known {
+			return nil, &ParseError{Reason: "unknown fault in " + strings.Join(words, " ")}
+		}
+		return func() {
+			d.checker.unplanned(d.world.now, lasts)
+			d.sicken(name, fault, lasts)
+		}, nil
+	case "crash":
+		return func() {
+			d.checker.unplanned(d.world.now, lasts)
+			d.crash(name, lasts)
+		}, nil
 	case "term":
 		return func() {
 			for _, m := range d.named(name) {
@@ -301,3 +317,11 @@
 	}
 	return found
 }
+
+// wordAt is a word of a line, empty where there are fewer.
+func wordAt(words []string, index int) string {
+	if index >= len(words) {
+		return ""
+	}
+	return words[index]
+}
--- a/internal/system/simulation/search.go
+++ b/internal/system/simulation/search.go
@@ -52,7 +52,8 @@
 	storage := fmt.Sprintf("storage-%d", 1+r.IntN(machines))
 	edge := fmt.Sprintf("edge-%d", 1+r.IntN(carrierCount))
 	length := time.Duration(200+r.IntN(3500)) * time.Millisecond
-	switch r.IntN(24) {
+	service := []string{alert, archive, partner}[r.IntN(3)]
+	switch r.IntN(29) {
 	case 0, 1:
 		return fmt.Sprintf("kill %s for %s", storage, length/4), length / 4
 	case 2:
@@ -88,13 +89,21 @@
 	case 18:
 		return fmt.Sprintf("cut %s from all for %s", edge, 2*length), 0
 	case 19:
-		return fmt.Sprintf("dark %s for %s", []string{alert, archive, partner}[r.IntN(3)], length), 0
+		return fmt.Sprintf("dark %s for %s", service, length), 0
 	case 20:
 		return []string{"configure", "race", "release archive", "release alert"}[r.IntN(4)], 0
 	case 21:
 		return "add storage", 0
 	case 22:
 		return "retire " + storage, 0
+	case 23, 24:
+		return fmt.Sprintf("grey %s loses for %s", service, length), 0
+	case 25:
+		return fmt.Sprintf("grey %s %s for %s", service, []string{"resets", "sheds", "fails"}[r.IntN(3)], length), 0
+	case 26:
+		return fmt.Sprintf("crash %s for %s", service, length), 0
+	case 27:
+		return fmt.Sprintf("slowdisk %s by 500 for %s", storage, length), length
 	default:
 		return fmt.Sprintf("skew %s by %s", edge, length-2*time.Second), 0
 	}
--- a/internal/system/simulation/trouble.go
+++ b/internal/system/simulation/trouble.go
@@ -136,6 +136,40 @@
 	}
 }
 
+// affected gives a part of a service's workers, or its only one.
+func (d *day) affected(service string) []*worker {
+	var found []*worker
+	for i, id := range d.platform.names() {
+		if w := d.platform.workers[id]; w.service.name == service && !w.gone && (i%2 == 0 || w.service.static != "") {
+			found = append(found, w)
+		}
+	}
+	return found
+}
+
+// sicken has a part of a service's workers do something wrong for a while.
+func (d *day) sicken(service string, fault workerFault, length time.Duration) {
+	for _, w := range d.affected(service) {
+		w.fault = fault
+		d.world.after(length, func() { w.fault = noFault })
+	}
+}
+
+// crash ends a part of a service's workers; others start in their places after a while, a single endpoint at its own.
+func (d *day) crash(service string, length time.Duration) {
+	for _, w := range d.affected(service) {
+		w.gone = true
+		d.world.after(length, func() {
+			if w.service.static == "" {
+				delete(d.platform.workers, w.id)
+				d.platform.addWorker(service, w.zone)
+				return
+			}
+			w.gone = false
+		})
+	}
+}
+
 // dark silences a service's workers for a while.
 func (d *day) darken(service string, length time.Duration) {
 	for _, id := range d.platform.names() {
