Have a keeper without a table of sessions lead nothing

Without the table it can't tell that its own machine is to leave: the emptying never ends, and the group keeps four voters, two of them in one zone. When that zone lost its disks the configuration was gone. Such a keeper now hands every group that it leads to another voter at once.

--- a/internal/system/role/keeper/groups.go
+++ b/internal/system/role/keeper/groups.go
@@ -41,7 +41,15 @@
 	c.noteKeepers()
 }
 
+// blind tells whether this keeper knows no table of sessions: it was let go by the group that holds it, or has not caught
+// up. It can't tell which machines leave, where they are or who is alive, so it must tend no group and name no owners.
+func (c *Core) blind() bool { return c.groups[SessionGroup].node.Group().Empty() }
+
 func (c *Core) tendGroup(id int, node *agreement.Node) {
+	if c.blind() {
+		node.HandOver(c.now)
+		return
+	}
 	group := node.Group()
 	wanted := c.options.Tolerance.Voters()
 	silentVoter, silence := longestSilence(node, group.Voters)
