--- a/internal/system/feed/feed.go
+++ b/internal/system/feed/feed.go
@@ -82,11 +82,17 @@
 // Offset is the offset of the latest change.
 func (t *Table) Offset() uint64 { return t.offset }
 
+// Reaches tells whether the changes behind a position are still known; who is elsewhere is given the whole table.
+func (t *Table) Reaches(position Position) bool {
+	oldest := t.offset - uint64(len(t.changes))
+	return position.Epoch == t.epoch && position.Offset >= oldest && position.Offset <= t.offset
+}
+
 // Since gives what a subscriber at a position lacks.
 func (t *Table) Since(position Position) Update {
 	update := Update{Position: Position{Epoch: t.epoch, Offset: t.offset}}
 	oldest := t.offset - uint64(len(t.changes))
-	if position.Epoch == t.epoch && position.Offset >= oldest && position.Offset <= t.offset {
+	if t.Reaches(position) {
 		update.Changes = append(update.Changes, t.changes[position.Offset-oldest:]...)
 		return update
 	}
--- a/internal/system/link/link.go
+++ b/internal/system/link/link.go
@@ -158,8 +158,8 @@
 }
 
 // Push sends a frame that nobody asked for.
-func (p *Peer) Push(kind wire.Kind, body any) bool {
-	return p.writer.send(wire.Frame{Kind: kind, Payload: wire.Encode(body)})
+func (p *Peer) Push(kind wire.Kind, payload []byte) bool {
+	return p.writer.send(wire.Frame{Kind: kind, Payload: payload})
 }
 
 // Close ends the connection.
--- a/internal/system/link/link_test.go
+++ b/internal/system/link/link_test.go
@@ -35,7 +35,7 @@
 				peer.Refuse(frame.Call, wire.RefusalBody{Code: wire.NotOwner, Reason: "no"})
 				return
 			}
-			peer.Push(wire.FeedUpdate, &wire.FindBody{ID: "push"})
+			peer.Push(wire.FeedUpdate, wire.Encode(&wire.FindBody{ID: "push"}))
 			echo(peer, frame)
 		})
 		up, pushed := make(chan bool, 1), make(chan wire.Frame, 1)
--- a/internal/system/member/client.go
+++ b/internal/system/member/client.go
@@ -258,8 +258,8 @@
 	if address != c.keepers[c.current] {
 		return
 	}
-	var update feed.Update
-	if err := wire.Decode(wire.FeedUpdate, payload, &update); err != nil {
+	update, err := wire.DecodeUpdate(payload)
+	if err != nil {
 		c.events.Fault(err)
 		return
 	}
--- a/internal/system/node/keeper.go
+++ b/internal/system/node/keeper.go
@@ -208,7 +208,7 @@
 		n.pushing = false
 		for _, push := range n.core.Pushes() {
 			if peer := n.byNumber[push.To]; peer != nil {
-				peer.Push(wire.FeedUpdate, &push.Update)
+				peer.Push(wire.FeedUpdate, push.Payload)
 			}
 		}
 	})
--- a/internal/system/role/keeper/core.go
+++ b/internal/system/role/keeper/core.go
@@ -58,10 +58,10 @@
 // Subscriber is a member's connection, by a number of the driver's.
 type Subscriber uint64
 
-// Push is a feed update for a subscriber.
+// Push is a feed update for a subscriber, encoded. Those that lack the same share the bytes.
 type Push struct {
-	To     Subscriber
-	Update feed.Update
+	To      Subscriber
+	Payload []byte
 }
 
 // group is one shard's member and what waits for its log.
--- a/internal/system/role/keeper/sessions.go
+++ b/internal/system/role/keeper/sessions.go
@@ -6,6 +6,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"granitewing/internal/system/feed"
 	"granitewing/internal/system/session"
 	"granitewing/internal/system/wire"
 )
@@ -110,13 +111,23 @@
 		return nil
 	}
 	var pushes []Push
+	latest := feed.Position{Epoch: c.options.FeedEpoch, Offset: c.feed.Offset()}
+	encoded := map[feed.Position][]byte{} // by the position that the changes follow, the zero one for the whole table
 	for subscriber, position := range c.subscribers {
-		if position.Epoch == c.options.FeedEpoch && position.Offset == c.feed.Offset() {
+		if position == latest {
 			continue
 		}
-		update := c.feed.Since(position)
-		c.subscribers[subscriber] = update.Position
-		pushes = append(pushes, Push{To: subscriber, Update: update})
+		if !c.feed.Reaches(position) {
+			position = feed.Position{}
+		}
+		payload, known := encoded[position]
+		if !known {
+			update := c.feed.Since(position)
+			payload = wire.EncodeUpdate(&update)
+			encoded[position] = payload
+		}
+		c.subscribers[subscriber] = latest
+		pushes = append(pushes, Push{To: subscriber, Payload: payload})
 	}
 	return pushes
 }
--- a/internal/system/simulation/hosts.go
+++ b/internal/system/simulation/hosts.go
@@ -159,7 +159,7 @@
 	}
 	for _, push := range h.core.Pushes() {
 		if to := h.members[push.To]; to != nil && to.Up(h.address) {
-			h.pushTo(to, wire.FeedUpdate, wire.Encode(&push.Update))
+			h.pushTo(to, wire.FeedUpdate, push.Payload)
 		}
 	}
 }
