Answer what can't be stored before half of its client's time has passed

Now puts may take 0.40 of it, and voids until 0.48 (25 ms at the least); what is not proven by then is answered 504 as before. Ruled out: going on past the client's target, since a 202 that comes late earns nothing.

--- a/internal/system/role/carrier/accept.go
+++ b/internal/system/role/carrier/accept.go
@@ -39,11 +39,13 @@
 const (
 	hedgeAfter      = 70 * time.Millisecond  // a store that is silent for so long is joined by another
 	holdAtMost      = 900 * time.Millisecond // a submission is answered by then
-	holdPart        = 0.42                   // of the time that the client gave
+	holdPart        = 0.40                   // of the time that the client gave
+	answerPart      = 0.48                   // of that time: by then it has an answer, whatever the stores say
 	holdOfTarget    = 4                      // times the target, where the client gave no time
 	reserveTimeout  = 250 * time.Millisecond
 	confirmTimeout  = 250 * time.Millisecond
 	voidTimeout     = 150 * time.Millisecond
+	leastVoidTime   = 25 * time.Millisecond
 	retryAfterBlip  = time.Second
 	maxMemoryShare  = 0.30 // of the memory limit, for messages' bytes; past it nothing is taken
 	keepBodiesShare = 0.15 // past it bodies are left on the stores
@@ -56,6 +58,7 @@
 	route   *configuration.Route
 	answer  func(Answer)
 	at      time.Duration
+	left    time.Duration // that the client waits, or 0
 	until   time.Duration
 	tried   []string // disks that may have it
 	holders []string // disks that have it synced
@@ -84,7 +87,7 @@
 		c.refuse(answer, "too few stores are reachable")
 		return
 	}
-	a := &acceptance{core: c, message: &s.Message, route: route, answer: answer, at: c.env.Now()}
+	a := &acceptance{core: c, message: &s.Message, route: route, answer: answer, at: c.env.Now(), left: s.Left}
 	a.until = a.at + holdTime(s.Left, route)
 	a.message.Route = route.Name
 	a.message.Retention = route.Retention
@@ -99,6 +102,16 @@
 	return min(max(hold, 50*time.Millisecond), holdAtMost)
 }
 
+// voidTime is how long the stores may take to make a submission void that is given up now: whoever waits for the answer
+// may not wait for half of its time.
+func (a *acceptance) voidTime() time.Duration {
+	if a.left == 0 {
+		return voidTimeout
+	}
+	answerBy := a.at + time.Duration(answerPart*float64(a.left))
+	return min(voidTimeout, max(leastVoidTime, answerBy-a.core.env.Now()))
+}
+
 func (c *Core) refuse(answer func(Answer), reason string) {
 	c.figures.Refused++
 	answer(Answer{Verdict: Refused, RetryAfter: retryAfterBlip, Reason: reason})
@@ -236,8 +249,9 @@
 		}
 		c.refuse(a.answer, "it could not be stored in time")
 	}
+	timeout := a.voidTime()
 	for _, disk := range a.tried {
-		c.stores.void(disk, a.message.ID, settle)
+		c.stores.void(disk, a.message.ID, timeout, settle)
 	}
 }
 
--- a/internal/system/role/carrier/storage.go
+++ b/internal/system/role/carrier/storage.go
@@ -167,9 +167,9 @@
 	}
 }
 
-func (s *storage) void(disk, id string, done func(err error)) {
+func (s *storage) void(disk, id string, timeout time.Duration, done func(err error)) {
 	body := wire.VoidBody{ID: id}
-	s.core.env.Call(s.address(disk), wire.VoidMessage, wire.Encode(&body), voidTimeout, func(_ []byte, err error) {
+	s.core.env.Call(s.address(disk), wire.VoidMessage, wire.Encode(&body), timeout, func(_ []byte, err error) {
 		if err != nil {
 			s.core.env.Report("a message could not be made void", err)
 		}
