--- a/internal/system/node/store.go
+++ b/internal/system/node/store.go
@@ -150,8 +150,8 @@
 			Keepers: func() { n.connect(n.session.View()) },
 			Fault:   func(err error) { log.WithError(err).Warn("feed is unreadable") },
 		})
-		n.filler = store.NewFiller(n, n.session, n.core.Disk(), &s.Tolerance)
-		emptier := store.NewEmptier(n, n.session, n.core.Disk(), &s.Tolerance)
+		n.filler = store.NewFiller(n, n.session, n.core.Disk(), &s.Tolerance, s.RepairRate())
+		emptier := store.NewEmptier(n, n.session, n.core.Disk(), &s.Tolerance, s.RepairRate())
 		asker := store.NewEndsAsker(n, n.session, n.core.Disk(), n.longPending, func(ends []message.End) {
 			go func() { n.work <- func() { n.core.Ends(ends, func() {}) } }()
 		})
--- a/internal/system/role/store/empty.go
+++ b/internal/system/role/store/empty.go
@@ -20,13 +20,14 @@
 	disk      string // this store's
 	tolerance *tolerance.Tolerance
 	lists     *lists
+	throttle  throttle
 	sending   int
 	planned   bool // copies were sent since the lists were read
 }
 
-// NewEmptier makes an emptier for a disk; Start begins.
-func NewEmptier(env RepairEnvironment, session *member.Client, disk string, tolerated *tolerance.Tolerance) *Emptier {
-	return &Emptier{env: env, session: session, disk: disk, tolerance: tolerated}
+// NewEmptier makes an emptier for a disk, which moves so many bytes a second at the most (0: without a bound); Start begins.
+func NewEmptier(env RepairEnvironment, session *member.Client, disk string, tolerated *tolerance.Tolerance, rate float64) *Emptier {
+	return &Emptier{env: env, session: session, disk: disk, tolerance: tolerated, throttle: throttle{rate: rate}}
 }
 
 // Start begins.
@@ -46,7 +47,7 @@
 }
 
 func (e *Emptier) step(view *member.View) {
-	if e.sending > 0 {
+	if e.sending > 0 || !e.throttle.free(e.env.Now()) {
 		return
 	}
 	if e.planned {
@@ -152,7 +153,9 @@
 			return
 		}
 		body.More = false
-		e.env.Call(address, wire.PutCopies, wire.Encode(&body), repairTimeout, func(_ []byte, err error) {
+		payload := wire.Encode(&body)
+		e.throttle.moved(e.env.Now(), len(payload))
+		e.env.Call(address, wire.PutCopies, payload, repairTimeout, func(_ []byte, err error) {
 			e.sending--
 			if err == nil {
 				e.lists.noteCopies(disk, body.Messages)
--- a/internal/system/role/store/fill.go
+++ b/internal/system/role/store/fill.go
@@ -19,6 +19,7 @@
 	session   *member.Client
 	disk      string // this store's
 	tolerance *tolerance.Tolerance
+	throttle  throttle
 	running   bool
 	lists     *lists
 	plan      *fetchPlan // nil until the lists were read
@@ -28,9 +29,9 @@
 	before    map[string]string // counted disks before that, by identity, with their zones
 }
 
-// NewFiller makes a filler for a disk.
-func NewFiller(env RepairEnvironment, session *member.Client, disk string, tolerated *tolerance.Tolerance) *Filler {
-	return &Filler{env: env, session: session, disk: disk, tolerance: tolerated}
+// NewFiller makes a filler for a disk, which moves so many bytes a second at the most (0: without a bound).
+func NewFiller(env RepairEnvironment, session *member.Client, disk string, tolerated *tolerance.Tolerance, rate float64) *Filler {
+	return &Filler{env: env, session: session, disk: disk, tolerance: tolerated, throttle: throttle{rate: rate}}
 }
 
 // Running tells whether the disk is being filled: connections to the other stores are wanted.
@@ -198,7 +199,7 @@
 
 func (p *fetchPlan) fetch(disk, address string) {
 	f := p.filler
-	if p.busy[disk] || f.env.Filling() {
+	if p.busy[disk] || f.env.Filling() || !f.throttle.free(f.env.Now()) {
 		return
 	}
 	p.busy[disk] = true
@@ -206,6 +207,7 @@
 	body := wire.FetchBody{IDs: ids}
 	f.env.Call(address, wire.FetchCopies, wire.Encode(&body), repairTimeout, func(payload []byte, err error) {
 		p.busy[disk] = false
+		f.throttle.moved(f.env.Now(), len(payload))
 		var answer wire.CopiesBody
 		if err == nil {
 			err = wire.Decode(wire.FetchCopies, payload, &answer)
--- a/internal/system/settings/settings.go
+++ b/internal/system/settings/settings.go
@@ -38,8 +38,18 @@
 	Tolerance       tolerance.Tolerance // what may be lost at one time
 	Bounds          Bounds
 	Cloud           Cloud
+	Repair          Repair
 }
 
+// Repair bounds what the filling and emptying of disks take from the rest.
+type Repair struct {
+	// LinkShare is the part of the machine's link that copies of messages take at the most.
+	LinkShare float64
+}
+
+// defaultLinkShare leaves most of the link to the carriers' messages; docs/system.md has what was measured with it.
+const defaultLinkShare = 0.25
+
 // Listen holds the addresses that the role serves.
 type Listen struct{ Front, Readiness, Control string }
 
@@ -49,6 +59,7 @@
 	MemoryMB  int
 	MaxFiles  int
 	DiskBytes int64
+	LinkBytes float64 // a second; 0 where the file does not tell
 }
 
 // Bounds are the times that the rules in force give.
@@ -108,6 +119,7 @@
 		MemoryMB float64 `toml:"memory-mb"`
 		MaxFiles int     `toml:"max-fds"`
 		DiskMB   float64 `toml:"disk-mb"`
+		LinkMbps float64 `toml:"bandwidth-mbps"`
 	} `toml:"limits"`
 	FaultTolerance struct {
 		Machines int `toml:"machines"`
@@ -132,6 +144,9 @@
 		Rate    float64 `toml:"rate-per-s"`
 		MaxLag  float64 `toml:"max-lag-ms"`
 	} `toml:"cloud"`
+	Repair struct {
+		LinkShare *float64 `toml:"link-share"`
+	} `toml:"repair"`
 }
 
 // Path is where the settings file of this process lies.
@@ -180,6 +195,8 @@
 		return fault("fault-tolerance.zones", "is negative")
 	case f.FaultTolerance.Regions < 0:
 		return fault("fault-tolerance.regions", "is negative")
+	case f.Repair.LinkShare != nil && (*f.Repair.LinkShare <= 0 || *f.Repair.LinkShare > 1):
+		return fault("repair.link-share", fmt.Sprintf("%g is not over 0 and at most 1", *f.Repair.LinkShare))
 	}
 	for i, seed := range f.Seeds {
 		if _, _, err := net.SplitHostPort(seed); err != nil {
@@ -210,13 +227,18 @@
 	if overage < 1 {
 		overage = 1
 	}
+	linkShare := defaultLinkShare
+	if f.Repair.LinkShare != nil {
+		linkShare = *f.Repair.LinkShare
+	}
+	const bytesPerMegabit = 1e6 / 8
 	return &Settings{
 		NodeName: f.NodeName, Role: f.Role, MachineClass: f.MachineClass, Serves: f.Serves, IP: f.IP, Zone: f.Zone,
 		FirstPort: f.PortRange[0], LastPort: f.PortRange[1], Seeds: f.Seeds, Bootstrap: f.Bootstrap,
 		CountsForQuorum: f.CountsForQuorum, DataDir: f.DataDir,
 		Listen: Listen{Front: f.Listen.Front, Readiness: f.Listen.Readiness, Control: f.Listen.Control},
 		Limits: Limits{CPUShare: f.Limits.CPUShare, MemoryMB: int(f.Limits.MemoryMB), MaxFiles: f.Limits.MaxFiles,
-			DiskBytes: int64(f.Limits.DiskMB * (1 << 20))},
+			DiskBytes: int64(f.Limits.DiskMB * (1 << 20)), LinkBytes: f.Limits.LinkMbps * bytesPerMegabit},
 		Tolerance: tolerance.Tolerance{Machines: f.FaultTolerance.Machines, Zones: f.FaultTolerance.Zones,
 			Regions: f.FaultTolerance.Regions, RegionOf: f.Zones},
 		Bounds: Bounds{
@@ -226,7 +248,8 @@
 			Callback: milliseconds(1000*f.Bounds.Callback, 5000), Early: milliseconds(f.Bounds.Early, 100),
 			Window: milliseconds(1000*f.Bounds.Window, 5000), Overage: overage,
 		},
-		Cloud: Cloud{Address: f.Cloud.Address, Rate: f.Cloud.Rate, MaxLag: milliseconds(f.Cloud.MaxLag, 800)},
+		Cloud:  Cloud{Address: f.Cloud.Address, Rate: f.Cloud.Rate, MaxLag: milliseconds(f.Cloud.MaxLag, 800)},
+		Repair: Repair{LinkShare: linkShare},
 	}
 }
 
@@ -262,6 +285,9 @@
 	return keepers
 }
 
+// RepairRate is how many bytes a second the filling and emptying of disks may move; 0 is without a bound.
+func (s *Settings) RepairRate() float64 { return s.Limits.LinkBytes * s.Repair.LinkShare }
+
 // ControlAddress turns a keeper's peer address into the one that operators call; the port is the same on all machines.
 func (s *Settings) ControlAddress(keeper string) string {
 	host, _, err := net.SplitHostPort(keeper)
--- a/internal/system/settings/settings_test.go
+++ b/internal/system/settings/settings_test.go
@@ -26,6 +26,7 @@
 [limits]
 memory-mb = 284
 disk-mb = 400
+bandwidth-mbps = 600.0
 [fault-tolerance]
 machines = 1
 zones = 2
@@ -47,6 +48,7 @@
 		Expect(s.Tolerance).To(Equal(tolerance.Tolerance{Machines: 1, Zones: 2, RegionOf: map[string]string{"a": "north", "b": "south"}}))
 		Expect(s.Bounds.Grace).To(Equal(6 * time.Second))
 		Expect(s.Limits.DiskBytes).To(Equal(int64(400 << 20)))
+		Expect(s.RepairRate()).To(Equal(600e6 / 8 * 0.25))
 		Expect(s.KeeperAddress("10.2.0.43")).To(Equal("10.2.0.43:7780"))
 		Expect(s.StoreAddress()).To(Equal("10.1.0.40:7781"))
 		Expect(s.CarrierAddress()).To(Equal("10.1.0.40:7782"))
@@ -54,6 +56,12 @@
 		Expect(s.ControlAddress("10.2.0.43:7780")).To(Equal("10.2.0.43:8064"))
 	})
 
+	ginkgo.It("bounds what a repair moves by a part of the link", func() {
+		s, err := Parse("local.toml", []byte(file+"[repair]\nlink-share = 0.5\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.RepairRate()).To(Equal(600e6 / 8 * 0.5))
+	})
+
 	ginkgo.DescribeTable("names the key at fault", func(old, new, key string) {
 		_, err := Parse("local.toml", []byte(strings.Replace(file, old, new, 1)))
 		var fault *Error
@@ -68,6 +76,8 @@
 		ginkgo.Entry("a seed without port", `"10.2.0.43:8064"`, `"10.2.0.43"`, "seeds[1]"),
 		ginkgo.Entry("a listener without port", `front = "10.1.0.40:8069"`, `front = "10.1.0.40"`, "listen.front"),
 		ginkgo.Entry("negative tolerance", "machines = 1", "machines = -1", "fault-tolerance.machines"),
+		ginkgo.Entry("no share of the link for repairs", "[cloud]", "[repair]\nlink-share = 0\n[cloud]", "repair.link-share"),
+		ginkgo.Entry("more than the link for repairs", "[cloud]", "[repair]\nlink-share = 1.5\n[cloud]", "repair.link-share"),
 		ginkgo.Entry("no TOML", `zone = "a"`, `zone = `, ""),
 	)
 
--- a/internal/system/simulation/hosts.go
+++ b/internal/system/simulation/hosts.go
@@ -245,7 +245,7 @@
 		Keepers: func() { h.follow(h.session.View()) },
 		Fault:   func(err error) { h.Report("feed", err) },
 	})
-	h.filler = store.NewFiller(h, h.session, h.core.Disk(), &s.Tolerance)
+	h.filler = store.NewFiller(h, h.session, h.core.Disk(), &s.Tolerance, s.RepairRate())
 	h.up, h.down = h.session.Up, h.session.Down
 	h.push = func(address string, _ wire.Kind, payload []byte) { h.session.Push(address, payload) }
 	h.serve = func(_ *process, kind wire.Kind, payload []byte, answerer wire.Answerer) {
@@ -258,7 +258,7 @@
 	h.Connect(s.SeedKeepers())
 	h.flush()
 	h.session.Start()
-	store.NewEmptier(h, h.session, h.core.Disk(), &s.Tolerance).Start()
+	store.NewEmptier(h, h.session, h.core.Disk(), &s.Tolerance, s.RepairRate()).Start()
 	store.NewEndsAsker(h, h.session, h.core.Disk(), func(done func([]string)) { done(h.core.LongPending()) }, func(ends []message.End) {
 		h.catchUp()
 		h.core.Ends(ends, func() {})
