--- a/internal/system/delivery/policy.go
+++ b/internal/system/delivery/policy.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"granitewing/internal/system/catalog"
-	"granitewing/logic/value"
 )
 
 // Numbers of the policy.
@@ -71,23 +70,6 @@
 	return w.badRow < badInRow || !w.probing
 }
 
-// class is what the policy knows of a route.
-type class struct {
-	rate     float64 // share of the pool's arrivals, as a decayed count
-	deadline float64 // seconds from due to the wanted start
-}
-
-// pool is the workers of a service.
-type pool struct {
-	workers  map[string]*Worker
-	order    []*Worker
-	mean     float64 // seconds a run over all workers
-	classes  map[string]*class
-	arrivals float64 // decayed count
-	seen     time.Duration
-	maxConns int
-}
-
 // Policy picks workers.
 type Policy struct {
 	pools    map[string]*pool
@@ -103,104 +85,6 @@
 // SetCarriers tells how many carriers share the workers' connections.
 func (p *Policy) SetCarriers(count int) { p.carriers = max(count, 1) }
 
-func (p *Policy) pool(service string) *pool {
-	found := p.pools[service]
-	if found == nil {
-		found = &pool{workers: map[string]*Worker{}, classes: map[string]*class{}}
-		p.pools[service] = found
-	}
-	return found
-}
-
-// SetService tells a service's bound on connections, and its static endpoint where it has one.
-func (p *Policy) SetService(now time.Duration, service string, maxConns int, static string) {
-	pool := p.pool(service)
-	pool.maxConns = maxConns
-	if static == "" {
-		return
-	}
-	if old := pool.workers[static]; old != nil {
-		return
-	}
-	for _, old := range pool.order {
-		old.gone = true
-	}
-	pool.workers = map[string]*Worker{}
-	p.add(now, pool, &Worker{Static: true, Instance: catalog.Instance{ID: static, Service: service, Address: static}})
-}
-
-// SetInstances tells the platform's list of workers.
-func (p *Policy) SetInstances(now time.Duration, instances map[string]catalog.Instance) {
-	for service, pool := range p.pools {
-		for id, worker := range pool.workers {
-			listed, still := instances[id]
-			if worker.Static || still && listed.Service == service {
-				continue
-			}
-			worker.gone = true
-			delete(pool.workers, id)
-		}
-	}
-	for id, instance := range instances {
-		pool := p.pool(instance.Service)
-		if known := pool.workers[id]; known != nil {
-			known.Draining = instance.Draining
-			known.Capacity = instance.Capacity
-			continue
-		}
-		p.add(now, pool, &Worker{Instance: instance, coldUntil: now + instance.Cold})
-	}
-	for service, pool := range p.pools {
-		pool.reorder()
-		if len(pool.workers) == 0 && pool.maxConns == 0 {
-			delete(p.pools, service)
-		}
-	}
-}
-
-func (p *Policy) add(_ time.Duration, pool *pool, worker *Worker) {
-	pool.workers[worker.ID] = worker
-	pool.reorder()
-}
-
-func (p *pool) reorder() {
-	p.order = p.order[:0:0]
-	for _, worker := range p.workers {
-		p.order = append(p.order, worker)
-	}
-	sortWorkers(p.order)
-}
-
-// Arrive counts an arrival of a route at a service, wanted to start within a time.
-func (p *Policy) Arrive(now time.Duration, service, route string, aim time.Duration) {
-	pool := p.pool(service)
-	pool.decay(now)
-	pool.arrivals++
-	known := pool.classes[route]
-	if known == nil {
-		if len(pool.classes) >= maxClasses {
-			return
-		}
-		known = &class{}
-		pool.classes[route] = known
-	}
-	known.rate++
-	known.deadline = aim.Seconds()
-}
-
-func (p *pool) decay(now time.Duration) {
-	elapsed := now - p.seen
-	if elapsed < 50*time.Millisecond {
-		return
-	}
-	p.seen = now
-	factor := 1 - min(1, elapsed.Seconds()/rateMemory.Seconds())
-	p.arrivals *= factor
-	for _, c := range p.classes {
-		c.rate *= factor
-	}
-}
-
 // slots is the number of messages a worker works on at once.
 func (w *Worker) slots() float64 { return float64(max(w.Capacity, 1)) }
 
@@ -220,21 +104,6 @@
 	return min(part, max(1, int(float64(connections)*connectionShare)/p.carriers))
 }
 
-// runTime is the worker's mean run time as far as it is known, in seconds.
-func (p *pool) runTime(now time.Duration, worker *Worker) float64 {
-	mean := worker.mean
-	if mean == 0 {
-		mean = p.mean
-	}
-	if mean == 0 {
-		mean = firstGuess.Seconds()
-	}
-	if now < worker.coldUntil {
-		mean *= coldSlowdown
-	}
-	return mean
-}
-
 // others is how many messages of other carriers a worker is thought to hold.
 func (w *Worker) others(now time.Duration) float64 {
 	age := now - w.reportedAt
@@ -280,79 +149,3 @@
 	}
 	return best
 }
-
-// moment is what the costs of all workers of a pool have in common at one pick.
-type moment struct {
-	now   time.Duration
-	left  float64 // seconds until the message should start
-	table *value.Table
-	terms []term
-	// failing is the share of attempts that fail at a worker of the pool, in the mean: what is due to the messages, or to
-	// all workers alike, is held against none.
-	failing float64
-}
-
-func (p *pool) moment(now, left time.Duration) moment {
-	m := moment{now: now, left: left.Seconds(), table: value.For(p.utilisation(now)), terms: p.terms(now)}
-	for _, worker := range p.order {
-		m.failing += worker.failing(now) / float64(len(p.order))
-	}
-	return m
-}
-
-// term is one class in the value function: its part of the arrivals and its deadline.
-type term struct {
-	share    float64
-	deadline float64
-}
-
-func (p *pool) terms(now time.Duration) []term {
-	if p.arrivals <= 0 {
-		return nil
-	}
-	terms := make([]term, 0, len(p.classes))
-	for _, c := range p.classes {
-		terms = append(terms, term{share: c.rate / p.arrivals, deadline: c.deadline})
-	}
-	return terms
-}
-
-// utilisation is that of each worker under the load-equalising random split.
-func (p *pool) utilisation(now time.Duration) float64 {
-	capacity := 0.0
-	for _, worker := range p.order {
-		if worker.Usable(now) {
-			capacity += worker.slots() / p.runTime(now, worker)
-		}
-	}
-	return min(p.arrivals/rateMemory.Seconds()/max(capacity, 1e-9), utilisationCap)
-}
-
-// cost is the admission cost of a message: whether it misses its own aim, and the increase of the value function.
-// A worker at which more attempts fail than at the others costs what a failed attempt costs, by that share.
-func (p *Policy) cost(pool *pool, worker *Worker, held float64, m *moment) (cost, backlog float64) {
-	slots := worker.slots()
-	run := pool.runTime(m.now, worker)
-	service := run / slots
-	backlog = held * service
-	waiting := max(0, held-(slots-1)) * service
-	if waiting >= m.left {
-		cost++
-	} else {
-		cost += waitingCost * waiting / m.left
-	}
-	for _, t := range m.terms {
-		cost += t.share * (valueAt(m.table, t.deadline, backlog+service, service) - valueAt(m.table, t.deadline, backlog, service))
-	}
-	cost += failureCost * max(0, worker.failing(m.now)-m.failing)
-	if worker.Zone != p.zone && worker.Zone != "" {
-		cost += otherZoneCost
-	}
-	return cost, backlog + service
-}
-
-// valueAt is v(u)-v(tau) of equation (16), in units of d.
-func valueAt(table *value.Table, deadline, backlog, service float64) float64 {
-	left := (deadline - backlog) / service
-	return table.At(left) - table.Slope(deadline/service)*left
-}
--- a/internal/system/member/client.go
+++ b/internal/system/member/client.go
@@ -90,9 +90,6 @@
 // Joined tells whether a session was ever opened under the incarnation.
 func (c *Client) Joined() bool { return c.leaseUntil > 0 }
 
-// CatalogAge is the age of the list of workers in the view.
-func (c *Client) CatalogAge() time.Duration { return c.loop.Now() - c.catalogAt }
-
 // InContact tells whether a keeper answers.
 func (c *Client) InContact() bool { return c.open }
 
@@ -253,49 +250,6 @@
 	return string(name)
 }
 
-// Push takes a feed update.
-func (c *Client) Push(address string, payload []byte) {
-	if address != c.keepers[c.current] {
-		return
-	}
-	update, err := wire.DecodeUpdate(payload)
-	if err != nil {
-		c.events.Fault(err)
-		return
-	}
-	after, err := c.view.next(update)
-	if err != nil {
-		c.events.Fault(err)
-		return
-	}
-	before := c.view
-	c.view, c.position = after, update.Position
-	c.followKeepers()
-	c.events.Changed(before, after)
-}
-
-// followKeepers takes the keepers that the feed names, besides the one that the session is with and the seeds.
-func (c *Client) followKeepers() {
-	current := c.keepers[c.current]
-	known := append([]string(nil), c.seeds...)
-	for address := range c.view.Keepers {
-		known = append(known, address)
-	}
-	known = append(known, current)
-	slices.Sort(known)
-	c.keepers = slices.Compact(known)
-	c.current = slices.Index(c.keepers, current)
-}
-
-// SetSeeds takes other seeds, besides what the feed names.
-func (c *Client) SetSeeds(keepers []string) {
-	c.seeds = slices.Clone(keepers)
-	c.followKeepers()
-}
-
-// Keepers gives the addresses of all keepers that connections are wanted to.
-func (c *Client) Keepers() []string { return c.keepers }
-
 // Up tells that a connection to a peer came about: where no session is open it is tried there at once.
 func (c *Client) Up(address string) {
 	at := slices.Index(c.keepers, address)
@@ -314,34 +268,6 @@
 	}
 }
 
-// SetInstances replaces the list of workers by one that the process read itself, when the keepers were silent.
-func (c *Client) SetInstances(readAt time.Duration, change func(view *View)) {
-	fresh := *c.view
-	change(&fresh)
-	before := c.view
-	c.view = &fresh
-	c.catalogAt = max(c.catalogAt, readAt)
-	c.events.Changed(before, &fresh)
-}
-
-// Settle tells the keepers that a departed carrier's messages have all ended.
-func (c *Client) Settle(incarnation string, done func(err error)) {
-	body := wire.SettleBody{Incarnation: incarnation}
-	c.peers.Call(c.keepers[c.current], wire.SettleDeparted, wire.Encode(&body), openTimeout, func(_ []byte, err error) { done(err) })
-}
-
-// CountDisk tells the keepers that this store's disk was filled.
-func (c *Client) CountDisk(done func(err error)) {
-	body := wire.CountDiskBody{Disk: c.member.Disk}
-	c.peers.Call(c.keepers[c.current], wire.CountDisk, wire.Encode(&body), openTimeout, func(_ []byte, err error) { done(err) })
-}
-
-// DiskEmptied tells the keepers that all that lies on this store's leaving disk lies on enough others.
-func (c *Client) DiskEmptied(done func(err error)) {
-	body := wire.DiskEmptiedBody{Disk: c.member.Disk}
-	c.peers.Call(c.keepers[c.current], wire.DiskEmptied, wire.Encode(&body), openTimeout, func(_ []byte, err error) { done(err) })
-}
-
 // Stopping tells the keepers that the process was asked to stop, so that what it owns moves to others.
 func (c *Client) Stopping() {
 	if c.member.Stopping {
@@ -353,23 +279,6 @@
 	}
 }
 
-// Release hands a unit over as its owner was asked to. The error is a refusal with the code StaleOffer where the unit
-// stays with its owner; after any other the outcome is not known, and the call is to be repeated.
-func (c *Client) Release(unit string, token, offer uint64, done func(err error)) {
-	address := c.ownersAt
-	if address == "" || !c.peers.Up(address) {
-		address = c.keepers[c.loop.Random(int64(len(c.keepers)))]
-	}
-	body := wire.ReleaseUnitBody{Unit: unit, Token: token, Offer: offer}
-	c.peers.Call(address, wire.ReleaseUnit, wire.Encode(&body), callTimeout, func(_ []byte, err error) {
-		c.ownersAt = address
-		if err != nil {
-			c.ownersAt = leaderOf(err)
-		}
-		done(err)
-	})
-}
-
 // Close ends the session; done is called when the keepers have taken it, or on failure.
 func (c *Client) Close(done func(err error)) {
 	c.leaseUntil = 0
--- a/internal/system/settings/settings.go
+++ b/internal/system/settings/settings.go
@@ -3,9 +3,7 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
-	"strconv"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -97,58 +95,6 @@
 	return fmt.Sprintf("settings %s: %s: %s", e.File, e.Key, e.Reason)
 }
 
-type form struct {
-	NodeName        string   `toml:"node-name"`
-	Role            string   `toml:"role"`
-	MachineClass    string   `toml:"machine-class"`
-	Serves          []string `toml:"serves"`
-	IP              string   `toml:"ip"`
-	Zone            string   `toml:"zone"`
-	PortRange       []int    `toml:"port-range"`
-	Seeds           []string `toml:"seeds"`
-	Bootstrap       bool     `toml:"bootstrap"`
-	CountsForQuorum bool     `toml:"counts-for-quorum"`
-	DataDir         string   `toml:"data-dir"`
-	Listen          struct {
-		Front     string `toml:"front"`
-		Readiness string `toml:"readiness"`
-		Control   string `toml:"control"`
-	} `toml:"listen"`
-	Limits struct {
-		CPUShare float64 `toml:"cpu-share"`
-		MemoryMB float64 `toml:"memory-mb"`
-		MaxFiles int     `toml:"max-fds"`
-		DiskMB   float64 `toml:"disk-mb"`
-		LinkMbps float64 `toml:"bandwidth-mbps"`
-	} `toml:"limits"`
-	FaultTolerance struct {
-		Machines int `toml:"machines"`
-		Zones    int `toml:"zones"`
-		Regions  int `toml:"regions"`
-	} `toml:"fault-tolerance"`
-	Zones  map[string]string `toml:"zones"` // the region of each
-	Bounds struct {
-		Contact     float64 `toml:"contact-ms"`
-		Ack         float64 `toml:"ack-ms"`
-		Drain       float64 `toml:"drain-ms"`
-		Grace       float64 `toml:"grace-s"`
-		ConfigApply float64 `toml:"config-apply-ms"`
-		Status      float64 `toml:"status-s"`
-		Callback    float64 `toml:"callback-s"`
-		Early       float64 `toml:"early-ms"`
-		Window      float64 `toml:"ceiling-window-s"`
-		Overage     float64 `toml:"ceiling-overage"`
-	} `toml:"bounds"`
-	Cloud struct {
-		Address string  `toml:"address"`
-		Rate    float64 `toml:"rate-per-s"`
-		MaxLag  float64 `toml:"max-lag-ms"`
-	} `toml:"cloud"`
-	Repair struct {
-		LinkShare *float64 `toml:"link-share"`
-	} `toml:"repair"`
-}
-
 // Path is where the settings file of this process lies.
 func Path() string {
 	if path := os.Getenv(PathVariable); path != "" {
@@ -178,126 +124,5 @@
 	return f.settings(), nil
 }
 
-func (f *form) check(path string) error {
-	fault := func(key, reason string) error { return &Error{File: path, Key: key, Reason: reason} }
-	switch {
-	case f.NodeName == "":
-		return fault("node-name", "is missing")
-	case net.ParseIP(f.IP) == nil:
-		return fault("ip", strconv.Quote(f.IP)+" is no address")
-	case len(f.PortRange) != 2 || f.PortRange[0] <= 0 || f.PortRange[1] < f.PortRange[0]+portsNeeded-1 || f.PortRange[1] > 65535:
-		return fault("port-range", fmt.Sprintf("%v is no range of %d ports or more", f.PortRange, portsNeeded))
-	case len(f.Seeds) == 0:
-		return fault("seeds", "are missing")
-	case f.FaultTolerance.Machines < 0:
-		return fault("fault-tolerance.machines", "is negative")
-	case f.FaultTolerance.Zones < 0:
-		return fault("fault-tolerance.zones", "is negative")
-	case f.FaultTolerance.Regions < 0:
-		return fault("fault-tolerance.regions", "is negative")
-	case f.Repair.LinkShare != nil && (*f.Repair.LinkShare <= 0 || *f.Repair.LinkShare > 1):
-		return fault("repair.link-share", fmt.Sprintf("%g is not over 0 and at most 1", *f.Repair.LinkShare))
-	}
-	for i, seed := range f.Seeds {
-		if _, _, err := net.SplitHostPort(seed); err != nil {
-			return fault(fmt.Sprintf("seeds[%d]", i), err.Error())
-		}
-	}
-	for key, address := range map[string]string{"listen.front": f.Listen.Front, "listen.readiness": f.Listen.Readiness,
-		"listen.control": f.Listen.Control} {
-		if address == "" {
-			continue
-		}
-		if _, _, err := net.SplitHostPort(address); err != nil {
-			return fault(key, err.Error())
-		}
-	}
-	return nil
-}
-
-func milliseconds(value, otherwise float64) time.Duration {
-	if value <= 0 {
-		value = otherwise
-	}
-	return time.Duration(value * float64(time.Millisecond))
-}
-
-func (f *form) settings() *Settings {
-	overage := f.Bounds.Overage
-	if overage < 1 {
-		overage = 1
-	}
-	linkShare := defaultLinkShare
-	if f.Repair.LinkShare != nil {
-		linkShare = *f.Repair.LinkShare
-	}
-	const bytesPerMegabit = 1e6 / 8
-	return &Settings{
-		NodeName: f.NodeName, Role: f.Role, MachineClass: f.MachineClass, Serves: f.Serves, IP: f.IP, Zone: f.Zone,
-		FirstPort: f.PortRange[0], LastPort: f.PortRange[1], Seeds: f.Seeds, Bootstrap: f.Bootstrap,
-		CountsForQuorum: f.CountsForQuorum, DataDir: f.DataDir,
-		Listen: Listen{Front: f.Listen.Front, Readiness: f.Listen.Readiness, Control: f.Listen.Control},
-		Limits: Limits{CPUShare: f.Limits.CPUShare, MemoryMB: int(f.Limits.MemoryMB), MaxFiles: f.Limits.MaxFiles,
-			DiskBytes: int64(f.Limits.DiskMB * (1 << 20)), LinkBytes: f.Limits.LinkMbps * bytesPerMegabit},
-		Tolerance: tolerance.Tolerance{Machines: f.FaultTolerance.Machines, Zones: f.FaultTolerance.Zones,
-			Regions: f.FaultTolerance.Regions, RegionOf: f.Zones},
-		Bounds: Bounds{
-			Contact: milliseconds(f.Bounds.Contact, 4000), Ack: milliseconds(f.Bounds.Ack, 5000),
-			Drain: milliseconds(f.Bounds.Drain, 3000), Grace: milliseconds(1000*f.Bounds.Grace, 6000),
-			ConfigApply: milliseconds(f.Bounds.ConfigApply, 3000), Status: milliseconds(1000*f.Bounds.Status, 120000),
-			Callback: milliseconds(1000*f.Bounds.Callback, 5000), Early: milliseconds(f.Bounds.Early, 100),
-			Window: milliseconds(1000*f.Bounds.Window, 5000), Overage: overage,
-		},
-		Cloud:  Cloud{Address: f.Cloud.Address, Rate: f.Cloud.Rate, MaxLag: milliseconds(f.Cloud.MaxLag, 800)},
-		Repair: Repair{LinkShare: linkShare},
-	}
-}
-
-// Ports of the range that the roles use between themselves. They are the same on all machines.
-const (
-	keeperPort = iota
-	storePort
-	carrierPort
-	portsNeeded
-)
-
-func address(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
-
-// KeeperAddress is where a keeper on a machine serves its peers.
-func (s *Settings) KeeperAddress(ip string) string { return address(ip, s.FirstPort+keeperPort) }
-
-// StoreAddress is where this machine's store serves.
-func (s *Settings) StoreAddress() string { return address(s.IP, s.FirstPort+storePort) }
-
-// CarrierAddress is where this machine's carrier serves other carriers.
-func (s *Settings) CarrierAddress() string { return address(s.IP, s.FirstPort+carrierPort) }
-
-// SeedKeepers gives the peer addresses of the keepers that the seeds name.
-func (s *Settings) SeedKeepers() []string {
-	keepers := make([]string, 0, len(s.Seeds))
-	for _, seed := range s.Seeds {
-		host, _, err := net.SplitHostPort(seed)
-		if err != nil {
-			continue // checked when it was read
-		}
-		keepers = append(keepers, s.KeeperAddress(host))
-	}
-	return keepers
-}
-
 // RepairRate is how many bytes a second the filling and emptying of disks may move; 0 is without a bound.
 func (s *Settings) RepairRate() float64 { return s.Limits.LinkBytes * s.Repair.LinkShare }
-
-// ControlAddress turns a keeper's peer address into the one that operators call; the port is the same on all machines.
-func (s *Settings) ControlAddress(keeper string) string {
-	host, _, err := net.SplitHostPort(keeper)
-	if err != nil {
-		return ""
-	}
-	for _, known := range append([]string{s.Listen.Control}, s.Seeds...) {
-		if _, port, err := net.SplitHostPort(known); err == nil {
-			return net.JoinHostPort(host, port)
-		}
-	}
-	return ""
-}
