Have an emptied disk learn the ends that others told while it was cut off

Once back it knew them as pending, had nothing to hand over of what is wanted, their end, and was told as empty; the other disk that knew the end was then gone for good (LOST). It fetches such ends now and hands them over like the rest. What only disks out of the roster knew is not asked for any more, so that nobody waits for it.

--- a/internal/system/role/store/census.go
+++ b/internal/system/role/store/census.go
@@ -138,14 +138,23 @@
 // holds tells whether a disk of the roster holds messages that are counted on.
 func holds(disk session.Disk) bool { return disk.Counted && !disk.Leaving }
 
-// shortages gives the messages that lie on too few of a roster's disks, those on the fewest first.
+// shortages gives the messages that lie on too few of a roster's disks, those on the fewest first. What disks knew that are
+// out of the roster is not asked for: nobody may have it any more.
 func (c *census) shortages(view *member.View) []shortage {
-	staying := make([]bool, len(c.disks))
-	for number, disk := range c.disks {
-		staying[number] = holds(view.Disks[disk])
+	present, staying := make([]bool, len(c.disks)), make([]bool, len(c.disks))
+	for number, name := range c.disks {
+		disk, known := view.Disks[name]
+		present[number], staying[number] = known, holds(disk)
 	}
 	var found []shortage
-	for id, replicas := range c.messages {
+	var replicas []replica
+	for id, all := range c.messages {
+		replicas = replicas[:0]
+		for _, r := range all {
+			if present[r.disk] {
+				replicas = append(replicas, r)
+			}
+		}
 		lacking := shortage{id: id, wanted: wanted(replicas)}
 		if lacking.wanted == 0 {
 			continue
--- a/internal/system/role/store/census_test.go
+++ b/internal/system/role/store/census_test.go
@@ -60,6 +60,7 @@
 		ginkgo.Entry("on one and a lost one", map[string]wire.HeldState{"a": pending, "lost": pending}, pending, "a"),
 		ginkgo.Entry("on one and one that leaves", map[string]wire.HeldState{"a": pending, "c": pending}, pending, "a"),
 		ginkgo.Entry("on one and one that does not count", map[string]wire.HeldState{"a": pending, "d": pending}, pending, "a"),
+		ginkgo.Entry("ended as a lost one alone knew", map[string]wire.HeldState{"a": pending, "b": pending, "lost": succeeded}, wire.HeldState(0)),
 		ginkgo.Entry("on one that leaves alone", map[string]wire.HeldState{"c": pending}, pending),
 		ginkgo.Entry("ended at two", map[string]wire.HeldState{"a": succeeded, "b": succeeded}, wire.HeldState(0)),
 		ginkgo.Entry("ended at one, not told at the other yet", map[string]wire.HeldState{"a": succeeded, "b": pending}, succeeded, "a"),
--- a/internal/system/role/store/empty.go
+++ b/internal/system/role/store/empty.go
@@ -60,24 +60,55 @@
 	if !ownTold || told == 0 || asked > 0 || !e.tolerance.May(silent) {
 		return
 	}
-	lacking := e.lacking(view)
-	if len(lacking) == 0 {
+	lacking, unlearned := e.lacking(view)
+	if len(lacking) == 0 && len(unlearned) == 0 {
 		e.session.DiskEmptied(func(error) {})
 		return
 	}
 	e.planned = true
+	e.learn(view, unlearned)
 	e.send(view, lacking)
 }
 
-// lacking gives what this disk holds and lies on too few of the others.
-func (e *Emptier) lacking(view *member.View) []shortage {
-	var found []shortage
+// lacking gives the messages that this disk holds something of and that lie on too few of the others: those that it can hand
+// over, and those of which others know more, as an end that was told while this disk was cut off.
+func (e *Emptier) lacking(view *member.View) (held, unlearned []shortage) {
 	for _, s := range e.lists.census.shortages(view) {
-		if e.lists.census.state(e.disk, s.id).Has(s.wanted) {
-			found = append(found, s)
+		own := e.lists.census.state(e.disk, s.id)
+		switch {
+		case own == 0:
+		case own.Has(s.wanted):
+			held = append(held, s)
+		case s.wanted.Has(wire.HeldEnd) && !own.Has(wire.HeldEnd) && len(s.holders) > 0:
+			unlearned = append(unlearned, s)
+		}
+	}
+	return held, unlearned
+}
+
+// learn has this disk fetch what others know more of, so that it can be handed over then.
+func (e *Emptier) learn(view *member.View, unlearned []shortage) {
+	byDisk := map[string][]string{}
+	for i, s := range unlearned {
+		from := s.holders[i%len(s.holders)]
+		if len(byDisk[from]) < copiesAtOnce {
+			byDisk[from] = append(byDisk[from], s.id)
 		}
 	}
-	return found
+	for disk, ids := range byDisk {
+		e.sending++
+		body := wire.FetchBody{IDs: ids}
+		e.env.Call(view.Disks[disk].Member.Address, wire.FetchCopies, wire.Encode(&body), repairTimeout, func(payload []byte, err error) {
+			e.sending--
+			var answer wire.CopiesBody
+			if err == nil {
+				err = wire.Decode(wire.FetchCopies, payload, &answer)
+			}
+			if err == nil {
+				e.env.Fill(answer.Messages, false)
+			}
+		})
+	}
 }
 
 // send gives each message to as many disks as it lacks, one call to a disk.
