Bear an answer that comes after an emptying was called off

Found by reading: the answer of a store that took copies was noted in the lists that are there when it comes, and there are none once the disk is not to leave any more: the process would have ended. The test failed with a nil pointer before.

--- a/internal/system/role/store/empty.go
+++ b/internal/system/role/store/empty.go
@@ -177,6 +177,7 @@
 // copyTo has a store keep copies of messages.
 func (e *Emptier) copyTo(disk, address string, ids []string) {
 	e.sending++
+	read := e.lists // others may have been begun when the answer comes
 	e.env.Copies(ids, func(body wire.CopiesBody, err error) {
 		if err != nil {
 			e.sending--
@@ -189,7 +190,7 @@
 		e.env.Call(address, wire.PutCopies, payload, repairTimeout, func(_ []byte, err error) {
 			e.sending--
 			if err == nil {
-				e.lists.noteCopies(disk, body.Messages)
+				read.noteCopies(disk, body.Messages)
 			}
 		})
 	})
