--- a/internal/system/role/store/fill.go
+++ b/internal/system/role/store/fill.go
@@ -1,11 +1,12 @@
 package store
 
 import (
+	"time"
+
 	"granitewing/internal/system/member"
 	"granitewing/internal/system/role/keeper"
 	"granitewing/internal/system/tolerance"
 	"granitewing/internal/system/wire"
-	"time"
 )
 
 // A newcomer begins to count without a disk being lost only after this time: one whose place it is here to take may have
@@ -101,7 +102,7 @@
 	switch {
 	case f.epoch > 0:
 		f.env.Fill(nil, true)
-		f.running = false
+		f.stop()
 		return true
 	case f.asked && own.Counted && (missing == 0 || !own.Spare):
 		f.epoch = view.Epoch
@@ -109,7 +110,7 @@
 		f.lists.again()
 		return false
 	case own.Counted && missing == 0:
-		f.running = false // the missing one is back
+		f.stop() // the missing one is back
 		return true
 	case missing == 0 && f.env.Now()-f.began < spareAfter:
 		return false
@@ -118,6 +119,12 @@
 	return false
 }
 
+// stop ends the filling, and lets go of what was known of the other disks.
+func (f *Filler) stop() {
+	f.running = false
+	f.lists, f.plan = nil, nil
+}
+
 // count asks the keepers to let this disk count.
 func (f *Filler) count(view *member.View) {
 	if f.asked {
