Keep a server's connection whose answer ends before the writer's word of its request

The writer posts that a request is written after the write returns; beside load the server's whole answer can be read before that. Such a connection was closed as if its request were half written, and the next attempt dialled a new one; the exchange waited on the old one and saw its end. Ruled out: a slow dial (the drop of a superseded one leaves it idle) and giving up after SIGTERM (needs 3.4 s). The connection now waits for the word, within the time an answer's end has, and is kept. TestAnswerBeforeTheWritersWord forces the order, failed before and covers a failed write and a server that leaves.

--- a/internal/driver/upstream.go
+++ b/internal/driver/upstream.go
@@ -30,7 +30,8 @@
 	pending bool // the request is not wholly written, as far as the writer has told
 	counted bool // the request is, and was counted
 	broken  bool // the connection failed before the writer told how far it came
-	waiting bool // the outcome is known, the end of the answer is not
+	waiting bool // the outcome is known, the end of the answer or the writer's word is not
+	free    bool // the answer has ended and the connection may be kept, once the writer has told
 	uses    int  // attempts begun
 	timer   *time.Timer
 }
@@ -166,7 +167,7 @@
 		s.timer.Stop()
 	}
 	s.uses++
-	r.on, s.attempt, s.pending, s.counted = s, r, true, false
+	r.on, s.attempt, s.pending, s.counted, s.free = s, r, true, false, false
 	s.parser.Begin(r.msg.Txn)
 	s.write(func() []byte {
 		// What is left to the client counts from the moment of the writing, however long the writer has waited.
@@ -240,7 +241,14 @@
 	if err == nil && s.attempt != nil {
 		s.count()
 	}
-	if s.gone || err == nil && !s.broken {
+	if s.gone {
+		return
+	}
+	if err == nil && !s.broken {
+		if s.free {
+			s.waiting = false
+			s.rest()
+		}
 		return
 	}
 	r := s.attempt
@@ -298,11 +306,14 @@
 			d.ended(r, n.Result, n.Content)
 		}
 	case platform.NoteFree:
-		s.waiting = false
-		if n.Keep && !s.pending && !s.gone {
-			s.rest()
-		} else {
+		switch {
+		case !n.Keep || s.gone:
 			s.end()
+		case s.pending: // the answer was faster than the writer's word, which is waited for as long as for an answer's end
+			s.free = true
+		default:
+			s.waiting = false
+			s.rest()
 		}
 	}
 }
--- a/internal/driver/upstream_test.go
+++ b/internal/driver/upstream_test.go
@@ -148,3 +148,57 @@
 		}
 	}
 }
+
+// A connection whose answer ends before the writer has told of its request is kept for the next attempt, once that is
+// written, unless either broke.
+func TestAnswerBeforeTheWritersWord(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		play func(s *upstream)
+		kept bool
+	}{
+		{"word first", func(s *upstream) {
+			s.wrote(nil)
+			s.note(platform.Note{Kind: platform.NoteFree, Keep: true})
+		}, true},
+		{"answer first", func(s *upstream) {
+			s.note(platform.Note{Kind: platform.NoteFree, Keep: true})
+			s.wrote(nil)
+		}, true},
+		{"answer first, which closes", func(s *upstream) {
+			s.note(platform.Note{Kind: platform.NoteFree})
+			s.wrote(nil)
+		}, false},
+		{"answer first, the write fails", func(s *upstream) {
+			s.note(platform.Note{Kind: platform.NoteFree, Keep: true})
+			s.wrote(io.ErrClosedPipe)
+		}, false},
+		{"answer first, the server leaves", func(s *upstream) {
+			s.note(platform.Note{Kind: platform.NoteFree, Keep: true})
+			s.read(nil, 0, io.EOF)
+			s.wrote(nil)
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := testDriver(t)
+			far, near := net.Pipe()
+			defer far.Close()
+			d.pool.add("a", 1)
+			s := &upstream{addr: "a"}
+			s.parser = platform.NewRelay(s.note)
+			s.conn = d.newConn(near, 1, s.read, s.wrote)
+			msg := &platform.Message{Method: "POST", Target: "/readings", Txn: "t1", Lane: "readings"}
+			r := &attempt{id: memory.RelayID{Message: 7}, msg: msg, addr: "a", until: d.now() + 1_000_000, timer: time.NewTimer(time.Hour)}
+			d.attempts[r.id] = r
+			s.begin(r)
+			s.note(platform.Note{Kind: platform.NoteEnded, Result: logic.Served})
+			c.play(s)
+			if kept := d.pool.latest("a") == s; kept != c.kept || s.gone == c.kept {
+				t.Errorf("kept %t, closed %t; want kept %t", kept, s.gone, c.kept)
+			}
+			if left := d.pool.count; left != map[bool]int{true: 1}[c.kept] {
+				t.Errorf("%d connections on the books", left)
+			}
+		})
+	}
+}
