--- a/internal/driver/upstream.go
+++ b/internal/driver/upstream.go
@@ -268,7 +268,7 @@
 func (s *upstream) count() {
 	if !s.counted {
 		s.counted = true
-		s.d.figures.dispatches.Inc()
+		s.d.figures.dispatches.Add(1)
 	}
 }
 
--- a/internal/driver/upstream_test.go
+++ b/internal/driver/upstream_test.go
@@ -113,7 +113,7 @@
 		if answered {
 			s.wrote(nil)
 		}
-		if n := d.figures.dispatches.Get(); n != 1 {
+		if n := d.figures.dispatches.Load(); n != 1 {
 			t.Errorf("answered first: %t; counted %d times", answered, n)
 		}
 	}
