--- a/internal/system/agreement/disk/disk.go
+++ b/internal/system/agreement/disk/disk.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"hash/crc32"
+	"slices"
 	"strings"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -17,7 +18,6 @@
 	snapshotPrefix  = "snapshot-"
 	segmentLength   = 4 << 20
 	checksumLength  = 4
-	keptSnapshots   = 1
 	recordOverflow  = 2 // segments before the log is compacted
 	entriesOverflow = 2048
 )
@@ -47,6 +47,7 @@
 	founders  []string
 	stored    agreement.Stored
 	snapshots []uint64 // indexes of the snapshot files
+	named     uint64   // index of the snapshot that the log names: that file is never written over
 }
 
 // Identity tells who a member is that starts on an empty disk: one of the founders where there are any, else a newcomer.
@@ -62,39 +63,58 @@
 		return nil, err
 	}
 	member := &Member{files: files, log: log}
-	if err := member.listSnapshots(); err != nil {
+	if err := member.open(fresh); err != nil {
+		log.Close()
 		return nil, err
 	}
+	return member, nil
+}
+
+func (m *Member) open(fresh Identity) error {
+	if err := m.listSnapshots(); err != nil {
+		return err
+	}
 	started := false
-	err = log.Replay(func(_ segment.Position, payload []byte) error {
+	err := m.log.Replay(func(_ segment.Position, payload []byte) error {
 		var entry record
 		if err := msgpack.Unmarshal(payload, &entry); err != nil {
 			return &CorruptError{Reason: "record can't be read: " + err.Error()}
 		}
 		started = started || entry.Started
-		return member.apply(&entry)
+		return m.apply(&entry)
 	})
-	if err != nil {
-		return nil, err
-	}
-	if !started {
-		if err := member.Begin(fresh); err != nil {
-			return nil, err
-		}
+	if err != nil || started {
+		return err
 	}
-	return member, nil
+	return m.Begin(fresh)
 }
 
-// Begin starts a member's life under an identity; what the disk held of another is void.
+// Begin starts a member's life under an identity; what the disk held of another is void and removed, since its records
+// name snapshots that go with it. Where the disk was full it is called again.
 func (m *Member) Begin(fresh Identity) error {
+	if m.id != "" {
+		if err := m.log.Rotate(); err != nil {
+			return err
+		}
+	}
 	entry := record{Started: true, ID: fresh.ID, Founders: fresh.Founders}
-	if err := m.apply(&entry); err != nil {
+	if err := m.write(&entry); err != nil {
 		return err
 	}
-	if err := m.write(&entry); err != nil {
+	if err := m.apply(&entry); err != nil {
 		return err
 	}
-	return m.removeSnapshots(0)
+	return m.removeOld()
+}
+
+// removeOld removes what the log's last segment makes void.
+func (m *Member) removeOld() error {
+	for len(m.log.Segments()) > 1 {
+		if err := m.log.RemoveOldest(); err != nil {
+			return err
+		}
+	}
+	return m.removeSnapshots()
 }
 
 func (m *Member) listSnapshots() error {
@@ -124,6 +144,7 @@
 	if entry.Started {
 		m.id, m.founders = entry.ID, entry.Founders
 		m.stored = agreement.Stored{}
+		m.named = 0
 		m.stored.Snapshot.Members.Voters = entry.Founders
 	}
 	if entry.HardState != nil {
@@ -135,6 +156,7 @@
 			return err
 		}
 		m.stored.Snapshot = *snapshot
+		m.named = entry.Snapshot
 		m.dropBefore(snapshot)
 	}
 	return m.appendEntries(entry.Entries)
@@ -191,7 +213,11 @@
 		}
 		entry.Snapshot = ready.Snapshot.Index
 	}
-	return m.write(&entry)
+	if err := m.write(&entry); err != nil {
+		return err
+	}
+	m.named = max(m.named, entry.Snapshot)
+	return nil
 }
 
 // WantsCompaction tells whether the log has grown enough to be replaced by a snapshot.
@@ -199,7 +225,8 @@
 	return entries > entriesOverflow || len(m.log.Segments()) > recordOverflow
 }
 
-// Compact replaces the log by a snapshot and what follows it.
+// Compact replaces the log by a snapshot and what follows it. Where the disk is full all that it held stands, and the
+// member goes on.
 func (m *Member) Compact(stored agreement.Stored) error {
 	if err := m.writeSnapshot(&stored.Snapshot); err != nil {
 		return err
@@ -212,28 +239,33 @@
 	if err := m.write(&head); err != nil {
 		return err
 	}
-	for len(m.log.Segments()) > 1 {
-		if err := m.log.RemoveOldest(); err != nil {
-			return err
-		}
-	}
-	return m.removeSnapshots(keptSnapshots)
+	m.named = head.Snapshot
+	return m.removeOld()
 }
 
-func (m *Member) removeSnapshots(kept int) error {
-	for len(m.snapshots) > kept {
-		name := snapshotName(m.snapshots[0])
+// removeSnapshots removes all snapshots but the one that the log names.
+func (m *Member) removeSnapshots() error {
+	for _, index := range slices.Clone(m.snapshots) {
+		if index == m.named {
+			continue
+		}
+		name := snapshotName(index)
 		if err := m.files.Remove(name); err != nil {
 			return &segment.FileError{Operation: "remove", Name: name, Err: err}
 		}
-		m.snapshots = m.snapshots[1:]
+		m.snapshots = slices.DeleteFunc(m.snapshots, func(other uint64) bool { return other == index })
 	}
 	return nil
 }
 
 func snapshotName(index uint64) string { return fmt.Sprintf(snapshotPrefix+"%016x", index) }
 
+// writeSnapshot writes a snapshot's file. The one that the log names holds the same state already: writing it again
+// would leave nothing to start from if that was interrupted.
 func (m *Member) writeSnapshot(snapshot *agreement.Snapshot) error {
+	if snapshot.Index > 0 && snapshot.Index == m.named {
+		return nil
+	}
 	payload, err := msgpack.Marshal(snapshot)
 	if err != nil {
 		return &CorruptError{Reason: "snapshot can't be written: " + err.Error()}
@@ -246,6 +278,9 @@
 		return &segment.FileError{Operation: "create", Name: name, Err: err}
 	}
 	defer file.Close()
+	if !slices.Contains(m.snapshots, snapshot.Index) {
+		m.snapshots = append(m.snapshots, snapshot.Index)
+	}
 	if _, err := file.Write(payload); err != nil {
 		return &segment.FileError{Operation: "write", Name: name, Err: err}
 	}
@@ -255,9 +290,6 @@
 	if err := m.files.SyncFolder(); err != nil {
 		return &segment.FileError{Operation: "sync folder for", Name: name, Err: err}
 	}
-	if len(m.snapshots) == 0 || m.snapshots[len(m.snapshots)-1] != snapshot.Index {
-		m.snapshots = append(m.snapshots, snapshot.Index)
-	}
 	return nil
 }
 
--- a/internal/system/agreement/disk/disk_test.go
+++ b/internal/system/agreement/disk/disk_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"syscall"
+	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -72,4 +74,121 @@
 		var corrupt *CorruptError
 		Expect(errors.As(err, &corrupt)).To(BeTrue())
 	})
+
+	ginkgo.It("can be read after it began anew, whatever snapshots the life before had", func() {
+		member := open(founder)
+		Expect(member.Save(&agreement.Ready{Entries: []agreement.Entry{entry(1, 1), entry(2, 1)}})).To(Succeed())
+		Expect(member.Compact(agreement.Stored{Snapshot: agreement.Snapshot{Index: 2, Term: 1, Data: []byte("state")}})).To(Succeed())
+		member = open(founder)
+		Expect(member.Begin(Identity{ID: "a#new"})).To(Succeed())
+		again := open(founder)
+		Expect(again.ID()).To(Equal("a#new"))
+		Expect(again.Stored()).To(Equal(agreement.Stored{}))
+	})
+
+	ginkgo.It("never writes over the snapshot that its log names", func() {
+		member := open(founder)
+		stored := agreement.Stored{Snapshot: agreement.Snapshot{Index: 2, Term: 1, Data: []byte("state")}}
+		Expect(member.Compact(stored)).To(Succeed())
+		member = open(founder)
+		file := filepath.Join(path, snapshotName(2))
+		before, err := os.Stat(file)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(os.Chtimes(file, before.ModTime().Add(-time.Hour), before.ModTime().Add(-time.Hour))).To(Succeed())
+		Expect(member.Compact(stored)).To(Succeed())
+		after, err := os.Stat(file)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(after.ModTime()).To(BeTemporally("==", before.ModTime().Add(-time.Hour)))
+		Expect(open(founder).Stored()).To(Equal(stored))
+	})
+
+	ginkgo.Context("when it is full", func() {
+		var disk *fullDisk
+
+		ginkgo.BeforeEach(func() {
+			folder, err := segment.OpenFolder(path)
+			Expect(err).NotTo(HaveOccurred())
+			disk = &fullDisk{Files: folder}
+		})
+
+		ginkgo.It("is read, takes nothing, and goes on once there is room", func() {
+			Expect(open(founder).Save(&agreement.Ready{Entries: []agreement.Entry{entry(1, 1)}})).To(Succeed())
+			disk.full = true
+			member, err := Open(disk, founder)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(member.Stored().Entries).To(Equal([]agreement.Entry{entry(1, 1)}))
+			Expect(segment.IsFull(member.Save(&agreement.Ready{Entries: []agreement.Entry{entry(2, 1)}}))).To(BeTrue())
+			disk.full = false
+			Expect(member.Save(&agreement.Ready{Entries: []agreement.Entry{entry(2, 1)}})).To(Succeed())
+			Expect(open(founder).Stored().Entries).To(Equal([]agreement.Entry{entry(1, 1), entry(2, 1)}))
+		})
+
+		ginkgo.It("begins no life on an empty disk, and says why", func() {
+			disk.full = true
+			_, err := Open(disk, founder)
+			Expect(segment.IsFull(err)).To(BeTrue())
+			disk.full = false
+			member, err := Open(disk, founder)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(member.ID()).To(Equal("a"))
+		})
+
+		ginkgo.It("keeps its log where there is no room for a snapshot, at whichever file that shows", func() {
+			for room := range 4 {
+				path = ginkgo.GinkgoT().TempDir()
+				folder, err := segment.OpenFolder(path)
+				Expect(err).NotTo(HaveOccurred())
+				disk = &fullDisk{Files: folder}
+				member, err := Open(disk, founder)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(member.Save(&agreement.Ready{Entries: []agreement.Entry{entry(1, 1), entry(2, 1)}})).To(Succeed())
+				disk.full, disk.room = true, room // creations and writes that still succeed
+				stored := agreement.Stored{Entries: []agreement.Entry{entry(2, 1)}, Snapshot: agreement.Snapshot{Index: 1, Term: 1,
+					Data: []byte("state"), Members: agreement.Membership{Voters: founder.Founders}}}
+				Expect(segment.IsFull(member.Compact(stored))).To(BeTrue(), "room for %d", room)
+				Expect(open(founder).Stored().Entries).To(Equal([]agreement.Entry{entry(1, 1), entry(2, 1)}))
+				disk.full = false
+				Expect(member.Save(&agreement.Ready{Entries: []agreement.Entry{entry(3, 1)}})).To(Succeed())
+				Expect(open(founder).Stored().Entries).To(HaveLen(3))
+				Expect(member.Compact(stored)).To(Succeed())
+				Expect(open(founder).Stored()).To(Equal(stored))
+			}
+		})
+	})
 })
+
+// fullDisk is a folder in which, while it is full, nothing can be created or written but the first few times.
+type fullDisk struct {
+	segment.Files
+	full bool
+	room int
+}
+
+func (d *fullDisk) refuses() bool {
+	if !d.full {
+		return false
+	}
+	d.room--
+	return d.room < 0
+}
+
+func (d *fullDisk) Create(name string) (segment.File, error) {
+	if d.refuses() {
+		return nil, syscall.ENOSPC
+	}
+	file, err := d.Files.Create(name)
+	return &fullFile{File: file, disk: d}, err
+}
+
+type fullFile struct {
+	segment.File
+	disk *fullDisk
+}
+
+func (f *fullFile) Write(data []byte) (int, error) {
+	if f.disk.refuses() {
+		half, _ := f.File.Write(data[:len(data)/2])
+		return half, syscall.ENOSPC
+	}
+	return f.File.Write(data)
+}
--- a/internal/system/node/keeper.go
+++ b/internal/system/node/keeper.go
@@ -35,6 +35,9 @@
 	resetting [keeper.Groups]bool
 	leaders   [keeper.Groups]string
 	held      map[string][]heldMessages // by peer
+
+	ctx          context.Context // ends with the role
+	compactAfter [keeper.Groups]time.Duration
 }
 
 const (
@@ -45,9 +48,9 @@
 // RunKeeper runs a keeper until the context ends.
 func RunKeeper(ctx context.Context, s *settings.Settings, changes <-chan *settings.Settings) error {
 	n := &keeperNode{runner: newRunner(), settings: s, members: map[*link.Peer]keeper.Subscriber{},
-		byNumber: map[keeper.Subscriber]*link.Peer{}, held: map[string][]heldMessages{}, reader: newCatalogReader(s.Cloud.Address)}
+		byNumber: map[keeper.Subscriber]*link.Peer{}, held: map[string][]heldMessages{}, reader: newCatalogReader(s.Cloud.Address), ctx: ctx}
 	if err := n.open(); err != nil {
-		return err
+		return unlessStopped(ctx, err)
 	}
 	n.events = peerEvents{up: func(address string) {
 		n.release(address)
@@ -80,7 +83,7 @@
 	log.WithFields(log.Fields{"members": n.connected, "after": n.Now().Round(time.Millisecond).String()}).Info("keeper serves")
 	select {
 	case err := <-failures:
-		return err
+		return unlessStopped(ctx, err)
 	case <-ctx.Done():
 	}
 	n.yield()
@@ -139,7 +142,7 @@
 	var stored [keeper.Groups]agreement.Stored
 	options := keeper.Options{Address: n.address(), Tolerance: &n.settings.Tolerance, Random: n.Random,
 		FeedEpoch: member.NewIncarnation(n, n.settings.NodeName)}
-	if err := n.openDisks(); err != nil {
+	if err := n.openDisks(n.ctx); err != nil {
 		return err
 	}
 	for group, member := range n.disks {
--- a/internal/system/node/keeper_disk.go
+++ b/internal/system/node/keeper_disk.go
@@ -1,11 +1,11 @@
 package node
 
 import (
+	"context"
 	"errors"
 	"path/filepath"
 	"strconv"
 	"sync"
-	"time"
 
 	"github.com/apex/log"
 
@@ -17,24 +17,30 @@
 )
 
 // openDisks reads what the disk holds of each group, all at once: most of it is waiting for syncs.
-func (n *keeperNode) openDisks() error {
+func (n *keeperNode) openDisks(ctx context.Context) error {
 	var failures [keeper.Groups]error
 	var opened sync.WaitGroup
 	for group := range keeper.Groups {
 		fresh := n.fresh()
 		opened.Go(func() {
-			folder, err := segment.OpenFolder(filepath.Join(n.settings.DataDir, "control-"+strconv.Itoa(group)))
-			if err != nil {
-				failures[group] = err
-				return
-			}
-			n.disks[group], failures[group] = disk.Open(folder, fresh)
+			failures[group] = whileFull(ctx, func() (err error) {
+				n.disks[group], err = n.openDisk(group, fresh)
+				return err
+			})
 		})
 	}
 	opened.Wait()
 	return errors.Join(failures[:]...)
 }
 
+func (n *keeperNode) openDisk(group int, fresh disk.Identity) (*disk.Member, error) {
+	folder, err := segment.OpenFolder(filepath.Join(n.settings.DataDir, "control-"+strconv.Itoa(group)))
+	if err != nil {
+		return nil, err
+	}
+	return disk.Open(folder, fresh)
+}
+
 // reset gives a group's member another identity; it runs on the goroutine that owns the group's disk.
 func (n *keeperNode) reset(group int) error {
 	wanted := false
@@ -44,7 +50,7 @@
 	}
 	identity := disk.Identity{ID: keeper.FreshIdentity(n.address(), member.NewIncarnation(n, n.settings.NodeName))}
 	log.WithField("group", group).Warn("the group does without this keeper; it joins anew")
-	if err := n.disks[group].Begin(identity); err != nil {
+	if err := whileFull(n.ctx, func() error { return n.disks[group].Begin(identity) }); err != nil {
 		return err
 	}
 	n.do(func() {
@@ -94,18 +100,14 @@
 
 // save writes and syncs; while the disk is full it tries again, and the group goes on without this member.
 func (n *keeperNode) save(group int, ready *agreement.Ready) error {
-	for {
-		err := n.disks[group].Save(ready)
-		var full *segment.FullError
-		if !errors.As(err, &full) {
-			return err
-		}
-		log.WithError(err).WithField("group", group).Error("the group's member stands still until there is room")
-		time.Sleep(fullPause)
-	}
+	return whileFull(n.ctx, func() error { return n.disks[group].Save(ready) })
 }
 
+// compact replaces a group's log by a snapshot where it has grown; where there is no room for that, it is tried later.
 func (n *keeperNode) compact(group int) error {
+	if n.Now() < n.compactAfter[group] {
+		return nil
+	}
 	var stored agreement.Stored
 	var compacted bool
 	var err error
@@ -117,5 +119,11 @@
 	if err != nil || !compacted {
 		return err
 	}
-	return n.disks[group].Compact(stored)
+	err = n.disks[group].Compact(stored)
+	if !segment.IsFull(err) {
+		return err
+	}
+	log.WithError(err).WithField("group", group).Warn("the log is not replaced by a snapshot until there is room")
+	n.compactAfter[group] = n.Now() + compactPause
+	return nil
 }
--- a/internal/system/node/store.go
+++ b/internal/system/node/store.go
@@ -40,7 +40,8 @@
 	parts    chan filledPart
 	roster   atomic.Pointer[roster]
 
-	waitingParts atomic.Int32 // parts of a filling that the core has not taken
+	waitingParts atomic.Int32 // parts of a filling that don't lie on the disk
+	unwritten    int32        // those of them that the core has taken
 
 	fullUntil time.Duration // no write is tried before
 }
@@ -63,15 +64,14 @@
 	maxCallsInBatch  = 1024
 	storeSegmentSize = 8 << 20
 	storeIdle        = 500 * time.Millisecond
-	fullPause        = 200 * time.Millisecond // after a write that found no room
 )
 
 // RunStore runs a store until the context ends.
 func RunStore(ctx context.Context, s *settings.Settings, changes <-chan *settings.Settings) error {
 	n := &storeNode{runner: newRunner(), settings: s, calls: make(chan storeCall, maxWaitingCalls),
 		parts: make(chan filledPart), work: make(chan func())}
-	if err := n.open(); err != nil {
-		return err
+	if err := whileFull(ctx, n.open); err != nil {
+		return unlessStopped(ctx, err)
 	}
 	server, err := link.Listen(s.StoreAddress(), maxStorePeers, func(peer *link.Peer, frame wire.Frame) {
 		select {
@@ -200,6 +200,8 @@
 		}
 	}
 	n.core.Synced(n.Now(), batch, positions)
+	n.waitingParts.Add(-n.unwritten)
+	n.unwritten = 0
 	return nil
 }
 
@@ -220,12 +222,7 @@
 				n.core.CopyFinished()
 				log.Info("all that lay on too few disks was copied; complete from now on")
 			}
-			err := n.flush()
-			n.waitingParts.Add(-1)
-			if err != nil {
-				failure <- err
-				return
-			}
+			n.unwritten++
 		case do := <-n.work:
 			n.catchUp()
 			do()
@@ -265,24 +262,15 @@
 	}
 }
 
-// clean removes old segments once what is needed of them was written again.
+// clean has old segments emptied, and removes those that are.
 func (n *storeNode) clean() error {
-	segments := n.log.Segments()
-	if !n.core.WantsCleaning(len(segments)) {
-		return nil
-	}
-	const part = 2 // of the segments, the older ones
-	oldest := segments[len(segments)/part-1]
-	if err := n.core.Clean(oldest); err != nil {
+	if err := n.core.Clean(n.log.Segments()); err != nil {
 		return err
 	}
 	if err := n.flush(); err != nil {
 		return err
 	}
-	for _, number := range segments {
-		if number > oldest {
-			break
-		}
+	for _, number := range n.core.Removable(n.log.Segments()) {
 		if err := n.log.RemoveOldest(); err != nil {
 			return err
 		}
--- a/internal/system/role/store/clean.go
+++ b/internal/system/role/store/clean.go
@@ -5,23 +5,46 @@
 	"granitewing/internal/system/segment"
 )
 
-// WantsCleaning tells whether the oldest of the log's segments should be emptied.
-func (c *Core) WantsCleaning(segments int) bool {
-	grown := float64(c.bytes) > cleanGrowth*float64(c.cleaned)
-	return segments > 2 && grown && float64(c.bytes) > cleanShare*float64(c.options.DiskBytes)
+// cleaning is the emptying of the log's oldest segments: what is needed of them is written again, and they are removed
+// once that is synced. On a full disk it waits for room, and nothing is removed before.
+type cleaning struct {
+	running bool
+	upTo    uint64 // the last of the segments that are being emptied
+	emptied uint64 // segments up to this one hold nothing that is needed
 }
 
-// Clean writes again what is needed of the segments up to one, so that they can be removed once the batch is synced.
-func (c *Core) Clean(oldest uint64) error {
+// cleanedPart is the part of the segments, the older ones, that is emptied at a time: one in so many.
+const cleanedPart = 2
+
+// Clean begins to empty the oldest of the log's segments where they have grown too many.
+func (c *Core) Clean(segments []uint64) error {
+	grown := float64(c.bytes) > cleanGrowth*float64(c.cleaned)
+	if c.cleaning.running || len(segments) <= 2 || !grown || float64(c.bytes) <= cleanShare*float64(c.options.DiskBytes) {
+		return nil
+	}
+	oldest := segments[len(segments)/cleanedPart-1]
+	c.cleaning.running, c.cleaning.upTo = true, oldest
 	for _, e := range c.index.changedSince(0, len(c.index.entries)) {
 		if err := c.rewrite(e, oldest); err != nil {
 			return err
 		}
 	}
-	c.appendStarted()
+	// Records are synced in their order, so this one is the last.
+	c.append(c.startedRecord(), func(segment.Position) {
+		c.cleaning.running, c.cleaning.emptied = false, oldest
+	})
 	return nil
 }
 
+// Removable gives those of the log's segments that hold nothing that is needed, oldest first; the newest is not among them.
+func (c *Core) Removable(segments []uint64) []uint64 {
+	count := 0
+	for count < len(segments)-1 && segments[count] <= c.cleaning.emptied {
+		count++
+	}
+	return segments[:count]
+}
+
 // rewrite appends an entry's message and end again. Ends are written for every entry whose message might be, since
 // where an end lies is not kept.
 func (c *Core) rewrite(e *entry, oldest uint64) error {
--- a/internal/system/role/store/core.go
+++ b/internal/system/role/store/core.go
@@ -51,6 +51,7 @@
 	bytes    int64 // of all segments
 	cleaned  int64 // what the last cleaning left
 	sizes    map[uint64]int64
+	cleaning cleaning
 	epoch    uint64 // of the roster that this store follows
 	settled  uint64 // of a roster: all that was taken for an older one is synced
 	founder  bool
@@ -88,8 +89,10 @@
 	c.appendStarted()
 }
 
-func (c *Core) appendStarted() {
-	c.append(record{Kind: recordStarted, Incomplete: !c.complete, Founder: c.founder, Disk: c.disk}, nil)
+func (c *Core) appendStarted() { c.append(c.startedRecord(), nil) }
+
+func (c *Core) startedRecord() record {
+	return record{Kind: recordStarted, Incomplete: !c.complete, Founder: c.founder, Disk: c.disk}
 }
 
 // Founder tells whether the disk is as old as the system.
--- a/internal/system/role/store/store_test.go
+++ b/internal/system/role/store/store_test.go
@@ -20,6 +20,7 @@
 	log  *segment.Log
 	now  time.Duration
 	wall int64
+	full bool // clean finds no room
 }
 
 func (b *bench) open(bootstrap bool) {
@@ -45,6 +46,22 @@
 	b.core.Synced(b.now, batch, positions)
 }
 
+// clean empties old segments and removes those that are, as the store's driver does; it gives how many were removed.
+func (b *bench) clean() int {
+	Expect(b.core.Clean(b.log.Segments())).To(Succeed())
+	if b.full {
+		b.core.Full(b.core.Take())
+	} else {
+		b.flush()
+	}
+	removable := b.core.Removable(b.log.Segments())
+	for _, number := range removable {
+		Expect(b.log.RemoveOldest()).To(Succeed())
+		b.core.Removed(number)
+	}
+	return len(removable)
+}
+
 func (b *bench) pass(wait time.Duration) {
 	b.now += wait
 	b.wall += wait.Milliseconds()
@@ -287,17 +304,7 @@
 			if i%40 != 0 {
 				b.end(id, message.Succeeded)
 			}
-			segments := b.log.Segments()
-			if !b.core.WantsCleaning(len(segments)) {
-				continue
-			}
-			oldest := segments[len(segments)/2-1]
-			Expect(b.core.Clean(oldest)).To(Succeed())
-			b.flush()
-			for _, number := range segments[:len(segments)/2] {
-				Expect(b.log.RemoveOldest()).To(Succeed())
-				b.core.Removed(number)
-			}
+			b.clean()
 			b.pass(time.Millisecond)
 		}
 		names, err := os.ReadDir(b.path)
@@ -306,4 +313,32 @@
 		b.open(false)
 		Expect(b.listed()).To(HaveLen(10))
 	})
+
+	ginkgo.It("removes no segment while there is no room for what is needed of it", func() {
+		pending := 0
+		for i := 0; float64(b.core.Bytes()) < 0.5*160*(1<<10); i++ {
+			id := fmt.Sprintf("m%03d", i)
+			Expect(b.put(id)).To(BeNil())
+			if i%10 != 0 {
+				b.end(id, message.Succeeded)
+			} else {
+				pending++
+			}
+		}
+		b.full = true
+		for range 5 {
+			Expect(b.clean()).To(BeZero())
+			b.pass(500 * time.Millisecond)
+		}
+		waiting := len(b.core.batch)
+		Expect(b.clean()).To(BeZero())
+		Expect(b.core.batch).To(HaveLen(waiting), "what waits for room is gathered once")
+		b.open(false) // the process is killed
+		Expect(b.listed()).To(HaveLen(pending))
+		Expect(b.clean()).To(BeZero())
+		b.full = false
+		Expect(b.clean()).To(BeNumerically(">", 0))
+		b.open(false)
+		Expect(b.listed()).To(HaveLen(pending))
+	})
 })
--- a/internal/system/segment/log.go
+++ b/internal/system/segment/log.go
@@ -1,13 +1,10 @@
 package segment
 
 import (
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"hash/crc32"
-	"io"
 	"strings"
-	"syscall"
 )
 
 // Sizes of the format.
@@ -22,49 +19,6 @@
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
-// FileError is a failed call on a file.
-type FileError struct {
-	Operation string
-	Name      string
-	Err       error
-}
-
-func (e *FileError) Error() string { return fmt.Sprintf("%s %s: %v", e.Operation, e.Name, e.Err) }
-
-func (e *FileError) Unwrap() error { return e.Err }
-
-// BrokenError answers every call after a write or a sync failed: whether the disk holds what was written is not known,
-// and a later sync that succeeds would prove nothing.
-type BrokenError struct{ Cause error }
-
-func (e *BrokenError) Error() string {
-	return fmt.Sprintf("the log takes no more records: %v", e.Cause)
-}
-
-func (e *BrokenError) Unwrap() error { return e.Cause }
-
-// FullError tells that the disk has no room. Nothing of the write counts; a later one may succeed.
-type FullError struct{ Err error }
-
-func (e *FullError) Error() string { return fmt.Sprintf("the disk is full: %v", e.Err) }
-
-func (e *FullError) Unwrap() error { return e.Err }
-
-// noRoom makes a FullError of an error that says so, and leaves others.
-func noRoom(err error) error {
-	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
-		return &FullError{Err: err}
-	}
-	return err
-}
-
-// MissingRecordError answers a read of a place that holds no whole record.
-type MissingRecordError struct{ Position Position }
-
-func (e *MissingRecordError) Error() string {
-	return fmt.Sprintf("no record at segment %d offset %d", e.Position.Segment, e.Position.Offset)
-}
-
 // Position of a record.
 type Position struct {
 	Segment uint64
@@ -79,7 +33,7 @@
 	offset   uint32
 	length   uint32
 	broken   error
-	torn     bool // the last write found no room: what it left is no record, and nothing may follow it
+	torn     bool // the last write, or the first segment of this life, found no room: the next Append begins a segment
 	buffer   []byte
 	readers  map[uint64]File
 	replayed []byte // buffer of Replay
@@ -113,101 +67,6 @@
 // Empty tells whether the folder held no segment.
 func (l *Log) Empty() bool { return len(l.segments) == 0 }
 
-// Replay hands over every whole record in order, then opens a new segment. A payload stands until visit returns. Within a segment it stops at the first record
-// that is not whole: what follows was never synced. The files are synced first, so that nothing is acted on which a
-// loss of power could still take away.
-func (l *Log) Replay(visit func(position Position, payload []byte) error) error {
-	for _, number := range l.segments {
-		if err := l.replaySegment(number, visit); err != nil {
-			return err
-		}
-	}
-	l.replayed = nil
-	return l.rotate()
-}
-
-func (l *Log) replaySegment(number uint64, visit func(Position, []byte) error) error {
-	data, err := l.readSynced(fileName(number))
-	if err != nil {
-		return err
-	}
-	offset := 0
-	for {
-		position := Position{Segment: number, Offset: uint32(offset)}
-		payload, size := decode(position, data[offset:])
-		if size == 0 {
-			return nil
-		}
-		if err := visit(position, payload); err != nil {
-			return err
-		}
-		offset += size
-	}
-}
-
-// readSynced syncs a file and gives its bytes, which stand until the next call: all segments are read into one buffer.
-func (l *Log) readSynced(name string) ([]byte, error) {
-	file, err := l.files.Open(name)
-	if err != nil {
-		return nil, &FileError{Operation: "open", Name: name, Err: err}
-	}
-	defer file.Close()
-	if err := file.Sync(); err != nil {
-		return nil, &FileError{Operation: "sync", Name: name, Err: err}
-	}
-	length := 0
-	for {
-		if length == len(l.replayed) {
-			l.replayed = append(l.replayed, make([]byte, max(firstReplayBuffer, len(l.replayed)))...)
-		}
-		count, err := file.ReadAt(l.replayed[length:], int64(length))
-		length += count
-		if errors.Is(err, io.EOF) {
-			return l.replayed[:length], nil
-		}
-		if err != nil {
-			return nil, &FileError{Operation: "read", Name: name, Err: err}
-		}
-	}
-}
-
-// encode appends a record to buffer. The place is part of the checks, so that bytes of an older file are no record.
-func encode(buffer []byte, position Position, payload []byte) []byte {
-	var header [recordHeader]byte
-	binary.LittleEndian.PutUint32(header[0:], uint32(len(payload)))
-	binary.LittleEndian.PutUint32(header[4:], placeCheck(position, uint32(len(payload))))
-	binary.LittleEndian.PutUint32(header[8:], crc32.Checksum(payload, castagnoli))
-	return append(append(buffer, header[:]...), payload...)
-}
-
-func placeCheck(position Position, length uint32) uint32 {
-	var place [16]byte
-	binary.LittleEndian.PutUint64(place[0:], position.Segment)
-	binary.LittleEndian.PutUint32(place[8:], position.Offset)
-	binary.LittleEndian.PutUint32(place[12:], length)
-	return crc32.Checksum(place[:], castagnoli)
-}
-
-// decode reads the record at the start of data; size is 0 where there is no whole one.
-func decode(position Position, data []byte) (payload []byte, size int) {
-	if len(data) < recordHeader {
-		return nil, 0
-	}
-	length := binary.LittleEndian.Uint32(data[0:])
-	if length > maxRecord || binary.LittleEndian.Uint32(data[4:]) != placeCheck(position, length) {
-		return nil, 0
-	}
-	end := recordHeader + int(length)
-	if len(data) < end {
-		return nil, 0
-	}
-	payload = data[recordHeader:end]
-	if binary.LittleEndian.Uint32(data[8:]) != crc32.Checksum(payload, castagnoli) {
-		return nil, 0
-	}
-	return payload, end
-}
-
 // Append writes records at the end, in one write; they count after the next Sync.
 func (l *Log) Append(payloads ...[]byte) ([]Position, error) {
 	if l.broken != nil {
@@ -217,7 +76,6 @@
 		if err := l.rotate(); err != nil {
 			return nil, noRoom(err)
 		}
-		l.torn = false
 	}
 	if l.offset >= l.length {
 		if err := l.Sync(); err != nil {
@@ -254,6 +112,9 @@
 	if l.broken != nil {
 		return &BrokenError{Cause: l.broken}
 	}
+	if l.current == nil {
+		return nil // nothing was written in this life
+	}
 	if err := l.current.Sync(); err != nil {
 		return l.fail("sync", err)
 	}
@@ -265,8 +126,13 @@
 	return &BrokenError{Cause: l.broken}
 }
 
-// Current is the number of the segment that is written to.
-func (l *Log) Current() uint64 { return l.segments[len(l.segments)-1] }
+// Current is the number of the newest segment, 0 where there is none.
+func (l *Log) Current() uint64 {
+	if len(l.segments) == 0 {
+		return 0
+	}
+	return l.segments[len(l.segments)-1]
+}
 
 // Segments gives the numbers of all segments, oldest first.
 func (l *Log) Segments() []uint64 { return append([]uint64(nil), l.segments...) }
@@ -279,14 +145,11 @@
 	if err := l.Sync(); err != nil {
 		return err
 	}
-	return l.rotate()
+	return noRoom(l.rotate())
 }
 
 func (l *Log) rotate() error {
-	next := uint64(1)
-	if len(l.segments) > 0 {
-		next = l.Current() + 1
-	}
+	next := l.Current() + 1
 	file, err := l.files.Create(fileName(next))
 	if err != nil {
 		return &FileError{Operation: "create", Name: fileName(next), Err: err}
@@ -298,11 +161,23 @@
 	if l.current != nil {
 		l.current.Close()
 	}
-	l.current, l.offset = file, 0
+	l.current, l.offset, l.torn = file, 0, false
 	l.segments = append(l.segments, next)
 	return nil
 }
 
+// Close closes all files. What was not synced may be lost.
+func (l *Log) Close() {
+	if l.current != nil {
+		l.current.Close()
+		l.current = nil
+	}
+	for number, reader := range l.readers {
+		reader.Close()
+		delete(l.readers, number)
+	}
+}
+
 // RemoveOldest removes the oldest segment and makes that durable, before a later one can be removed.
 func (l *Log) RemoveOldest() error {
 	if len(l.segments) < 2 {
@@ -322,51 +197,3 @@
 	l.segments = l.segments[1:]
 	return nil
 }
-
-// Read gives the payload of a record.
-func (l *Log) Read(position Position) ([]byte, error) {
-	reader, err := l.reader(position.Segment)
-	if err != nil {
-		return nil, err
-	}
-	var header [recordHeader]byte
-	if _, err := reader.ReadAt(header[:], int64(position.Offset)); err != nil {
-		return nil, &FileError{Operation: "read", Name: fileName(position.Segment), Err: err}
-	}
-	length := binary.LittleEndian.Uint32(header[0:])
-	if length > maxRecord || binary.LittleEndian.Uint32(header[4:]) != placeCheck(position, length) {
-		return nil, &MissingRecordError{Position: position}
-	}
-	record := make([]byte, recordHeader+int(length))
-	if _, err := reader.ReadAt(record, int64(position.Offset)); err != nil {
-		return nil, &FileError{Operation: "read", Name: fileName(position.Segment), Err: err}
-	}
-	payload, size := decode(position, record)
-	if size == 0 {
-		return nil, &MissingRecordError{Position: position}
-	}
-	return payload, nil
-}
-
-func (l *Log) reader(segment uint64) (File, error) {
-	if segment == l.Current() {
-		return l.current, nil
-	}
-	if reader := l.readers[segment]; reader != nil {
-		return reader, nil
-	}
-	reader, err := l.files.Open(fileName(segment))
-	if err != nil {
-		return nil, &FileError{Operation: "open", Name: fileName(segment), Err: err}
-	}
-	const mostReaders = 32
-	if len(l.readers) >= mostReaders {
-		for number, other := range l.readers {
-			other.Close()
-			delete(l.readers, number)
-			break
-		}
-	}
-	l.readers[segment] = reader
-	return reader, nil
-}
--- a/internal/system/segment/log_test.go
+++ b/internal/system/segment/log_test.go
@@ -15,6 +15,7 @@
 type faultyFiles struct {
 	*Folder
 	failWrite, failSync error
+	failCreate          error // until it is taken back
 }
 
 type faultyFile struct {
@@ -23,6 +24,9 @@
 }
 
 func (f *faultyFiles) Create(name string) (File, error) {
+	if f.failCreate != nil {
+		return nil, f.failCreate
+	}
 	file, err := f.Folder.Create(name)
 	return &faultyFile{File: file, files: f}, err
 }
@@ -159,6 +163,36 @@
 		Expect(read).To(Equal([]string{"one", "three"}))
 	})
 
+	ginkgo.It("is read where the disk has no room for a new segment, and takes records once there is", func() {
+		log, _ := openLog(files)
+		positions := write(log, "one")
+		files.failCreate = syscall.ENOSPC
+		log, read := openLog(files)
+		Expect(read).To(Equal([]string{"one"}))
+		_, err := log.Append([]byte("two"))
+		Expect(IsFull(err)).To(BeTrue())
+		Expect(IsFull(log.Rotate())).To(BeTrue())
+		payload, err := log.Read(positions[0])
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(payload)).To(Equal("one"))
+		files.failCreate = nil
+		write(log, "three")
+		_, read = openLog(files)
+		Expect(read).To(Equal([]string{"one", "three"}))
+	})
+
+	ginkgo.It("starts on an empty disk that is full", func() {
+		files.failCreate = syscall.ENOSPC
+		log, read := openLog(files)
+		Expect(read).To(BeEmpty())
+		_, err := log.Append([]byte("one"))
+		Expect(IsFull(err)).To(BeTrue())
+		files.failCreate = nil
+		write(log, "two")
+		_, read = openLog(files)
+		Expect(read).To(Equal([]string{"two"}))
+	})
+
 	ginkgo.It("removes its oldest segment alone", func() {
 		log, _ := openLog(files)
 		write(log, "one")
--- /dev/null
+++ b/internal/system/segment/read.go
@@ -0,0 +1,51 @@
+package segment
+
+import "encoding/binary"
+
+// Read gives the payload of a record.
+func (l *Log) Read(position Position) ([]byte, error) {
+	reader, err := l.reader(position.Segment)
+	if err != nil {
+		return nil, err
+	}
+	var header [recordHeader]byte
+	if _, err := reader.ReadAt(header[:], int64(position.Offset)); err != nil {
+		return nil, &FileError{Operation: "read", Name: fileName(position.Segment), Err: err}
+	}
+	length := binary.LittleEndian.Uint32(header[0:])
+	if length > maxRecord || binary.LittleEndian.Uint32(header[4:]) != placeCheck(position, length) {
+		return nil, &MissingRecordError{Position: position}
+	}
+	record := make([]byte, recordHeader+int(length))
+	if _, err := reader.ReadAt(record, int64(position.Offset)); err != nil {
+		return nil, &FileError{Operation: "read", Name: fileName(position.Segment), Err: err}
+	}
+	payload, size := decode(position, record)
+	if size == 0 {
+		return nil, &MissingRecordError{Position: position}
+	}
+	return payload, nil
+}
+
+func (l *Log) reader(segment uint64) (File, error) {
+	if segment == l.Current() && l.current != nil {
+		return l.current, nil
+	}
+	if reader := l.readers[segment]; reader != nil {
+		return reader, nil
+	}
+	reader, err := l.files.Open(fileName(segment))
+	if err != nil {
+		return nil, &FileError{Operation: "open", Name: fileName(segment), Err: err}
+	}
+	const mostReaders = 32
+	if len(l.readers) >= mostReaders {
+		for number, other := range l.readers {
+			other.Close()
+			delete(l.readers, number)
+			break
+		}
+	}
+	l.readers[segment] = reader
+	return reader, nil
+}
