Play full disks, cleaning and compaction in the simulation

'fulldisk MACHINE for T', 'disk KB', both drawn; a removed file may come back after a loss of power, but not ahead of those that were removed before it.

--- a/internal/system/simulation/day.go
+++ b/internal/system/simulation/day.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"granitewing/internal/system/segment"
 	"granitewing/internal/system/settings"
 	"granitewing/internal/system/tolerance"
 )
@@ -50,6 +51,7 @@
 	retired   int // machines that were emptied and removed
 	failure   error
 	tolerance tolerance.Tolerance
+	diskBytes int64
 	history   *configurationHistory
 }
 
@@ -57,7 +59,7 @@
 
 func newDay(s *Scenario) *day {
 	w := newWorld(s.Seed)
-	d := &day{world: w, tolerance: s.Tolerate, checker: newChecker(failuresToEnd), keepers: map[string]*keeperHost{}, stores: map[string]*storeHost{},
+	d := &day{world: w, tolerance: s.Tolerate, diskBytes: s.Disk << 10, checker: newChecker(failuresToEnd), keepers: map[string]*keeperHost{}, stores: map[string]*storeHost{},
 		carriers: map[string]*carrierHost{}, misses: map[string]int{}, seen: map[*carrierHost]uint64{}, history: newConfigurationHistory()}
 	d.platform = newPlatform(w, d.checker)
 	d.addServices()
@@ -119,7 +121,7 @@
 	}
 	return &settings.Settings{NodeName: m.name, IP: m.ip, Zone: m.zone, FirstPort: firstPort, LastPort: firstPort + 15,
 		Seeds: seeds, Bootstrap: bootstrap, Tolerance: d.tolerance,
-		Limits: settings.Limits{MemoryMB: 284, DiskBytes: 400 << 20},
+		Limits: settings.Limits{MemoryMB: 284, DiskBytes: d.diskBytes},
 		Bounds: settings.Bounds{Grace: grace, Status: 120 * time.Second}}
 }
 
@@ -134,6 +136,11 @@
 		return
 	}
 	keeperHost, err := startKeeper(d.world, m, s, d.platform)
+	if segment.IsFull(err) {
+		// An empty disk takes no identity while it is full.
+		d.kill(m, fullPause)
+		return
+	}
 	if err != nil {
 		d.failure = err
 		return
--- a/internal/system/simulation/disk.go
+++ b/internal/system/simulation/disk.go
@@ -4,17 +4,29 @@
 	"io"
 	"io/fs"
 	"sort"
+	"syscall"
 	"time"
 
 	"granitewing/internal/system/segment"
 )
 
-// simulatedDisk is a folder whose unsynced writes a loss of power may take away.
+// simulatedDisk is a folder whose unsynced writes a loss of power may take away. Its calls return at once; the host lets
+// nothing go out before the time of a sync is over, and a loss of power in that time finds the disk somewhere on the way.
 type simulatedDisk struct {
 	world   *world
+	machine *machine
 	files   map[string]*simulatedFile
-	removed map[string]*simulatedFile // without a sync of the folder since
-	sync    time.Duration             // how long a sync takes
+	removed []removal     // in their order
+	synced  time.Duration // when all syncs are over
+}
+
+// removal is a file that was removed. It is still there after a loss of power before the syncs that came ahead of it were
+// over, and may be until its own is.
+type removal struct {
+	name    string
+	file    *simulatedFile
+	after   time.Duration // it wasn't removed before
+	durable time.Duration // it is gone for good from then on; 0 without a sync of the folder since
 }
 
 type simulatedFile struct {
@@ -29,12 +41,15 @@
 	at     time.Duration
 }
 
-func newDisk(w *world, sync time.Duration) *simulatedDisk {
-	return &simulatedDisk{world: w, files: map[string]*simulatedFile{}, removed: map[string]*simulatedFile{}, sync: sync}
+func newDisk(w *world, m *machine) *simulatedDisk {
+	return &simulatedDisk{world: w, machine: m, files: map[string]*simulatedFile{}}
 }
 
 // Create implements segment.Files.
 func (d *simulatedDisk) Create(name string) (segment.File, error) {
+	if d.machine.fullDisk {
+		return nil, syscall.ENOSPC
+	}
 	file := &simulatedFile{disk: d}
 	d.files[name] = file
 	return file, nil
@@ -70,19 +85,41 @@
 
 // Remove implements segment.Files.
 func (d *simulatedDisk) Remove(name string) error {
-	d.removed[name] = d.files[name]
+	d.removed = append(d.removed, removal{name: name, file: d.files[name], after: max(d.world.now, d.synced)})
 	delete(d.files, name)
 	return nil
 }
 
 // SyncFolder implements segment.Files.
 func (d *simulatedDisk) SyncFolder() error {
-	d.removed = map[string]*simulatedFile{}
+	over := d.beginSync()
+	lasting := d.removed[:0]
+	for _, r := range d.removed {
+		if r.durable == 0 {
+			r.durable = max(over, r.after)
+		}
+		if r.durable > d.world.now {
+			lasting = append(lasting, r)
+		}
+	}
+	d.removed = lasting
 	return nil
 }
 
+// beginSync gives the time at which a sync that begins now is over.
+func (d *simulatedDisk) beginSync() time.Duration {
+	over := d.world.now + d.machine.syncTime()
+	d.synced = max(d.synced, over)
+	return over
+}
+
 // Write implements segment.File.
 func (f *simulatedFile) Write(data []byte) (int, error) {
+	if f.disk.machine.fullDisk {
+		fits := f.disk.world.random.IntN(len(data) + 1)
+		f.data = append(f.data, data[:fits]...)
+		return fits, syscall.ENOSPC
+	}
 	f.data = append(f.data, data...)
 	return len(data), nil
 }
@@ -102,9 +139,9 @@
 // Close implements segment.File.
 func (f *simulatedFile) Close() error { return nil }
 
-// Sync implements segment.File. The caller goes on at once; the host lets nothing go out before the sync's time is over.
+// Sync implements segment.File.
 func (f *simulatedFile) Sync() error {
-	f.syncs = append(f.syncs, syncPoint{length: len(f.data), at: f.disk.world.now + f.disk.sync})
+	f.syncs = append(f.syncs, syncPoint{length: len(f.data), at: f.disk.beginSync()})
 	return nil
 }
 
@@ -128,17 +165,27 @@
 		durable = max(durable, 0)
 		file.loseTail(durable, wipeAll)
 	}
-	removed := make([]string, 0, len(d.removed))
-	for name := range d.removed {
-		removed = append(removed, name)
+	d.restoreRemoved()
+}
+
+// restoreRemoved brings back files whose removal was not durable: all those from one on, since each was removed only
+// after the one before.
+func (d *simulatedDisk) restoreRemoved() {
+	from := 0
+	for from < len(d.removed) && d.removed[from].durable > 0 && d.removed[from].durable <= d.world.now {
+		from++
+	}
+	most := from
+	for most < len(d.removed) && d.removed[most].after <= d.world.now {
+		most++
 	}
-	sort.Strings(removed)
-	for _, name := range removed {
-		if d.files[name] == nil && d.removed[name] != nil && random.IntN(2) == 0 {
-			d.files[name] = d.removed[name]
+	from += d.world.random.IntN(most - from + 1)
+	for _, r := range d.removed[from:] {
+		if d.files[r.name] == nil && r.file != nil {
+			d.files[r.name] = r.file
 		}
 	}
-	d.removed = map[string]*simulatedFile{}
+	d.removed, d.synced = nil, 0
 }
 
 func (f *simulatedFile) loseTail(durable int, wipe bool) {
--- a/internal/system/simulation/keeper_host.go
+++ b/internal/system/simulation/keeper_host.go
@@ -9,6 +9,7 @@
 	"granitewing/internal/system/agreement/disk"
 	"granitewing/internal/system/member"
 	"granitewing/internal/system/role/keeper"
+	"granitewing/internal/system/segment"
 	"granitewing/internal/system/settings"
 	"granitewing/internal/system/wire"
 )
@@ -27,6 +28,8 @@
 	subscribers map[*process]keeper.Subscriber
 	members     map[keeper.Subscriber]*process
 	platform    *platform
+
+	compactAfter [keeper.Groups]time.Duration
 }
 
 func startKeeper(w *world, m *machine, s *settings.Settings, platform *platform) (*keeperHost, error) {
@@ -162,17 +165,45 @@
 		h.finish(group, &ready)
 		return
 	}
-	if err := h.disks[group].Save(&ready); err != nil {
+	h.busy[group] = true
+	h.save(group, &ready)
+}
+
+// save writes what a group has ready; on a full disk it tries again.
+func (h *keeperHost) save(group int, ready *agreement.Ready) {
+	err := h.disks[group].Save(ready)
+	if segment.IsFull(err) {
+		h.After(fullPause, func() { h.save(group, ready) })
+		return
+	}
+	if err != nil {
 		h.Report("disk", err)
 		return
 	}
-	h.busy[group] = true
-	h.After(syncTime*time.Duration(max(1, h.machine.slowDisk)), func() {
+	h.After(h.machine.syncTime(), func() {
 		h.busy[group] = false
-		h.finish(group, &ready)
+		h.finish(group, ready)
 	})
 }
 
+// compact replaces a group's log by a snapshot where it has grown.
+func (h *keeperHost) compact(group int) {
+	if h.Now() < h.compactAfter[group] || !h.disks[group].WantsCompaction(h.core.LogLength(group)) {
+		return
+	}
+	stored, compacted, err := h.core.Compact(group)
+	if err == nil && compacted {
+		err = h.disks[group].Compact(stored)
+	}
+	if segment.IsFull(err) {
+		h.compactAfter[group] = h.Now() + compactPause
+		return
+	}
+	if err != nil {
+		h.Report("compaction", err)
+	}
+}
+
 func (h *keeperHost) finish(group int, ready *agreement.Ready) {
 	for _, message := range ready.Messages {
 		address := keeper.AddressOf(message.To)
@@ -184,13 +215,19 @@
 	if err := h.core.Persisted(h.Now(), group, ready); err != nil {
 		h.Report("apply", err)
 	}
+	h.compact(group)
 	h.goOn()
 }
 
 func (h *keeperHost) reset(group int) {
 	h.resets[group] = false
 	identity := disk.Identity{ID: keeper.FreshIdentity(h.address, member.NewIncarnation(h, h.machine.name))}
-	if err := h.disks[group].Begin(identity); err != nil {
+	err := h.disks[group].Begin(identity)
+	if segment.IsFull(err) {
+		h.After(fullPause, func() { h.Reset(group) })
+		return
+	}
+	if err != nil {
 		h.Report("disk", err)
 		return
 	}
--- a/internal/system/simulation/scenario.go
+++ b/internal/system/simulation/scenario.go
@@ -15,6 +15,7 @@
 //	seed 7
 //	traffic 12s
 //	storage 6                          storage machines at the start; 3 without it
+//	disk 300                           kilobytes of a storage machine's disk; 400 megabytes without it
 //	tolerate zones 1                   what may be lost: 'machines', 'zones'; 'machines 1' without it
 //	at 2s kill storage-1 for 1s
 //	at 3s power storage-2 for 2s       power is lost; 'storage', 'edge', 'zone-a' and 'all' name many machines
@@ -26,6 +27,7 @@
 //	at 5s add storage                  an empty machine comes
 //	at 6s retire storage-1             it is emptied, and taken away at once when it is told as empty
 //	at 6s slowdisk storage-1 by 30 for 3s
+//	at 6s fulldisk storage-1 for 3s    it takes no more bytes
 //	at 6s dark alert for 4s            workers of a service are silent
 //	at 6s grey alert loses for 4s      some workers run and 'loses' answers, 'resets', 'sheds' or 'fails', their health being good
 //	at 6s crash archive for 2s         some workers are gone, and others start later
@@ -41,6 +43,7 @@
 	Seed     uint64
 	Traffic  time.Duration
 	Storage  int
+	Disk     int64 // kilobytes of each
 	Tolerate tolerance.Tolerance
 	Events   []Event
 	Accepted float64
@@ -65,7 +68,7 @@
 
 // Parse reads a scenario.
 func Parse(text string) (*Scenario, error) {
-	s := &Scenario{Seed: 1, Traffic: 10 * time.Second, Storage: storageCount, Tolerate: tolerance.Tolerance{Machines: 1}}
+	s := &Scenario{Seed: 1, Traffic: 10 * time.Second, Storage: storageCount, Disk: usualDisk, Tolerate: tolerance.Tolerance{Machines: 1}}
 	for i, line := range strings.Split(text, "\n") {
 		line, _, _ = strings.Cut(line, "#")
 		words := strings.Fields(line)
@@ -99,6 +102,10 @@
 		if err = wants(2); err == nil {
 			s.Storage, err = strconv.Atoi(words[1])
 		}
+	case "disk":
+		if err = wants(2); err == nil {
+			s.Disk, err = strconv.ParseInt(words[1], 10, 64)
+		}
 	case "tolerate":
 		if err = wants(3); err != nil {
 			return err
@@ -145,7 +152,7 @@
 // String gives the scenario's text.
 func (s *Scenario) String() string {
 	var text strings.Builder
-	fmt.Fprintf(&text, "seed %d\ntraffic %s\nstorage %d\ntolerate machines %d\ntolerate zones %d\n", s.Seed, s.Traffic, s.Storage,
+	fmt.Fprintf(&text, "seed %d\ntraffic %s\nstorage %d\ndisk %d\ntolerate machines %d\ntolerate zones %d\n", s.Seed, s.Traffic, s.Storage, s.Disk,
 		s.Tolerate.Machines, s.Tolerate.Zones)
 	for _, event := range s.Events {
 		fmt.Fprintf(&text, "at %s %s\n", event.At, event.What)
@@ -257,6 +264,11 @@
 			m.slowDisk = by
 			d.world.after(lasts, func() { m.slowDisk = 0 })
 		}), err
+	case "fulldisk":
+		return unplanned(lasts, func(m *machine) {
+			m.fullDisk = true
+			d.world.after(lasts, func() { m.fullDisk = false })
+		}), nil
 	case "skew":
 		return unplanned(0, func(m *machine) { m.wallSkew += length("by", 0).Milliseconds() }), nil
 	case "cut":
--- a/internal/system/simulation/search.go
+++ b/internal/system/simulation/search.go
@@ -14,12 +14,24 @@
 	zonalStorage = 6
 )
 
+// Sizes of the storage machines' disks, in kilobytes. One of smallDiskEvery schedules has disks so small that their logs
+// are cleaned.
+const (
+	usualDisk      = 400 << 10
+	smallDisk      = 400
+	smallDiskEvery = 3
+)
+
 // Draw draws a scenario: some troubles of all kinds, never more than one counted machine, or zone where that is borne, lost
 // at a time but where every machine is struck at once.
 func Draw(seed uint64) *Scenario {
 	r := rand.New(rand.NewPCG(seed, 2))
 	s := &Scenario{Seed: seed, Traffic: time.Duration(8+r.IntN(6)) * time.Second, Storage: storageCount,
 		Tolerate: tolerance.Tolerance{Machines: 1}}
+	s.Disk = usualDisk
+	if seed%smallDiskEvery == 0 {
+		s.Disk = smallDisk
+	}
 	zonal := seed%zonalEvery == 0
 	if zonal {
 		s.Storage, s.Tolerate.Zones = zonalStorage, 1
@@ -53,7 +65,7 @@
 	edge := fmt.Sprintf("edge-%d", 1+r.IntN(carrierCount))
 	length := time.Duration(200+r.IntN(3500)) * time.Millisecond
 	service := []string{alert, archive, partner}[r.IntN(3)]
-	switch r.IntN(29) {
+	switch r.IntN(31) {
 	case 0, 1:
 		return fmt.Sprintf("kill %s for %s", storage, length/4), length / 4
 	case 2:
@@ -104,6 +116,8 @@
 		return fmt.Sprintf("crash %s for %s", service, length), 0
 	case 27:
 		return fmt.Sprintf("slowdisk %s by 500 for %s", storage, length), length
+	case 28, 29:
+		return fmt.Sprintf("fulldisk %s for %s", storage, 2*length), 2 * length
 	default:
 		return fmt.Sprintf("skew %s by %s", edge, length-2*time.Second), 0
 	}
--- a/internal/system/simulation/store_host.go
+++ b/internal/system/simulation/store_host.go
@@ -27,7 +27,9 @@
 	h := &storeHost{settings: s}
 	h.process = w.start(m, "store", s.StoreAddress())
 	var err error
-	if h.log, err = segment.Open(m.disk(w, "messages"), 1<<20); err != nil {
+	const mostSegments = 16
+	segmentLength := uint32(min(1<<20, s.Limits.DiskBytes/mostSegments))
+	if h.log, err = segment.Open(m.disk(w, "messages"), segmentLength); err != nil {
 		return nil, err
 	}
 	h.core = store.New(store.Options{Status: s.Bounds.Status, DiskBytes: s.Limits.DiskBytes}, h.log, h.Now(), h.Wall())
@@ -71,10 +73,25 @@
 
 func (h *storeHost) idle() {
 	h.catchUp()
-	h.flush()
+	h.clean()
 	h.After(500*time.Millisecond, h.idle)
 }
 
+// clean has old segments emptied, and removes those that are.
+func (h *storeHost) clean() {
+	if err := h.core.Clean(h.log.Segments()); err != nil {
+		h.Report("cleaning", err)
+	}
+	h.flush()
+	for _, number := range h.core.Removable(h.log.Segments()) {
+		if err := h.log.RemoveOldest(); err != nil {
+			h.Report("cleaning", err)
+			return
+		}
+		h.core.Removed(number)
+	}
+}
+
 func (h *storeHost) follow(view *member.View) {
 	h.filler.Follow(view)
 	addresses := append([]string(nil), h.session.Keepers()...)
@@ -129,6 +146,12 @@
 		return
 	}
 	positions, err := h.log.Append(batch.Payloads...)
+	if segment.IsFull(err) {
+		h.core.Full(batch)
+		h.busy = true
+		h.After(fullPause, h.flushAgain)
+		return
+	}
 	if err == nil {
 		err = h.log.Sync()
 	}
@@ -137,9 +160,13 @@
 		return
 	}
 	h.busy = true
-	h.After(syncTime*time.Duration(max(1, h.machine.slowDisk)), func() {
-		h.busy = false
+	h.After(h.machine.syncTime(), func() {
 		h.core.Synced(h.Now(), batch, positions)
-		h.flush()
+		h.flushAgain()
 	})
 }
+
+func (h *storeHost) flushAgain() {
+	h.busy = false
+	h.flush()
+}
--- a/internal/system/simulation/world.go
+++ b/internal/system/simulation/world.go
@@ -82,6 +82,7 @@
 	processes []*process
 	removed   bool // for good
 	slowDisk  int  // times that a sync takes longer; 0 is the usual
+	fullDisk  bool // takes no more bytes
 }
 
 func (w *world) add(name, ip, zone string) *machine {
