Go on giving the feed to members after another group let the leader of sessions go

A slow disk had storage-3 let go by an ownership group while it led the sessions; to begin anew in that group it forgot all subscribers of the feed, whose sessions it went on renewing. Their members got nothing more: the adopter of the frozen carrier's messages was never told that they had gone back to it. Change: a reset group leaves the subscribers, who get the whole table; a heartbeat carries the member's position and subscribes it again where it isn't; a leader of sessions that lacks a group hands the lead over.

--- a/internal/system/member/client.go
+++ b/internal/system/member/client.go
@@ -205,7 +205,7 @@
 
 func (c *Client) beat(round uint64) {
 	sent := c.loop.Now()
-	body := wire.HeartbeatBody{Incarnation: c.member.Incarnation}
+	body := wire.HeartbeatBody{Incarnation: c.member.Incarnation, Position: c.position}
 	c.peers.Call(c.keepers[c.current], wire.Heartbeat, wire.Encode(&body), callTimeout, func(payload []byte, err error) {
 		if c.round != round || c.closed {
 			return
--- a/internal/system/role/keeper/groups.go
+++ b/internal/system/role/keeper/groups.go
@@ -45,8 +45,13 @@
 // up. It can't tell which machines leave, where they are or who is alive, so it must tend no group and name no owners.
 func (c *Core) blind() bool { return c.groups[SessionGroup].node.Group().Empty() }
 
+// lacking tells whether this keeper holds nothing of some group: the feed that it would give to members lacks a part.
+func (c *Core) lacking() bool {
+	return slices.ContainsFunc(c.groups[:], func(g *group) bool { return g.node.Group().Empty() })
+}
+
 func (c *Core) tendGroup(id int, node *agreement.Node) {
-	if c.blind() {
+	if c.blind() || id == SessionGroup && c.lacking() {
 		node.HandOver(c.now)
 		return
 	}
@@ -237,7 +242,9 @@
 	c.groups[id].abandon()
 	c.groups[id].reset()
 	c.groups[id] = c.newGroup(id, agreement.Stored{})
-	c.subscribers = map[Subscriber]feed.Position{}
+	for subscriber := range c.subscribers {
+		c.subscribers[subscriber] = feed.Position{} // it gets the whole table
+	}
 }
 
 // noteKeepers gathers the addresses of all that belong to a group.
--- a/internal/system/role/keeper/handle.go
+++ b/internal/system/role/keeper/handle.go
@@ -39,7 +39,7 @@
 		if err := wire.Decode(kind, payload, &body); err != nil {
 			return err
 		}
-		age, err := c.Heartbeat(now, body.Incarnation)
+		age, err := c.Heartbeat(now, from, body)
 		answer(answerer, &wire.HeartbeatAnswer{CatalogAge: age}, err)
 	default:
 		return c.handleOrder(now, kind, payload, answerer, done)
--- a/internal/system/role/keeper/keeper_suite_test.go
+++ b/internal/system/role/keeper/keeper_suite_test.go
@@ -9,6 +9,7 @@
 
 	"granitewing/internal/system/agreement"
 	"granitewing/internal/system/configuration"
+	"granitewing/internal/system/feed"
 	"granitewing/internal/system/ownership"
 	"granitewing/internal/system/session"
 	"granitewing/internal/system/tolerance"
@@ -63,7 +64,7 @@
 		l.now += step
 		l.core.Tick(l.now)
 		for _, incarnation := range members {
-			_, err := l.core.Heartbeat(l.now, incarnation)
+			_, err := l.core.Heartbeat(l.now, 1, wire.HeartbeatBody{Incarnation: incarnation})
 			Expect(err).NotTo(HaveOccurred())
 		}
 		l.settle()
@@ -198,6 +199,30 @@
 		Expect(l.core.Status(l.now).Departed).To(HaveLen(1))
 	})
 
+	It("goes on giving the feed to its members after it was let go by another group", func() {
+		l := newLone()
+		l.join("a", false)
+		l.core.Pushes()
+		l.core.ResetGroup(l.now, ConfigurationGroup, FreshIdentity(alone, "x"))
+		Expect(l.core.Pushes()).To(HaveLen(1), "the whole table, since a part of it is gone")
+		l.join("b", false)
+		Expect(l.core.Pushes()).To(HaveLen(1))
+	})
+
+	It("gives the feed again to a member that it had forgotten, at its next heartbeat", func() {
+		l := newLone()
+		l.join("a", false)
+		position := feed.Position{Epoch: "e", Offset: l.core.feed.Offset()}
+		l.core.Pushes()
+		l.core.Unsubscribe(1)
+		_, err := l.core.Heartbeat(l.now, 2, wire.HeartbeatBody{Incarnation: "a", Position: position})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(l.core.Pushes()).To(BeEmpty())
+		l.join("b", false)
+		pushes := l.core.Pushes()
+		Expect(pushes).To(HaveLen(2))
+	})
+
 	It("knows no unit of another name", func() {
 		l := newLone()
 		var failure error
--- a/internal/system/role/keeper/sessions.go
+++ b/internal/system/role/keeper/sessions.go
@@ -57,9 +57,11 @@
 	})
 }
 
-// Heartbeat keeps a session; the age is that of the list of workers.
-func (c *Core) Heartbeat(now time.Duration, incarnation string) (catalogAge time.Duration, err error) {
+// Heartbeat keeps a session, and its member's subscription to the feed: whatever this keeper forgot of it, a member that is
+// taken for live gets what has changed. The age is that of the list of workers.
+func (c *Core) Heartbeat(now time.Duration, subscriber Subscriber, body wire.HeartbeatBody) (catalogAge time.Duration, err error) {
 	c.now = now
+	incarnation := body.Incarnation
 	if !c.vouches() {
 		return 0, c.notLeader(SessionGroup)
 	}
@@ -70,6 +72,9 @@
 		return 0, &UnknownSessionError{Incarnation: incarnation}
 	}
 	c.lastHeard[incarnation] = now
+	if _, subscribed := c.subscribers[subscriber]; !subscribed {
+		c.subscribers[subscriber] = body.Position
+	}
 	return c.CatalogAge(), nil
 }
 
--- a/internal/system/wire/messages.go
+++ b/internal/system/wire/messages.go
@@ -107,6 +107,7 @@
 type HeartbeatBody struct {
 	_msgpack    struct{} `msgpack:",as_array"`
 	Incarnation string
+	Position    feed.Position // that the member has reached in the feed
 }
 
 // HeartbeatAnswer tells how old the keeper's list of workers is.
@@ -279,13 +280,22 @@
 	_msgpack struct{} `msgpack:",as_array"`
 	Unit     string
 	ID       string
+	// Retention is the message's: how long it may wait.
+	Retention time.Duration
 }
 
-// ReserveAnswer is the place.
+// ReserveAnswer is the place; none where too much waits, and RetryAfter tells when to ask again.
 type ReserveAnswer struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Token    uint64
-	Sequence uint64
+	_msgpack   struct{} `msgpack:",as_array"`
+	Token      uint64
+	Sequence   uint64
+	RetryAfter time.Duration
+}
+
+// DeliverAnswer tells that the owner has a message. RetryAfter is for how long it would rather have no more, 0 at most times.
+type DeliverAnswer struct {
+	_msgpack   struct{} `msgpack:",as_array"`
+	RetryAfter time.Duration
 }
 
 // DeliverBody hands a stored message to the owner of its unit; of ConfirmMessage and ForwardMessage.
