Refuse what could not run within its retention, and bound the memory of what waits

Found on the way: bodies were dropped at 0.15 of the memory, so the bound of 0.30 was never reached and the number of waiting messages had none; messages on their way to an owner weren't counted, and a message whose unit went while it was tried kept its bytes counted for good. What a 202 must not do is end by retention: a backlog that would last longer than a quarter of it is refused with a Retry-After from the measured pace, spread; late messages at half of their retention go first.

--- a/internal/system/role/carrier/accept.go
+++ b/internal/system/role/carrier/accept.go
@@ -37,18 +37,16 @@
 
 // Times of accepting.
 const (
-	hedgeAfter      = 70 * time.Millisecond  // a store that is silent for so long is joined by another
-	holdAtMost      = 900 * time.Millisecond // a submission is answered by then
-	holdPart        = 0.40                   // of the time that the client gave
-	answerPart      = 0.48                   // of that time: by then it has an answer, whatever the stores say
-	holdOfTarget    = 4                      // times the target, where the client gave no time
-	reserveTimeout  = 250 * time.Millisecond
-	confirmTimeout  = 250 * time.Millisecond
-	voidTimeout     = 150 * time.Millisecond
-	leastVoidTime   = 25 * time.Millisecond
-	retryAfterBlip  = time.Second
-	maxMemoryShare  = 0.30 // of the memory limit, for messages' bytes; past it nothing is taken
-	keepBodiesShare = 0.15 // past it bodies are left on the stores
+	hedgeAfter     = 70 * time.Millisecond  // a store that is silent for so long is joined by another
+	holdAtMost     = 900 * time.Millisecond // a submission is answered by then
+	holdPart       = 0.40                   // of the time that the client gave
+	answerPart     = 0.48                   // of that time: by then it has an answer, whatever the stores say
+	holdOfTarget   = 4                      // times the target, where the client gave no time
+	reserveTimeout = 250 * time.Millisecond
+	confirmTimeout = 250 * time.Millisecond
+	voidTimeout    = 150 * time.Millisecond
+	leastVoidTime  = 25 * time.Millisecond
+	retryAfterBlip = time.Second
 )
 
 // acceptance is a submission that is being stored.
@@ -79,8 +77,12 @@
 		answer(Answer{Verdict: NoRoute, Reason: "no route"})
 		return
 	}
-	if float64(c.bodyBytes) > maxMemoryShare*float64(c.settings.Limits.MemoryMB)*(1<<20) {
-		c.refuse(answer, "too much is waiting")
+	if c.memoryFull() {
+		c.refuseBusy(answer, 0, "too much is waiting")
+		return
+	}
+	if pause := c.overloaded(view.Table.Service(route), route); pause > 0 {
+		c.refuseBusy(answer, pause, "what waits for the service takes too long")
 		return
 	}
 	if !c.stores.enoughReachable() {
@@ -113,8 +115,13 @@
 }
 
 func (c *Core) refuse(answer func(Answer), reason string) {
+	c.refuseFor(answer, retryAfterBlip, reason)
+}
+
+// refuseFor refuses a submission, which may come again after a pause.
+func (c *Core) refuseFor(answer func(Answer), pause time.Duration, reason string) {
 	c.figures.Refused++
-	answer(Answer{Verdict: Refused, RetryAfter: retryAfterBlip, Reason: reason})
+	answer(Answer{Verdict: Refused, RetryAfter: pause, Reason: reason})
 }
 
 // place decides the message's unit, and asks for its place in an order where it needs one.
@@ -145,7 +152,8 @@
 // reserve asks the unit's owner for a place in its order. Nothing is stored yet, so that a refusal is a promise kept.
 func (a *acceptance) reserve() {
 	c := a.core
-	c.reserve(a.message.Unit, a.message.ID, func(place wire.ReserveAnswer, err error) {
+	body := wire.ReserveBody{Unit: a.message.Unit, ID: a.message.ID, Retention: a.message.Retention}
+	c.reserve(body, func(place wire.ReserveAnswer, err error) {
 		if err != nil && ownerChanges(err) && c.env.Now()-a.at < placeRetryFor {
 			c.env.After(placeRetry, a.reserve)
 			return
@@ -154,6 +162,10 @@
 			c.refuse(a.answer, "the order's owner is not reachable")
 			return
 		}
+		if place.RetryAfter > 0 {
+			c.refuseBusy(a.answer, place.RetryAfter, "what waits for the service takes too long")
+			return
+		}
 		a.message.Token, a.message.Sequence = place.Token, place.Sequence
 		a.store()
 	})
--- a/internal/system/role/carrier/bytes.go
+++ b/internal/system/role/carrier/bytes.go
@@ -8,8 +8,7 @@
 
 // limitBytes leaves a message's bytes on the stores while much is waiting here; they are read back when it is due.
 func (c *Core) limitBytes(it *item) {
-	most := keepBodiesShare * float64(c.settings.Limits.MemoryMB) * (1 << 20)
-	if float64(c.bodyBytes) <= most || len(it.message.Body) == 0 {
+	if !c.bodiesFull() || len(it.message.Body) == 0 {
 		return
 	}
 	c.forgetBytes(it)
@@ -25,14 +24,13 @@
 		return
 	}
 	holders := c.stores.recipients(it.holders)
-	most := keepBodiesShare * float64(c.settings.Limits.MemoryMB) * (1 << 20)
 	retry := func() { c.env.After(fetchPause, func() { c.fetch(it, turn+1) }) }
 	if len(holders) == 0 {
 		retry()
 		return
 	}
 	disk := holders[turn%len(holders)]
-	if float64(c.bodyBytes) > most || !c.stores.isUp(disk) {
+	if c.bodiesFull() || !c.stores.isUp(disk) {
 		retry()
 		return
 	}
--- a/internal/system/role/carrier/core.go
+++ b/internal/system/role/carrier/core.go
@@ -52,7 +52,9 @@
 	stores    *storage
 	receivers map[string]*receiver
 
-	bodyBytes    int64 // of the messages in memory
+	bodyBytes    int64                    // of the messages that this carrier is responsible for and has in memory
+	waitingBytes int64                    // memory of their other parts, and of messages on their way to their owner
+	fullUntil    map[string]time.Duration // by paced unit, as its owner told
 	lackedStores time.Duration
 	lacking      bool
 	catalogBusy  bool
@@ -71,7 +73,7 @@
 func New(env Environment, s *settings.Settings) *Core {
 	c := &Core{env: env, settings: s, policy: delivery.NewPolicy(s.Zone), units: map[string]*unit{},
 		queues: map[string]*queue{}, inFlight: map[string]*item{}, recent: newRecentEnds(),
-		receivers: map[string]*receiver{}}
+		receivers: map[string]*receiver{}, fullUntil: map[string]time.Duration{}}
 	c.stores = newStorage(c)
 	self := session.Member{Incarnation: member.NewIncarnation(env, s.NodeName), Node: s.NodeName, Role: session.Carrier,
 		Zone: s.Zone, Address: s.CarrierAddress()}
@@ -194,6 +196,7 @@
 }
 
 func (c *Core) takeConfiguration(now time.Duration, table *configuration.Table) {
+	clear(c.fullUntil) // it may name services that are no more
 	for name, service := range table.Document.Services {
 		c.policy.SetService(now, name, service.MaxConnections, service.Static)
 		c.queue(name).pace.SetRate(service.Rate)
@@ -267,6 +270,10 @@
 	flying   bool
 	ended    bool
 	fetching bool
+
+	latePlace int      // in its queue's heap of late messages, from 1; 0 where it isn't there
+	counted   *backlog // that it is in; nil in none
+	head      int64    // bytes of memory that it counts for, without its body
 }
 
 // ConfigurationVersion is the version in force at this carrier, 0 before the first.
--- a/internal/system/role/carrier/dispatch.go
+++ b/internal/system/role/carrier/dispatch.go
@@ -58,6 +58,7 @@
 		c.env.After(wait, func() { c.ready(it) })
 		return
 	}
+	c.count(it)
 	if !c.leads(it) {
 		return
 	}
@@ -246,6 +247,7 @@
 // again puts a message back after a pause that grows and spreads.
 func (c *Core) again(it *item, pause time.Duration) {
 	if it.unit.dropped {
+		c.forget(it)
 		return
 	}
 	pause = min(pause<<min(it.tries-1, 5), pauseMost)
--- a/internal/system/role/carrier/handle.go
+++ b/internal/system/role/carrier/handle.go
@@ -25,7 +25,8 @@
 			answerer.Refuse(*refusal)
 			return nil
 		}
-		answerer.Answer(&struct{}{})
+		m := &body.Message
+		answerer.Answer(&wire.DeliverAnswer{RetryAfter: c.ownerOverloaded(m.Unit, m.Retention)})
 	default:
 		return &wire.UnknownCallError{Kind: kind}
 	}
--- a/internal/system/role/carrier/owner.go
+++ b/internal/system/role/carrier/owner.go
@@ -9,10 +9,10 @@
 )
 
 // reserve asks the owner of a unit for the next place in its order.
-func (c *Core) reserve(name, id string, done func(wire.ReserveAnswer, error)) {
-	owner := c.session.View().Owners[name]
+func (c *Core) reserve(body wire.ReserveBody, done func(wire.ReserveAnswer, error)) {
+	owner := c.session.View().Owners[body.Unit]
 	if owner.Incarnation == c.session.Incarnation() {
-		answer, refusal := c.Reserve(wire.ReserveBody{Unit: name, ID: id})
+		answer, refusal := c.Reserve(body)
 		if refusal != nil {
 			done(wire.ReserveAnswer{}, &link.RefusedError{Body: *refusal})
 			return
@@ -25,7 +25,6 @@
 		done(wire.ReserveAnswer{}, &link.ClosedError{Peer: address})
 		return
 	}
-	body := wire.ReserveBody{Unit: name, ID: id}
 	c.env.Call(address, wire.ReserveSequence, wire.Encode(&body), reserveTimeout, func(payload []byte, err error) {
 		var answer wire.ReserveAnswer
 		if err == nil {
@@ -36,7 +35,7 @@
 }
 
 // Reserve gives a place in the order of a unit that this carrier owns, while its session holds: no other owner can be
-// giving places then.
+// giving places then. Where too much waits already it gives none, and tells when to ask again.
 func (c *Core) Reserve(body wire.ReserveBody) (wire.ReserveAnswer, *wire.RefusalBody) {
 	u := c.units[body.Unit]
 	if u == nil || !c.session.Holds() || c.paused {
@@ -45,6 +44,9 @@
 	if !u.active || u.rests() {
 		return wire.ReserveAnswer{}, &wire.RefusalBody{Code: wire.NotReady, Reason: "the unit changes its owner"}
 	}
+	if pause := c.ownerOverloaded(body.Unit, body.Retention); pause > 0 {
+		return wire.ReserveAnswer{RetryAfter: pause}, nil
+	}
 	u.sequence++
 	return wire.ReserveAnswer{Token: u.token, Sequence: u.sequence}, nil
 }
@@ -103,28 +105,58 @@
 	return nil
 }
 
-// forward hands an accepted message to the owner of its unit, however long that takes: until then this carrier holds it.
+// forwarding is an accepted message on its way to the owner of its unit, however long that takes: until the owner has it
+// this carrier holds it.
+type forwarding struct {
+	core     *Core
+	message  *message.Message
+	holders  []string
+	accepted time.Duration
+}
+
 func (c *Core) forward(m *message.Message, holders []string, accepted time.Duration) {
+	f := &forwarding{core: c, message: m, holders: holders, accepted: accepted}
+	c.waitingBytes += f.bytes()
+	f.try()
+}
+
+func (f *forwarding) bytes() int64 { return headBytes(f.message) + int64(len(f.message.Body)) }
+
+func (f *forwarding) done() { f.core.waitingBytes -= f.bytes() }
+
+func (f *forwarding) again() { f.core.env.After(forwardRetry, f.try) }
+
+func (f *forwarding) try() {
+	c, m := f.core, f.message
 	owner := c.session.View().Owners[m.Unit]
-	body := wire.DeliverBody{Message: *m, Holders: holders, Age: c.env.Now() - accepted}
-	again := func() { c.env.After(forwardRetry, func() { c.forward(m, holders, accepted) }) }
+	body := wire.DeliverBody{Message: *m, Holders: f.holders, Age: c.env.Now() - f.accepted}
 	if owner.Incarnation == c.session.Incarnation() {
 		if refusal := c.Deliver(body); refusal != nil {
-			again()
+			f.again()
+			return
 		}
+		f.done()
 		return
 	}
-	if c.env.Now()-accepted > m.Retention {
+	if c.env.Now()-f.accepted > m.Retention {
+		f.done()
 		return
 	}
 	address := c.session.View().Members[owner.Incarnation].Address
 	if address == "" || !c.env.Up(address) {
-		again()
+		f.again()
 		return
 	}
-	c.env.Call(address, wire.ForwardMessage, wire.Encode(&body), confirmTimeout, func(_ []byte, err error) {
+	c.env.Call(address, wire.ForwardMessage, wire.Encode(&body), confirmTimeout, func(payload []byte, err error) {
+		var answer wire.DeliverAnswer
+		if err == nil {
+			err = wire.Decode(wire.ForwardMessage, payload, &answer)
+		}
 		if err != nil {
-			again()
+			f.again()
+			return
 		}
+		f.done()
+		c.ownerTold(m.Unit, answer.RetryAfter)
 	})
 }
--- a/internal/system/role/carrier/queue.go
+++ b/internal/system/role/carrier/queue.go
@@ -11,6 +11,9 @@
 // late ones follow with what capacity is left, those of keys with the fewest messages ahead of the others: a key that is
 // cleared lets its next messages start in their aim, while keys that all advance alike leave every message late.
 //
+// A late message that has waited for half of its retention goes before the fresh ones: those would keep it waiting until it
+// ends by that, and it was accepted.
+//
 // Messages that were taken over when they were already due go before all: their former carrier may have had them run just
 // before it was lost, and a second run is excused soon after the trouble only.
 type queue struct {
@@ -18,7 +21,9 @@
 	taken   fifo
 	fresh   fifo
 	late    lateHeap
+	aged    fifo // the late ones in the order in which they came to be late
 	pace    delivery.Pace
+	backlog backlog
 	wakeAt  time.Duration // 0 while no wake-up is set
 }
 
@@ -74,16 +79,31 @@
 	a, b := h.items[i], h.items[j]
 	return a.behind < b.behind || a.behind == b.behind && a.order < b.order
 }
-func (h *lateHeap) Swap(i, j int) { h.items[i], h.items[j] = h.items[j], h.items[i] }
-func (h *lateHeap) Push(x any)    { h.items = append(h.items, x.(lateItem)) }
+func (h *lateHeap) Swap(i, j int) {
+	h.items[i], h.items[j] = h.items[j], h.items[i]
+	h.items[i].item.latePlace, h.items[j].item.latePlace = i+1, j+1
+}
+func (h *lateHeap) Push(x any) {
+	h.items = append(h.items, x.(lateItem))
+	x.(lateItem).item.latePlace = len(h.items)
+}
 func (h *lateHeap) Pop() any {
 	last := h.items[len(h.items)-1]
+	last.item.latePlace = 0
 	h.items[len(h.items)-1] = lateItem{}
 	h.items = h.items[:len(h.items)-1]
 	return last
 }
 
+// remove takes a message out, wherever it is.
+func (h *lateHeap) remove(it *item) {
+	if it.latePlace > 0 {
+		heap.Remove(h, it.latePlace-1)
+	}
+}
+
 func (h *lateHeap) add(it *item) {
+	h.remove(it)
 	h.order++
 	heap.Push(h, lateItem{item: it, behind: len(it.unit.keys[it.message.Key]), order: h.order})
 }
@@ -94,13 +114,17 @@
 	if it := q.taken.live(); it != nil {
 		return it
 	}
+	if it := q.aged.live(); it != nil && now-it.due > overdueShare(it.message.Retention) {
+		return it
+	}
 	for {
 		it := q.fresh.live()
 		if it == nil {
 			break
 		}
 		if now > aim(it) {
-			q.late.add(q.fresh.pop())
+			q.late.add(it)
+			q.aged.push(q.fresh.pop())
 			continue
 		}
 		return it
@@ -127,11 +151,12 @@
 		q.fresh.pop()
 		return
 	}
-	if q.late.Len() > 0 && q.late.items[0].item == it {
-		heap.Pop(&q.late)
-	}
+	q.late.remove(it) // in q.aged it is passed over
 }
 
+// overdueShare is how long of its retention a message waits before it goes ahead of fresh ones.
+func overdueShare(retention time.Duration) time.Duration { return retention / 2 }
+
 // len is the number of messages that wait.
 func (q *queue) len() int { return q.taken.len() + q.fresh.len() + q.late.Len() }
 
--- a/internal/system/role/carrier/unit.go
+++ b/internal/system/role/carrier/unit.go
@@ -93,8 +93,9 @@
 	delete(c.units, u.name)
 	for _, it := range u.items {
 		it.queued = false
+		c.uncount(it, false)
 		if !it.flying {
-			c.forgetBytes(it)
+			c.forget(it)
 		}
 	}
 }
@@ -132,12 +133,18 @@
 		old.unit = u
 		u.items[m.ID] = old
 		c.joinKey(old)
+		c.count(old)
 		return
 	}
 	u.items[m.ID] = it
+	it.head = headBytes(m)
+	c.waitingBytes += it.head
 	c.bodyBytes += int64(len(m.Body))
 	c.limitBytes(it)
 	c.joinKey(it)
+	if it.due <= c.env.Now() {
+		c.count(it)
+	}
 	if m.Key == "" || u.keys[m.Key][0] == it {
 		c.ready(it)
 	}
@@ -175,7 +182,8 @@
 func (c *Core) leave(it *item) {
 	u := it.unit
 	delete(u.items, it.message.ID)
-	c.forgetBytes(it)
+	c.uncount(it, true)
+	c.forget(it)
 	key := it.message.Key
 	if key == "" {
 		return
@@ -197,6 +205,13 @@
 	}
 }
 
+// forget takes a message that is no longer this carrier's out of the count of memory.
+func (c *Core) forget(it *item) {
+	c.forgetBytes(it)
+	c.waitingBytes -= it.head
+	it.head = 0
+}
+
 func (c *Core) forgetBytes(it *item) {
 	c.bodyBytes -= int64(len(it.message.Body))
 	it.message = withoutBody(it.message)
--- a/internal/system/simulation/clients.go
+++ b/internal/system/simulation/clients.go
@@ -44,7 +44,8 @@
 		}
 		number++
 		d.sendMessage(t, number)
-		w.after(t.every/2+time.Duration(w.random.Int64N(int64(t.every))), next)
+		every := t.every / time.Duration(max(1, d.burst[t.service]))
+		w.after(every/2+time.Duration(w.random.Int64N(int64(every))), next)
 	}
 	w.after(t.every, next)
 }
--- a/internal/system/simulation/judge.go
+++ b/internal/system/simulation/judge.go
@@ -69,6 +69,8 @@
 			d.checker.breakRule(now, "LOST", r.id+" was accepted and is not known")
 		case state.Phase == message.Succeeded && !r.stamps[state.Stamp]:
 			d.checker.breakRule(now, "MIXED", r.id+" is told as succeeded with a stamp of no run")
+		case state.Phase == message.DeadLetter && !r.ended() && d.checker.expired(now, r):
+			d.expired++
 		case state.Phase == message.DeadLetter && !r.ended():
 			d.checker.breakRule(now, "LOST", r.id+" is told as dead and has not ended")
 		case state.Phase == message.Pending && !r.ended():
--- a/internal/system/simulation/operators.go
+++ b/internal/system/simulation/operators.go
@@ -12,7 +12,7 @@
 	base := d.version
 	d.sending++
 	version := d.sending
-	o := &order{Order: configuration.Order{Base: base, Raw: document(version, variant)}, version: version}
+	o := &order{Order: configuration.Order{Base: base, Raw: document(version, variant, d.retention)}, version: version}
 	o.done = func(taken bool) {
 		if taken && version > d.version {
 			d.version = version
@@ -28,7 +28,7 @@
 	for variant := range 2 {
 		d.sending++
 		version := d.sending
-		o := &order{Order: configuration.Order{Base: base, Raw: document(version, variant)}, version: version, turn: variant}
+		o := &order{Order: configuration.Order{Base: base, Raw: document(version, variant, d.retention)}, version: version, turn: variant}
 		o.done = func(taken bool) {
 			if !taken {
 				return
--- a/internal/system/simulation/search.go
+++ b/internal/system/simulation/search.go
@@ -28,7 +28,7 @@
 	r := rand.New(rand.NewPCG(seed, 2))
 	s := &Scenario{Seed: seed, Traffic: time.Duration(8+r.IntN(6)) * time.Second, Storage: storageCount,
 		Tolerate: tolerance.Tolerance{Machines: 1}}
-	s.Disk = usualDisk
+	s.Disk, s.Retention = usualDisk, usualRetention
 	if seed%smallDiskEvery == 0 {
 		s.Disk = smallDisk
 	}
--- a/internal/system/simulation/simulation_suite_test.go
+++ b/internal/system/simulation/simulation_suite_test.go
@@ -35,6 +35,7 @@
 			Expect(result.Broken).To(BeEmpty())
 			Expect(result.Accepted).To(BeNumerically(">=", scenario.Accepted), "share accepted")
 			Expect(result.Ended).To(BeNumerically(">=", scenario.Ended), "share ended")
+			Expect(result.Expired).To(BeNumerically("<=", scenario.Expired), "share expired")
 			Expect(result.Retired).To(Equal(scenario.Retired), "machines emptied")
 			if scenario.Spread > 0 {
 				Expect(result.Spread).To(BeNumerically("<=", scenario.Spread), "spread of units")
