--- a/internal/system/node/store.go
+++ b/internal/system/node/store.go
@@ -46,12 +46,6 @@
 	fullUntil time.Duration // no write is tried before
 }
 
-// filledPart is a part of another store's messages, on its way to the goroutine that owns the core.
-type filledPart struct {
-	messages []wire.CopiedMessage
-	last     bool
-}
-
 // roster is what the goroutine that owns the core has to know of the roster of disks.
 type roster struct {
 	epoch     uint64
@@ -286,49 +280,3 @@
 		answerer.Refuse(wire.RefusalBody{Code: wire.Failed, Reason: err.Error()})
 	}
 }
-
-// Fill implements store.RepairEnvironment. Calls come under the mutex, and never more than the channel holds: the filler
-// asks each source for one part at a time, and for none while parts wait.
-func (n *storeNode) Fill(messages []wire.CopiedMessage, last bool) {
-	n.waitingParts.Add(1)
-	go func() { n.parts <- filledPart{messages: messages, last: last} }()
-}
-
-// askCore has the goroutine that owns the core ask it something; what ask gives is done under the mutex.
-func (n *storeNode) askCore(ask func(core *store.Core) (done func())) {
-	go func() {
-		n.work <- func() {
-			done := ask(n.core)
-			go n.do(done)
-		}
-	}()
-}
-
-func (n *storeNode) longPending(done func(ids []string)) {
-	n.askCore(func(core *store.Core) func() {
-		ids := core.LongPending()
-		return func() { done(ids) }
-	})
-}
-
-// Held implements store.RepairEnvironment.
-func (n *storeNode) Held(body wire.HeldBody, done func(wire.HeldAnswer)) {
-	n.askCore(func(core *store.Core) func() {
-		answer := core.Held(body)
-		return func() { done(answer) }
-	})
-}
-
-// Copies implements store.RepairEnvironment.
-func (n *storeNode) Copies(ids []string, done func(wire.CopiesBody, error)) {
-	n.askCore(func(core *store.Core) func() {
-		copies, err := core.Copies(ids)
-		return func() { done(copies, err) }
-	})
-}
-
-// Filling implements store.RepairEnvironment.
-func (n *storeNode) Filling() bool { return n.waitingParts.Load() > 0 }
-
-// Report implements store.RepairEnvironment.
-func (n *storeNode) Report(event string, err error) { report(event, err) }
--- a/internal/system/role/store/core.go
+++ b/internal/system/role/store/core.go
@@ -29,13 +29,6 @@
 	Read(position segment.Position) ([]byte, error)
 }
 
-// pendingRecord is a record of the batch that is being gathered, and what happens once it is synced.
-type pendingRecord struct {
-	payload []byte
-	synced  func(position segment.Position)
-	refused func() // of records that need not be kept where the disk is full
-}
-
 // Core is one store.
 type Core struct {
 	options  Options
@@ -130,68 +123,6 @@
 // Bytes is what the log holds.
 func (c *Core) Bytes() int64 { return c.bytes }
 
-func (c *Core) append(r record, synced func(segment.Position)) {
-	c.batch = append(c.batch, pendingRecord{payload: c.encode(r), synced: synced})
-}
-
-func (c *Core) encode(r record) []byte {
-	if r.Wall == 0 {
-		r.Wall = c.wall
-	}
-	return r.encode()
-}
-
-// Full tells that a batch found no room on the disk. New messages are refused; what is known of others is kept, with its
-// answers, for the next batch.
-func (c *Core) Full(batch *Batch) {
-	var kept []pendingRecord
-	for _, r := range batch.records {
-		if r.refused != nil {
-			r.refused()
-			continue
-		}
-		kept = append(kept, r)
-	}
-	c.batch = append(kept, c.batch...)
-	c.answers = append(batch.answers, c.answers...)
-}
-
-// Waiting tells whether a batch has gathered.
-func (c *Core) Waiting() bool { return len(c.batch) > 0 || len(c.answers) > 0 }
-
-// Batch is records that are written and synced together, and answers that go out after that.
-type Batch struct {
-	Payloads [][]byte
-	records  []pendingRecord
-	answers  []func()
-	epoch    uint64 // that the store followed when the batch was taken
-}
-
-// Take gives the batch that has gathered.
-func (c *Core) Take() *Batch {
-	batch := &Batch{records: c.batch, answers: c.answers, epoch: c.epoch}
-	for _, r := range batch.records {
-		batch.Payloads = append(batch.Payloads, r.payload)
-	}
-	c.batch, c.answers = nil, nil
-	return batch
-}
-
-// Synced tells that a batch lies on the disk.
-func (c *Core) Synced(now time.Duration, batch *Batch, positions []segment.Position) {
-	c.now = now
-	for i, r := range batch.records {
-		c.count(positions[i], r.payload)
-		if r.synced != nil {
-			r.synced(positions[i])
-		}
-	}
-	c.settled = batch.epoch
-	for _, answer := range batch.answers {
-		answer()
-	}
-}
-
 // Time tells the store both clocks.
 func (c *Core) Time(now time.Duration, wall int64) {
 	c.now, c.wall = now, wall
@@ -258,62 +189,3 @@
 	e.void = true
 	c.index.end(e, at)
 }
-
-// Ends records ends of messages.
-func (c *Core) Ends(ends []message.End, done func()) {
-	for _, end := range ends {
-		e := c.index.get(end.ID)
-		if e == nil {
-			e = c.index.add(end.ID, "", c.now)
-		}
-		if e.phase != message.Pending {
-			continue
-		}
-		c.end(e, end, c.now)
-		c.append(record{Kind: recordEnd, ID: end.ID, Unit: e.unit, End: &end}, nil)
-	}
-	c.answers = append(c.answers, done)
-}
-
-func (c *Core) end(e *entry, end message.End, at time.Duration) {
-	if e.phase != message.Pending {
-		return
-	}
-	e.phase, e.stamp, e.callbackOwed = end.Phase, end.Stamp, end.CallbackOwed
-	c.index.end(e, at)
-}
-
-// CallbackDone records that ends were told.
-func (c *Core) CallbackDone(ids []string, done func()) {
-	for _, id := range ids {
-		e := c.index.get(id)
-		if e == nil || !e.callbackOwed {
-			continue
-		}
-		e.callbackOwed = false
-		c.index.touch(e)
-		c.append(record{Kind: recordCallbackDone, ID: id}, nil)
-	}
-	c.answers = append(c.answers, done)
-}
-
-// expire ends messages that nobody ended within their retention and a margin: their carriers and owners are gone, or
-// the end could not be recorded here.
-func (c *Core) expire() {
-	const margin = 30 * time.Second
-	const mostAtOnce = 64
-	count := 0
-	for _, unit := range c.index.units {
-		for _, e := range unit.entries {
-			if !e.pending() || c.now-e.arrived < e.retention+margin {
-				break
-			}
-			if count++; count > mostAtOnce {
-				return
-			}
-			end := message.End{ID: e.id, Phase: message.DeadLetter}
-			c.end(e, end, c.now)
-			c.append(record{Kind: recordEnd, ID: e.id, Unit: e.unit, End: &end}, nil)
-		}
-	}
-}
--- a/internal/system/role/store/ends.go
+++ b/internal/system/role/store/ends.go
@@ -60,3 +60,62 @@
 		}
 	})
 }
+
+// Ends records ends of messages.
+func (c *Core) Ends(ends []message.End, done func()) {
+	for _, end := range ends {
+		e := c.index.get(end.ID)
+		if e == nil {
+			e = c.index.add(end.ID, "", c.now)
+		}
+		if e.phase != message.Pending {
+			continue
+		}
+		c.end(e, end, c.now)
+		c.append(record{Kind: recordEnd, ID: end.ID, Unit: e.unit, End: &end}, nil)
+	}
+	c.answers = append(c.answers, done)
+}
+
+func (c *Core) end(e *entry, end message.End, at time.Duration) {
+	if e.phase != message.Pending {
+		return
+	}
+	e.phase, e.stamp, e.callbackOwed = end.Phase, end.Stamp, end.CallbackOwed
+	c.index.end(e, at)
+}
+
+// CallbackDone records that ends were told.
+func (c *Core) CallbackDone(ids []string, done func()) {
+	for _, id := range ids {
+		e := c.index.get(id)
+		if e == nil || !e.callbackOwed {
+			continue
+		}
+		e.callbackOwed = false
+		c.index.touch(e)
+		c.append(record{Kind: recordCallbackDone, ID: id}, nil)
+	}
+	c.answers = append(c.answers, done)
+}
+
+// expire ends messages that nobody ended within their retention and a margin: their carriers and owners are gone, or
+// the end could not be recorded here.
+func (c *Core) expire() {
+	const margin = 30 * time.Second
+	const mostAtOnce = 64
+	count := 0
+	for _, unit := range c.index.units {
+		for _, e := range unit.entries {
+			if !e.pending() || c.now-e.arrived < e.retention+margin {
+				break
+			}
+			if count++; count > mostAtOnce {
+				return
+			}
+			end := message.End{ID: e.id, Phase: message.DeadLetter}
+			c.end(e, end, c.now)
+			c.append(record{Kind: recordEnd, ID: e.id, Unit: e.unit, End: &end}, nil)
+		}
+	}
+}
--- /dev/null
+++ b/internal/system/session/roster.go
@@ -0,0 +1,79 @@
+package session
+
+import "slices"
+
+// Disk is one disk of the roster: a store by the identity drawn on it, not by its machine or address.
+type Disk struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Member   Member   // its latest life
+	// Counted disks hold messages: a message lies on one more of them than may be lost, and whoever reads asks all of
+	// them but as many. One that isn't counted is being filled.
+	Counted bool
+	// Spare disks began to count while none was missing; one takes the place of a disk that is lost later.
+	Spare bool
+	// Leaving disks take no messages any more, and have others copy what lies on them.
+	Leaving bool
+}
+
+// maxReplaced bounds the replaced disks that are remembered, lest one that returns passes for a founder's.
+const maxReplaced = 1024
+
+func (s *State) joinDisk(member Member) {
+	disk, known := s.disks[member.Disk]
+	if !known && slices.Contains(s.retired, member.Node) && slices.Contains(s.replaced, member.Disk) {
+		return // it was emptied, and stays out
+	}
+	disk.Member = member
+	if !known && member.Founder && !slices.Contains(s.replaced, member.Disk) {
+		disk.Counted = true
+		s.epoch++
+	}
+	s.disks[member.Disk] = disk
+}
+
+// count lets a filled disk count. Where a counted disk is gone, the filled one takes its place: what lay on the lost one
+// has its other copies on the disks that this one was filled from.
+func (s *State) count(id string) {
+	disk, known := s.disks[id]
+	lost := s.lostDisk(disk.Member.Node)
+	if !known || disk.Counted && (!disk.Spare || lost == "") {
+		return
+	}
+	disk.Counted, disk.Spare = true, lost == ""
+	s.disks[id] = disk
+	s.epoch++
+	if lost == "" {
+		return
+	}
+	s.remove(lost)
+}
+
+// remove takes a disk out of the roster for good.
+func (s *State) remove(id string) {
+	delete(s.disks, id)
+	s.replaced = append(s.replaced, id)
+	if len(s.replaced) > maxReplaced {
+		s.replaced = slices.Clone(s.replaced[1:])
+	}
+}
+
+// lostDisk is a counted disk without a live store, one of the same machine first; empty where there is none.
+func (s *State) lostDisk(node string) string {
+	live := map[string]bool{}
+	for _, member := range s.members {
+		live[member.Disk] = true
+	}
+	lost := ""
+	for id, disk := range s.disks {
+		if !disk.Counted || live[id] {
+			continue
+		}
+		if disk.Member.Node == node {
+			return id
+		}
+		if lost == "" || id < lost {
+			lost = id
+		}
+	}
+	return lost
+}
--- /dev/null
+++ b/internal/system/session/snapshot.go
@@ -0,0 +1,50 @@
+package session
+
+import (
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// MalformedError tells of a command or snapshot that can't be read.
+type MalformedError struct{ Err error }
+
+func (e *MalformedError) Error() string { return fmt.Sprintf("session table: %v", e.Err) }
+
+func (e *MalformedError) Unwrap() error { return e.Err }
+
+type stored struct {
+	Members  map[string]Member
+	Departed map[string]Departed
+	Disks    map[string]Disk
+	Epoch    uint64
+	Replaced []string
+	Retired  []string
+}
+
+// Snapshot is the whole table in bytes.
+func (s *State) Snapshot() ([]byte, error) {
+	return msgpack.Marshal(&stored{Members: s.members, Departed: s.departed, Disks: s.disks, Epoch: s.epoch,
+		Replaced: s.replaced, Retired: s.retired})
+}
+
+// Restore replaces the table by a snapshot.
+func (s *State) Restore(data []byte) error {
+	var form stored
+	if err := msgpack.Unmarshal(data, &form); err != nil {
+		return &MalformedError{Err: err}
+	}
+	fresh := NewState()
+	for incarnation, member := range form.Members {
+		fresh.members[incarnation] = member
+	}
+	for incarnation, gone := range form.Departed {
+		fresh.departed[incarnation] = gone
+	}
+	for id, disk := range form.Disks {
+		fresh.disks[id] = disk
+	}
+	fresh.epoch, fresh.replaced, fresh.retired = form.Epoch, form.Replaced, form.Retired
+	*s = *fresh
+	return nil
+}
