--- a/internal/system/role/carrier/callback.go
+++ b/internal/system/role/carrier/callback.go
@@ -94,7 +94,8 @@
 	}
 	for len(r.waiting) > 0 && r.open < most {
 		next := r.waiting[0]
-		r.waiting = append([]*callback(nil), r.waiting[1:]...)
+		r.waiting[0] = nil
+		r.waiting = r.waiting[1:]
 		r.open++
 		c.post(r, next)
 	}
--- a/internal/system/simulation/checker.go
+++ b/internal/system/simulation/checker.go
@@ -19,6 +19,7 @@
 	service    string
 	sent       time.Duration
 	delay      time.Duration
+	callback   bool // its end is owed to a receiver
 	answered   time.Duration
 	verdict    int // status, 0 while there is none
 	runs       []run
@@ -211,6 +212,24 @@
 	return accepted
 }
 
+// called is the part of the call-backs owed for messages that have ended which were made, 1 where none is owed.
+func (c *checker) called() float64 {
+	owed, made := 0, 0
+	for _, r := range c.accepted() {
+		if !r.callback || !r.ended() {
+			continue
+		}
+		owed++
+		if r.calledBack > 0 {
+			made++
+		}
+	}
+	if owed == 0 {
+		return 1
+	}
+	return float64(made) / float64(owed)
+}
+
 // share is the part of what was sent that was accepted, and of that the part that has ended.
 func (c *checker) share() (accepted, ended float64) {
 	acceptedRecords := c.accepted()
--- a/internal/system/simulation/clients.go
+++ b/internal/system/simulation/clients.go
@@ -64,7 +64,7 @@
 		m.Delay = r.delay
 	}
 	if t.called {
-		m.Callback = "http://10.8.0.1:80/done"
+		m.Callback, r.callback = "http://10.8.0.1:80/done", true
 	}
 	d.checker.sent(w.now, r)
 	if target == nil {
@@ -150,7 +150,7 @@
 	answered := false
 	heard := d.history.begin(w.now, configurationCall{base: o.Base, version: o.version, content: d.history.content(o.Raw)})
 	answer := func(err error) {
-		if answered || host.machine.dark {
+		if answered || host.machine.dark || d.losesAck() {
 			return
 		}
 		answered = true
@@ -173,6 +173,12 @@
 	})
 }
 
+// losesAck tells whether an answer to the operator is lost on its way.
+func (d *day) losesAck() bool {
+	const lost, of = 2, 3
+	return d.acksLost && d.world.random.IntN(of) < lost
+}
+
 func orderVerdict(err error) configurationAnswer {
 	var invalid *configuration.InvalidError
 	var conflict *configuration.ConflictError
--- a/internal/system/simulation/day.go
+++ b/internal/system/simulation/day.go
@@ -55,6 +55,7 @@
 	sending   uint64                  // highest version that was sent
 	lastIP    int
 	retired   int // machines that were emptied and removed
+	acksLost  bool
 	expired   int // messages that were accepted and ended by their retention
 	retention time.Duration
 	burst     map[string]int // by service: how many times as many messages come, where that is more than one
--- a/internal/system/simulation/events.go
+++ b/internal/system/simulation/events.go
@@ -84,6 +84,12 @@
 			d.burst[name] = by
 			d.world.after(lasts, func() { delete(d.burst, name) })
 		}, err
+	case "lose":
+		return d.forAWhile(&d.acksLost, lasts), nil
+	case "silence":
+		return d.forAWhile(&d.platform.down, lasts), nil
+	case "deafen":
+		return d.forAWhile(&d.platform.deaf, lasts), nil
 	case "crash":
 		return func() {
 			d.checker.unplanned(d.world.now, lasts)
@@ -112,6 +118,14 @@
 	return nil, &ParseError{Reason: "unknown event " + strings.Join(words, " ")}
 }
 
+// forAWhile sets a flag, and takes it back after a while.
+func (d *day) forAWhile(flag *bool, length time.Duration) func() {
+	return func() {
+		*flag = true
+		d.world.after(length, func() { *flag = false })
+	}
+}
+
 // named gives the machines that a name stands for: one, a kind, or all.
 func (d *day) named(name string) []*machine {
 	var found []*machine
--- a/internal/system/simulation/platform.go
+++ b/internal/system/simulation/platform.go
@@ -60,7 +60,8 @@
 	services map[string]*serviceModel
 	workers  map[string]*worker
 	lastID   int
-	down     bool
+	down     bool // it doesn't answer
+	deaf     bool // the receivers of call-backs fail
 }
 
 func newPlatform(w *world, c *checker) *platform {
@@ -218,8 +219,12 @@
 
 // Post implements carrier.Environment.
 func (h *carrierHost) Post(_ string, body []byte, _ bool, _ time.Duration, done func(int, error)) {
-	const callTime, taken = 5 * time.Millisecond, 200
+	const callTime, taken, failed = 5 * time.Millisecond, 200, 503
 	h.world.after(callTime, func() {
+		if h.platform.deaf {
+			h.run(func() { done(failed, nil) })
+			return
+		}
 		h.platform.checker.calledBack(h.world.now, body)
 		h.run(func() { done(taken, nil) })
 	})
--- a/internal/system/simulation/play.go
+++ b/internal/system/simulation/play.go
@@ -12,6 +12,7 @@
 	Accepted float64 // share of what was sent
 	Ended    float64 // share of what was accepted
 	Expired  float64 // share of what was accepted that ended by its retention
+	Called   float64 // share of the call-backs that are owed
 	Retired  int     // machines that were emptied and taken away
 	Spread   int     // units of ordering keys that one carrier owns more than another
 }
@@ -44,7 +45,7 @@
 	d.finish()
 	accepted, ended := d.checker.share()
 	expired := float64(d.expired) / float64(max(1, len(d.checker.accepted())))
-	result := &Result{Broken: d.checker.broken, Sent: len(d.checker.records), Accepted: accepted, Ended: ended, Expired: expired,
+	result := &Result{Broken: d.checker.broken, Sent: len(d.checker.records), Accepted: accepted, Ended: ended, Expired: expired, Called: d.checker.called(),
 		Retired: d.retired, Spread: d.spread()}
 	return result, d.failure
 }
--- a/internal/system/simulation/scenario.go
+++ b/internal/system/simulation/scenario.go
@@ -36,9 +36,13 @@
 //	at 7s release archive              a worker is replaced
 //	at 7s configure                    a change of the configuration
 //	at 7s race                         two changes on the same version
+//	at 7s lose acknowledgements for 3s         some answers to the operator are lost
+//	at 7s silence platform for 3s              its list of workers can't be read
+//	at 7s deafen receivers for 3s              receivers of call-backs answer 503
 //	at 8s skew edge-1 by 2s            the time of day is stepped
 //	expect accepted 0.9                least share of what was sent
 //	expect ended 0.99                  least share of what was accepted
+//	expect called 0.99                 least share of the call-backs that are owed which were made
 //	expect expired 0.01                most share of what was accepted that ends by its retention; 0 without it
 //	expect retired 1                   machines that were emptied and taken away
 //	expect spread 1                    most units of ordering keys that one carrier owns more than another, at the end
@@ -53,6 +57,7 @@
 	Accepted  float64
 	Ended     float64
 	Expired   float64
+	Called    float64
 	Retired   int
 	Spread    int // 0 where it does not matter
 }
@@ -139,6 +144,8 @@
 			s.Accepted = number
 		case "ended":
 			s.Ended = number
+		case "called":
+			s.Called = number
 		case "expired":
 			s.Expired = number
 		case "retired":
--- a/internal/system/simulation/search.go
+++ b/internal/system/simulation/search.go
@@ -65,7 +65,7 @@
 	edge := fmt.Sprintf("edge-%d", 1+r.IntN(carrierCount))
 	length := time.Duration(200+r.IntN(3500)) * time.Millisecond
 	service := []string{alert, archive, partner}[r.IntN(3)]
-	switch r.IntN(31) {
+	switch r.IntN(35) {
 	case 0, 1:
 		return fmt.Sprintf("kill %s for %s", storage, length/4), length / 4
 	case 2:
@@ -116,6 +116,14 @@
 		return fmt.Sprintf("crash %s for %s", service, length), 0
 	case 27:
 		return fmt.Sprintf("slowdisk %s by 500 for %s", storage, length), length
+	case 30:
+		return fmt.Sprintf("burst %s by %d for %s", []string{archive, alert}[r.IntN(2)], 2+r.IntN(7), length), 0
+	case 31:
+		return fmt.Sprintf("lose acknowledgements for %s", 2*length), 0
+	case 32:
+		return fmt.Sprintf("silence platform for %s", 2*length), 0
+	case 33:
+		return fmt.Sprintf("deafen receivers for %s", 2*length), 0
 	case 28, 29:
 		return fmt.Sprintf("fulldisk %s for %s", storage, 2*length), 2 * length
 	default:
--- a/internal/system/simulation/simulation_suite_test.go
+++ b/internal/system/simulation/simulation_suite_test.go
@@ -36,6 +36,7 @@
 			Expect(result.Accepted).To(BeNumerically(">=", scenario.Accepted), "share accepted")
 			Expect(result.Ended).To(BeNumerically(">=", scenario.Ended), "share ended")
 			Expect(result.Expired).To(BeNumerically("<=", scenario.Expired), "share expired")
+			Expect(result.Called).To(BeNumerically(">=", scenario.Called), "share called back")
 			Expect(result.Retired).To(Equal(scenario.Retired), "machines emptied")
 			if scenario.Spread > 0 {
 				Expect(result.Spread).To(BeNumerically("<=", scenario.Spread), "spread of units")
