--- a/internal/system/simulation/events.go
+++ b/internal/system/simulation/events.go
@@ -7,115 +7,149 @@
 	"time"
 )
 
-// options reads the words behind the first two of an event: 'for 1s', 'after 1s', 'by 3'.
-func options(words []string) map[string]string {
-	found := map[string]string{}
-	for i := 0; i+1 < len(words); i++ {
-		found[words[i]] = words[i+1]
+// happening is what an event's words say.
+type happening struct {
+	name   string        // of a machine, many machines or a service
+	fault  string        // of workers
+	from   string        // the other side of a cut
+	by     string        // how much or how many
+	lasts  time.Duration // 'for'
+	after  time.Duration
+	oneWay bool
+}
+
+func readHappening(words []string) (*happening, error) {
+	h := &happening{name: wordAt(words, 1), fault: wordAt(words, 2), lasts: time.Second, after: time.Second,
+		oneWay: words[len(words)-1] == "oneway"}
+	if words[0] == "kill" {
+		h.lasts = restartPause
 	}
-	return found
+	for i := 1; i+1 < len(words); i++ {
+		var err error
+		switch words[i] {
+		case "for":
+			h.lasts, err = time.ParseDuration(words[i+1])
+		case "after":
+			h.after, err = time.ParseDuration(words[i+1])
+			h.lasts = h.after // then it is over
+		case "from":
+			h.from = words[i+1]
+		case "by":
+			h.by = words[i+1]
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return h, nil
+}
+
+func (h *happening) number() (int, error) { return strconv.Atoi(h.by) }
+
+// machineEvents happen, unplanned, to each machine that is named.
+var machineEvents = map[string]func(d *day, h *happening, m *machine){
+	"kill":     func(d *day, h *happening, m *machine) { d.kill(m, h.lasts) },
+	"power":    func(d *day, h *happening, m *machine) { d.powerOff(m, h.lasts, false) },
+	"wipe":     func(d *day, h *happening, m *machine) { d.powerOff(m, h.lasts, true) },
+	"freeze":   func(d *day, h *happening, m *machine) { d.freeze(m, h.lasts) },
+	"replace":  func(d *day, h *happening, m *machine) { d.replace(m, h.after) },
+	"fulldisk": func(d *day, h *happening, m *machine) { d.forAWhile(&m.fullDisk, h.lasts)() },
+}
+
+// serviceEvents happen, unplanned, to a service's workers.
+var serviceEvents = map[string]func(d *day, h *happening){
+	"dark":  func(d *day, h *happening) { d.darken(h.name, h.lasts) },
+	"crash": func(d *day, h *happening) { d.crash(h.name, h.lasts) },
+	"cut": func(d *day, h *happening) {
+		d.cut(d.named(h.name), d.named(h.from), h.oneWay, h.lasts)
+	},
 }
 
+// plannedEvents excuse nothing.
+var plannedEvents = map[string]func(d *day, h *happening){
+	"lose":    func(d *day, h *happening) { d.forAWhile(&d.acksLost, h.lasts)() },
+	"silence": func(d *day, h *happening) { d.forAWhile(&d.platform.down, h.lasts)() },
+	"deafen":  func(d *day, h *happening) { d.forAWhile(&d.platform.deaf, h.lasts)() },
+	"term": func(d *day, h *happening) {
+		for _, m := range d.named(h.name) {
+			d.term(m)
+		}
+	},
+	"add":       func(d *day, _ *happening) { d.addStorage() },
+	"retire":    func(d *day, h *happening) { d.retire(h.name) },
+	"release":   func(d *day, h *happening) { d.release(h.name) },
+	"configure": func(d *day, _ *happening) { d.configure(1) },
+	"race":      func(d *day, _ *happening) { d.race() },
+}
+
+// action gives what an event does.
 func (d *day) action(words []string) (func(), error) {
-	verb, name := words[0], ""
-	if len(words) > 1 {
-		name = words[1]
+	verb := words[0]
+	h, err := readHappening(words)
+	if err != nil {
+		return nil, err
 	}
-	given := options(words)
-	length := func(key string, otherwise time.Duration) time.Duration {
-		if parsed, err := time.ParseDuration(given[key]); err == nil {
-			return parsed
-		}
-		return otherwise
+	if do := machineEvents[verb]; do != nil {
+		return d.unplanned(h, do), nil
 	}
-	unplanned := func(span time.Duration, do func(m *machine)) func() {
+	if do := serviceEvents[verb]; do != nil {
 		return func() {
-			d.checker.unplanned(d.world.now, span)
-			for _, m := range d.named(name) {
-				do(m)
-			}
-		}
+			d.checker.unplanned(d.world.now, h.lasts)
+			do(d, h)
+		}, nil
+	}
+	if do := plannedEvents[verb]; do != nil {
+		return func() { do(d, h) }, nil
 	}
-	lasts := length("for", time.Second)
+	return d.measuredAction(verb, h)
+}
+
+// measuredAction gives what an event does that says how much.
+func (d *day) measuredAction(verb string, h *happening) (func(), error) {
 	switch verb {
-	case "kill":
-		return unplanned(length("for", restartPause), func(m *machine) { d.kill(m, length("for", restartPause)) }), nil
-	case "power", "wipe":
-		return unplanned(lasts, func(m *machine) { d.powerOff(m, lasts, verb == "wipe") }), nil
-	case "freeze":
-		return unplanned(lasts, func(m *machine) { d.freeze(m, lasts) }), nil
-	case "replace":
-		return unplanned(length("after", time.Second), func(m *machine) { d.replace(m, length("after", time.Second)) }), nil
 	case "slowdisk":
-		by, err := strconv.Atoi(given["by"])
-		return unplanned(lasts, func(m *machine) {
-			m.slowDisk = by
-			d.world.after(lasts, func() { m.slowDisk = 0 })
+		times, err := h.number()
+		return d.unplanned(h, func(d *day, h *happening, m *machine) {
+			m.slowDisk = times
+			d.world.after(h.lasts, func() { m.slowDisk = 0 })
 		}), err
-	case "fulldisk":
-		return unplanned(lasts, func(m *machine) {
-			m.fullDisk = true
-			d.world.after(lasts, func() { m.fullDisk = false })
-		}), nil
 	case "skew":
-		return unplanned(0, func(m *machine) { m.wallSkew += length("by", 0).Milliseconds() }), nil
-	case "cut":
-		return func() {
-			d.checker.unplanned(d.world.now, lasts)
-			d.cut(d.named(name), d.named(given["from"]), words[len(words)-1] == "oneway", lasts)
-		}, nil
-	case "dark":
+		step, err := time.ParseDuration(h.by)
+		return d.unplanned(&happening{name: h.name}, func(_ *day, _ *happening, m *machine) {
+			m.wallSkew += step.Milliseconds()
+		}), err
+	case "burst":
+		times, err := h.number()
 		return func() {
-			d.checker.unplanned(d.world.now, lasts)
-			d.darken(name, lasts)
-		}, nil
+			d.burst[h.name] = times
+			d.world.after(h.lasts, func() { delete(d.burst, h.name) })
+		}, err
 	case "grey":
-		fault, known := faultNames[wordAt(words, 2)]
+		fault, known := faultNames[h.fault]
 		if !known {
-			return nil, &ParseError{Reason: "unknown fault in " + strings.Join(words, " ")}
+			return nil, &ParseError{Reason: "unknown fault " + h.fault}
 		}
 		return func() {
-			d.checker.unplanned(d.world.now, lasts)
-			d.sicken(name, fault, lasts)
+			d.checker.unplanned(d.world.now, h.lasts)
+			d.sicken(h.name, fault, h.lasts)
 		}, nil
-	case "burst":
-		by, err := strconv.Atoi(given["by"])
-		return func() {
-			d.burst[name] = by
-			d.world.after(lasts, func() { delete(d.burst, name) })
-		}, err
-	case "lose":
-		return d.forAWhile(&d.acksLost, lasts), nil
-	case "silence":
-		return d.forAWhile(&d.platform.down, lasts), nil
-	case "deafen":
-		return d.forAWhile(&d.platform.deaf, lasts), nil
-	case "crash":
-		return func() {
-			d.checker.unplanned(d.world.now, lasts)
-			d.crash(name, lasts)
-		}, nil
-	case "term":
-		return func() {
-			for _, m := range d.named(name) {
-				d.term(m)
-			}
-		}, nil
-	case "add":
-		return func() {
-			zone := zones[len(d.world.names)%len(zones)]
-			d.boot(d.world.add(fmt.Sprintf("storage-%d", len(d.world.names)+1), d.nextIP(), zone), false)
-		}, nil
-	case "retire":
-		return func() { d.retire(name) }, nil
-	case "release":
-		return func() { d.release(name) }, nil
-	case "configure":
-		return func() { d.configure(1) }, nil
-	case "race":
-		return d.race, nil
 	}
-	return nil, &ParseError{Reason: "unknown event " + strings.Join(words, " ")}
+	return nil, &ParseError{Reason: "unknown event " + verb}
+}
+
+// unplanned has something happen to each machine that is named, and the checker know of it.
+func (d *day) unplanned(h *happening, do func(d *day, h *happening, m *machine)) func() {
+	return func() {
+		d.checker.unplanned(d.world.now, h.lasts)
+		for _, m := range d.named(h.name) {
+			do(d, h, m)
+		}
+	}
+}
+
+func (d *day) addStorage() {
+	zone := zones[len(d.world.names)%len(zones)]
+	d.boot(d.world.add(fmt.Sprintf("storage-%d", len(d.world.names)+1), d.nextIP(), zone), false)
 }
 
 // forAWhile sets a flag, and takes it back after a while.
