--- a/internal/system/simulation/scenario.go
+++ b/internal/system/simulation/scenario.go
@@ -21,6 +21,7 @@
 //	at 2s kill storage-1 for 1s
 //	at 3s power storage-2 for 2s       power is lost; 'storage', 'edge', 'zone-a' and 'all' name many machines
 //	at 3s wipe storage-2 for 1s        power and disk are lost
+//	at 3s blackout storage-2 for 1s    its disk is lost while all machines lose their power
 //	at 4s freeze edge-1 for 5s
 //	at 4s cut storage-1 from all for 3s        'oneway' at the end: what the first sends is lost
 //	at 5s term edge-2                  SIGTERM, and a start after it has ended
