Scenarios for near workers, grey workers and slow disks, with shares to expect

Shares are one table now: accepted, prompt, ended, started, called, useful, local; an unknown one is an error.

--- a/internal/system/simulation/checker.go
+++ b/internal/system/simulation/checker.go
@@ -39,6 +39,8 @@
 	keys     map[string][]*record
 	retries  int
 	keep     time.Duration // retention of all messages
+	local    counter       // runs in the zone of their carrier
+	useful   counter       // attempts that brought a success
 	broken   []string
 	trouble  []trouble // unplanned
 	versions map[uint64]string
@@ -211,34 +213,3 @@
 	sort.Slice(accepted, func(i, j int) bool { return accepted[i].id < accepted[j].id })
 	return accepted
 }
-
-// called is the part of the call-backs owed for messages that have ended which were made, 1 where none is owed.
-func (c *checker) called() float64 {
-	owed, made := 0, 0
-	for _, r := range c.accepted() {
-		if !r.callback || !r.ended() {
-			continue
-		}
-		owed++
-		if r.calledBack > 0 {
-			made++
-		}
-	}
-	if owed == 0 {
-		return 1
-	}
-	return float64(made) / float64(owed)
-}
-
-// share is the part of what was sent that was accepted, and of that the part that has ended.
-func (c *checker) share() (accepted, ended float64) {
-	acceptedRecords := c.accepted()
-	count := 0
-	for _, r := range acceptedRecords {
-		if r.ended() {
-			count++
-		}
-	}
-	return float64(len(acceptedRecords)) / float64(max(1, len(c.records))),
-		float64(count) / float64(max(1, len(acceptedRecords)))
-}
--- a/internal/system/simulation/events.go
+++ b/internal/system/simulation/events.go
@@ -132,6 +132,12 @@
 			d.burst[h.name] = times
 			d.world.after(h.lasts, func() { delete(d.burst, h.name) })
 		}, err
+	case "slow":
+		times, err := h.number()
+		return func() {
+			d.checker.unplanned(d.world.now, h.lasts)
+			d.slow(h.name, times, h.lasts)
+		}, err
 	case "grey":
 		fault, known := faultNames[h.fault]
 		if !known {
--- a/internal/system/simulation/platform.go
+++ b/internal/system/simulation/platform.go
@@ -124,6 +124,7 @@
 			from.run(func() {
 				if !answered {
 					answered = true
+					p.checker.useful.count(outcome.Kind == carrier.RunSucceeded)
 					if outcome.Kind == carrier.RunSucceeded {
 						p.checker.readSuccess(attempt.Message.ID)
 					}
@@ -145,6 +146,9 @@
 			finish(carrier.Outcome{Kind: carrier.NotSent})
 			return
 		}
+		if target.service.static == "" {
+			p.checker.local.count(target.zone == from.machine.zone)
+		}
 		if !target.dark {
 			target.take(p, from, attempt, finish)
 		}
--- a/internal/system/simulation/play.go
+++ b/internal/system/simulation/play.go
@@ -7,14 +7,12 @@
 
 // Result is what a day came to.
 type Result struct {
-	Broken   []string // rules, with what broke them
-	Sent     int
-	Accepted float64 // share of what was sent
-	Ended    float64 // share of what was accepted
-	Expired  float64 // share of what was accepted that ended by its retention
-	Called   float64 // share of the call-backs that are owed
-	Retired  int     // machines that were emptied and taken away
-	Spread   int     // units of ordering keys that one carrier owns more than another
+	Broken  []string // rules, with what broke them
+	Sent    int
+	Shares  map[Share]float64
+	Expired float64 // share of what was accepted that ended by its retention
+	Retired int     // machines that were emptied and taken away
+	Spread  int     // units of ordering keys that one carrier owns more than another
 }
 
 // Play plays a scenario.
@@ -43,9 +41,8 @@
 	}
 	d.world.runUntil(begin + s.Traffic)
 	d.finish()
-	accepted, ended := d.checker.share()
 	expired := float64(d.expired) / float64(max(1, len(d.checker.accepted())))
-	result := &Result{Broken: d.checker.broken, Sent: len(d.checker.records), Accepted: accepted, Ended: ended, Expired: expired, Called: d.checker.called(),
+	result := &Result{Broken: d.checker.broken, Sent: len(d.checker.records), Shares: d.checker.shares(), Expired: expired,
 		Retired: d.retired, Spread: d.spread()}
 	return result, d.failure
 }
--- a/internal/system/simulation/scenario.go
+++ b/internal/system/simulation/scenario.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -32,6 +33,7 @@
 //	at 6s fulldisk storage-1 for 3s    it takes no more bytes
 //	at 6s dark alert for 4s            workers of a service are silent
 //	at 6s grey alert loses for 4s      some workers run and 'loses' answers, 'resets', 'sheds' or 'fails', their health being good
+//	at 6s slow archive by 8 for 4s     some workers take so many times as long
 //	at 6s crash archive for 2s         some workers are gone, and others start later
 //	at 6s burst archive by 20 for 3s   so many times as many messages come
 //	at 7s release archive              a worker is replaced
@@ -42,7 +44,11 @@
 //	at 7s deafen receivers for 3s              receivers of call-backs answer 503
 //	at 8s skew edge-1 by 2s            the time of day is stepped
 //	expect accepted 0.9                least share of what was sent
+//	expect prompt 0.9                  least share of what was sent that was accepted within its target
 //	expect ended 0.99                  least share of what was accepted
+//	expect started 0.9                 least share of what was accepted that began within its target
+//	expect useful 0.9                  least share of the attempts that brought a success
+//	expect local 0.5                   least share of what ran that ran in its carrier's zone, of services with many workers
 //	expect called 0.99                 least share of the call-backs that are owed which were made
 //	expect expired 0.01                most share of what was accepted that ends by its retention; 0 without it
 //	expect retired 1                   machines that were emptied and taken away
@@ -55,10 +61,8 @@
 	Retention time.Duration
 	Tolerate  tolerance.Tolerance
 	Events    []Event
-	Accepted  float64
-	Ended     float64
+	Least     map[Share]float64
 	Expired   float64
-	Called    float64
 	Retired   int
 	Spread    int // 0 where it does not matter
 }
@@ -79,7 +83,8 @@
 
 // Parse reads a scenario.
 func Parse(text string) (*Scenario, error) {
-	s := &Scenario{Seed: 1, Traffic: 10 * time.Second, Storage: storageCount, Disk: usualDisk, Retention: usualRetention, Tolerate: tolerance.Tolerance{Machines: 1}}
+	s := &Scenario{Seed: 1, Traffic: 10 * time.Second, Storage: storageCount, Disk: usualDisk, Retention: usualRetention, Least: map[Share]float64{},
+		Tolerate: tolerance.Tolerance{Machines: 1}}
 	for i, line := range strings.Split(text, "\n") {
 		line, _, _ = strings.Cut(line, "#")
 		words := strings.Fields(line)
@@ -141,18 +146,18 @@
 		}
 		number, err := strconv.ParseFloat(words[2], 64)
 		switch words[1] {
-		case "accepted":
-			s.Accepted = number
-		case "ended":
-			s.Ended = number
-		case "called":
-			s.Called = number
 		case "expired":
 			s.Expired = number
 		case "retired":
 			s.Retired = int(number)
 		case "spread":
 			s.Spread = int(number)
+		default:
+			share := Share(words[1])
+			if !slices.Contains(shares, share) {
+				return &ParseError{Reason: "unknown word " + words[1]}
+			}
+			s.Least[share] = number
 		}
 		return err
 	case "at":
@@ -176,11 +181,10 @@
 	for _, event := range s.Events {
 		fmt.Fprintf(&text, "at %s %s\n", event.At, event.What)
 	}
-	if s.Accepted > 0 {
-		fmt.Fprintf(&text, "expect accepted %g\n", s.Accepted)
-	}
-	if s.Ended > 0 {
-		fmt.Fprintf(&text, "expect ended %g\n", s.Ended)
+	for _, share := range shares {
+		if least, wanted := s.Least[share]; wanted {
+			fmt.Fprintf(&text, "expect %s %g\n", share, least)
+		}
 	}
 	return text.String()
 }
--- a/internal/system/simulation/simulation_suite_test.go
+++ b/internal/system/simulation/simulation_suite_test.go
@@ -33,10 +33,10 @@
 			result, err := Play(scenario)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(result.Broken).To(BeEmpty())
-			Expect(result.Accepted).To(BeNumerically(">=", scenario.Accepted), "share accepted")
-			Expect(result.Ended).To(BeNumerically(">=", scenario.Ended), "share ended")
+			for share, least := range scenario.Least {
+				Expect(result.Shares[share]).To(BeNumerically(">=", least), "share "+string(share))
+			}
 			Expect(result.Expired).To(BeNumerically("<=", scenario.Expired), "share expired")
-			Expect(result.Called).To(BeNumerically(">=", scenario.Called), "share called back")
 			Expect(result.Retired).To(Equal(scenario.Retired), "machines emptied")
 			if scenario.Spread > 0 {
 				Expect(result.Spread).To(BeNumerically("<=", scenario.Spread), "spread of units")
--- a/internal/system/simulation/trouble.go
+++ b/internal/system/simulation/trouble.go
@@ -155,6 +155,14 @@
 	}
 }
 
+// slow has a part of a service's workers take longer for a while.
+func (d *day) slow(service string, times int, length time.Duration) {
+	for _, w := range d.affected(service) {
+		w.slow = times
+		d.world.after(length, func() { w.slow = 0 })
+	}
+}
+
 // crash ends a part of a service's workers; others start in their places after a while, a single endpoint at its own.
 func (d *day) crash(service string, length time.Duration) {
 	for _, w := range d.affected(service) {
