--- a/internal/system/role/carrier/admission.go
+++ b/internal/system/role/carrier/admission.go
@@ -26,6 +26,7 @@
 // backlog is the due messages of a service that a carrier is responsible for, and how fast they end while there are any.
 type backlog struct {
 	owed     int
+	running  int           // of all messages of the service: those with an attempt out
 	ends     int           // in the running window
 	begun    time.Duration // of the running window
 	pace     float64       // messages a second, over the last whole window; 0 before the first
@@ -54,12 +55,13 @@
 	}
 }
 
-// wait is how long the backlog lasts at its latest pace; 0 where that is not known.
+// wait is how long a message that comes now waits at the latest pace, before it runs; 0 where that is not known.
 func (b *backlog) wait(now time.Duration) time.Duration {
 	if b.pace == 0 || now-b.measured > drainFresh {
 		return 0
 	}
-	return time.Duration(float64(b.owed) / b.pace * float64(time.Second))
+	waiting := max(0, b.owed-b.running)
+	return time.Duration(float64(waiting) / b.pace * float64(time.Second))
 }
 
 // count counts a message into its service's backlog once it is due, or waits behind others of its key.
--- a/internal/system/role/carrier/dispatch.go
+++ b/internal/system/role/carrier/dispatch.go
@@ -188,13 +188,18 @@
 	it.tries++
 	it.lastTry = worker.ID
 	c.inFlight[it.message.ID] = it
+	backlog := &c.queue(route.Service).backlog
+	backlog.running++
 	c.policy.Start(now, worker)
 	c.figures.Delivered++
 	attempt := Attempt{Message: it.message, Address: worker.Address, Deadline: route.Timeout}
 	if !worker.Static {
 		attempt.Instance = worker.ID
 	}
-	c.env.Deliver(attempt, func(outcome Outcome) { c.finished(it, route, worker, outcome) })
+	c.env.Deliver(attempt, func(outcome Outcome) {
+		backlog.running--
+		c.finished(it, route, worker, outcome)
+	})
 }
 
 func resultOf(outcome Outcome) delivery.Result {
--- a/internal/system/role/carrier/queue_test.go
+++ b/internal/system/role/carrier/queue_test.go
@@ -111,6 +111,12 @@
 		Expect(b.wait(now)).To(BeNumerically("<", 3*time.Second))
 	})
 
+	ginkgo.It("leaves out what runs: long runs are no backlog", func() {
+		now := run(0, 10*time.Second, 200, 100)
+		b.running = b.owed
+		Expect(b.wait(now)).To(BeZero())
+	})
+
 	ginkgo.It("takes a quiet service for no slow one", func() {
 		now := run(0, 20*time.Second, 2, 2)
 		now = run(now, time.Second, 100, 100)
