Escape the page token of the platform's list

A token with letters that mean something in a query would have ended every reading after its first page in an error, or begun it anew.

--- a/internal/system/node/http.go
+++ b/internal/system/node/http.go
@@ -8,6 +8,7 @@
 	stdlog "log"
 	"net"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/apex/log"
@@ -114,7 +115,7 @@
 	const maxPageBytes = 8 << 20
 	address := "http://" + r.address + "/instances"
 	if token != "" {
-		address += "?page-token=" + token
+		address += "?page-token=" + url.QueryEscape(token)
 	}
 	response, err := r.client.Get(address)
 	if err != nil {
