--- a/internal/system/configuration/configuration_test.go
+++ b/internal/system/configuration/configuration_test.go
@@ -51,6 +51,14 @@
 		Expect(table.Match("one.example", "/b")).To(BeNil())
 		Expect(table.Match("two.example", "/a/x")).To(BeNil())
 	})
+
+	ginkgo.It("takes hosts for the same whatever their letters' case, in the configuration too", func() {
+		document, err := Parse([]byte(text(1, "5", `{"name":"r2","host":"Two.Example","path-prefix":"/","timeout-ms":5,"backend":"s2"}`)))
+		Expect(err).NotTo(HaveOccurred())
+		table := NewTable(document)
+		Expect(table.Match("two.example", "/x").Name).To(Equal("r2"))
+		Expect(table.Match("Two.Example:80", "/x").Name).To(Equal("r2"))
+	})
 })
 
 var _ = ginkgo.Describe("The state of the configuration", func() {
--- a/internal/system/configuration/table.go
+++ b/internal/system/configuration/table.go
@@ -17,7 +17,8 @@
 	table := &Table{Document: document, hosts: map[string][]*Route{}, names: map[string]*Route{}}
 	for i := range document.Routes {
 		route := &document.Routes[i]
-		table.hosts[route.Host] = append(table.hosts[route.Host], route)
+		host := strings.ToLower(route.Host)
+		table.hosts[host] = append(table.hosts[host], route)
 		table.names[route.Name] = route
 	}
 	for _, routes := range table.hosts {
