--- a/internal/system/configuration/table.go
+++ b/internal/system/configuration/table.go
@@ -17,8 +17,7 @@
 	table := &Table{Document: document, hosts: map[string][]*Route{}, names: map[string]*Route{}}
 	for i := range document.Routes {
 		route := &document.Routes[i]
-		host := strings.ToLower(route.Host)
-		table.hosts[host] = append(table.hosts[host], route)
+		table.hosts[route.Host] = append(table.hosts[route.Host], route)
 		table.names[route.Name] = route
 	}
 	for _, routes := range table.hosts {
