Give each try of the demo's message an id of its own; name a test that failed once beside load

A refused message is void at the stores and never taken under its id again, which the protocol's clients know: every try has a distinct X-Request-Id.

--- a/internal/system/demo/demo.go
+++ b/internal/system/demo/demo.go
@@ -212,16 +212,21 @@
 	Stamp string `json:"stamp"`
 }
 
-// message sends a message to one carrier, and asks the other what became of it.
-func (d *demo) message(ctx context.Context, id string, to, at int) error {
-	headers := map[string]string{"Host": host, "X-Request-Id": id, "X-Ordering-Key": "buoy-7"}
+// message sends a message to one carrier, and asks the other what became of it. Each try has an id of its own: one that was
+// refused is void, and never taken under its id again.
+func (d *demo) message(ctx context.Context, name string, to, at int) error {
+	headers := map[string]string{"Host": host, "X-Ordering-Key": "buoy-7"}
+	tries := 0
 	err := until(ctx, "a message that is accepted", func() bool {
+		tries++
+		headers["X-Request-Id"] = fmt.Sprintf("%s-%d", name, tries)
 		status, _ := d.call(http.MethodPost, d.url(to, "/in/readings"), []byte("swell 2.1 m"), headers)
 		return status == http.StatusAccepted
 	})
 	if err != nil {
 		return err
 	}
+	id := headers["X-Request-Id"]
 	d.tell("message %s was accepted by %s with 202: it lies on two disks", id, d.carrier(to).name)
 	var state stateForm
 	err = until(ctx, "a message that is delivered", func() bool {
