Count messages' ages on a clock of each store's own log, not by the time of day

Ruled out: carriers' clocks (ages are handed on by monotonic clocks). Change: a log carries the monotonic time of all its lives; downtime is not counted, so ages are lower bounds, and a recovery takes the greatest of them.

--- a/internal/system/command/people.go
+++ b/internal/system/command/people.go
@@ -121,7 +121,7 @@
 	if err != nil {
 		return err
 	}
-	core := store.New(store.Options{}, log, 0, 0)
+	core := store.New(store.Options{}, log, 0)
 	records := map[uint64]int{}
 	err = log.Replay(func(position segment.Position, payload []byte) error {
 		records[position.Segment]++
--- a/internal/system/message/message.go
+++ b/internal/system/message/message.go
@@ -25,7 +25,8 @@
 	// Token and Sequence order the messages of a unit: the owner's fencing token, and its count.
 	Token    uint64
 	Sequence uint64
-	// Accepted is the wall clock when the request was read, in milliseconds since 1970.
+	// Accepted is the wall clock when the request was read, in milliseconds since 1970: for people who read a log. Clocks may
+	// be stepped and differ, so nothing is decided by it.
 	Accepted  int64
 	Delay     time.Duration
 	Retention time.Duration
--- a/internal/system/node/store.go
+++ b/internal/system/node/store.go
@@ -115,7 +115,7 @@
 		return err
 	}
 	n.core = store.New(store.Options{Status: n.settings.Bounds.Status, DiskBytes: n.settings.Limits.DiskBytes}, n.log,
-		n.Now(), n.Wall())
+		n.Now())
 	if err := n.replay(); err != nil {
 		return err
 	}
@@ -239,7 +239,7 @@
 
 // catchUp tells the core the time and the roster.
 func (n *storeNode) catchUp() {
-	n.core.Time(n.Now(), n.Wall())
+	n.core.Time(n.Now())
 	if followed := n.roster.Load(); followed != nil {
 		n.core.Follow(followed.epoch, followed.uncounted)
 	}
--- a/internal/system/role/carrier/recovery.go
+++ b/internal/system/role/carrier/recovery.go
@@ -213,15 +213,16 @@
 		ids = append(ids, id)
 	}
 	sort.Slice(ids, func(i, j int) bool {
-		a, b := &messages[ids[i]].listed.Message, &messages[ids[j]].listed.Message
+		one, other := &messages[ids[i]].listed, &messages[ids[j]].listed
+		a, b := &one.Message, &other.Message
 		if a.Token != b.Token {
 			return a.Token < b.Token
 		}
 		if a.Sequence != b.Sequence {
 			return a.Sequence < b.Sequence
 		}
-		if a.Accepted != b.Accepted {
-			return a.Accepted < b.Accepted
+		if one.Age != other.Age {
+			return one.Age > other.Age
 		}
 		return a.ID < b.ID
 	})
@@ -252,7 +253,8 @@
 				f = &found{listed: listed}
 				messages[listed.Message.ID] = f
 			}
-			f.listed.Age = min(f.listed.Age, listed.Age)
+			// Each store's age is no more than the true one, so the greatest is the nearest to it.
+			f.listed.Age = max(f.listed.Age, listed.Age)
 			f.holders = append(f.holders, disk)
 			if end, ended := ends[listed.Message.ID]; ended {
 				f.end = &end
--- a/internal/system/role/store/batch.go
+++ b/internal/system/role/store/batch.go
@@ -17,9 +17,10 @@
 }
 
 func (c *Core) encode(r record) []byte {
-	if r.Wall == 0 {
-		r.Wall = c.wall
+	if r.At == 0 {
+		r.At = c.now
 	}
+	c.clock.written = max(c.clock.written, r.At)
 	return r.encode()
 }
 
@@ -61,7 +62,7 @@
 
 // Synced tells that a batch lies on the disk.
 func (c *Core) Synced(now time.Duration, batch *Batch, positions []segment.Position) {
-	c.now = now
+	c.now = c.clock.read(now)
 	for i, r := range batch.records {
 		c.count(positions[i], r.payload)
 		if r.synced != nil {
--- a/internal/system/role/store/clean.go
+++ b/internal/system/role/store/clean.go
@@ -56,15 +56,15 @@
 			if err != nil {
 				return err
 			}
-			c.append(record{Kind: recordMessage, Message: m, Wall: c.wallOf(e.arrived)}, func(position segment.Position) { e.position = position })
+			c.append(record{Kind: recordMessage, Message: m, At: e.arrived}, func(position segment.Position) { e.position = position })
 		}
 	}
 	switch {
 	case e.void:
-		c.append(record{Kind: recordVoid, ID: e.id, Unit: e.unit, Wall: c.wallOf(e.endedAt)}, nil)
+		c.append(record{Kind: recordVoid, ID: e.id, Unit: e.unit, At: e.endedAt}, nil)
 	case e.phase != message.Pending:
 		end := message.End{ID: e.id, Phase: e.phase, Stamp: e.stamp, CallbackOwed: e.callbackOwed}
-		c.append(record{Kind: recordEnd, ID: e.id, Unit: e.unit, End: &end, Wall: c.wallOf(e.endedAt)}, nil)
+		c.append(record{Kind: recordEnd, ID: e.id, Unit: e.unit, End: &end, At: e.endedAt}, nil)
 	}
 	return nil
 }
--- a/internal/system/role/store/core.go
+++ b/internal/system/role/store/core.go
@@ -33,8 +33,8 @@
 type Core struct {
 	options  Options
 	reader   Reader
-	now      time.Duration
-	wall     int64 // milliseconds since 1970, as the driver last told
+	clock    logClock
+	now      time.Duration // on the log's clock
 	index    *index
 	batch    []pendingRecord
 	answers  []func()
@@ -52,8 +52,8 @@
 }
 
 // New makes a store whose log is about to be replayed.
-func New(options Options, reader Reader, now time.Duration, wall int64) *Core {
-	return &Core{options: options, reader: reader, now: now, wall: wall, index: newIndex(), sizes: map[uint64]int64{}}
+func New(options Options, reader Reader, now time.Duration) *Core {
+	return &Core{options: options, reader: reader, clock: logClock{began: now}, index: newIndex(), sizes: map[uint64]int64{}}
 }
 
 func (c *Core) count(position segment.Position, payload []byte) {
@@ -63,18 +63,11 @@
 	c.bytes += size
 }
 
-// wallOf is the time of day of a monotonic time.
-func (c *Core) wallOf(at time.Duration) int64 { return c.wall - (c.now - at).Milliseconds() }
-
-// since is the monotonic time of a wall time before the start.
-func (c *Core) since(wall int64) time.Duration {
-	return c.now - max(0, time.Duration(c.wall-wall)*time.Millisecond)
-}
-
 // Start ends the replay. On an empty disk the store begins as complete where the whole system starts for the first
 // time, else as one whose disk was lost.
 func (c *Core) Start(bootstrap bool, disk string) {
 	c.loader = nil
+	c.now = c.clock.read(c.clock.began)
 	if c.started {
 		return
 	}
@@ -123,11 +116,21 @@
 // Bytes is what the log holds.
 func (c *Core) Bytes() int64 { return c.bytes }
 
-// Time tells the store both clocks.
-func (c *Core) Time(now time.Duration, wall int64) {
-	c.now, c.wall = now, wall
-	c.index.forget(now, c.options.Status)
+// Time tells the store the time of its process's monotonic clock.
+func (c *Core) Time(now time.Duration) {
+	c.now = c.clock.read(now)
+	c.index.forget(c.now, c.options.Status)
 	c.expire()
+	c.keepClock()
+}
+
+// keepClock has the log's clock outlive a stop while messages wait and nothing else is written.
+func (c *Core) keepClock() {
+	if c.now-c.clock.written < clockInterval || !c.index.anyPending() {
+		return
+	}
+	// A full disk need not keep it: the next one says more.
+	c.batch = append(c.batch, pendingRecord{payload: c.encode(record{Kind: recordClock}), refused: func() {}})
 }
 
 // Put stores a message at the disks of a roster; the answer is nil once it is synced.
--- a/internal/system/role/store/index.go
+++ b/internal/system/role/store/index.go
@@ -26,7 +26,7 @@
 	phase        message.Phase
 	stamp        string
 	callbackOwed bool
-	arrived      time.Duration // on the monotonic clock; before the start of the process where that can be told
+	arrived      time.Duration // on the log's clock, as endedAt
 	retention    time.Duration
 	endedAt      time.Duration
 }
@@ -88,6 +88,16 @@
 
 func newIndex() *index { return &index{entries: map[string]*entry{}, units: map[string]*unitIndex{}} }
 
+// anyPending tells whether some message waits for its end.
+func (x *index) anyPending() bool {
+	for _, e := range x.entries {
+		if e.pending() {
+			return true
+		}
+	}
+	return false
+}
+
 func (x *index) get(id string) *entry { return x.entries[id] }
 
 // add makes an entry for an id that is not known.
--- a/internal/system/role/store/load.go
+++ b/internal/system/role/store/load.go
@@ -23,7 +23,7 @@
 	Unit       string
 	Retention  time.Duration
 	End        message.End
-	Wall       int64
+	At         time.Duration // on the log's clock
 }
 
 // Numbers of fields: the records are arrays, in the order of the fields of record and of message.Message.
@@ -99,7 +99,7 @@
 		func() error { return l.readName(&r.ID) },
 		func() error { return l.readUnit(r) },
 		func() error { return l.readEnd(r) },
-		func() (err error) { r.Wall, err = d.DecodeInt64(); return err },
+		func() error { return l.readTime(&r.At) },
 	)
 }
 
@@ -121,9 +121,7 @@
 	if err != nil {
 		return err
 	}
-	retention, err := l.decoder.DecodeInt64()
-	r.Retention = time.Duration(retention)
-	return err
+	return l.readTime(&r.Retention)
 }
 
 func (l *loader) nothing() (bool, error) {
@@ -134,6 +132,12 @@
 	return true, l.decoder.DecodeNil()
 }
 
+func (l *loader) readTime(at *time.Duration) error {
+	nanoseconds, err := l.decoder.DecodeInt64()
+	*at = time.Duration(nanoseconds)
+	return err
+}
+
 // readName reads a text, which an empty one does not replace.
 func (l *loader) readName(name *string) error {
 	text, err := l.decoder.DecodeString()
@@ -173,6 +177,7 @@
 		return err
 	}
 	c.count(position, payload)
+	c.clock.loaded(r.At)
 	switch r.Kind {
 	case recordStarted:
 		c.started = true
@@ -183,9 +188,9 @@
 	case recordMessage:
 		c.loadMessage(position, uint32(len(payload)), &r)
 	case recordVoid:
-		c.void(c.loadedEntry(&r), c.since(r.Wall))
+		c.void(c.loadedEntry(&r), r.At)
 	case recordEnd:
-		c.end(c.loadedEntry(&r), r.End, c.since(r.Wall))
+		c.end(c.loadedEntry(&r), r.End, r.At)
 	case recordCallbackDone:
 		if e := c.index.get(r.ID); e != nil {
 			e.callbackOwed = false
@@ -199,7 +204,7 @@
 	if e := c.index.get(r.ID); e != nil {
 		return e
 	}
-	return c.index.add(r.ID, r.Unit, c.since(r.Wall))
+	return c.index.add(r.ID, r.Unit, r.At)
 }
 
 func (c *Core) loadMessage(position segment.Position, size uint32, r *loadedRecord) {
--- a/internal/system/role/store/load_test.go
+++ b/internal/system/role/store/load_test.go
@@ -31,8 +31,8 @@
 			written record
 			read    loadedRecord
 		}{
-			{record{Kind: recordMessage, Message: m, Wall: 7}, loadedRecord{Kind: recordMessage, ID: "m1", Unit: "u", Retention: 90 * time.Second, Wall: 7}},
-			{record{Kind: recordEnd, ID: "m2", Unit: "u", End: &end, Wall: 8}, loadedRecord{Kind: recordEnd, ID: "m2", Unit: "u", End: end, Wall: 8}},
+			{record{Kind: recordMessage, Message: m, At: 7}, loadedRecord{Kind: recordMessage, ID: "m1", Unit: "u", Retention: 90 * time.Second, At: 7}},
+			{record{Kind: recordEnd, ID: "m2", Unit: "u", End: &end, At: 8}, loadedRecord{Kind: recordEnd, ID: "m2", Unit: "u", End: end, At: 8}},
 			{record{Kind: recordVoid, ID: "m3"}, loadedRecord{Kind: recordVoid, ID: "m3"}},
 			{record{Kind: recordStarted, Incomplete: true, Founder: true, Disk: "d"}, loadedRecord{Kind: recordStarted, Incomplete: true, Founder: true, Disk: "d"}},
 		} {
--- a/internal/system/role/store/record.go
+++ b/internal/system/role/store/record.go
@@ -4,6 +4,8 @@
 package store
 
 import (
+	"time"
+
 	"github.com/vmihailenco/msgpack/v5"
 
 	"granitewing/internal/system/message"
@@ -20,6 +22,7 @@
 	recordVoid
 	recordEnd
 	recordCallbackDone
+	recordClock // nothing but its time: the log's clock goes on while nothing else is written
 )
 
 // record is one record of the log.
@@ -33,7 +36,8 @@
 	ID         string
 	Unit       string
 	End        *message.End
-	Wall       int64 // when it was written, in milliseconds since 1970
+	// At is the log's time (see logClock) of what the record tells: an arrival, an end, or its writing.
+	At time.Duration
 }
 
 func (r *record) encode() []byte {
--- a/internal/system/role/store/store_test.go
+++ b/internal/system/role/store/store_test.go
@@ -13,14 +13,13 @@
 	"granitewing/internal/system/wire"
 )
 
-// bench is a store on a folder, with clocks that the test moves.
+// bench is a store on a folder, with a clock that the test moves.
 type bench struct {
 	path string
 	core *Core
 	log  *segment.Log
 	now  time.Duration
-	wall int64
-	full bool // clean finds no room
+	full bool // the disk takes no more bytes
 }
 
 func (b *bench) open(bootstrap bool) {
@@ -28,13 +27,17 @@
 	Expect(err).NotTo(HaveOccurred())
 	b.log, err = segment.Open(folder, 8<<10)
 	Expect(err).NotTo(HaveOccurred())
-	b.core = New(Options{Status: 120 * time.Second, DiskBytes: 160 << 10}, b.log, b.now, b.wall)
+	b.core = New(Options{Status: 120 * time.Second, DiskBytes: 160 << 10}, b.log, b.now)
 	Expect(b.log.Replay(b.core.Load)).To(Succeed())
 	b.core.Start(bootstrap, "disk-1")
 	b.flush()
 }
 
 func (b *bench) flush() {
+	if b.full {
+		b.core.Full(b.core.Take())
+		return
+	}
 	batch := b.core.Take()
 	var positions []segment.Position
 	if len(batch.Payloads) > 0 {
@@ -49,11 +52,7 @@
 // clean empties old segments and removes those that are, as the store's driver does; it gives how many were removed.
 func (b *bench) clean() int {
 	Expect(b.core.Clean(b.log.Segments())).To(Succeed())
-	if b.full {
-		b.core.Full(b.core.Take())
-	} else {
-		b.flush()
-	}
+	b.flush()
 	removable := b.core.Removable(b.log.Segments())
 	for _, number := range removable {
 		Expect(b.log.RemoveOldest()).To(Succeed())
@@ -64,8 +63,8 @@
 
 func (b *bench) pass(wait time.Duration) {
 	b.now += wait
-	b.wall += wait.Milliseconds()
-	b.core.Time(b.now, b.wall)
+	b.core.Time(b.now)
+	b.flush()
 }
 
 func newMessage(id string) *message.Message {
@@ -134,7 +133,7 @@
 	var b *bench
 
 	ginkgo.BeforeEach(func() {
-		b = &bench{path: ginkgo.GinkgoT().TempDir(), wall: 1_800_000_000_000}
+		b = &bench{path: ginkgo.GinkgoT().TempDir()}
 		b.open(true)
 	})
 
@@ -192,7 +191,7 @@
 	})
 
 	ginkgo.It("is not complete on an empty disk of a system that runs, until it was filled; and again once it was replaced", func() {
-		fresh := &bench{path: ginkgo.GinkgoT().TempDir(), wall: b.wall}
+		fresh := &bench{path: ginkgo.GinkgoT().TempDir()}
 		fresh.open(false)
 		Expect(fresh.core.Complete()).To(BeFalse())
 		for i := range 50 {
@@ -237,7 +236,7 @@
 	})
 
 	ginkgo.It("tells all that it holds in parts, whatever changes meanwhile", func() {
-		big := &bench{path: ginkgo.GinkgoT().TempDir(), wall: b.wall}
+		big := &bench{path: ginkgo.GinkgoT().TempDir()}
 		big.open(true)
 		big.core.options.DiskBytes = 64 << 20
 		const count = heldRecords + 500
@@ -268,6 +267,50 @@
 		Expect(answer.Messages[0].Age).To(Equal(3 * time.Second))
 	})
 
+	ginkgo.It("counts only the time for which it runs, over several lives, and never more than that", func() {
+		Expect(b.put("a")).To(BeNil())
+		age := func() time.Duration {
+			answer, err := b.core.List(wire.ListBody{Unit: "u"})
+			Expect(err).NotTo(HaveOccurred())
+			return answer.Messages[0].Age
+		}
+		for life := range 3 {
+			b.pass(5 * time.Second)
+			b.pass(700 * time.Millisecond) // nothing is written so soon: it is not known after the stop
+			b.now = 40 * time.Minute       // another life: its process's clock begins anywhere
+			b.open(false)
+			Expect(age()).To(Equal(time.Duration(life+1) * 5 * time.Second))
+			Expect(b.find("a").Phase).To(Equal(message.Pending))
+			b.now = b.now - time.Hour
+			b.open(false)
+			Expect(age()).To(Equal(time.Duration(life+1) * 5 * time.Second))
+		}
+	})
+
+	ginkgo.It("writes its clock only while messages wait", func() {
+		Expect(b.put("a")).To(BeNil())
+		before := b.core.Bytes()
+		b.pass(2 * clockInterval)
+		Expect(b.core.Bytes()).To(BeNumerically(">", before))
+		b.end("a", message.Succeeded)
+		before = b.core.Bytes()
+		b.pass(2 * clockInterval)
+		Expect(b.core.Bytes()).To(Equal(before))
+	})
+
+	ginkgo.It("keeps the ages of copies, and of what is written again", func() {
+		other := &bench{path: ginkgo.GinkgoT().TempDir()}
+		other.open(true)
+		Expect(b.put("a")).To(BeNil())
+		b.pass(7 * time.Second)
+		b.copyTo(other, []string{"a"})
+		other.pass(2 * time.Second)
+		other.open(false)
+		answer, err := other.core.List(wire.ListBody{Unit: "u"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Messages[0].Age).To(Equal(9 * time.Second))
+	})
+
 	ginkgo.It("refuses messages while the disk is full, and keeps ends for later", func() {
 		Expect(b.put("a")).To(BeNil())
 		var refusal *wire.RefusalBody
--- a/internal/system/simulation/store_host.go
+++ b/internal/system/simulation/store_host.go
@@ -32,7 +32,7 @@
 	if h.log, err = segment.Open(m.disk(w, "messages"), segmentLength); err != nil {
 		return nil, err
 	}
-	h.core = store.New(store.Options{Status: s.Bounds.Status, DiskBytes: s.Limits.DiskBytes}, h.log, h.Now(), h.Wall())
+	h.core = store.New(store.Options{Status: s.Bounds.Status, DiskBytes: s.Limits.DiskBytes}, h.log, h.Now())
 	if err := h.log.Replay(h.core.Load); err != nil {
 		return nil, err
 	}
@@ -104,7 +104,7 @@
 }
 
 func (h *storeHost) catchUp() {
-	h.core.Time(h.Now(), h.Wall())
+	h.core.Time(h.Now())
 	view := h.session.View()
 	own, known := view.Disks[h.core.Disk()]
 	h.core.Follow(view.Epoch, known && !own.Counted)
--- a/internal/system/wire/messages.go
+++ b/internal/system/wire/messages.go
@@ -192,7 +192,7 @@
 	Message  message.Message
 	Phase    message.Phase
 	Stamp    string
-	Age      time.Duration // since it was accepted, by the store's monotonic clock where it has been up since
+	Age      time.Duration // since it came to the store, or less: what passed while the store was down is not known
 }
 
 // ListAnswer is a part of a unit's list.
