--- a/internal/system/agreement/disk/disk.go
+++ b/internal/system/agreement/disk/disk.go
@@ -29,7 +29,7 @@
 	ID        string
 	Founders  []string
 	HardState *agreement.HardState
-	// Snapshot is the index whose file replaces the log; entries before it are void.
+	// Snapshot is the index whose file replaces the log; all entries in former records are void.
 	Snapshot uint64
 	Entries  []agreement.Entry
 }
@@ -157,24 +157,13 @@
 		}
 		m.stored.Snapshot = *snapshot
 		m.named = entry.Snapshot
-		m.dropBefore(snapshot)
+		// A snapshot that was installed replaces the whole log, as it does in memory: entries behind its index followed
+		// others than its own.
+		m.stored.Entries = nil
 	}
 	return m.appendEntries(entry.Entries)
 }
 
-func (m *Member) dropBefore(snapshot *agreement.Snapshot) {
-	var kept []agreement.Entry
-	for _, entry := range m.stored.Entries {
-		if entry.Index > snapshot.Index {
-			kept = append(kept, entry)
-		}
-	}
-	if len(kept) > 0 && kept[0].Index != snapshot.Index+1 {
-		kept = nil
-	}
-	m.stored.Entries = kept
-}
-
 func (m *Member) appendEntries(entries []agreement.Entry) error {
 	for _, entry := range entries {
 		first := m.stored.Snapshot.Index + 1
--- a/internal/system/agreement/disk/disk_test.go
+++ b/internal/system/agreement/disk/disk_test.go
@@ -64,6 +64,17 @@
 		Expect(again.ID()).To(Equal("a"))
 	})
 
+	ginkgo.It("keeps nothing behind a snapshot that was installed, as the member does in memory", func() {
+		member := open(founder)
+		Expect(member.Save(&agreement.Ready{Entries: []agreement.Entry{entry(1, 1), entry(2, 1), entry(3, 1), entry(4, 1)}})).To(Succeed())
+		snapshot := &agreement.Snapshot{Index: 2, Term: 2, Data: []byte("state")}
+		Expect(member.Save(&agreement.Ready{HardState: &agreement.HardState{Term: 3}, Snapshot: snapshot})).To(Succeed())
+		// Entries of term 1 behind a snapshot of term 2 would make the log look older than it is.
+		Expect(open(founder).Stored().Entries).To(BeEmpty())
+		Expect(member.Save(&agreement.Ready{Entries: []agreement.Entry{entry(3, 3)}})).To(Succeed())
+		Expect(open(founder).Stored().Entries).To(Equal([]agreement.Entry{entry(3, 3)}))
+	})
+
 	ginkgo.It("says so where a snapshot that the log names is not whole", func() {
 		member := open(founder)
 		Expect(member.Compact(agreement.Stored{Snapshot: agreement.Snapshot{Index: 2, Term: 1, Data: []byte("state")}})).To(Succeed())
--- a/internal/system/agreement/election.go
+++ b/internal/system/agreement/election.go
@@ -20,7 +20,7 @@
 func (n *Node) answerPreVote(message Message) {
 	// Where another has just got this vote it is likely to lead in a moment: a second candidate would only depose it.
 	another := n.vote != "" && n.vote != message.From && n.votedAt > 0 && n.now-n.votedAt < n.options.HeartbeatInterval
-	grant := n.hasVote(n.options.Self) && message.Term > n.term && n.upToDate(message) && !n.followsLeader() && !another
+	grant := n.Member() && message.Term > n.term && n.upToDate(message) && !n.followsLeader() && !another
 	answer := Message{Kind: PreVoteAnswer, To: message.From, Reject: !grant}
 	n.send(answer)
 	if grant {
@@ -28,9 +28,11 @@
 	}
 }
 
+// answerVote judges a candidate by its log alone. A learner votes too: it may have been made a voter by an entry that has not
+// reached it, and the group may need its vote to go on; where it is none, nobody counts the vote.
 func (n *Node) answerVote(message Message) {
 	free := n.vote == "" && n.leader == "" || n.vote == message.From
-	grant := n.hasVote(n.options.Self) && free && n.upToDate(message)
+	grant := n.Member() && free && n.upToDate(message)
 	if grant {
 		n.heardLeader = n.now
 		n.votedAt = n.now
--- a/internal/system/agreement/model_search_test.go
+++ b/internal/system/agreement/model_search_test.go
@@ -69,6 +69,8 @@
 	case "leader-opens-term":
 		// Too deep for a search within seconds: written by hand, after the fault in the first publication of such changes.
 		return bounds{members: 5, founders: 0b01111, terms: 3, entries: 4, changes: 2}
+	case "snapshot-keeps":
+		return bounds{members: 3, founders: 0b111, terms: 3, entries: 3, installs: 1}
 	case "own-term-commits", "previous-entry-fits":
 		return bounds{members: 3, founders: 0b111, terms: 4, entries: 3}
 	case "synced-counts", "one-vote-in-term", "logs-compared":
@@ -87,6 +89,7 @@
 	}
 	ginkgo.DescribeTable("finds nothing with all rules in force", func(b bounds) { searchesWhole(b, 1_000_000) },
 		ginkgo.Entry("three members that may be let go", bounds{members: 3, founders: 0b111, terms: 2, entries: 3, changes: 2, crashes: 1}),
+		ginkgo.Entry("three members, one of which installs a snapshot", bounds{members: 3, founders: 0b111, terms: 3, entries: 3, installs: 1}),
 		ginkgo.Entry("three members and a newcomer", bounds{members: 4, founders: 0b0111, terms: 2, entries: 3, changes: 1, crashes: 1}),
 		ginkgo.Entry("two members and two newcomers", bounds{members: 4, founders: 0b0011, terms: 2, entries: 3, changes: 1, crashes: 1}),
 		ginkgo.Entry("five members", bounds{members: 5, founders: 0b11111, terms: 2, entries: 2}),
--- /dev/null
+++ b/internal/system/agreement/recovery_test.go
@@ -0,0 +1,105 @@
+package agreement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// entriesOf gives entries of a term, from one index to another.
+func entriesOf(term, from, to uint64) []Entry {
+	var entries []Entry
+	for index := from; index <= to; index++ {
+		entries = append(entries, Entry{Index: index, Term: term, Data: fmt.Appendf(nil, "%d", index)})
+	}
+	return entries
+}
+
+var _ = ginkgo.Describe("A member whose log was behind", func() {
+	const now = time.Second
+	options := func(self string) Options {
+		random := rand.New(rand.NewPCG(uint64(self[0]), 1))
+		return Options{Self: self, ElectionTimeout: testElection, HeartbeatInterval: testHeartbeat,
+			Random: func(below int64) int64 { return random.Int64N(max(below, 1)) }}
+	}
+	founders := Membership{Voters: []string{"a", "b", "c"}}
+	// done has a member carry out what it has ready, on a disk that syncs at once, and gives the messages.
+	done := func(node *Node) []Message {
+		ready := node.Ready()
+		node.Persisted(&ready)
+		return ready.Messages
+	}
+
+	ginkgo.It("votes as soon as it was made a voter, though the entry that says so has not reached it", func() {
+		// The group of a, b and c, of which c is gone for good, was to become a, b, c and d: a and b have that entry, d not.
+		follows := Membership{Voters: founders.Voters, Learners: []string{"d"}}
+		promoted := follows.With("d", AsVoter)
+		first := []Entry{{Index: 1, Term: 1, Members: &follows}}
+		whole := []Entry{first[0], {Index: 2, Term: 1, Members: &promoted}}
+		stored := func(entries []Entry) Stored {
+			return Stored{HardState: HardState{Term: 1}, Snapshot: Snapshot{Members: founders}, Entries: entries}
+		}
+		members := map[string]*Node{"a": New(options("a"), stored(whole), now), "b": New(options("b"), stored(whole), now),
+			"d": New(options("d"), stored(first), now)}
+		leads := func() bool { return members["a"].Leading() || members["b"].Leading() || members["d"].Leading() }
+		for at := time.Duration(now); at < now+20*testElection && !leads(); at += testHeartbeat / 4 {
+			for _, name := range []string{"a", "b", "d"} {
+				if at >= members[name].NextWake() {
+					members[name].Tick(at)
+				}
+			}
+			for range 4 {
+				for _, name := range []string{"a", "b", "d"} {
+					for _, message := range done(members[name]) {
+						if to := members[message.To]; to != nil {
+							to.Step(at, message)
+						}
+					}
+				}
+			}
+		}
+		Expect(leads()).To(BeTrue())
+	})
+
+	ginkgo.It("keeps what it has acknowledged behind a snapshot that its log agrees with", func() {
+		node := New(options("b"), Stored{HardState: HardState{Term: 1}, Snapshot: Snapshot{Members: founders}}, now)
+		node.Step(now, Message{Kind: Append, From: "a", To: "b", Term: 1, Entries: entriesOf(1, 1, 9), Commit: 3})
+		acknowledged := done(node)
+		Expect(acknowledged).To(HaveLen(1))
+		Expect(acknowledged[0].Index).To(Equal(uint64(9)))
+		node.Step(now, Message{Kind: InstallSnapshot, From: "a", To: "b", Term: 1,
+			Snapshot: &Snapshot{Index: 6, Term: 1, Data: []byte("state"), Members: founders}})
+		ready := node.Ready()
+		Expect(ready.Snapshot).To(BeNil())
+		Expect(node.log.lastIndex()).To(Equal(uint64(9)))
+		Expect(node.Applied()).To(Equal(uint64(6)))
+	})
+
+	ginkgo.It("lets go of all that an installed snapshot does not agree with", func() {
+		node := New(options("b"), Stored{HardState: HardState{Term: 1}, Snapshot: Snapshot{Members: founders}, Entries: entriesOf(1, 1, 9)}, now)
+		node.Step(now, Message{Kind: InstallSnapshot, From: "a", To: "b", Term: 3,
+			Snapshot: &Snapshot{Index: 6, Term: 2, Data: []byte("state"), Members: founders}})
+		ready := node.Ready()
+		Expect(ready.Snapshot).NotTo(BeNil())
+		Expect(node.log.lastIndex()).To(Equal(uint64(6)))
+		Expect(node.log.lastTerm()).To(Equal(uint64(2)))
+	})
+
+	ginkgo.It("is not taken for behind by an answer that comes late", func() {
+		leader := New(options("a"), Stored{HardState: HardState{Term: 1}, Snapshot: Snapshot{Members: founders}, Entries: entriesOf(1, 1, 5)}, now)
+		leader.campaign(Candidate)
+		leader.Step(now, Message{Kind: VoteAnswer, From: "b", To: "a", Term: leader.Term()})
+		Expect(leader.Role()).To(Equal(Leader))
+		done(leader)
+		answer := Message{Kind: AppendAnswer, From: "b", To: "a", Term: leader.Term(), Index: 6, Sent: now + 2}
+		leader.Step(now+3, answer)
+		Expect(leader.followers["b"].match).To(Equal(uint64(6)))
+		late := Message{Kind: AppendAnswer, From: "b", To: "a", Term: leader.Term(), Index: 2, Reject: true, Sent: now + 1}
+		leader.Step(now+4, late)
+		Expect(leader.followers["b"].match).To(Equal(uint64(6)))
+		Expect(leader.followers["b"].next).To(BeNumerically(">", 6))
+	})
+})
--- a/internal/system/agreement/replicate.go
+++ b/internal/system/agreement/replicate.go
@@ -88,7 +88,12 @@
 	if snapshot == nil {
 		return
 	}
-	if snapshot.Index > n.log.committed {
+	switch term, held := n.log.term(snapshot.Index); {
+	case snapshot.Index <= n.log.committed:
+	case held && term == snapshot.Term:
+		// The log agrees up to there. What is behind it stays: the leader may have counted it as held here.
+		n.commitTo(snapshot.Index)
+	default:
 		n.log.restore(snapshot)
 		n.readGroup()
 		n.persisted = snapshot.Index
@@ -110,6 +115,9 @@
 	if n.role != Leader || follower == nil {
 		return
 	}
+	if message.Reject && message.Sent < follower.heard {
+		return // late: the follower has answered a later message since
+	}
 	follower.heard = max(follower.heard, message.Sent)
 	if message.Reject {
 		follower.next = max(min(message.Index, follower.next-1)+1, 1)
