Let a live voter leave a whole group only, and find leaders that no seed names

Change: keepers remember others; a change of group leaves live, caught-up voters that keep a majority through the tolerated loss; 'succeeded' stands on committed words of every group's leader; refusals that speak of state (404, 409, 'removed', 'session over') are confirmed by a majority first.

--- a/internal/system/agreement/membership.go
+++ b/internal/system/agreement/membership.go
@@ -9,9 +9,7 @@
 func (n *Node) Group() Membership { return n.group }
 
 // Member tells whether the member belongs to the group, as it knows it; a newcomer doesn't until a leader has told it.
-func (n *Node) Member() bool {
-	return n.hasVote(n.options.Self) || slices.Contains(n.group.Learners, n.options.Self)
-}
+func (n *Node) Member() bool { return n.group.Has(n.options.Self) }
 
 func (n *Node) hasVote(id string) bool { return slices.Contains(n.group.Voters, id) }
 
--- a/internal/system/agreement/types.go
+++ b/internal/system/agreement/types.go
@@ -18,6 +18,11 @@
 // Empty tells whether nobody is named.
 func (m Membership) Empty() bool { return len(m.Voters) == 0 && len(m.Learners) == 0 }
 
+// Has tells whether a member belongs to the group, with a vote or without.
+func (m Membership) Has(id string) bool {
+	return slices.Contains(m.Voters, id) || slices.Contains(m.Learners, id)
+}
+
 // With gives a membership in which a member has moved to a place.
 func (m Membership) With(id string, place Place) Membership {
 	next := Membership{Voters: without(m.Voters, id), Learners: without(m.Learners, id)}
--- a/internal/system/node/operators.go
+++ b/internal/system/node/operators.go
@@ -137,9 +137,10 @@
 func (n *keeperNode) getRetirement(c echo.Context) error {
 	var retired bool
 	result := n.ask(func(done func(outcome)) {
-		var err error
-		retired, err = n.core.Retired(n.Now(), c.Param("node"))
-		done(outcome{err: err})
+		n.core.Retired(n.Now(), c.Param("node"), func(emptied bool, err error) {
+			retired = emptied
+			done(outcome{err: err})
+		})
 	})
 	switch {
 	case result.err != nil:
--- a/internal/system/role/keeper/core.go
+++ b/internal/system/role/keeper/core.go
@@ -103,7 +103,8 @@
 	catalogKnown    bool
 	catalogDue      time.Duration
 	reconcileDue    time.Duration
-	keepers         map[string]bool // addresses of the keepers that this one knows
+	keepers         map[string]bool // addresses of the keepers that belong to a group, and this one's
+	known           []string        // addresses of other keepers, the latest heard last
 }
 
 // LostError tells a waiter that its order may or may not be taken.
@@ -164,6 +165,7 @@
 		return
 	}
 	for _, message := range messages {
+		c.hear(AddressOf(message.From))
 		c.groups[id].node.Step(now, message)
 	}
 	c.checkLeadership()
@@ -254,7 +256,7 @@
 	c.now = now
 	g := c.groups[id]
 	g.node.Persisted(ready)
-	changed := false
+	changed, regrouped := false, false
 	if ready.Snapshot != nil && len(ready.Snapshot.Data) > 0 {
 		if err := g.restore(ready.Snapshot.Data); err != nil {
 			return err
@@ -264,6 +266,7 @@
 	for _, entry := range ready.Committed {
 		changed = true
 		var result error
+		regrouped = regrouped || entry.Members != nil
 		if entry.Data != nil {
 			result = g.apply(entry.Index, entry.Data)
 		}
@@ -280,6 +283,9 @@
 		c.refreshFeed()
 		c.reconcile()
 	}
+	if regrouped {
+		c.tendGroups() // a group has one voter more than it needs for as short as can be
+	}
 	return nil
 }
 
--- a/internal/system/role/keeper/groups.go
+++ b/internal/system/role/keeper/groups.go
@@ -1,33 +1,19 @@
 package keeper
 
 import (
-	"net"
 	"slices"
-	"strings"
 	"time"
 
 	"granitewing/internal/system/agreement"
-	"granitewing/internal/system/feed"
 )
 
-// A member's identity in a group is its address, and for one that was not a founder a part drawn on its disk.
-const identitySeparator = "#"
-
-// AddressOf is the address in an identity.
-func AddressOf(id string) string {
-	address, _, _ := strings.Cut(id, identitySeparator)
-	return address
-}
-
-// FreshIdentity is the identity of a member that starts on an empty disk and is no founder.
-func FreshIdentity(address, drawn string) string { return address + identitySeparator + drawn }
-
 // Times of the care for groups.
 const (
-	silentForPromotion = 1000 * time.Millisecond // of a voter, before a learner that has caught up takes a vote
-	silentForRemoval   = 1400 * time.Millisecond // of a voter, while there are voters enough without it
-	learnerGone        = 8 * time.Second
-	learnerHeard       = 600 * time.Millisecond
+	// A voter that was silent for so long is taken for gone: a learner gets its place.
+	silentForRemoval = 1200 * time.Millisecond
+	learnerGone      = 8 * time.Second
+	memberHeard      = 600 * time.Millisecond // within it a member that is live was heard
+	goneForGood      = time.Hour              // the silence of a voter whose disk is known to be lost
 )
 
 // tendGroups changes the groups that this keeper leads, one member at a time: a newcomer that has caught up gets a vote
@@ -56,16 +42,19 @@
 		return
 	}
 	group := node.Group()
-	wanted := c.options.Tolerance.Voters()
-	silentVoter, silence := longestSilence(node, group.Voters)
+	silentVoter, silence := longestSilence(node, group)
+	gone := ""
+	if silence > silentForRemoval {
+		gone = silentVoter
+	}
 	leaving := c.leavingVoter(group)
-	if len(group.Voters) > wanted {
-		c.letGo(id, node, silentVoter, silence, leaving)
+	if len(group.Voters) > c.options.Tolerance.Voters() {
+		c.letGo(id, node, gone, leaving)
 		return
 	}
-	goes := leaving
-	if goes == "" && silence > silentForPromotion {
-		goes = silentVoter
+	goes := gone
+	if goes == "" {
+		goes = leaving
 	}
 	if learner := c.nextVoter(node, group, goes); learner != "" {
 		c.changeGroup(id, group.With(learner, agreement.AsVoter))
@@ -79,20 +68,19 @@
 	}
 }
 
-// letGo takes a voter out of a group that has one more than it needs: one that is leaving or silent, or one of a zone that
-// has too many.
-func (c *Core) letGo(id int, node *agreement.Node, silentVoter string, silence time.Duration, leaving string) {
+// letGo takes a voter out of a group that has one more than it needs: one that is gone, one that is leaving, or one of a
+// zone that has too many. One that is gone holds nothing that the group could use, so that is always right; a live one
+// stays until the others are live and caught up without it.
+func (c *Core) letGo(id int, node *agreement.Node, gone, leaving string) {
 	group := node.Group()
-	goes := ""
-	switch {
-	case silence > silentForRemoval:
-		goes = silentVoter
-	case leaving != "":
+	goes := gone
+	if goes == "" {
 		goes = leaving
-	case !c.options.Tolerance.Survives(c.zonesOf(group.Voters, "")):
+	}
+	if goes == "" && !c.options.Tolerance.Survives(c.zonesOf(group.Voters, "")) {
 		goes = c.crowding(group.Voters)
 	}
-	if goes == "" {
+	if goes == "" || goes != gone && !c.safeWithout(node, goes) {
 		return
 	}
 	if goes == c.options.IDs[id] {
@@ -135,11 +123,14 @@
 	any := ""
 	for _, learner := range group.Learners {
 		quiet, caughtUp := node.Silence(learner)
-		if !caughtUp || quiet >= learnerHeard || c.leaves(learner) {
+		if !caughtUp || quiet >= memberHeard || c.leaves(learner) {
 			continue
 		}
-		any = learner
 		with := append(slices.Clone(group.Voters), learner)
+		if 2*len(live(node, with)) <= len(with) {
+			continue // the group could commit nothing with one voter more, the change itself among it
+		}
+		any = learner
 		switch {
 		case lacking && tolerance.Survives(c.zonesOf(with, "")):
 			return learner
@@ -157,12 +148,8 @@
 
 // zoneOf is the zone of a member's machine, which its store tells; empty where that is not known.
 func (c *Core) zoneOf(id string) string {
-	host, _, err := net.SplitHostPort(AddressOf(id))
-	if err != nil {
-		return ""
-	}
 	for _, disk := range c.sessions.Disks() {
-		if other, _, err := net.SplitHostPort(disk.Member.Address); err == nil && other == host {
+		if sameHost(AddressOf(id), disk.Member.Address) {
 			return disk.Member.Zone
 		}
 	}
@@ -182,10 +169,16 @@
 	return yielded
 }
 
-func longestSilence(node *agreement.Node, ids []string) (id string, silence time.Duration) {
-	for _, other := range ids {
-		if quiet, _ := node.Silence(other); quiet > silence {
-			id, silence = other, quiet
+// longestSilence is the voter that has not answered for longest. One whose address another member has is gone for good:
+// that one was drawn on the empty disk of the same machine.
+func longestSilence(node *agreement.Node, group agreement.Membership) (id string, silence time.Duration) {
+	for _, voter := range group.Voters {
+		quiet, _ := node.Silence(voter)
+		if quiet > memberHeard && slices.ContainsFunc(group.Learners, func(learner string) bool { return AddressOf(learner) == AddressOf(voter) }) {
+			quiet = goneForGood
+		}
+		if quiet > silence {
+			id, silence = voter, quiet
 		}
 	}
 	return id, silence
@@ -195,81 +188,3 @@
 func (c *Core) changeGroup(id int, group agreement.Membership) {
 	_ = c.groups[id].node.ProposeGroup(c.now, group)
 }
-
-// RemovedError tells a keeper that its group does without it: what its disk holds of the group is void.
-type RemovedError struct{ ID string }
-
-func (e *RemovedError) Error() string { return "the group does without " + e.ID }
-
-// LeavingError tells a newcomer that its machine is being emptied.
-type LeavingError struct{ ID string }
-
-func (e *LeavingError) Error() string { return "the machine of " + e.ID + " is being emptied" }
-
-// JoinGroup lets a newcomer follow a group. Every keeper follows every group: whoever leads the sessions gives members all
-// that the groups hold, and whoever is needed as a voter has caught up. knows tells whether its disk names a group already.
-func (c *Core) JoinGroup(now time.Duration, id int, member string, knows bool) error {
-	c.now = now
-	if id < 0 || id >= Groups || !c.groups[id].node.Leading() {
-		return c.notLeader(min(max(id, 0), Groups-1))
-	}
-	node := c.groups[id].node
-	group := node.Group()
-	if slices.Contains(group.Voters, member) || slices.Contains(group.Learners, member) {
-		return nil
-	}
-	if knows {
-		return &RemovedError{ID: member}
-	}
-	if c.leaves(member) {
-		return &LeavingError{ID: member}
-	}
-	return node.ProposeGroup(now, group.With(member, agreement.AsLearner))
-}
-
-// Joining tells whether a group's member should ask to join: it knows of no group, or has heard no leader for long.
-func (c *Core) Joining(now time.Duration, id int) (member string, knows, wanted bool) {
-	node := c.groups[id].node
-	group := node.Group()
-	knows = !group.Empty()
-	return c.options.IDs[id], knows, node.Leader() == ""
-}
-
-// ResetGroup begins a group's member anew, under another identity, after the group did without it.
-func (c *Core) ResetGroup(now time.Duration, id int, identity string) {
-	c.now = now
-	c.options.IDs[id] = identity
-	c.groups[id].abandon()
-	c.groups[id].reset()
-	c.groups[id] = c.newGroup(id, agreement.Stored{})
-	for subscriber := range c.subscribers {
-		c.subscribers[subscriber] = feed.Position{} // it gets the whole table
-	}
-}
-
-// noteKeepers gathers the addresses of all that belong to a group.
-func (c *Core) noteKeepers() {
-	keepers := map[string]bool{c.options.Address: true}
-	for _, g := range c.groups {
-		group := g.node.Group()
-		for _, member := range append(slices.Clone(group.Voters), group.Learners...) {
-			keepers[AddressOf(member)] = true
-		}
-	}
-	c.keepers = keepers
-	values := map[string][]byte{}
-	for address := range keepers {
-		values[PrefixKeeper+address] = []byte{1}
-	}
-	c.replace(PrefixKeeper, values)
-}
-
-// Keepers gives the addresses of all keepers that this one knows, sorted.
-func (c *Core) Keepers() []string {
-	addresses := make([]string, 0, len(c.keepers))
-	for address := range c.keepers {
-		addresses = append(addresses, address)
-	}
-	slices.Sort(addresses)
-	return addresses
-}
--- a/internal/system/role/keeper/handle.go
+++ b/internal/system/role/keeper/handle.go
@@ -25,7 +25,7 @@
 		if err := wire.Decode(kind, payload, &body); err != nil {
 			return err
 		}
-		done(c.JoinGroup(now, body.Group, body.Member, body.Knows))
+		c.JoinGroup(now, body.Group, body.Member, body.Knows, done)
 	case wire.OpenSession:
 		var body wire.OpenSessionBody
 		if err := wire.Decode(kind, payload, &body); err != nil {
@@ -39,8 +39,9 @@
 		if err := wire.Decode(kind, payload, &body); err != nil {
 			return err
 		}
-		age, err := c.Heartbeat(now, from, body)
-		answer(answerer, &wire.HeartbeatAnswer{CatalogAge: age}, err)
+		c.Heartbeat(now, from, body, func(age time.Duration, err error) {
+			answer(answerer, &wire.HeartbeatAnswer{CatalogAge: age}, err)
+		})
 	default:
 		return c.handleOrder(now, kind, payload, answerer, done)
 	}
@@ -80,6 +81,12 @@
 			return err
 		}
 		c.DiskEmptied(now, body.Disk, done)
+	case wire.GroupLeft:
+		var body wire.GroupLeftBody
+		if err := wire.Decode(kind, payload, &body); err != nil {
+			return err
+		}
+		c.GroupLeft(now, body.Node, body.Group, done)
 	default:
 		return &wire.UnknownCallError{Kind: kind}
 	}
--- a/internal/system/role/keeper/joiner.go
+++ b/internal/system/role/keeper/joiner.go
@@ -18,14 +18,18 @@
 	Reset(group int)
 }
 
-// Joiner asks, for each group in which a keeper hears no leader, to be let in.
+// Joiner asks, for each group in which a keeper hears no leader, to be let in; and for the groups that it leads tells the
+// leader of the sessions which machines they do without.
 type Joiner struct {
 	env       JoinEnvironment
 	core      *Core
 	resetting [Groups]bool
 }
 
-const joinInterval = 250 * time.Millisecond
+const (
+	joinInterval = 250 * time.Millisecond
+	joinTimeout  = time.Second // a leader may have to ask a majority
+)
 
 // NewJoiner makes a joiner; Step begins.
 func NewJoiner(env JoinEnvironment, core *Core) *Joiner { return &Joiner{env: env, core: core} }
@@ -39,13 +43,28 @@
 			j.ask(group, id, knows)
 		}
 	}
+	j.report()
+}
+
+// report tells the leader of the sessions which machines that are being emptied have left a group.
+func (j *Joiner) report() {
+	for _, departure := range j.core.Departures(j.env.Now()) {
+		leader, self := j.core.Leader(SessionGroup)
+		switch {
+		case self:
+			j.core.GroupLeft(j.env.Now(), departure.Node, departure.Group, func(error) {})
+		case j.env.Up(leader):
+			body := wire.GroupLeftBody{Node: departure.Node, Group: departure.Group}
+			j.env.Call(leader, wire.GroupLeft, wire.Encode(&body), joinInterval, func([]byte, error) {})
+		}
+	}
 }
 
 func (j *Joiner) ask(group int, id string, knows bool) {
 	body := wire.Encode(&wire.JoinGroupBody{Group: group, Member: id, Knows: knows})
 	for _, address := range j.env.Others() {
 		if j.env.Up(address) {
-			j.env.Call(address, wire.JoinGroup, body, joinInterval, func(_ []byte, err error) { j.asked(group, id, err) })
+			j.env.Call(address, wire.JoinGroup, body, joinTimeout, func(_ []byte, err error) { j.asked(group, id, err) })
 		}
 	}
 }
@@ -60,7 +79,12 @@
 func (j *Joiner) asked(group int, id string, err error) {
 	var refused refusal
 	current, _, _ := j.core.Joining(j.env.Now(), group)
-	if !errors.As(err, &refused) || refused.Refusal().Code != wire.Removed || current != id || j.resetting[group] {
+	if !errors.As(err, &refused) {
+		return
+	}
+	// The leader need be none of those that the seeds name: it is asked as soon as there is a connection to it.
+	j.core.Heard(refused.Refusal().Leader)
+	if refused.Refusal().Code != wire.Removed || current != id || j.resetting[group] {
 		return
 	}
 	j.resetting[group] = true
--- a/internal/system/role/keeper/keeper_suite_test.go
+++ b/internal/system/role/keeper/keeper_suite_test.go
@@ -64,13 +64,19 @@
 		l.now += step
 		l.core.Tick(l.now)
 		for _, incarnation := range members {
-			_, err := l.core.Heartbeat(l.now, 1, wire.HeartbeatBody{Incarnation: incarnation})
-			Expect(err).NotTo(HaveOccurred())
+			Expect(l.heartbeat(1, wire.HeartbeatBody{Incarnation: incarnation})).To(Succeed())
 		}
 		l.settle()
 	}
 }
 
+// heartbeat sends a heartbeat on a member's connection, and gives the refusal.
+func (l *lone) heartbeat(from Subscriber, body wire.HeartbeatBody) (refusal error) {
+	l.core.Heartbeat(l.now, from, body, func(_ time.Duration, err error) { refusal = err })
+	l.settle()
+	return refusal
+}
+
 func (l *lone) join(incarnation string, stopping bool) {
 	member := session.Member{Incarnation: incarnation, Node: incarnation, Role: session.Carrier, Stopping: stopping}
 	var failure error
@@ -215,8 +221,7 @@
 		position := feed.Position{Epoch: "e", Offset: l.core.feed.Offset()}
 		l.core.Pushes()
 		l.core.Unsubscribe(1)
-		_, err := l.core.Heartbeat(l.now, 2, wire.HeartbeatBody{Incarnation: "a", Position: position})
-		Expect(err).NotTo(HaveOccurred())
+		Expect(l.heartbeat(2, wire.HeartbeatBody{Incarnation: "a", Position: position})).To(Succeed())
 		Expect(l.core.Pushes()).To(BeEmpty())
 		l.join("b", false)
 		pushes := l.core.Pushes()
--- a/internal/system/role/keeper/orders.go
+++ b/internal/system/role/keeper/orders.go
@@ -18,11 +18,11 @@
 	}
 	known, err := c.configuration.Check(order)
 	if err != nil {
-		c.confirm(func(confirmation error) { done(firstError(confirmation, c.judgeAgain(order))) })
+		c.confirm(ConfigurationGroup, func(confirmation error) { done(firstError(confirmation, c.judgeAgain(order))) })
 		return
 	}
 	if known {
-		c.confirm(done)
+		c.confirm(ConfigurationGroup, done)
 		return
 	}
 	data, err := msgpack.Marshal(&order)
@@ -51,8 +51,9 @@
 	return nil
 }
 
-// confirm passes an empty entry through the log: once it is applied, the state here is the newest there is.
-func (c *Core) confirm(done func(err error)) { c.propose(ConfigurationGroup, nil, done) }
+// confirm passes an empty entry through a group's log: once it is applied, a majority has said that this keeper still leads,
+// and the state here is the newest there is.
+func (c *Core) confirm(id int, done func(err error)) { c.propose(id, nil, done) }
 
 // Read gives the newest configuration as it was sent.
 func (c *Core) Read(now time.Duration, done func(raw []byte, err error)) {
@@ -62,7 +63,7 @@
 		done(nil, c.notLeader(ConfigurationGroup))
 		return
 	}
-	c.confirm(func(err error) {
+	c.confirm(ConfigurationGroup, func(err error) {
 		if err != nil || c.configuration.Current() == nil {
 			done(nil, err)
 			return
--- a/internal/system/role/keeper/sessions.go
+++ b/internal/system/role/keeper/sessions.go
@@ -37,9 +37,8 @@
 		return
 	}
 	known, live := c.sessions.Member(member.Incarnation)
-	_, expiring := c.leaving[member.Incarnation]
-	if body.Renew && (!live || expiring) {
-		done(&UnknownSessionError{Incarnation: member.Incarnation})
+	if body.Renew && !c.keeps(member.Incarnation) {
+		c.refuseSession(member.Incarnation, done)
 		return
 	}
 	if live && known == member {
@@ -59,23 +58,44 @@
 
 // Heartbeat keeps a session, and its member's subscription to the feed: whatever this keeper forgot of it, a member that is
 // taken for live gets what has changed. The age is that of the list of workers.
-func (c *Core) Heartbeat(now time.Duration, subscriber Subscriber, body wire.HeartbeatBody) (catalogAge time.Duration, err error) {
+func (c *Core) Heartbeat(now time.Duration, subscriber Subscriber, body wire.HeartbeatBody, done func(catalogAge time.Duration, err error)) {
 	c.now = now
 	incarnation := body.Incarnation
 	if !c.vouches() {
-		return 0, c.notLeader(SessionGroup)
-	}
-	if _, live := c.sessions.Member(incarnation); !live {
-		return 0, &UnknownSessionError{Incarnation: incarnation}
+		done(0, c.notLeader(SessionGroup))
+		return
 	}
-	if _, expiring := c.leaving[incarnation]; expiring {
-		return 0, &UnknownSessionError{Incarnation: incarnation}
+	if !c.keeps(incarnation) {
+		c.refuseSession(incarnation, func(err error) { done(0, err) })
+		return
 	}
 	c.lastHeard[incarnation] = now
 	if _, subscribed := c.subscribers[subscriber]; !subscribed {
 		c.subscribers[subscriber] = body.Position
 	}
-	return c.CatalogAge(), nil
+	done(c.CatalogAge(), nil)
+}
+
+// keeps tells whether a session is open and its end is not under way.
+func (c *Core) keeps(incarnation string) bool {
+	_, live := c.sessions.Member(incarnation)
+	_, expiring := c.leaving[incarnation]
+	return live && !expiring
+}
+
+// refuseSession tells a member that its session is over, once a majority has confirmed that this keeper leads: on this word
+// the member gives up all that it owns.
+func (c *Core) refuseSession(incarnation string, done func(err error)) {
+	c.confirm(SessionGroup, func(err error) {
+		switch {
+		case err != nil:
+			done(err)
+		case c.keeps(incarnation):
+			done(c.notLeader(SessionGroup)) // it was opened meanwhile; the member asks again
+		default:
+			done(&UnknownSessionError{Incarnation: incarnation})
+		}
+	})
 }
 
 // vouches tells whether this keeper may lengthen sessions. A successor that it named may lead already, and has given
--- a/internal/system/session/roster.go
+++ b/internal/system/session/roster.go
@@ -20,8 +20,11 @@
 
 func (s *State) joinDisk(member Member) {
 	disk, known := s.disks[member.Disk]
-	if !known && slices.Contains(s.retired, member.Node) && slices.Contains(s.replaced, member.Disk) {
-		return // it was emptied, and stays out
+	if !known && slices.Contains(s.retired, member.Node) {
+		if slices.Contains(s.replaced, member.Disk) {
+			return // it was emptied, and stays out
+		}
+		s.returned(member.Node)
 	}
 	disk.Member = member
 	if !known && member.Founder && !slices.Contains(s.replaced, member.Disk) {
--- a/internal/system/session/snapshot.go
+++ b/internal/system/session/snapshot.go
@@ -20,12 +20,14 @@
 	Epoch    uint64
 	Replaced []string
 	Retired  []string
+	// Retirements is not there in snapshots of earlier versions.
+	Retirements map[string]retirement
 }
 
 // Snapshot is the whole table in bytes.
 func (s *State) Snapshot() ([]byte, error) {
 	return msgpack.Marshal(&stored{Members: s.members, Departed: s.departed, Disks: s.disks, Epoch: s.epoch,
-		Replaced: s.replaced, Retired: s.retired})
+		Replaced: s.replaced, Retired: s.retired, Retirements: s.retirements})
 }
 
 // Restore replaces the table by a snapshot.
@@ -44,7 +46,25 @@
 	for id, disk := range form.Disks {
 		fresh.disks[id] = disk
 	}
+	for node, entry := range form.Retirements {
+		fresh.retirements[node] = entry
+	}
 	fresh.epoch, fresh.replaced, fresh.retired = form.Epoch, form.Replaced, form.Retired
+	fresh.knowRetirements()
 	*s = *fresh
 	return nil
 }
+
+// knowRetirements makes what a snapshot of an earlier version lacks.
+func (s *State) knowRetirements() {
+	for _, disk := range s.disks {
+		if _, known := s.retirements[disk.Member.Node]; disk.Leaving && !known {
+			s.retirements[disk.Member.Node] = retirement{Address: disk.Member.Address}
+		}
+	}
+	for _, node := range s.retired {
+		if _, known := s.retirements[node]; !known {
+			s.retirements[node] = retirement{}
+		}
+	}
+}
--- a/internal/system/session/state.go
+++ b/internal/system/session/state.go
@@ -47,6 +47,7 @@
 	Count                   // a disk holds copies of all that the others hold, and counts from now on
 	Retire                  // a machine's disks are to be emptied
 	DiskEmptied             // all that lies on a leaving disk lies on enough others
+	GroupLeft               // a control group does without a machine that is being emptied
 )
 
 // Command changes the table.
@@ -55,7 +56,8 @@
 	Member      Member
 	Incarnation string
 	Disk        string
-	Node        string // of Retire
+	Node        string // of Retire and GroupLeft
+	Group       int    // of GroupLeft
 }
 
 // State is the replicated table.
@@ -66,11 +68,14 @@
 	epoch    uint64   // of the roster of disks: rises whenever a disk begins or ceases to count
 	replaced []string // disks that another took the place of, the latest last
 	retired  []string // machines whose disks are empty, the latest last
+	// retirements has the machines that are being emptied, or were, by name.
+	retirements map[string]retirement
 }
 
 // NewState is the empty table.
 func NewState() *State {
-	return &State{members: map[string]Member{}, departed: map[string]Departed{}, disks: map[string]Disk{}}
+	return &State{members: map[string]Member{}, departed: map[string]Departed{}, disks: map[string]Disk{},
+		retirements: map[string]retirement{}}
 }
 
 // maxDeparted bounds the departed; past it the oldest name goes first, which no deployment reaches while adopters settle.
@@ -130,6 +135,8 @@
 		s.retire(command.Node)
 	case DiskEmptied:
 		s.emptied(command.Disk)
+	case GroupLeft:
+		s.groupLeft(command.Node, command.Group)
 	}
 	s.adopt()
 }
--- a/internal/system/simulation/trouble.go
+++ b/internal/system/simulation/trouble.go
@@ -104,21 +104,31 @@
 		return
 	}
 	host.core.RetireMachine(host.Now(), name, func(err error) {
-		retired, getErr := host.core.Retired(host.Now(), name)
-		if err != nil || getErr != nil || !retired {
+		if err != nil {
 			again()
 			return
 		}
-		m := d.world.machines[name]
-		if !m.removed {
-			d.powerOff(m, time.Hour, true)
-			m.removed = true
-			d.retired++
-		}
+		host.core.Retired(host.Now(), name, func(retired bool, err error) {
+			if err != nil || !retired {
+				again()
+				return
+			}
+			d.takeAway(d.world.machines[name])
+		})
 	})
 	host.goOn()
 }
 
+// takeAway removes a machine that was emptied, with its disk.
+func (d *day) takeAway(m *machine) {
+	if m.removed {
+		return
+	}
+	d.powerOff(m, time.Hour, true)
+	m.removed = true
+	d.retired++
+}
+
 // release replaces a worker of a service: the new one first, then the old one drains and ends.
 func (d *day) release(service string) {
 	for _, id := range d.platform.names() {
--- a/internal/system/tolerance/tolerance.go
+++ b/internal/system/tolerance/tolerance.go
@@ -49,13 +49,17 @@
 }
 
 // Survives tells whether voters, given by their zones, keep a majority through every loss that is tolerated.
-func (t *Tolerance) Survives(zones []string) bool {
-	regions := make([]string, 0, len(zones))
-	for _, zone := range zones {
+func (t *Tolerance) Survives(zones []string) bool { return t.SurvivesWith(zones, len(zones)) }
+
+// SurvivesWith tells whether those of so many voters that are live, given by their zones, keep a majority of all through
+// every loss that is tolerated.
+func (t *Tolerance) SurvivesWith(live []string, voters int) bool {
+	regions := make([]string, 0, len(live))
+	for _, zone := range live {
 		regions = append(regions, t.RegionOf[zone])
 	}
-	loss := max(min(t.Machines, len(zones)), largest(zones, t.Zones), largest(regions, t.Regions))
-	return 2*(len(zones)-loss) > len(zones)
+	loss := max(min(t.Machines, len(live)), largest(live, t.Zones), largest(regions, t.Regions))
+	return 2*(len(live)-loss) > voters
 }
 
 // largest is how many of some things lie at the places where most do.
--- a/internal/system/wire/messages.go
+++ b/internal/system/wire/messages.go
@@ -48,6 +48,7 @@
 
 	// To keepers.
 	ReleaseUnit
+	GroupLeft
 )
 
 // RefusalBody is the payload of a Refusal.
@@ -89,6 +90,13 @@
 	Knows    bool // the newcomer's disk names a group already
 }
 
+// GroupLeftBody tells the leader of the sessions that a control group does without a machine that is being emptied.
+type GroupLeftBody struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Node     string
+	Group    int
+}
+
 // OpenSessionBody opens a member's session, or renews it on another connection.
 type OpenSessionBody struct {
 	_msgpack struct{} `msgpack:",as_array"`
