Walk maps in the order of their keys where that decides something

Cause: roles walked maps in the language's random order. Two keepers could take different ones of two lost disks of a machine out of the roster: the replicated table then differed from keeper to keeper. Change: package ordered; sums over classes in the order of their coming; the simulation hashes all that happens.

--- a/internal/system/delivery/cost.go
+++ b/internal/system/delivery/cost.go
@@ -35,8 +35,8 @@
 	if p.arrivals <= 0 {
 		return nil
 	}
-	terms := make([]term, 0, len(p.classes))
-	for _, c := range p.classes {
+	terms := make([]term, 0, len(p.listed))
+	for _, c := range p.listed {
 		terms = append(terms, term{share: c.rate / p.arrivals, deadline: c.deadline})
 	}
 	return terms
--- a/internal/system/delivery/pool.go
+++ b/internal/system/delivery/pool.go
@@ -16,9 +16,10 @@
 type pool struct {
 	workers  map[string]*Worker
 	order    []*Worker
-	mean     float64 // seconds a run over all workers
-	classes  map[string]*class
-	arrivals float64 // decayed count
+	mean     float64           // seconds a run over all workers
+	classes  map[string]*class // by route
+	listed   []*class          // the same, in the order in which they came: sums of them come out alike
+	arrivals float64           // decayed count
 	seen     time.Duration
 	maxConns int
 }
@@ -103,6 +104,7 @@
 		}
 		known = &class{}
 		pool.classes[route] = known
+		pool.listed = append(pool.listed, known)
 	}
 	known.rate++
 	known.deadline = aim.Seconds()
@@ -116,7 +118,7 @@
 	p.seen = now
 	factor := 1 - min(1, elapsed.Seconds()/rateMemory.Seconds())
 	p.arrivals *= factor
-	for _, c := range p.classes {
+	for _, c := range p.listed {
 		c.rate *= factor
 	}
 }
--- a/internal/system/member/view.go
+++ b/internal/system/member/view.go
@@ -7,6 +7,7 @@
 	"granitewing/internal/system/catalog"
 	"granitewing/internal/system/configuration"
 	"granitewing/internal/system/feed"
+	"granitewing/internal/system/ordered"
 	"granitewing/internal/system/ownership"
 	"granitewing/internal/system/role/keeper"
 	"granitewing/internal/system/session"
@@ -181,7 +182,7 @@
 		live[member.Disk] = true
 	}
 	var missing []string
-	for id := range v.Counted() {
+	for id := range ordered.Map(v.Counted()) {
 		if !live[id] {
 			missing = append(missing, id)
 		}
--- a/internal/system/role/carrier/core.go
+++ b/internal/system/role/carrier/core.go
@@ -16,6 +16,7 @@
 	"granitewing/internal/system/loop"
 	"granitewing/internal/system/member"
 	"granitewing/internal/system/message"
+	"granitewing/internal/system/ordered"
 	"granitewing/internal/system/ownership"
 	"granitewing/internal/system/session"
 	"granitewing/internal/system/settings"
@@ -105,12 +106,12 @@
 	c.stores.flushAll()
 	c.stores.breakSilent()
 	c.settleDeparted()
-	for _, u := range c.units {
+	for _, u := range ordered.Map(c.units) {
 		if !u.active && !u.recovering {
 			c.recover(u)
 		}
 	}
-	for _, q := range c.queues {
+	for _, q := range ordered.Map(c.queues) {
 		c.dispatch(q)
 	}
 	c.env.After(housekeepingInterval, c.housekeep)
@@ -147,7 +148,7 @@
 func (c *Core) PeerUp(address string) {
 	c.session.Up(address)
 	c.stores.up(address)
-	for _, u := range c.units {
+	for _, u := range ordered.Map(c.units) {
 		if u.recovering {
 			u.recovery.askStores()
 		}
@@ -178,7 +179,7 @@
 		c.policy.SetInstances(now, after.Instances)
 	}
 	c.takeUnits(before, after)
-	for _, q := range c.queues {
+	for _, q := range ordered.Map(c.queues) {
 		c.dispatch(q)
 	}
 }
--- a/internal/system/role/carrier/handover.go
+++ b/internal/system/role/carrier/handover.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"granitewing/internal/system/member"
+	"granitewing/internal/system/ordered"
 	"granitewing/internal/system/ownership"
 	"granitewing/internal/system/wire"
 )
@@ -51,7 +52,7 @@
 	c.env.Inform(fmt.Sprintf("unit %s stays", u.name))
 	u.declined = u.handover.offer
 	u.handover = nil
-	for _, it := range u.items {
+	for _, it := range ordered.Map(u.items) {
 		c.ready(it)
 	}
 }
--- a/internal/system/role/carrier/outbox.go
+++ b/internal/system/role/carrier/outbox.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"granitewing/internal/system/message"
+	"granitewing/internal/system/ordered"
 	"granitewing/internal/system/wire"
 )
 
@@ -92,7 +93,7 @@
 // counted gives the disks of the roster that count.
 func (s *storage) counted() []string {
 	var disks []string
-	for disk := range s.core.session.View().Counted() {
+	for disk := range ordered.Map(s.core.session.View().Counted()) {
 		disks = append(disks, disk)
 	}
 	return disks
@@ -104,7 +105,7 @@
 	if len(s.counted()) == 0 {
 		return // the roster is not known
 	}
-	for disk, box := range s.boxes {
+	for disk, box := range ordered.Map(s.boxes) {
 		if _, there := view.Disks[disk]; there {
 			continue
 		}
@@ -137,7 +138,7 @@
 }
 
 func (s *storage) up(address string) {
-	for disk := range s.boxes {
+	for disk := range ordered.Map(s.boxes) {
 		if s.address(disk) == address {
 			s.flush(disk)
 		}
@@ -145,7 +146,7 @@
 }
 
 func (s *storage) flushAll() {
-	for disk := range s.boxes {
+	for disk := range ordered.Map(s.boxes) {
 		s.flush(disk)
 	}
 }
--- a/internal/system/role/carrier/query.go
+++ b/internal/system/role/carrier/query.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"granitewing/internal/system/message"
+	"granitewing/internal/system/ordered"
 	"granitewing/internal/system/wire"
 )
 
@@ -38,7 +39,7 @@
 	q := &query{wantBody: withBody, done: done}
 	body := wire.Encode(&wire.FindBody{ID: id, WithBody: withBody})
 	var asked []string
-	for id, disk := range c.session.View().Disks {
+	for id, disk := range ordered.Map(c.session.View().Disks) {
 		if c.stores.isUp(id) {
 			asked = append(asked, disk.Member.Address)
 			continue
--- a/internal/system/role/carrier/recovery.go
+++ b/internal/system/role/carrier/recovery.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"granitewing/internal/system/message"
+	"granitewing/internal/system/ordered"
 	"granitewing/internal/system/wire"
 )
 
@@ -60,7 +61,7 @@
 		return
 	}
 	c := r.core
-	for disk := range c.session.View().Disks {
+	for disk := range ordered.Map(c.session.View().Disks) {
 		l := r.listed[disk]
 		if l == nil {
 			l = &listing{}
@@ -137,7 +138,7 @@
 	r.asking = true
 	ids := map[string]bool{}
 	var told []string
-	for disk, l := range r.listed {
+	for disk, l := range ordered.Map(r.listed) {
 		if !l.done {
 			continue
 		}
@@ -238,7 +239,7 @@
 
 func (r *recovery) merge() map[string]*found {
 	ends := map[string]message.End{}
-	for _, l := range r.listed {
+	for _, l := range ordered.Map(r.listed) {
 		for _, end := range l.ended {
 			if old, known := ends[end.ID]; !known || old.CallbackOwed {
 				ends[end.ID] = end
@@ -246,7 +247,7 @@
 		}
 	}
 	messages := map[string]*found{}
-	for disk, l := range r.listed {
+	for disk, l := range ordered.Map(r.listed) {
 		for _, listed := range l.messages {
 			f := messages[listed.Message.ID]
 			if f == nil {
--- a/internal/system/role/carrier/review.go
+++ b/internal/system/role/carrier/review.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"granitewing/internal/system/message"
+	"granitewing/internal/system/ordered"
 	"granitewing/internal/system/wire"
 )
 
@@ -23,18 +24,19 @@
 	byDisk := map[string][]string{}
 	for _, u := range c.units {
 		for id, it := range u.items {
-			if !it.taken || it.ended || it.flying {
-				continue
+			if it.taken && !it.ended && !it.flying {
+				waiting[id] = it
 			}
-			waiting[id] = it
-			for _, disk := range c.stores.recipients(it.holders) {
-				if len(byDisk[disk]) < reviewMost {
-					byDisk[disk] = append(byDisk[disk], id)
-				}
+		}
+	}
+	for id, it := range ordered.Map(waiting) {
+		for _, disk := range c.stores.recipients(it.holders) {
+			if len(byDisk[disk]) < reviewMost {
+				byDisk[disk] = append(byDisk[disk], id)
 			}
 		}
 	}
-	for disk, ids := range byDisk {
+	for disk, ids := range ordered.Map(byDisk) {
 		if c.stores.isUp(disk) {
 			c.reviewAt(disk, ids, waiting)
 		}
--- a/internal/system/role/carrier/storage.go
+++ b/internal/system/role/carrier/storage.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"granitewing/internal/system/message"
+	"granitewing/internal/system/ordered"
 	"granitewing/internal/system/wire"
 )
 
@@ -160,7 +161,7 @@
 
 // breakSilent tries anew to reach stores that have been silent for long.
 func (s *storage) breakSilent() {
-	for disk := range s.calls {
+	for disk := range ordered.Map(s.calls) {
 		if s.silent(disk) > breakAfter && s.isUp(disk) {
 			s.core.env.Break(s.address(disk))
 		}
--- a/internal/system/role/carrier/unit.go
+++ b/internal/system/role/carrier/unit.go
@@ -6,6 +6,7 @@
 
 	"granitewing/internal/system/member"
 	"granitewing/internal/system/message"
+	"granitewing/internal/system/ordered"
 	"granitewing/internal/system/ownership"
 )
 
@@ -37,7 +38,7 @@
 // takeUnits follows the feed: units that came to this carrier are recovered, those that went are dropped.
 func (c *Core) takeUnits(before, after *member.View) {
 	self := c.session.Incarnation()
-	for name, owner := range after.Owners {
+	for name, owner := range ordered.Map(after.Owners) {
 		known := c.units[name]
 		if owner.Incarnation != self {
 			if known != nil {
@@ -53,7 +54,7 @@
 		}
 		c.followOffer(known, owner)
 	}
-	for incarnation, gone := range after.Departed {
+	for incarnation, gone := range ordered.Map(after.Departed) {
 		name := ownership.CarrierUnit(incarnation)
 		if gone.Adopter == self && c.units[name] == nil {
 			c.begin(name, 0)
@@ -65,7 +66,7 @@
 			c.relistPaced()
 		}
 	}
-	for name, u := range c.units {
+	for name, u := range ordered.Map(c.units) {
 		incarnation, adopted := strings.CutPrefix(name, departedPrefix)
 		if _, still := after.Departed[incarnation]; adopted && u != c.own && !still {
 			c.drop(u)
@@ -91,7 +92,7 @@
 func (c *Core) drop(u *unit) {
 	u.dropped = true
 	delete(c.units, u.name)
-	for _, it := range u.items {
+	for _, it := range ordered.Map(u.items) {
 		it.queued = false
 		c.uncount(it, false)
 		if !it.flying {
@@ -104,7 +105,7 @@
 // session that replaces it.
 func (c *Core) sessionLost() {
 	c.env.Report("the session was lost", nil)
-	for _, u := range c.units {
+	for _, u := range ordered.Map(c.units) {
 		c.drop(u)
 	}
 	c.newOwnUnit()
@@ -234,7 +235,7 @@
 	c.relisting = true
 	c.env.After(relistAfterGone, func() {
 		c.relisting = false
-		for name, u := range c.units {
+		for name, u := range ordered.Map(c.units) {
 			if strings.HasPrefix(name, ownership.PacedUnit("")) && u.active && !u.recovering {
 				c.recover(u)
 			}
@@ -244,7 +245,7 @@
 
 // settleDeparted tells the keepers of departed carriers whose messages have all ended.
 func (c *Core) settleDeparted() {
-	for name, u := range c.units {
+	for name, u := range ordered.Map(c.units) {
 		incarnation, adopted := strings.CutPrefix(name, departedPrefix)
 		if !adopted || u == c.own || !u.active || u.settling || len(u.items) > 0 || c.stores.unwritten() > 0 || c.callbacksWait() {
 			continue
--- a/internal/system/role/keeper/core.go
+++ b/internal/system/role/keeper/core.go
@@ -12,6 +12,7 @@
 	"granitewing/internal/system/catalog"
 	"granitewing/internal/system/configuration"
 	"granitewing/internal/system/feed"
+	"granitewing/internal/system/ordered"
 	"granitewing/internal/system/ownership"
 	"granitewing/internal/system/session"
 	"granitewing/internal/system/tolerance"
@@ -199,7 +200,7 @@
 }
 
 func (g *group) expire(now time.Duration) {
-	for index, waiter := range g.waiting {
+	for index, waiter := range ordered.Map(g.waiting) {
 		if now > waiter.until {
 			delete(g.waiting, index)
 			waiter.done(&LostError{})
@@ -224,7 +225,7 @@
 func (g *group) abandon() {
 	waiting := g.waiting
 	g.waiting = map[uint64]waiter{}
-	for _, waiter := range waiting {
+	for _, waiter := range ordered.Map(waiting) {
 		waiter.done(&LostError{})
 	}
 }
--- a/internal/system/role/keeper/retire.go
+++ b/internal/system/role/keeper/retire.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"granitewing/internal/system/agreement"
+	"granitewing/internal/system/ordered"
 	"granitewing/internal/system/session"
 )
 
@@ -96,7 +97,7 @@
 		if !g.node.Leading() || !g.node.GroupSettled() || !g.node.Followed(ElectionTimeout) || !c.safeWithout(g.node, "") {
 			continue
 		}
-		for node, address := range c.sessions.NotLeft(id) {
+		for node, address := range ordered.Map(c.sessions.NotLeft(id)) {
 			if !holdsPlace(g.node.Group(), address) {
 				departures = append(departures, Departure{Node: node, Group: id})
 			}
--- a/internal/system/role/keeper/sessions.go
+++ b/internal/system/role/keeper/sessions.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"granitewing/internal/system/feed"
+	"granitewing/internal/system/ordered"
 	"granitewing/internal/system/session"
 	"granitewing/internal/system/wire"
 )
@@ -138,7 +139,7 @@
 	var pushes []Push
 	latest := feed.Position{Epoch: c.options.FeedEpoch, Offset: c.feed.Offset()}
 	encoded := map[feed.Position][]byte{} // by the position that the changes follow, the zero one for the whole table
-	for subscriber, position := range c.subscribers {
+	for subscriber, position := range ordered.Map(c.subscribers) {
 		if position == latest {
 			continue
 		}
--- a/internal/system/role/store/core.go
+++ b/internal/system/role/store/core.go
@@ -49,6 +49,8 @@
 	settled  uint64 // of a roster: all that was taken for an older one is synced
 	founder  bool
 	loader   *loader // nil once the log was read
+	// expireDue is when messages are looked for that nobody ended within their retention.
+	expireDue time.Duration
 }
 
 // New makes a store whose log is about to be replayed.
--- a/internal/system/role/store/empty.go
+++ b/internal/system/role/store/empty.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"granitewing/internal/system/member"
+	"granitewing/internal/system/ordered"
 	"granitewing/internal/system/tolerance"
 	"granitewing/internal/system/wire"
 )
@@ -95,7 +96,7 @@
 			byDisk[from] = append(byDisk[from], s.id)
 		}
 	}
-	for disk, ids := range byDisk {
+	for disk, ids := range ordered.Map(byDisk) {
 		e.sending++
 		body := wire.FetchBody{IDs: ids}
 		e.env.Call(view.Disks[disk].Member.Address, wire.FetchCopies, wire.Encode(&body), repairTimeout, func(payload []byte, err error) {
@@ -128,7 +129,7 @@
 			}
 		}
 	}
-	for disk, ids := range batches {
+	for disk, ids := range ordered.Map(batches) {
 		e.copyTo(disk, view.Disks[disk].Member.Address, ids)
 	}
 }
--- a/internal/system/role/store/ends.go
+++ b/internal/system/role/store/ends.go
@@ -6,6 +6,7 @@
 	"granitewing/internal/system/loop"
 	"granitewing/internal/system/member"
 	"granitewing/internal/system/message"
+	"granitewing/internal/system/ordered"
 	"granitewing/internal/system/wire"
 )
 
@@ -44,7 +45,7 @@
 			return
 		}
 		body := wire.Encode(&wire.FindEndsBody{IDs: ids})
-		for id, other := range a.session.View().Disks {
+		for id, other := range ordered.Map(a.session.View().Disks) {
 			if id != a.disk && a.env.Up(other.Member.Address) {
 				a.ask(other.Member.Address, body)
 			}
@@ -102,10 +103,15 @@
 // expire ends messages that nobody ended within their retention and a margin: their carriers and owners are gone, or
 // the end could not be recorded here.
 func (c *Core) expire() {
+	const interval = 500 * time.Millisecond
 	const margin = 30 * time.Second
 	const mostAtOnce = 64
+	if c.now < c.expireDue {
+		return
+	}
+	c.expireDue = c.now + interval
 	count := 0
-	for _, unit := range c.index.units {
+	for _, unit := range ordered.Map(c.index.units) {
 		for _, e := range unit.entries {
 			if !e.pending() || c.now-e.arrived < e.retention+margin {
 				break
--- a/internal/system/role/store/fill.go
+++ b/internal/system/role/store/fill.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"granitewing/internal/system/member"
+	"granitewing/internal/system/ordered"
 	"granitewing/internal/system/role/keeper"
 	"granitewing/internal/system/tolerance"
 	"granitewing/internal/system/wire"
@@ -189,7 +190,7 @@
 // fetched fetches on, and tells whether nothing is left to be fetched.
 func (p *fetchPlan) fetched(view *member.View) bool {
 	done := true
-	for disk, ids := range p.queues {
+	for disk, ids := range ordered.Map(p.queues) {
 		if len(ids) == 0 {
 			continue
 		}
--- a/internal/system/role/store/read.go
+++ b/internal/system/role/store/read.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"granitewing/internal/system/message"
+	"granitewing/internal/system/ordered"
 	"granitewing/internal/system/wire"
 )
 
@@ -89,7 +90,7 @@
 // LongPending gives some messages that have been pending for long: others may know of their ends.
 func (c *Core) LongPending() []string {
 	var ids []string
-	for _, unit := range c.index.units {
+	for _, unit := range ordered.Map(c.index.units) {
 		for _, e := range unit.entries {
 			if len(ids) >= maxAsked {
 				return ids
--- a/internal/system/role/store/repair.go
+++ b/internal/system/role/store/repair.go
@@ -5,6 +5,7 @@
 
 	"granitewing/internal/system/loop"
 	"granitewing/internal/system/member"
+	"granitewing/internal/system/ordered"
 	"granitewing/internal/system/session"
 	"granitewing/internal/system/tolerance"
 	"granitewing/internal/system/wire"
@@ -49,7 +50,7 @@
 // others have told all that was taken for rosters older than one, asked how many are being asked, silent are the zones of
 // those that have not told.
 func (l *lists) read(view *member.View, epoch uint64) (told, asked int, silent []string) {
-	for id, other := range view.Disks {
+	for id, other := range ordered.Map(view.Disks) {
 		if id == l.disk || !other.Counted {
 			continue
 		}
--- a/internal/system/session/retire.go
+++ b/internal/system/session/retire.go
@@ -1,6 +1,10 @@
 package session
 
-import "slices"
+import (
+	"slices"
+
+	"granitewing/internal/system/ordered"
+)
 
 // Retirement is how far the emptying of a machine is.
 type Retirement uint8
@@ -91,7 +95,7 @@
 }
 
 func (s *State) retire(node string) {
-	for id, disk := range s.disks {
+	for id, disk := range ordered.Map(s.disks) {
 		if disk.Member.Node != node || disk.Leaving {
 			continue
 		}
--- a/internal/system/session/retire_test.go
+++ b/internal/system/session/retire_test.go
@@ -52,4 +52,52 @@
 		Expect(state.Retirement("storage-1")).To(Equal(Staying))
 		Expect(state.Disks()).To(HaveKey("another disk"))
 	})
+
+	ginkgo.It("is known by its address when its store is gone, until it comes again with a fresh disk", func() {
+		state.Apply(Command{Kind: Retire, Node: "storage-1"})
+		state.Apply(Command{Kind: DiskEmptied, Disk: "disk of storage-1"})
+		state.Apply(Command{Kind: Leave, Incarnation: "storage-1+1"})
+		Expect(state.LeavingAddresses()).To(ConsistOf("storage-1"))
+		Expect(state.NotLeft(2)).To(Equal(map[string]string{"storage-1": "storage-1"}))
+		state.Apply(Command{Kind: GroupLeft, Node: "storage-1", Group: 2})
+		Expect(state.NotLeft(2)).To(BeEmpty())
+		Expect(state.HasLeft("storage-1", 1)).To(BeTrue())
+		Expect(state.HasLeft("storage-1", 2)).To(BeFalse())
+		fresh := store("storage-1", "storage-1+2")
+		fresh.Disk, fresh.Founder = "another disk", false
+		state.Apply(Command{Kind: Join, Member: fresh})
+		Expect(state.LeavingAddresses()).To(BeEmpty())
+		Expect(state.HasLeft("storage-1", 1)).To(BeFalse())
+	})
+
+	ginkgo.It("is known from snapshots of versions that kept no addresses", func() {
+		state.Apply(Command{Kind: Retire, Node: "storage-1"})
+		state.retirements = map[string]retirement{}
+		data, err := state.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		again := NewState()
+		Expect(again.Restore(data)).To(Succeed())
+		Expect(again.LeavingAddresses()).To(ConsistOf("storage-1"))
+	})
+
+	ginkgo.It("takes the same of several lost disks of a machine away at every replica", func() {
+		for range 40 {
+			replica := NewState()
+			for i := range 3 {
+				member := store(fmt.Sprint("storage-", i), fmt.Sprint(i))
+				replica.Apply(Command{Kind: Join, Member: member})
+			}
+			for _, disk := range []string{"b", "a", "c"} {
+				other := store("storage-9", "storage-9+"+disk)
+				other.Disk = disk
+				replica.Apply(Command{Kind: Join, Member: other})
+			}
+			newcomer := store("storage-9", "storage-9+new")
+			newcomer.Disk, newcomer.Founder = "new", false
+			replica.Apply(Command{Kind: Join, Member: newcomer})
+			replica.Apply(Command{Kind: Count, Disk: "new"})
+			Expect(replica.Disks()).NotTo(HaveKey("a"))
+			Expect(replica.Disks()).To(HaveKey("b"))
+		}
+	})
 })
--- a/internal/system/session/roster.go
+++ b/internal/system/session/roster.go
@@ -1,6 +1,10 @@
 package session
 
-import "slices"
+import (
+	"slices"
+
+	"granitewing/internal/system/ordered"
+)
 
 // Disk is one disk of the roster: a store by the identity drawn on it, not by its machine or address.
 type Disk struct {
@@ -67,7 +71,7 @@
 		live[member.Disk] = true
 	}
 	lost := ""
-	for id, disk := range s.disks {
+	for id, disk := range ordered.Map(s.disks) {
 		if !disk.Counted || live[id] {
 			continue
 		}
--- a/internal/system/simulation/play.go
+++ b/internal/system/simulation/play.go
@@ -13,6 +13,7 @@
 	Expired float64 // share of what was accepted that ended by its retention
 	Retired int     // machines that were emptied and taken away
 	Spread  int     // units of ordering keys that one carrier owns more than another
+	History uint64  // hash of all that happened, and when
 }
 
 // Play plays a scenario.
@@ -43,7 +44,7 @@
 	d.finish()
 	expired := float64(d.expired) / float64(max(1, len(d.checker.accepted())))
 	result := &Result{Broken: d.checker.broken, Sent: len(d.checker.records), Shares: d.checker.shares(), Expired: expired,
-		Retired: d.retired, Spread: d.spread()}
+		Retired: d.retired, Spread: d.spread(), History: d.world.history.Sum64()}
 	return result, d.failure
 }
 
--- /dev/null
+++ b/internal/system/simulation/repeat_test.go
@@ -0,0 +1,30 @@
+package simulation
+
+import (
+	"fmt"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("A play", func() {
+	It("is the same to the letter whenever its seed is played", func() {
+		const first, count = 3000, 50
+		var differ []string
+		var found sync.Mutex
+		eachSeed(first, count, func(seed uint64) {
+			scenario := Draw(seed)
+			one, err := Play(scenario)
+			Expect(err).NotTo(HaveOccurred())
+			other, err := Play(scenario)
+			Expect(err).NotTo(HaveOccurred())
+			if one.History != other.History {
+				found.Lock()
+				defer found.Unlock()
+				differ = append(differ, fmt.Sprint(seed))
+			}
+		})
+		Expect(differ).To(BeEmpty(), "seeds that were played in two ways")
+	})
+})
--- a/internal/system/simulation/simulation_suite_test.go
+++ b/internal/system/simulation/simulation_suite_test.go
@@ -57,6 +57,27 @@
 	return read("FIRST_SCHEDULE", 1), read("SCHEDULES", 24)
 }
 
+// eachSeed calls do for so many seeds, on all processors.
+func eachSeed(first, count uint64, do func(seed uint64)) {
+	seeds := make(chan uint64)
+	var workers sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		workers.Go(func() {
+			for seed := range seeds {
+				func() {
+					defer GinkgoRecover()
+					do(seed)
+				}()
+			}
+		})
+	}
+	for seed := first; seed < first+count; seed++ {
+		seeds <- seed
+	}
+	close(seeds)
+	workers.Wait()
+}
+
 // describe gives a failing schedule and the first rules that it breaks.
 func describe(s *Scenario, result *Result, err error) string {
 	const most = 3
@@ -74,29 +95,18 @@
 var _ = Describe("Drawn schedules", func() {
 	It("break no rule", func() {
 		first, count := schedules()
-		seeds := make(chan uint64)
 		var found []string
 		var mutex sync.Mutex
-		var workers sync.WaitGroup
-		for range runtime.GOMAXPROCS(0) {
-			workers.Go(func() {
-				for seed := range seeds {
-					scenario := Draw(seed)
-					result, err := Play(scenario)
-					if err == nil && len(result.Broken) == 0 {
-						continue
-					}
-					mutex.Lock()
-					found = append(found, describe(scenario, result, err))
-					mutex.Unlock()
-				}
-			})
-		}
-		for seed := first; seed < first+count; seed++ {
-			seeds <- seed
-		}
-		close(seeds)
-		workers.Wait()
+		eachSeed(first, count, func(seed uint64) {
+			scenario := Draw(seed)
+			result, err := Play(scenario)
+			if err == nil && len(result.Broken) == 0 {
+				return
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			found = append(found, describe(scenario, result, err))
+		})
 		if len(found) > 0 {
 			Fail(fmt.Sprintf("%d of %d schedules break rules:\n%s", len(found), count, strings.Join(found[:min(len(found), 12)], "\n")))
 		}
--- a/internal/system/simulation/world.go
+++ b/internal/system/simulation/world.go
@@ -5,9 +5,12 @@
 
 import (
 	"container/heap"
+	"encoding/binary"
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"granitewing/internal/system/wire"
 )
 
@@ -47,12 +50,22 @@
 	arrivals map[[2]string]time.Duration
 	wallBase int64
 	report   func(process, event string, err error)
+	history  *xxhash.Digest // of all that happened, and when
 }
 
 func newWorld(seed uint64) *world {
 	return &world{random: rand.New(rand.NewPCG(seed, 1)), machines: map[string]*machine{}, serving: map[string]*process{},
 		cuts: map[[2]string]bool{}, arrivals: map[[2]string]time.Duration{}, wallBase: 1_800_000_000_000,
-		report: func(string, string, error) {}}
+		report: func(string, string, error) {}, history: xxhash.New()}
+}
+
+// note adds something that happened to the history.
+func (w *world) note(what string, values ...uint64) {
+	buffer := binary.LittleEndian.AppendUint64([]byte(what), uint64(w.now))
+	for _, value := range values {
+		buffer = binary.LittleEndian.AppendUint64(buffer, value)
+	}
+	_, _ = w.history.Write(buffer) // never fails
 }
 
 func (w *world) after(wait time.Duration, do func()) {
@@ -65,6 +78,7 @@
 	for len(w.events) > 0 && w.events[0].at <= end {
 		next := heap.Pop(&w.events).(event)
 		w.now = next.at
+		w.note("event", next.order)
 		next.do()
 	}
 	w.now = end
