--- a/internal/system/agreement/election.go
+++ b/internal/system/agreement/election.go
@@ -55,11 +55,11 @@
 	pause := n.options.HeartbeatInterval << min(n.campaigns, longestCampaign) / 2
 	n.timeout = pause + time.Duration(n.options.Random(int64(pause)))
 	n.campaigns++
+	n.leader = "" // none was heard for long; a learner that its group has let go joins anew on that
 	if !n.hasVote(n.options.Self) {
 		return
 	}
 	n.role = role
-	n.leader = ""
 	n.votes = map[string]bool{n.options.Self: true}
 	request := Message{Kind: PreVote, Term: n.term + 1}
 	if role == Candidate {
--- a/internal/system/agreement/recovery_test.go
+++ b/internal/system/agreement/recovery_test.go
@@ -102,4 +102,13 @@
 		Expect(leader.followers["b"].match).To(Equal(uint64(6)))
 		Expect(leader.followers["b"].next).To(BeNumerically(">", 6))
 	})
+
+	ginkgo.It("knows of no leader once it has heard none for long, as a learner too", func() {
+		group := Membership{Voters: founders.Voters, Learners: []string{"d"}}
+		node := New(options("d"), Stored{HardState: HardState{Term: 1}, Snapshot: Snapshot{Members: group}}, now)
+		node.Step(now, Message{Kind: Append, From: "a", To: "d", Term: 1})
+		Expect(node.Leader()).To(Equal("a"))
+		node.Tick(now + 3*testElection)
+		Expect(node.Leader()).To(BeEmpty())
+	})
 })
--- a/internal/system/feed/feed.go
+++ b/internal/system/feed/feed.go
@@ -27,7 +27,8 @@
 type Update struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	Position Position
-	Whole    bool // the changes are all there is: what isn't named is gone
+	Base     Position // that the changes follow, where they are not the whole
+	Whole    bool     // the changes are all there is: what isn't named is gone
 	Changes  []Change
 }
 
@@ -93,6 +94,7 @@
 	update := Update{Position: Position{Epoch: t.epoch, Offset: t.offset}}
 	oldest := t.offset - uint64(len(t.changes))
 	if t.Reaches(position) {
+		update.Base = position
 		update.Changes = append(update.Changes, t.changes[position.Offset-oldest:]...)
 		return update
 	}
--- a/internal/system/member/feed.go
+++ b/internal/system/member/feed.go
@@ -20,6 +20,9 @@
 		c.events.Fault(err)
 		return
 	}
+	if !update.Whole && update.Base != c.position {
+		return // one before it was lost: the keeper learns that from the heartbeats
+	}
 	after, err := c.view.next(update)
 	if err != nil {
 		c.events.Fault(err)
--- a/internal/system/node/store.go
+++ b/internal/system/node/store.go
@@ -40,6 +40,7 @@
 	parts    chan filledPart
 	roster   atomic.Pointer[roster]
 
+	complete     atomic.Bool  // as the core is, for the filler
 	waitingParts atomic.Int32 // parts of a filling that don't lie on the disk
 	unwritten    int32        // those of them that the core has taken
 
@@ -194,6 +195,7 @@
 		}
 	}
 	n.core.Synced(n.Now(), batch, positions)
+	n.complete.Store(n.core.Complete())
 	n.waitingParts.Add(-n.unwritten)
 	n.unwritten = 0
 	return nil
--- a/internal/system/node/store_repair.go
+++ b/internal/system/node/store_repair.go
@@ -51,6 +51,9 @@
 	})
 }
 
+// Complete implements store.RepairEnvironment.
+func (n *storeNode) Complete() bool { return n.complete.Load() }
+
 // Filling implements store.RepairEnvironment.
 func (n *storeNode) Filling() bool { return n.waitingParts.Load() > 0 }
 
--- a/internal/system/role/carrier/recovery.go
+++ b/internal/system/role/carrier/recovery.go
@@ -16,6 +16,7 @@
 	listRetry       = 150 * time.Millisecond
 	listAllWithin   = 1200 * time.Millisecond // after it, the stores that have to answer are enough
 	relistAfterGone = 300 * time.Millisecond
+	incompleteAgain = 600 * time.Millisecond // between two listings of a store whose disk is being filled
 )
 
 // recovery reads a unit's messages from the stores.
@@ -25,6 +26,7 @@
 	began    time.Duration
 	listed   map[string]*listing // by disk
 	asking   bool                // for the ends of what is listed
+	againAt  time.Duration       // when incomplete stores are listed anew
 	finished bool
 }
 
@@ -40,7 +42,7 @@
 
 func (c *Core) recover(u *unit) {
 	u.recovering = true
-	r := &recovery{core: c, unit: u, began: c.env.Now(), listed: map[string]*listing{}}
+	r := &recovery{core: c, unit: u, began: c.env.Now(), againAt: c.env.Now() + incompleteAgain, listed: map[string]*listing{}}
 	u.recovery = r
 	r.ask()
 }
@@ -50,11 +52,28 @@
 	if r.finished || r.unit.dropped {
 		return
 	}
+	if now := r.core.env.Now(); now >= r.againAt {
+		r.againAt = now + incompleteAgain
+		r.forgetIncomplete()
+	}
 	r.askStores()
 	r.judge()
 	r.core.env.After(listRetry, r.ask)
 }
 
+// forgetIncomplete has the stores be listed anew whose disks were being filled when they told all: they may hold everything
+// by now, and without their word the messages may never be known whole.
+func (r *recovery) forgetIncomplete() {
+	if r.asking {
+		return
+	}
+	for _, l := range r.listed {
+		if l.done && !l.complete {
+			*l = listing{}
+		}
+	}
+}
+
 // askStores lists at those that are there and have not told everything.
 func (r *recovery) askStores() {
 	if r.finished || r.unit.dropped {
--- a/internal/system/role/keeper/core.go
+++ b/internal/system/role/keeper/core.go
@@ -56,15 +56,6 @@
 	FeedEpoch string
 }
 
-// Subscriber is a member's connection, by a number of the driver's.
-type Subscriber uint64
-
-// Push is a feed update for a subscriber, encoded. Those that lack the same share the bytes.
-type Push struct {
-	To      Subscriber
-	Payload []byte
-}
-
 // group is one shard's member and what waits for its log.
 type group struct {
 	node    *agreement.Node
@@ -96,7 +87,7 @@
 	// carriersChanged is when a carrier came or went.
 	carriersChanged time.Duration
 	feed            *feed.Table
-	subscribers     map[Subscriber]feed.Position
+	subscribers     map[Subscriber]*subscription
 	lastHeard       map[string]time.Duration // by incarnation, of members, on the leader of sessions
 	leaving         map[string]time.Duration // members whose expiry is under way
 	instances       map[string]catalog.Instance
@@ -117,7 +108,7 @@
 func New(options Options, stored [Groups]agreement.Stored, now time.Duration) (*Core, error) {
 	core := &Core{
 		options: options, now: now, configuration: configuration.NewState(), sessions: session.NewState(),
-		feed: feed.NewTable(options.FeedEpoch), subscribers: map[Subscriber]feed.Position{},
+		feed: feed.NewTable(options.FeedEpoch), subscribers: map[Subscriber]*subscription{},
 		lastHeard: map[string]time.Duration{}, leaving: map[string]time.Duration{},
 		instances: map[string]catalog.Instance{},
 	}
@@ -303,6 +294,12 @@
 	return g.node.Stored(), true, nil
 }
 
+// Members is a group as this keeper knows it.
+func (c *Core) Members(id int) agreement.Membership { return c.groups[id].node.Group() }
+
+// Term is this keeper's term in a group.
+func (c *Core) Term(id int) uint64 { return c.groups[id].node.Term() }
+
 // LogLength is the number of entries in a group's log.
 func (c *Core) LogLength(id int) int { return c.groups[id].node.LogLength() }
 
--- a/internal/system/role/keeper/join.go
+++ b/internal/system/role/keeper/join.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"granitewing/internal/system/agreement"
-	"granitewing/internal/system/feed"
 )
 
 // RemovedError tells a keeper that its group does without it: what its disk holds of the group is void.
@@ -73,6 +72,6 @@
 	c.groups[id].reset()
 	c.groups[id] = c.newGroup(id, agreement.Stored{})
 	for subscriber := range c.subscribers {
-		c.subscribers[subscriber] = feed.Position{} // it gets the whole table
+		c.subscribers[subscriber] = &subscription{} // it gets the whole table
 	}
 }
--- a/internal/system/role/keeper/sessions.go
+++ b/internal/system/role/keeper/sessions.go
@@ -6,8 +6,6 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"granitewing/internal/system/feed"
-	"granitewing/internal/system/ordered"
 	"granitewing/internal/system/session"
 	"granitewing/internal/system/wire"
 )
@@ -44,14 +42,14 @@
 	}
 	if live && known == member {
 		c.lastHeard[member.Incarnation] = now
-		c.subscribers[subscriber] = position
+		c.subscribe(subscriber, position)
 		done(nil)
 		return
 	}
 	c.proposeSession(session.Command{Kind: session.Join, Member: member}, func(err error) {
 		if err == nil {
 			c.lastHeard[member.Incarnation] = c.now
-			c.subscribers[subscriber] = position
+			c.subscribe(subscriber, position)
 		}
 		done(err)
 	})
@@ -71,9 +69,7 @@
 		return
 	}
 	c.lastHeard[incarnation] = now
-	if _, subscribed := c.subscribers[subscriber]; !subscribed {
-		c.subscribers[subscriber] = body.Position
-	}
+	c.followReport(subscriber, body.Position)
 	done(c.CatalogAge(), nil)
 }
 
@@ -128,36 +124,6 @@
 	c.proposeSession(session.Command{Kind: session.Count, Disk: disk}, done)
 }
 
-// Unsubscribe forgets a connection.
-func (c *Core) Unsubscribe(subscriber Subscriber) { delete(c.subscribers, subscriber) }
-
-// Pushes gives what subscribers lack. None are made unless this keeper leads the sessions: members follow the leader.
-func (c *Core) Pushes() []Push {
-	if !c.groups[SessionGroup].node.Leading() {
-		return nil
-	}
-	var pushes []Push
-	latest := feed.Position{Epoch: c.options.FeedEpoch, Offset: c.feed.Offset()}
-	encoded := map[feed.Position][]byte{} // by the position that the changes follow, the zero one for the whole table
-	for subscriber, position := range ordered.Map(c.subscribers) {
-		if position == latest {
-			continue
-		}
-		if !c.feed.Reaches(position) {
-			position = feed.Position{}
-		}
-		payload, known := encoded[position]
-		if !known {
-			update := c.feed.Since(position)
-			payload = wire.EncodeUpdate(&update)
-			encoded[position] = payload
-		}
-		c.subscribers[subscriber] = latest
-		pushes = append(pushes, Push{To: subscriber, Payload: payload})
-	}
-	return pushes
-}
-
 func (c *Core) proposeSession(command session.Command, done func(err error)) {
 	if !c.groups[SessionGroup].node.Leading() {
 		done(c.notLeader(SessionGroup))
--- a/internal/system/role/store/empty.go
+++ b/internal/system/role/store/empty.go
@@ -1,7 +1,6 @@
 package store
 
 import (
-	"sort"
 	"time"
 
 	"granitewing/internal/system/member"
@@ -22,8 +21,9 @@
 	tolerance *tolerance.Tolerance
 	lists     *lists
 	throttle  throttle
-	sending   int
-	planned   bool // copies were sent since the lists were read
+	sender    *sender // while the disk is being emptied
+	learning  int     // calls that are out
+	planned   bool    // copies were sent since the lists were read
 }
 
 // NewEmptier makes an emptier for a disk, which moves so many bytes a second at the most (0: without a bound); Start begins.
@@ -36,19 +36,20 @@
 	e.env.After(emptyInterval, e.Start)
 	view := e.session.View()
 	if !view.Disks[e.disk].Leaving {
-		e.lists = nil
+		e.lists, e.sender = nil, nil
 		return
 	}
 	if e.lists == nil {
 		e.env.Report("this disk is being emptied", nil)
 		e.lists = newLists(e.env, e.session, e.disk, e.tolerance)
+		e.sender = &sender{lists: e.lists, throttle: &e.throttle}
 		e.planned = false
 	}
 	e.step(view)
 }
 
 func (e *Emptier) step(view *member.View) {
-	if e.sending > 0 || !e.throttle.free(e.env.Now()) {
+	if e.sender.sending > 0 || e.learning > 0 || !e.throttle.free(e.env.Now()) {
 		return
 	}
 	if e.planned {
@@ -68,7 +69,7 @@
 	}
 	e.planned = true
 	e.learn(view, unlearned)
-	e.send(view, lacking)
+	e.sender.send(view, lacking)
 }
 
 // lacking gives the messages that this disk holds something of and that lie on too few of the others: those that it can hand
@@ -97,10 +98,10 @@
 		}
 	}
 	for disk, ids := range ordered.Map(byDisk) {
-		e.sending++
+		e.learning++
 		body := wire.FetchBody{IDs: ids}
 		e.env.Call(view.Disks[disk].Member.Address, wire.FetchCopies, wire.Encode(&body), repairTimeout, func(payload []byte, err error) {
-			e.sending--
+			e.learning--
 			var answer wire.CopiesBody
 			if err == nil {
 				err = wire.Decode(wire.FetchCopies, payload, &answer)
@@ -111,88 +112,3 @@
 		})
 	}
 }
-
-// send gives each message to as many disks as it lacks, one call to a disk.
-func (e *Emptier) send(view *member.View, lacking []shortage) {
-	batches := map[string][]string{}
-	candidates := e.candidates(view)
-	for turn := range lacking {
-		s := &lacking[turn]
-		without := e.without(candidates, s.holders, turn)
-		zones := make([]string, 0, len(without))
-		for _, disk := range without {
-			zones = append(zones, view.Disks[disk].Member.Zone)
-		}
-		for _, pick := range e.tolerance.Choose(s.zones(view), zones) {
-			if disk := without[pick]; len(batches[disk]) < copiesAtOnce {
-				batches[disk] = append(batches[disk], s.id)
-			}
-		}
-	}
-	for disk, ids := range ordered.Map(batches) {
-		e.copyTo(disk, view.Disks[disk].Member.Address, ids)
-	}
-}
-
-// candidates gives the disks that can take copies, those of this zone first.
-func (e *Emptier) candidates(view *member.View) []string {
-	zone := view.Disks[e.disk].Member.Zone
-	var disks []string
-	for id, other := range view.Disks {
-		if id != e.disk && holds(other) && e.env.Up(other.Member.Address) {
-			disks = append(disks, id)
-		}
-	}
-	sort.Slice(disks, func(i, j int) bool {
-		a, b := view.Disks[disks[i]].Member.Zone == zone, view.Disks[disks[j]].Member.Zone == zone
-		if a != b {
-			return a
-		}
-		return disks[i] < disks[j]
-	})
-	return disks
-}
-
-// without gives candidates that do not hold a message; those of this zone take turns.
-func (e *Emptier) without(candidates, holders []string, turn int) []string {
-	held := map[string]bool{}
-	for _, disk := range holders {
-		held[disk] = true
-	}
-	view := e.session.View()
-	zone := view.Disks[e.disk].Member.Zone
-	var near, far []string
-	for i := range candidates {
-		disk := candidates[(i+turn)%len(candidates)]
-		switch {
-		case held[disk]:
-		case view.Disks[disk].Member.Zone == zone:
-			near = append(near, disk)
-		default:
-			far = append(far, disk)
-		}
-	}
-	return append(near, far...)
-}
-
-// copyTo has a store keep copies of messages.
-func (e *Emptier) copyTo(disk, address string, ids []string) {
-	e.sending++
-	read := e.lists // others may have been begun when the answer comes
-	e.env.Copies(ids, func(body wire.CopiesBody, err error) {
-		if err != nil {
-			e.sending--
-			e.env.Report("messages of a disk that is being emptied can't be read", err)
-			return
-		}
-		body.More = false
-		payload := wire.Encode(&body)
-		e.throttle.moved(e.env.Now(), len(payload))
-		e.env.Call(address, wire.PutCopies, payload, repairTimeout, func(_ []byte, err error) {
-			e.sending--
-			if err == nil {
-				read.noteCopies(disk, body.Messages)
-			}
-		})
-	})
-}
--- a/internal/system/role/store/empty_test.go
+++ b/internal/system/role/store/empty_test.go
@@ -22,6 +22,7 @@
 func (i *idle) Now() time.Duration                                   { return 0 }
 func (i *idle) After(time.Duration, func())                          {}
 func (i *idle) Fill([]wire.CopiedMessage, bool)                      {}
+func (i *idle) Complete() bool                                       { return true }
 func (i *idle) Filling() bool                                        { return false }
 func (i *idle) Held(wire.HeldBody, func(wire.HeldAnswer))            {}
 func (i *idle) Copies(_ []string, done func(wire.CopiesBody, error)) { i.copies = done }
@@ -35,11 +36,13 @@
 		env := &idle{}
 		e := NewEmptier(env, nil, "own", &tolerance.Tolerance{Machines: 1}, 0)
 		e.lists = newLists(env, nil, "own", e.tolerance)
-		e.copyTo("other", "10.0.0.2:7001", []string{"m"})
-		e.lists = nil // the disk is not to leave any more
+		e.sender = &sender{lists: e.lists, throttle: &e.throttle}
+		begun := e.sender
+		begun.copyTo("other", "10.0.0.2:7001", []string{"m"})
+		e.lists, e.sender = nil, nil // the disk is not to leave any more
 		env.copies(wire.CopiesBody{Messages: []wire.CopiedMessage{{Void: true}}}, nil)
 		env.sent(nil, nil)
-		Expect(e.sending).To(BeZero())
+		Expect(begun.sending).To(BeZero())
 	})
 })
 
--- a/internal/system/role/store/fill.go
+++ b/internal/system/role/store/fill.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"slices"
 	"time"
 
 	"granitewing/internal/system/member"
@@ -10,6 +11,13 @@
 	"granitewing/internal/system/wire"
 )
 
+// sendPatience is how long a filling waits for a disk that can take what lies on too few, before it goes on without.
+const sendPatience = 5 * time.Second
+
+// askAgain is how long a filled disk waits for its place in the roster before it asks again. An answer may speak of a roster
+// that did not know it, after its session was lost.
+const askAgain = 1500 * time.Millisecond
+
 // A newcomer begins to count without a disk being lost only after this time: one whose place it is here to take may have
 // ended without a word, and its session lasts on for a while.
 const spareAfter = keeper.SessionLife + time.Second
@@ -25,10 +33,14 @@
 	running   bool
 	lists     *lists
 	plan      *fetchPlan // nil until the lists were read
+	sender    *sender    // of what lies here and on too few others, as on a disk that is lost
 	asked     bool       // to be counted
+	askedAt   time.Duration
 	began     time.Duration
 	epoch     uint64            // of the roster in which this disk was counted; 0 before
 	before    map[string]string // counted disks before that, by identity, with their zones
+	lost      []string          // zone of the one whose place this disk has: it is among those that may be silent
+	finished  bool              // all was fetched, and the core is told so
 }
 
 // NewFiller makes a filler for a disk, which moves so many bytes a second at the most (0: without a bound).
@@ -42,12 +54,18 @@
 // Follow begins a filling where the roster calls for one: this disk doesn't count, or it is spare and another is missing.
 func (f *Filler) Follow(view *member.View) {
 	own, known := view.Disks[f.disk]
-	if f.running || !known || own.Counted && (!own.Spare || len(view.Missing()) == 0) {
+	interrupted := own.Counted && !f.finished && !f.env.Complete()
+	if f.running || !known || own.Counted && !interrupted && (!own.Spare || len(view.Missing()) == 0) {
 		return
 	}
 	f.env.Report("a disk is missing or this one is new: it is filled from the other stores", nil)
-	f.running, f.asked, f.began, f.epoch = true, false, f.env.Now(), 0
+	f.running, f.finished, f.asked, f.began, f.epoch, f.lost = true, false, false, f.env.Now(), 0, nil
+	if interrupted {
+		// It counts, and was stopped before it had all. Which disk's place it has is not known any more.
+		f.epoch, f.lost = view.Epoch, []string{""}
+	}
 	f.lists, f.plan = newLists(f.env, f.session, f.disk, f.tolerance), nil
+	f.sender = &sender{lists: f.lists, throttle: &f.throttle}
 	f.step()
 }
 
@@ -63,7 +81,7 @@
 func (f *Filler) stage(view *member.View) bool {
 	ownTold := f.lists.readOwn(0)
 	told, asked, silent := f.lists.read(view, f.epoch)
-	silent = append(silent, f.replaced(view)...)
+	silent = append(silent, f.lost...)
 	if !ownTold || told == 0 || asked > 0 || !f.tolerance.May(silent) {
 		return false
 	}
@@ -73,27 +91,32 @@
 	if !f.plan.fetched(view) || f.env.Filling() {
 		return false
 	}
-	if f.plan.failed {
+	if f.sender.sending > 0 {
+		return false
+	}
+	if f.plan.failed || f.plan.sent {
 		f.plan = nil
 		f.lists.again()
 		return false
 	}
+	if len(f.plan.here) > 0 {
+		f.plan.sent = f.throttle.free(f.env.Now()) && f.sender.send(view, f.plan.here) > 0
+		if f.plan.sent || f.env.Now()-f.plan.began < sendPatience {
+			return false
+		}
+	}
 	return f.advance(view)
 }
 
-// replaced gives the zones of disks whose place was taken since this one asked to count: they are lost already, and count
-// among those that may be.
+// replaced gives the zone of the disk whose place this one was given: one disk at the most, as others that are out of the
+// roster since were emptied, or have a successor of their own that is asked.
 func (f *Filler) replaced(view *member.View) []string {
-	var zones []string
-	if f.epoch == 0 {
-		return nil
-	}
-	for id, zone := range f.before {
+	for id, zone := range ordered.Map(f.before) {
 		if _, still := view.Disks[id]; !still {
-			zones = append(zones, zone)
+			return []string{zone}
 		}
 	}
-	return zones
+	return nil
 }
 
 // advance goes to the next stage; true where the filling is over.
@@ -102,11 +125,12 @@
 	missing := len(view.Missing())
 	switch {
 	case f.epoch > 0:
+		f.finished = true
 		f.env.Fill(nil, true)
 		f.stop()
 		return true
 	case f.asked && own.Counted && (missing == 0 || !own.Spare):
-		f.epoch = view.Epoch
+		f.epoch, f.lost = view.Epoch, f.replaced(view)
 		f.plan = nil
 		f.lists.again()
 		return false
@@ -123,15 +147,15 @@
 // stop ends the filling, and lets go of what was known of the other disks.
 func (f *Filler) stop() {
 	f.running = false
-	f.lists, f.plan = nil, nil
+	f.lists, f.plan, f.sender = nil, nil, nil
 }
 
-// count asks the keepers to let this disk count.
+// count asks the keepers to let this disk count, again and again until it does.
 func (f *Filler) count(view *member.View) {
-	if f.asked {
+	if f.asked && f.env.Now()-f.askedAt < askAgain {
 		return
 	}
-	f.asked = true
+	f.asked, f.askedAt = true, f.env.Now()
 	f.before = map[string]string{}
 	for id, other := range view.Counted() {
 		if id != f.disk {
@@ -145,18 +169,33 @@
 	})
 }
 
+// withOwn gives the zones of the disks that hold a message, with this one's, which is to count.
+func (f *Filler) withOwn(view *member.View, lacking *shortage) []string {
+	zones := lacking.zones(view)
+	if !slices.Contains(lacking.holders, f.disk) {
+		zones = append(zones, view.Disks[f.disk].Member.Zone)
+	}
+	return zones
+}
+
 // fetchPlan is what a filling fetches from which store: what lies on too few disks, and not on this one.
 type fetchPlan struct {
 	filler *Filler
+	began  time.Duration
 	queues map[string][]string // messages by the disk that they are fetched from, those with the fewest copies first
 	busy   map[string]bool
-	failed bool // some could not be fetched, or were not there any more
+	failed bool       // some could not be fetched, or were not there any more
+	here   []shortage // messages that lie here, and on too few others
+	sent   bool       // others were given copies of these
 }
 
 func newFetchPlan(f *Filler, view *member.View) *fetchPlan {
-	p := &fetchPlan{filler: f, queues: map[string][]string{}, busy: map[string]bool{}}
+	p := &fetchPlan{filler: f, began: f.env.Now(), queues: map[string][]string{}, busy: map[string]bool{}}
 	for _, lacking := range f.lists.census.shortages(view) {
 		if f.lists.census.state(f.disk, lacking.id).Has(lacking.wanted) {
+			if !f.tolerance.Enough(f.withOwn(view, &lacking)) {
+				p.here = append(p.here, lacking)
+			}
 			continue
 		}
 		if from := p.nearest(view, lacking.holders); from != "" {
--- a/internal/system/role/store/repair.go
+++ b/internal/system/role/store/repair.go
@@ -17,6 +17,8 @@
 	loop.Peers
 	// Fill hands copies to the core; last is the end of the filling.
 	Fill(messages []wire.CopiedMessage, last bool)
+	// Complete tells whether the store holds all that its disk has to hold.
+	Complete() bool
 	// Filling tells whether copies wait for the disk.
 	Filling() bool
 	// Held asks the core for a part of what this store holds.
--- a/internal/system/session/retire.go
+++ b/internal/system/session/retire.go
@@ -19,20 +19,18 @@
 
 // Retirement tells how far the emptying of a machine's disks is.
 func (s *State) Retirement(node string) Retirement {
-	stage := UnknownMachine
-	if slices.Contains(s.retired, node) {
-		stage = Emptied
+	switch _, known := s.retirements[node]; {
+	case known && slices.Contains(s.retired, node):
+		return Emptied
+	case known:
+		return Running
 	}
 	for _, disk := range s.disks {
-		if disk.Member.Node != node {
-			continue
-		}
-		if disk.Leaving {
-			return Running
+		if disk.Member.Node == node {
+			return Staying
 		}
-		stage = Staying
 	}
-	return stage
+	return UnknownMachine
 }
 
 // Staying is the number of counted disks that would be left without a machine's.
@@ -115,6 +113,9 @@
 	}
 	s.remove(id)
 	s.epoch++
+	if !disk.Spare {
+		s.needSpare()
+	}
 	s.retired = append(s.retired, disk.Member.Node)
 	for len(s.retired) > maxReplaced {
 		delete(s.retirements, s.retired[0])
@@ -124,19 +125,15 @@
 
 // Missing tells whether a disk that counts and stays, of another machine than one, has no live store.
 func (s *State) Missing(besides string) bool {
-	live := map[string]bool{}
-	for _, member := range s.members {
-		live[member.Disk] = true
-	}
 	for id, disk := range s.disks {
-		if disk.Counted && !disk.Leaving && !live[id] && disk.Member.Node != besides {
+		if disk.Counted && !disk.Leaving && !s.live(id) && disk.Member.Node != besides {
 			return true
 		}
 	}
 	return false
 }
 
-// returned forgets that a machine was emptied: it has come again with an empty disk.
+// returned forgets that a machine was emptied: another of its name has come, at another address.
 func (s *State) returned(node string) {
 	s.retired = slices.DeleteFunc(slices.Clone(s.retired), func(other string) bool { return other == node })
 	delete(s.retirements, node)
--- a/internal/system/session/retire_test.go
+++ b/internal/system/session/retire_test.go
@@ -43,17 +43,21 @@
 		Expect(state.Disks()).To(HaveLen(3))
 	})
 
-	ginkgo.It("joins as another with a fresh disk", func() {
+	ginkgo.It("stays out with a fresh disk too, and joins as another from another address", func() {
 		state.Apply(Command{Kind: Retire, Node: "storage-1"})
 		state.Apply(Command{Kind: DiskEmptied, Disk: "disk of storage-1"})
 		fresh := store("storage-1", "storage-1+2")
 		fresh.Disk, fresh.Founder = "another disk", false
 		state.Apply(Command{Kind: Join, Member: fresh})
+		Expect(state.Retirement("storage-1")).To(Equal(Emptied), "who asked for it still waits for the answer")
+		Expect(state.Disks()).NotTo(HaveKey("another disk"))
+		fresh.Incarnation, fresh.Address = "storage-1+3", "another address"
+		state.Apply(Command{Kind: Join, Member: fresh})
 		Expect(state.Retirement("storage-1")).To(Equal(Staying))
 		Expect(state.Disks()).To(HaveKey("another disk"))
 	})
 
-	ginkgo.It("is known by its address when its store is gone, until it comes again with a fresh disk", func() {
+	ginkgo.It("is known by its address when its store is gone, until it comes again at another address", func() {
 		state.Apply(Command{Kind: Retire, Node: "storage-1"})
 		state.Apply(Command{Kind: DiskEmptied, Disk: "disk of storage-1"})
 		state.Apply(Command{Kind: Leave, Incarnation: "storage-1+1"})
@@ -64,7 +68,7 @@
 		Expect(state.HasLeft("storage-1", 1)).To(BeTrue())
 		Expect(state.HasLeft("storage-1", 2)).To(BeFalse())
 		fresh := store("storage-1", "storage-1+2")
-		fresh.Disk, fresh.Founder = "another disk", false
+		fresh.Disk, fresh.Founder, fresh.Address = "another disk", false, "another address"
 		state.Apply(Command{Kind: Join, Member: fresh})
 		Expect(state.LeavingAddresses()).To(BeEmpty())
 		Expect(state.HasLeft("storage-1", 1)).To(BeFalse())
@@ -100,4 +104,59 @@
 			Expect(replica.Disks()).To(HaveKey("b"))
 		}
 	})
+
+	ginkgo.It("is emptied again where it lost its disk meanwhile, and is never unknown", func() {
+		state.Apply(Command{Kind: Retire, Node: "storage-1"})
+		state.Apply(Command{Kind: Leave, Incarnation: "storage-1+1"})
+		fresh := store("storage-1", "storage-1+2")
+		fresh.Disk, fresh.Founder = "another disk", false
+		state.Apply(Command{Kind: Join, Member: fresh})
+		Expect(state.Retirement("storage-1")).To(Equal(Running))
+		state.Apply(Command{Kind: Count, Disk: "another disk"})
+		Expect(state.Disks()).NotTo(HaveKey("disk of storage-1"))
+		Expect(state.Disks()["another disk"].Leaving).To(BeTrue())
+		Expect(state.Retirement("storage-1")).To(Equal(Running))
+		state.Apply(Command{Kind: DiskEmptied, Disk: "another disk"})
+		Expect(state.Retirement("storage-1")).To(Equal(Emptied))
+	})
+})
+
+var _ = ginkgo.Describe("A spare disk", func() {
+	store := func(node, disk string, founder bool) Command {
+		return Command{Kind: Join, Member: Member{Incarnation: node + "+" + disk, Node: node, Role: Store, Address: node, Disk: disk, Founder: founder}}
+	}
+	var state *State
+
+	ginkgo.BeforeEach(func() {
+		state = NewState()
+		for _, node := range []string{"a", "b", "c"} {
+			state.Apply(store(node, "disk of "+node, true))
+		}
+		state.Apply(store("d", "disk of d", false))
+		state.Apply(Command{Kind: Count, Disk: "disk of d"})
+	})
+	spares := func() (found []string) {
+		for id, disk := range state.Disks() {
+			if disk.Spare {
+				found = append(found, id)
+			}
+		}
+		return found
+	}
+
+	ginkgo.It("that is lost leaves its part to a live one, which can take its place", func() {
+		Expect(spares()).To(ConsistOf("disk of d"))
+		state.Apply(Command{Kind: Leave, Incarnation: "d+disk of d"})
+		Expect(spares()).To(ConsistOf("disk of a"))
+		state.Apply(Command{Kind: Count, Disk: "disk of a"})
+		Expect(state.Disks()).To(HaveLen(3))
+		Expect(state.Disks()).NotTo(HaveKey("disk of d"))
+		Expect(spares()).To(BeEmpty())
+	})
+
+	ginkgo.It("is none any more once another was emptied", func() {
+		state.Apply(Command{Kind: Retire, Node: "b"})
+		state.Apply(Command{Kind: DiskEmptied, Disk: "disk of b"})
+		Expect(spares()).To(BeEmpty())
+	})
 })
--- a/internal/system/session/roster.go
+++ b/internal/system/session/roster.go
@@ -25,8 +25,8 @@
 func (s *State) joinDisk(member Member) {
 	disk, known := s.disks[member.Disk]
 	if !known && slices.Contains(s.retired, member.Node) {
-		if slices.Contains(s.replaced, member.Disk) {
-			return // it was emptied, and stays out
+		if s.retirements[member.Node].Address == member.Address || slices.Contains(s.replaced, member.Disk) {
+			return // it was emptied, and stays out, with an empty disk too
 		}
 		s.returned(member.Node)
 	}
@@ -47,6 +47,8 @@
 		return
 	}
 	disk.Counted, disk.Spare = true, lost == ""
+	// A machine that lost its disk while it was being emptied is emptied again.
+	disk.Leaving = s.Retirement(disk.Member.Node) == Running
 	s.disks[id] = disk
 	s.epoch++
 	if lost == "" {
@@ -66,13 +68,9 @@
 
 // lostDisk is a counted disk without a live store, one of the same machine first; empty where there is none.
 func (s *State) lostDisk(node string) string {
-	live := map[string]bool{}
-	for _, member := range s.members {
-		live[member.Disk] = true
-	}
 	lost := ""
 	for id, disk := range ordered.Map(s.disks) {
-		if !disk.Counted || live[id] {
+		if !disk.Counted || s.live(id) {
 			continue
 		}
 		if disk.Member.Node == node {
@@ -84,3 +82,40 @@
 	}
 	return lost
 }
+
+// passSpare has another disk be spare instead of one whose store has gone: only a live one can take the place of a lost
+// disk, and the lost one may be the spare itself.
+func (s *State) passSpare(gone string) {
+	disk, known := s.disks[gone]
+	if !known || !disk.Counted || !disk.Spare {
+		return
+	}
+	for id, heir := range ordered.Map(s.disks) {
+		if heir.Counted && !heir.Spare && !heir.Leaving && s.live(id) {
+			disk.Spare, heir.Spare = false, true
+			s.disks[gone], s.disks[id] = disk, heir
+			return
+		}
+	}
+}
+
+// needSpare has a spare disk be none any more: it has the place of one that was emptied.
+func (s *State) needSpare() {
+	for id, disk := range ordered.Map(s.disks) {
+		if disk.Counted && disk.Spare && !disk.Leaving {
+			disk.Spare = false
+			s.disks[id] = disk
+			return
+		}
+	}
+}
+
+// live tells whether a disk has a live store.
+func (s *State) live(id string) bool {
+	for _, member := range s.members {
+		if member.Disk == id {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/system/session/state.go
+++ b/internal/system/session/state.go
@@ -166,6 +166,7 @@
 	if disk, known := s.disks[member.Disk]; known && member.Role == Store && !disk.Counted {
 		delete(s.disks, member.Disk)
 	}
+	s.passSpare(member.Disk)
 	if member.Role == Carrier {
 		s.departed[incarnation] = Departed{Incarnation: incarnation}
 	}
--- a/internal/system/simulation/checker.go
+++ b/internal/system/simulation/checker.go
@@ -44,7 +44,12 @@
 	broken   []string
 	trouble  []trouble // unplanned
 	versions map[uint64]string
-	acked    uint64
+	acked    uint64 // the highest version that was acknowledged
+	acks     []acknowledgement
+	sentRaw  map[string]bool // documents that are valid
+	// lastCallback is when the latest call-back came.
+	lastCallback time.Duration
+	doomed       map[int]bool // control groups that have lost a majority of their disks
 }
 
 // Windows of the rules.
@@ -54,10 +59,11 @@
 	rateWindow  = 5 * time.Second
 	rateOverage = 1.1
 	rateSlack   = 5
+	budgetTimes = 3 // as many failures as a route allows
 )
 
 func newChecker(retries int, keep time.Duration) *checker {
-	return &checker{records: map[string]*record{}, keys: map[string][]*record{}, retries: retries, keep: keep, versions: map[uint64]string{}}
+	return &checker{records: map[string]*record{}, keys: map[string][]*record{}, retries: retries, keep: keep, versions: map[uint64]string{}, sentRaw: map[string]bool{}, doomed: map[int]bool{}}
 }
 
 func (c *checker) breakRule(at time.Duration, rule, what string) {
@@ -81,6 +87,38 @@
 	return true
 }
 
+// acknowledgement is when a version was acknowledged.
+type acknowledgement struct {
+	at      time.Duration
+	version uint64
+}
+
+func (c *checker) acknowledged(now time.Duration, version uint64) {
+	c.acked = max(c.acked, version)
+	c.acks = append(c.acks, acknowledgement{at: now, version: c.acked})
+}
+
+// ackedBefore is the highest version that was acknowledged by a time.
+func (c *checker) ackedBefore(at time.Duration) uint64 {
+	version := uint64(0)
+	for _, ack := range c.acks {
+		if ack.at <= at {
+			version = ack.version
+		}
+	}
+	return version
+}
+
+// quiet tells whether nothing unplanned began or ended just before a moment, so that leaders have noticed it.
+func (c *checker) quiet(now time.Duration) bool {
+	for _, t := range c.trouble {
+		if now >= t.from && now-t.from <= noticeTime || now >= t.until && now-t.until <= noticeTime {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *checker) sent(now time.Duration, r *record) {
 	r.sent = now
 	r.stamps = map[string]bool{}
@@ -118,6 +156,12 @@
 	if now < r.sent+r.delay-earlyMargin {
 		c.breakRule(now, "EARLY", m.ID+" runs before its delay has passed")
 	}
+	if m.Key != r.key {
+		c.breakRule(now, "UNASKED", m.ID+" runs with another ordering key")
+	}
+	if r.failures > budgetTimes*c.retries && c.calm(now) {
+		c.breakRule(now, "BUDGET", m.ID+" runs again after "+fmt.Sprint(r.failures)+" failures")
+	}
 	if r.read && c.calm(now) {
 		c.breakRule(now, "TWICE", m.ID+" runs again after a success")
 	}
@@ -176,6 +220,7 @@
 	}
 	r := c.records[form.ID]
 	r.calledBack++
+	c.lastCallback = now
 	if form.Phase == string(message.Succeeded) && !r.stamps[form.Stamp] {
 		c.breakRule(0, "MIXED", form.ID+" is called back with a stamp of no run")
 	}
--- a/internal/system/simulation/clients.go
+++ b/internal/system/simulation/clients.go
@@ -1,23 +1,17 @@
 package simulation
 
 import (
-	"bytes"
-	"errors"
 	"fmt"
 	"time"
 
-	"granitewing/internal/system/configuration"
 	"granitewing/internal/system/message"
 	"granitewing/internal/system/role/carrier"
-	"granitewing/internal/system/role/keeper"
 )
 
-// Times of the clients and the operator.
+// Times of the clients.
 const (
 	clientWay      = 3 * time.Millisecond
 	clientPatience = 1200 * time.Millisecond
-	operatorPause  = 300 * time.Millisecond
-	operatorWait   = time.Second
 	readyInterval  = time.Second
 	missesToLeave  = 2
 	maxDelay       = 14 * time.Second
@@ -125,132 +119,3 @@
 	}
 	d.world.after(readyInterval, d.probe)
 }
-
-// order is one configuration that the operator sends until it is answered clearly.
-type order struct {
-	configuration.Order
-	version uint64
-	turn    int
-	done    func(taken bool)
-}
-
-// sendOrder sends an order to one keeper after the other.
-func (d *day) sendOrder(o *order, toward string) {
-	w := d.world
-	host := d.keeperAt(toward)
-	if host == nil {
-		host = d.someKeeper(o.turn)
-	}
-	o.turn++
-	again := func() { w.after(operatorPause, func() { d.sendOrder(o, "") }) }
-	if host == nil {
-		again()
-		return
-	}
-	answered := false
-	heard := d.history.begin(w.now, configurationCall{base: o.Base, version: o.version, content: d.history.content(o.Raw)})
-	answer := func(err error) {
-		if answered || host.machine.dark || d.losesAck() {
-			return
-		}
-		answered = true
-		w.after(clientWay, func() {
-			heard(w.now, orderVerdict(err))
-			d.orderAnswered(o, err, again)
-		})
-	}
-	w.after(clientWay, func() {
-		host.run(func() {
-			host.core.Replace(host.Now(), o.Order, answer)
-			host.goOn()
-		})
-	})
-	w.after(operatorWait, func() {
-		if !answered {
-			answered = true
-			again()
-		}
-	})
-}
-
-// losesAck tells whether an answer to the operator is lost on its way.
-func (d *day) losesAck() bool {
-	const lost, of = 2, 3
-	return d.acksLost && d.world.random.IntN(of) < lost
-}
-
-func orderVerdict(err error) configurationAnswer {
-	var invalid *configuration.InvalidError
-	var conflict *configuration.ConflictError
-	switch {
-	case err == nil:
-		return configurationAnswer{verdict: taken}
-	case errors.As(err, &invalid), errors.As(err, &conflict):
-		return configurationAnswer{verdict: refused}
-	}
-	return configurationAnswer{verdict: unanswered}
-}
-
-func (d *day) orderAnswered(o *order, err error, again func()) {
-	var invalid *configuration.InvalidError
-	var conflict *configuration.ConflictError
-	switch {
-	case err == nil:
-		if taken, known := d.checker.versions[o.version]; known && taken != string(o.Raw) {
-			d.checker.breakRule(d.world.now, "CONFIG", fmt.Sprintf("two configurations of version %d were acknowledged", o.version))
-		}
-		d.checker.versions[o.version] = string(o.Raw)
-		d.checker.acked = max(d.checker.acked, o.version)
-		o.done(true)
-	case errors.As(err, &invalid), errors.As(err, &conflict):
-		if d.checker.versions[o.version] == string(o.Raw) {
-			d.checker.breakRule(d.world.now, "CONFIG", fmt.Sprintf("version %d was acknowledged and then refused", o.version))
-		}
-		o.done(false)
-	default:
-		again()
-	}
-}
-
-func (d *day) keeperAt(address string) *keeperHost {
-	for _, name := range d.world.names {
-		if host := d.keepers[name]; host != nil && host.alive && host.address == address {
-			return host
-		}
-	}
-	return nil
-}
-
-// someKeeper gives the keeper that leads the configuration as the next one knows, as a redirect would.
-func (d *day) someKeeper(turn int) *keeperHost {
-	var live []*keeperHost
-	for _, name := range d.world.names {
-		if host := d.keepers[name]; host != nil && host.alive && !host.machine.frozen && !host.machine.dark {
-			live = append(live, host)
-		}
-	}
-	if len(live) == 0 {
-		return nil
-	}
-	host := live[turn%len(live)]
-	leader, self := host.core.Leader(keeper.ConfigurationGroup)
-	if led := d.keeperAt(leader); !self && led != nil {
-		return led
-	}
-	return host
-}
-
-// readBack judges the configuration that the operator reads at the end.
-func (d *day) readBack(raw []byte) {
-	document, err := configuration.Parse(raw)
-	if err != nil {
-		d.checker.breakRule(d.world.now, "LOST", "the configuration that is read back can't be read: "+err.Error())
-		return
-	}
-	if document.Version < d.checker.acked {
-		d.checker.breakRule(d.world.now, "LOST", fmt.Sprintf("version %d was acknowledged, %d is read back", d.checker.acked, document.Version))
-	}
-	if sent, known := d.checker.versions[document.Version]; known && !bytes.Equal(raw, []byte(sent)) {
-		d.checker.breakRule(d.world.now, "CONFIG", fmt.Sprintf("version %d is read back with other bytes", document.Version))
-	}
-}
--- a/internal/system/simulation/day.go
+++ b/internal/system/simulation/day.go
@@ -11,6 +11,12 @@
 	"granitewing/internal/system/tolerance"
 )
 
+// Names of machines begin with these.
+const (
+	storagePrefix = "storage-"
+	edgePrefix    = "edge-"
+)
+
 // Shape of a day.
 const (
 	storageCount   = 3
@@ -53,6 +59,7 @@
 	seen      map[*carrierHost]uint64 // version of the configuration
 	version   uint64                  // that the operator knows to be current
 	sending   uint64                  // highest version that was sent
+	races     int
 	lastIP    int
 	retired   int // machines that were emptied and removed
 	acksLost  bool
@@ -63,6 +70,8 @@
 	tolerance tolerance.Tolerance
 	diskBytes int64
 	history   *configurationHistory
+	operator  []operatorSight // the operator's list of storage machines, as it was from a time on, the latest last
+	firstSeed string          // a machine that seeds begin with, empty where there is none
 }
 
 var zones = []string{"a", "b", "c"}
@@ -79,12 +88,14 @@
 	for i := range carrierCount {
 		w.add(fmt.Sprintf("edge-%d", i+1), d.nextIP(), zones[i%len(zones)])
 	}
+	d.see()
 	for _, name := range w.names {
 		d.boot(w.machines[name], true)
 	}
 	w.after(readyInterval, d.probe)
 	w.after(sampleInterval, d.sample)
-	w.after(readingInterval, func() { d.readAgain(0) })
+	w.after(readingInterval, func() { d.readAgain() })
+	w.after(askInterval, d.askStates)
 	return d
 }
 
@@ -124,14 +135,8 @@
 }
 
 func (d *day) settings(m *machine, bootstrap bool) *settings.Settings {
-	var seeds []string
-	for _, name := range d.world.names {
-		if other := d.world.machines[name]; strings.HasPrefix(name, "storage") && len(seeds) < storageCount && !other.removed {
-			seeds = append(seeds, fmt.Sprintf("%s:%d", other.ip, controlPort))
-		}
-	}
 	return &settings.Settings{NodeName: m.name, IP: m.ip, Zone: m.zone, FirstPort: firstPort, LastPort: firstPort + 15,
-		Seeds: seeds, Bootstrap: bootstrap, Tolerance: d.tolerance,
+		Seeds: d.seeds(bootstrap), Bootstrap: bootstrap, Tolerance: d.tolerance,
 		Limits: settings.Limits{MemoryMB: 284, DiskBytes: d.diskBytes},
 		Bounds: settings.Bounds{Grace: grace, Status: 120 * time.Second}}
 }
@@ -142,7 +147,7 @@
 		return
 	}
 	s := d.settings(m, bootstrap)
-	if strings.HasPrefix(m.name, "edge") {
+	if strings.HasPrefix(m.name, edgePrefix) {
 		d.carriers[m.name] = startCarrier(d.world, m, s, d.platform)
 		return
 	}
--- a/internal/system/simulation/events.go
+++ b/internal/system/simulation/events.go
@@ -1,11 +1,12 @@
 package simulation
 
 import (
-	"fmt"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
+
+	"granitewing/internal/system/role/keeper"
 )
 
 // happening is what an event's words say.
@@ -55,6 +56,8 @@
 	"freeze":   func(d *day, h *happening, m *machine) { d.freeze(m, h.lasts) },
 	"replace":  func(d *day, h *happening, m *machine) { d.replace(m, h.after) },
 	"fulldisk": func(d *day, h *happening, m *machine) { d.forAWhile(&m.fullDisk, h.lasts)() },
+	"quota":    func(d *day, h *happening, m *machine) { d.forAWhile(&m.quota, h.lasts)() },
+	"reset":    func(d *day, _ *happening, m *machine) { d.resetConnections(m) },
 }
 
 // commonEvents happen, unplanned, to a service's workers or between machines.
@@ -68,7 +71,14 @@
 			d.powerOff(m, h.lasts, slices.Contains(wiped, m))
 		}
 	},
-	"crash": func(d *day, h *happening) { d.crash(h.name, h.lasts) },
+	"crash":   func(d *day, h *happening) { d.crash(h.name, h.lasts) },
+	"split":   func(d *day, h *happening) { d.split(h.lasts) },
+	"behind":  func(d *day, h *happening) { d.leaveBehind(h) },
+	"relieve": func(d *day, h *happening) { d.relieve(h) },
+	"misseed": func(d *day, h *happening) { d.misseed(h) },
+	"restart": func(d *day, h *happening) { d.restartBoth(h) },
+	"lure":    func(d *day, h *happening) { d.lure(h) },
+	"evict":   func(d *day, h *happening) { d.evict(h) },
 	"cut": func(d *day, h *happening) {
 		d.cut(d.named(h.name), d.named(h.from), h.oneWay, h.lasts)
 	},
@@ -83,11 +93,15 @@
 			d.term(m)
 		}
 	},
-	"add":       func(d *day, _ *happening) { d.addStorage() },
-	"retire":    func(d *day, h *happening) { d.retire(h.name) },
-	"release":   func(d *day, h *happening) { d.release(h.name) },
-	"configure": func(d *day, _ *happening) { d.configure(1) },
-	"race":      func(d *day, _ *happening) { d.race() },
+	"add":          func(d *day, _ *happening) { d.addStorage() },
+	"turnover":     func(d *day, _ *happening) { d.turnOverSeeds() },
+	"storm":        func(d *day, h *happening) { d.storm(h) },
+	"misconfigure": func(d *day, _ *happening) { d.misconfigure() },
+	"renew":        func(d *day, h *happening) { d.renew(h) },
+	"retire":       func(d *day, h *happening) { d.retire(h.name) },
+	"release":      func(d *day, h *happening) { d.release(h.name) },
+	"configure":    func(d *day, _ *happening) { d.configure(1) },
+	"race":         func(d *day, _ *happening) { d.race() },
 }
 
 // action gives what an event does.
@@ -162,8 +176,7 @@
 }
 
 func (d *day) addStorage() {
-	zone := zones[len(d.world.names)%len(zones)]
-	d.boot(d.world.add(fmt.Sprintf("storage-%d", len(d.world.names)+1), d.nextIP(), zone), false)
+	d.addMachine(zones[len(d.world.names)%len(zones)])
 }
 
 // forAWhile sets a flag, and takes it back after a while.
@@ -174,8 +187,17 @@
 	}
 }
 
-// named gives the machines that a name stands for: one, a kind, or all.
+// named gives the machines that a name stands for: one, a kind, or all; 'oldest' is the storage machine whose disk has lasted
+// longest, 'leader' the one that leads the configuration, and 'sessions' the one that leads the sessions.
 func (d *day) named(name string) []*machine {
+	switch name {
+	case "oldest":
+		return d.oldest()
+	case "leader":
+		return d.leads(keeper.ConfigurationGroup)
+	case "sessions":
+		return d.leads(keeper.SessionGroup)
+	}
 	var found []*machine
 	for _, other := range d.world.names {
 		m := d.world.machines[other]
--- a/internal/system/simulation/history.go
+++ b/internal/system/simulation/history.go
@@ -52,6 +52,16 @@
 	return name
 }
 
+// reading notes a reading that was answered; one that was not says nothing.
+func (h *configurationHistory) reading(began, answered time.Duration, raw []byte) {
+	answer := configurationAnswer{verdict: read}
+	if raw != nil {
+		answer.content = h.content(raw)
+	}
+	h.operations = append(h.operations, porcupine.Operation{ClientId: len(h.operations), Input: configurationCall{},
+		Call: int64(began), Output: answer, Return: int64(answered)})
+}
+
 // begin notes a call, and gives what notes its answer. A call that is never answered may take effect at any later time.
 func (h *configurationHistory) begin(now time.Duration, call configurationCall) (answered func(now time.Duration, answer configurationAnswer)) {
 	at := len(h.operations)
--- a/internal/system/simulation/judge.go
+++ b/internal/system/simulation/judge.go
@@ -15,6 +15,8 @@
 	d.world.runUntil(d.world.now + settleTime)
 	d.judgeStates()
 	d.judgeCopies()
+	d.judgeWhole()
+	d.judgeWaiting()
 	d.judgeConfiguration()
 	if !d.history.linearizable() {
 		d.checker.breakRule(d.world.now, "CONFIG", "no order of the operator's calls explains their answers")
@@ -26,24 +28,17 @@
 
 func (d *day) judgeConfiguration() {
 	answered := false
-	var ask func(turn int)
-	ask = func(turn int) {
-		host := d.someKeeper(turn)
-		if host == nil || answered {
-			return
-		}
-		host.core.Read(host.Now(), func(raw []byte, err error) {
-			if err != nil || raw == nil || answered {
-				d.world.after(operatorPause, func() { ask(turn + 1) })
-				return
-			}
-			answered = true
-			d.readBack(raw)
+	for at := time.Duration(0); at < contact-operatorWait; at += operatorPause {
+		d.world.after(at, func() {
+			d.readOnce(func(raw []byte) {
+				if raw != nil {
+					answered = true
+					d.readBack(raw)
+				}
+			})
 		})
-		host.goOn()
 	}
-	ask(0)
-	d.world.runUntil(d.world.now + 4*time.Second)
+	d.world.runUntil(d.world.now + contact)
 	if !answered {
 		d.checker.breakRule(d.world.now, "CONFIG", "the configuration can't be read back")
 	}
--- a/internal/system/simulation/keeper_host.go
+++ b/internal/system/simulation/keeper_host.go
@@ -46,6 +46,7 @@
 			return nil, err
 		}
 		h.disks[group], stored[group], options.IDs[group] = opened, opened.Stored(), opened.ID()
+		m.identities[group] = opened.ID()
 	}
 	core, err := keeper.New(options, stored, h.Now())
 	if err != nil {
@@ -231,6 +232,7 @@
 		h.Report("disk", err)
 		return
 	}
+	h.machine.identities[group] = identity.ID
 	h.core.ResetGroup(h.Now(), group, identity.ID)
 	h.joiner.WasReset(group)
 }
--- a/internal/system/simulation/operators.go
+++ b/internal/system/simulation/operators.go
@@ -1,7 +1,9 @@
 package simulation
 
 import (
+	"bytes"
 	"fmt"
+	"time"
 
 	"granitewing/internal/system/configuration"
 	"granitewing/internal/system/role/keeper"
@@ -18,17 +20,26 @@
 			d.version = version
 		}
 	}
-	d.sendOrder(o, "")
+	d.sendOrder(o)
 }
 
-// race sends two changes on top of the same version.
+// race sends two changes on top of the same version; every other time they have the same number, and once in a while
+// the same bytes.
 func (d *day) race() {
 	base := d.version
 	acknowledged := 0
+	d.races++
+	d.sending++
 	for variant := range 2 {
-		d.sending++
 		version := d.sending
-		o := &order{Order: configuration.Order{Base: base, Raw: document(version, variant, d.retention)}, version: version, turn: variant}
+		switch d.races % 4 {
+		case 0:
+			d.sending++ // two numbers
+		case 1:
+			variant = 0 // the same bytes by two operators
+			acknowledged = -1
+		}
+		o := &order{Order: configuration.Order{Base: base, Raw: document(version, variant, d.retention)}, version: version}
 		o.done = func(taken bool) {
 			if !taken {
 				return
@@ -38,8 +49,69 @@
 				d.checker.breakRule(d.world.now, "CONFIG", fmt.Sprintf("two changes on top of version %d were acknowledged", base))
 			}
 		}
-		d.sendOrder(o, "")
+		d.sendOrder(o)
+	}
+}
+
+// storm sends changes one after the other for a while; eight are in flight at once at the most.
+func (d *day) storm(h *happening) {
+	const gap = 60 * time.Millisecond
+	count, err := h.number()
+	if err != nil {
+		count = int(h.lasts / gap)
+	}
+	const mostInFlight = 8
+	inFlight := 0
+	var next func()
+	next = func() {
+		if count == 0 {
+			return
+		}
+		d.world.after(gap, next)
+		if inFlight >= mostInFlight {
+			return
+		}
+		count--
+		inFlight++
+		d.sending++
+		version := d.sending
+		o := &order{Order: configuration.Order{Base: d.version, Raw: document(version, count%2, d.retention)}, version: version}
+		o.done = func(taken bool) {
+			inFlight--
+			if taken {
+				d.version = max(d.version, version)
+			}
+		}
+		d.sendOrder(o)
 	}
+	next()
+}
+
+// misconfigure sends a configuration that is invalid; it must never be acknowledged.
+func (d *day) misconfigure() {
+	d.sending++
+	raw := document(d.sending, 1, d.retention)
+	switch d.world.random.IntN(4) {
+	case 0:
+		raw = raw[:len(raw)/2]
+	case 1:
+		raw = bytes.Replace(raw, []byte(`"backend":"archive"`), []byte(`"backend":"nobody"`), 1)
+	case 2:
+		raw = bytes.ReplaceAll(raw, []byte(`"timeout-ms":500`), []byte(`"timeout-ms":0`))
+	default:
+		raw = document(max(1, d.version)-1, 1, d.retention)
+	}
+	o := &order{Order: configuration.Order{Base: d.version, Raw: raw}, version: d.sending}
+	o.done = func(taken bool) {
+		if _, earlier := d.checker.sentRaw[string(raw)]; taken && !earlier {
+			d.checker.breakRule(d.world.now, "CONFIG", "an invalid configuration was acknowledged")
+		}
+	}
+	d.call(func(host *keeperHost, answer func(err error)) { host.core.Replace(host.Now(), o.Order, answer) }, func(err error) {
+		if err == nil {
+			o.done(true)
+		}
+	})
 }
 
 // sample watches that no carrier goes back to an older configuration.
@@ -55,6 +127,7 @@
 		}
 		d.seen[host] = version
 	}
+	d.judgeGroups()
 	d.world.after(sampleInterval, d.sample)
 }
 
@@ -68,29 +141,3 @@
 	}
 	return nil
 }
-
-// readAgain reads the configuration at one keeper after the other, as far as each answers.
-func (d *day) readAgain(turn int) {
-	w := d.world
-	w.after(readingInterval, func() { d.readAgain(turn + 1) })
-	host := d.someKeeper(turn)
-	if host == nil {
-		return
-	}
-	heard := d.history.begin(w.now, configurationCall{})
-	w.after(clientWay, func() {
-		host.run(func() {
-			host.core.Read(host.Now(), func(raw []byte, err error) {
-				if err != nil || host.machine.dark {
-					return
-				}
-				content := ""
-				if raw != nil {
-					content = d.history.content(raw)
-				}
-				w.after(clientWay, func() { heard(w.now, configurationAnswer{verdict: read, content: content}) })
-			})
-			host.goOn()
-		})
-	})
-}
--- a/internal/system/simulation/search.go
+++ b/internal/system/simulation/search.go
@@ -22,9 +22,12 @@
 	smallDiskEvery = 3
 )
 
-// Draw draws a scenario: some troubles of all kinds, never more than one counted machine, or zone where that is borne, lost
+// Draw draws a scenario: one of those that strike at control, or some troubles of all kinds, never more than one counted machine, or zone where that is borne, lost
 // at a time but where every machine is struck at once.
 func Draw(seed uint64) *Scenario {
+	if seed%controlEvery == 1 {
+		return drawControl(seed)
+	}
 	r := rand.New(rand.NewPCG(seed, 2))
 	s := &Scenario{Seed: seed, Traffic: time.Duration(8+r.IntN(6)) * time.Second, Storage: storageCount,
 		Tolerate: tolerance.Tolerance{Machines: 1}}
--- a/internal/system/simulation/store_host.go
+++ b/internal/system/simulation/store_host.go
@@ -120,6 +120,9 @@
 	h.flush()
 }
 
+// Complete implements store.RepairEnvironment.
+func (h *storeHost) Complete() bool { return h.core.Complete() }
+
 // Filling implements store.RepairEnvironment.
 func (h *storeHost) Filling() bool { return h.busy }
 
--- a/internal/system/simulation/trouble.go
+++ b/internal/system/simulation/trouble.go
@@ -1,8 +1,11 @@
 package simulation
 
 import (
+	"errors"
 	"fmt"
 	"time"
+
+	"granitewing/internal/system/role/keeper"
 )
 
 // kill ends a machine's processes; they start again after a while.
@@ -24,6 +27,8 @@
 	}
 	if wipe {
 		m.disks = map[string]*simulatedDisk{}
+		m.diskSince = d.world.now
+		m.identities = [keeper.Groups]string{}
 	}
 	d.world.after(down, func() {
 		m.dark = false
@@ -33,11 +38,23 @@
 
 // replace takes a machine away for good; an empty one comes at another address.
 func (d *day) replace(m *machine, after time.Duration) {
+	d.remove(m)
+	d.world.after(after, func() { d.addMachine(m.zone) })
+}
+
+// remove takes a machine away for good, with its disk.
+func (d *day) remove(m *machine) {
 	d.powerOff(m, time.Hour, true)
 	m.removed = true
-	d.world.after(after, func() {
-		d.boot(d.world.add(fmt.Sprintf("storage-%d", len(d.world.names)+1), d.nextIP(), m.zone), false)
-	})
+	d.see()
+}
+
+// addMachine adds an empty storage machine in a zone.
+func (d *day) addMachine(zone string) {
+	added := d.world.add(fmt.Sprintf("storage-%d", len(d.world.names)+1), d.nextIP(), zone)
+	added.diskSince = d.world.now
+	d.see()
+	d.boot(added, false)
 }
 
 func (d *day) freeze(m *machine, length time.Duration) {
@@ -52,6 +69,12 @@
 
 // term stops a machine's processes in order; they start again.
 func (d *day) term(m *machine) {
+	d.watchDrain(m)
+	d.stop(m, func() { d.kill(m, restartPause) })
+}
+
+// stop asks a machine's processes to stop, and ends those that have not within the grace.
+func (d *day) stop(m *machine, stopped func()) {
 	for _, p := range append([]*process(nil), m.processes...) {
 		if p.stop != nil {
 			p.run(p.stop)
@@ -59,16 +82,16 @@
 			d.world.after(20*time.Millisecond, p.end)
 		}
 	}
-	var restart func()
 	stopBy := d.world.now + grace
-	restart = func() {
+	var look func()
+	look = func() {
 		if len(m.processes) == 0 || d.world.now >= stopBy {
-			d.kill(m, restartPause)
+			stopped()
 			return
 		}
-		d.world.after(50*time.Millisecond, restart)
+		d.world.after(50*time.Millisecond, look)
 	}
-	d.world.after(50*time.Millisecond, restart)
+	d.world.after(50*time.Millisecond, look)
 }
 
 // cut closes the ways between machines for a while.
@@ -98,25 +121,47 @@
 // retire has a machine emptied; it is removed with its disk as soon as it is told as empty.
 func (d *day) retire(name string) {
 	again := func() { d.world.after(operatorPause, func() { d.retire(name) }) }
-	host := d.sessionLeader()
-	if host == nil {
-		again()
+	if m := d.world.machines[name]; m == nil || m.removed {
 		return
 	}
-	host.core.RetireMachine(host.Now(), name, func(err error) {
-		if err != nil {
+	start := func(host *keeperHost, answer func(err error)) { host.core.RetireMachine(host.Now(), name, answer) }
+	d.call(start, func(err error) {
+		switch {
+		case err == nil:
+			d.awaitRetirement(name)
+		case !retirementRefused(err):
 			again()
-			return
 		}
-		host.core.Retired(host.Now(), name, func(retired bool, err error) {
-			if err != nil || !retired {
-				again()
-				return
-			}
-			d.takeAway(d.world.machines[name])
+	})
+}
+
+func (d *day) awaitRetirement(name string) {
+	retired := false
+	get := func(host *keeperHost, answer func(err error)) {
+		host.core.Retired(host.Now(), name, func(emptied bool, err error) {
+			retired = emptied
+			answer(err)
 		})
+	}
+	d.call(get, func(err error) {
+		m := d.world.machines[name]
+		switch {
+		case m.removed:
+		case err == nil && retired:
+			d.takeAway(m)
+		case retirementRefused(err):
+			d.checker.breakRule(d.world.now, "LOST", "the emptying of "+name+" was acknowledged, and is not known")
+		default:
+			d.world.after(operatorPause, func() { d.awaitRetirement(name) })
+		}
 	})
-	host.goOn()
+}
+
+// retirementRefused tells whether a keeper has refused to empty a machine.
+func retirementRefused(err error) bool {
+	var unknown *keeper.UnknownMachineError
+	var tooFew *keeper.TooFewError
+	return errors.As(err, &unknown) || errors.As(err, &tooFew)
 }
 
 // takeAway removes a machine that was emptied, with its disk.
@@ -124,8 +169,7 @@
 	if m.removed {
 		return
 	}
-	d.powerOff(m, time.Hour, true)
-	m.removed = true
+	d.remove(m)
 	d.retired++
 }
 
--- a/internal/system/simulation/world.go
+++ b/internal/system/simulation/world.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"granitewing/internal/system/role/keeper"
 	"granitewing/internal/system/wire"
 )
 
@@ -94,9 +95,13 @@
 	wallSkew  int64 // milliseconds
 	disks     map[string]*simulatedDisk
 	processes []*process
-	removed   bool // for good
-	slowDisk  int  // times that a sync takes longer; 0 is the usual
-	fullDisk  bool // takes no more bytes
+	removed   bool          // for good
+	slowDisk  int           // times that a sync takes longer; 0 is the usual
+	fullDisk  bool          // takes no more bytes
+	quota     bool          // its share of the processor is spent early in each tenth of a second
+	diskSince time.Duration // when its disks were last empty
+	// identities are those of its keeper in each group, as its disk holds them.
+	identities [keeper.Groups]string
 }
 
 func (w *world) add(name, ip, zone string) *machine {
@@ -196,11 +201,19 @@
 	case !p.alive:
 	case p.machine.frozen:
 		p.frozen = append(p.frozen, do)
+	case p.machine.quota && p.world.now%quotaPeriod >= quotaSpent:
+		p.world.after(quotaPeriod-p.world.now%quotaPeriod, func() { p.run(do) })
 	default:
 		do()
 	}
 }
 
+// A processor's quota: what a process may run of each period, from its beginning.
+const (
+	quotaPeriod = 100 * time.Millisecond
+	quotaSpent  = 35 * time.Millisecond
+)
+
 func (p *process) thaw() {
 	waiting := p.frozen
 	p.frozen = nil
