Have stores refuse messages for a carrier's unit that another has taken over

Change: the listing of a carrier's unit fences it at the store, and waits for puts that are being synced.

--- a/internal/system/role/carrier/accept.go
+++ b/internal/system/role/carrier/accept.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"strings"
 	"time"
 
 	"granitewing/internal/system/configuration"
@@ -282,6 +283,13 @@
 		a.accept()
 		return
 	}
+	if strings.HasPrefix(m.Unit, departedPrefix) {
+		// The session under which it came was lost meanwhile. Whoever took that unit over may have listed it before this
+		// message was stored, so that nobody would ever deliver it: it is not accepted.
+		a.stored = false
+		a.giveUp()
+		return
+	}
 	if m.Key == "" {
 		a.accept()
 		c.forward(m, a.holders, a.at)
--- a/internal/system/role/store/core.go
+++ b/internal/system/role/store/core.go
@@ -49,6 +49,8 @@
 	settled  uint64 // of a roster: all that was taken for an older one is synced
 	founder  bool
 	loader   *loader // nil once the log was read
+	// takenOver are the carriers' units that were listed in this life of the store.
+	takenOver units
 	// expireDue is when messages are looked for that nobody ended within their retention.
 	expireDue time.Duration
 }
@@ -141,6 +143,10 @@
 		done(&wire.RefusalBody{Code: wire.StaleRoster, Reason: "the roster of disks has changed"})
 		return
 	}
+	if c.takenOver.known[m.Unit] {
+		done(&wire.RefusalBody{Code: wire.NotOwner, Reason: "the carrier's messages were taken over"})
+		return
+	}
 	e := c.index.get(m.ID)
 	if e != nil && e.void {
 		done(&wire.RefusalBody{Code: wire.Voided, Reason: "the message is void"})
@@ -160,13 +166,16 @@
 		e.unit = m.Unit
 		c.index.join(e)
 	}
-	e.retention = m.Retention
+	e.retention, e.putting = m.Retention, true
 	r := record{Kind: recordMessage, Message: m}
 	c.batch = append(c.batch, pendingRecord{payload: c.encode(r), synced: func(position segment.Position) {
-		e.held, e.position = true, position
+		e.held, e.putting, e.position = true, false, position
 		c.index.touch(e)
 		done(nil)
-	}, refused: func() { done(&wire.RefusalBody{Code: wire.Failed, Reason: "the disk is full"}) }})
+	}, refused: func() {
+		e.putting = false
+		done(&wire.RefusalBody{Code: wire.Failed, Reason: "the disk is full"})
+	}})
 }
 
 // Void makes a message void: it never runs. That is refused where somebody else may know of the message already.
--- a/internal/system/role/store/handle.go
+++ b/internal/system/role/store/handle.go
@@ -58,8 +58,15 @@
 		if err := wire.Decode(kind, payload, &body); err != nil {
 			return err
 		}
-		answer, err := c.List(body)
-		return reply(answerer, &answer, err)
+		c.takeOver(body.Unit, func() {
+			answer, err := c.List(body)
+			if err != nil {
+				answerer.Refuse(wire.RefusalBody{Code: wire.Failed, Reason: err.Error()})
+				return
+			}
+			answerer.Answer(&answer)
+		})
+		return nil
 	case wire.FindMessage:
 		var body wire.FindBody
 		if err := wire.Decode(kind, payload, &body); err != nil {
--- a/internal/system/role/store/index.go
+++ b/internal/system/role/store/index.go
@@ -21,6 +21,7 @@
 	position     segment.Position
 	size         uint32
 	held         bool // the message's record is on disk at position
+	putting      bool // its record is on its way there
 	void         bool
 	shared       bool // another process was told of it, or may have been in an earlier life: it can't be made void
 	phase        message.Phase
