Keep net/http from sending a message again, and late answers from later attempts

A late answer to an earlier attempt bears the id of the next, and could be taken for its answer. Ruled out: extra answers of other messages, which are told by their id already.

--- a/internal/system/node/worker.go
+++ b/internal/system/node/worker.go
@@ -3,10 +3,8 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"syscall"
@@ -42,11 +40,6 @@
 		IdleConnTimeout: workerIdle, DisableCompression: true, WriteBufferSize: 8 << 10, ReadBufferSize: 4 << 10}
 }
 
-// workerClient sends messages to workers.
-type workerClient struct{ transport *http.Transport }
-
-func newWorkerClient() *workerClient { return &workerClient{transport: newTransport()} }
-
 func newPostClient() *http.Client {
 	return &http.Client{Transport: newTransport(), CheckRedirect: func(*http.Request, []*http.Request) error {
 		return http.ErrUseLastResponse
@@ -63,40 +56,13 @@
 	}()
 }
 
-func (w *workerClient) send(attempt carrier.Attempt) carrier.Outcome {
-	ctx, cancel := context.WithTimeout(context.Background(), attempt.Deadline+answerMargin)
-	defer cancel()
-	var connection net.Conn
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connection = info.Conn }}
-	request, err := newDelivery(httptrace.WithClientTrace(ctx, trace), attempt)
-	if err != nil {
-		return carrier.Outcome{Kind: carrier.RunRefused}
-	}
-	response, err := w.transport.RoundTrip(request)
-	if err != nil {
-		if connection == nil {
-			return carrier.Outcome{Kind: carrier.NotSent}
-		}
-		return carrier.Outcome{Kind: carrier.RunUnknown, Silent: errors.Is(err, context.DeadlineExceeded)}
-	}
-	defer response.Body.Close()
-	if response.Header.Get(headerRequestID) != attempt.Message.ID {
-		// Another's answer, or bytes that are none: what follows on this connection can't be trusted either.
-		connection.Close()
-		return carrier.Outcome{Kind: carrier.RunUnknown}
-	}
-	if err := discard(response.Body); err != nil {
-		return carrier.Outcome{Kind: carrier.RunUnknown, Silent: errors.Is(err, context.DeadlineExceeded)}
-	}
-	return judge(response)
-}
-
 func newDelivery(ctx context.Context, attempt carrier.Attempt) (*http.Request, error) {
 	m := attempt.Message
 	request, err := http.NewRequestWithContext(ctx, m.Method, "http://"+attempt.Address+"/", bytes.NewReader(m.Body))
 	if err != nil {
 		return nil, err
 	}
+	request.GetBody = nil // nothing is sent again but by the carrier's own decision
 	path, query, _ := strings.Cut(m.Target, "?")
 	request.URL.Opaque = "//" + attempt.Address + path
 	request.URL.RawQuery = query
@@ -116,6 +82,19 @@
 	return request, nil
 }
 
+// replayable tells whether net/http would send a request again by itself after a connection broke: by its method, or since its
+// client named a key for that. A request with a body is told by newDelivery to have none that could be read again.
+func replayable(request *http.Request) bool {
+	if request.Body != nil && request.Body != http.NoBody {
+		return false
+	}
+	switch request.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return request.Header.Get("Idempotency-Key") != "" || request.Header.Get("X-Idempotency-Key") != ""
+}
+
 // judge reads a worker's whole answer.
 func judge(response *http.Response) carrier.Outcome {
 	outcome := carrier.Outcome{Kind: carrier.RunUnknown, Load: loadOf(response.Header.Get(headerLoad))}
--- a/internal/system/node/worker_test.go
+++ b/internal/system/node/worker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -143,4 +144,69 @@
 		nobody.listener.Close()
 		Expect(send(newWorkerClient(), nobody, "m").Kind).To(Equal(carrier.NotSent))
 	})
+
+	ginkgo.It("sends no message again by itself, whatever its method, its body or a key that its client named", func() {
+		for _, one := range []message.Message{
+			{Method: http.MethodPost, Body: []byte("body")},
+			{Method: http.MethodPost},
+			{Method: http.MethodPost, Body: []byte("body"), Headers: []message.Header{{Name: "Idempotency-Key", Value: "k"}}},
+			{Method: http.MethodPost, Headers: []message.Header{{Name: "X-Idempotency-Key", Value: "k"}}},
+			{Method: http.MethodGet},
+			{Method: http.MethodGet, Body: []byte("body")},
+			{Method: http.MethodHead},
+			{Method: http.MethodOptions},
+		} {
+			// The first answer lets the connection rest; the second request is read whole, and the connection is closed.
+			w := startGarblingWorker(func(request *http.Request, turn int) string {
+				if turn == 1 {
+					return done("first", "s")
+				}
+				return ""
+			})
+			client := newWorkerClient()
+			Expect(send(client, w, "first").Kind).To(Equal(carrier.RunSucceeded))
+			one.ID, one.Target, one.Host = "m", "/in/x", "h.example"
+			outcome := client.send(carrier.Attempt{Message: &one, Address: w.listener.Addr().String(), Deadline: 300 * time.Millisecond})
+			Expect(outcome.Kind).To(Equal(carrier.RunUnknown), "%+v", one)
+			time.Sleep(20 * time.Millisecond)
+			w.mutex.Lock()
+			Expect(w.turn).To(Equal(2), "%+v", one)
+			w.mutex.Unlock()
+		}
+	})
+
+	ginkgo.It("takes no late answer to an earlier attempt for that of the next", func() {
+		w := startGarblingWorker(func(request *http.Request, turn int) string {
+			if turn == 1 {
+				failed := "HTTP/1.1 500 Internal Server Error\r\nX-Request-Id: m\r\nContent-Length: 0\r\n\r\n"
+				return failed + failed // the second one comes late
+			}
+			return done("m", "own")
+		})
+		client := newWorkerClient()
+		Expect(send(client, w, "m").Kind).To(Equal(carrier.RunFailed))
+		m := &message.Message{ID: "m", Method: http.MethodPost, Target: "/in/x", Host: "h.example", Body: []byte("body")}
+		again := client.send(carrier.Attempt{Message: m, Address: w.listener.Addr().String(), Deadline: 300 * time.Millisecond, Repeat: true})
+		Expect(again.Kind).To(Equal(carrier.RunSucceeded))
+		Expect(again.Stamp).To(Equal("own"))
+	})
+
+	ginkgo.It("knows that a message has not run whose resting connection was closed before a byte of it left", func() {
+		ours, workers := net.Pipe()
+		workers.Close()
+		counted := &countedConnection{Conn: ours}
+		client := newWorkerClient()
+		dials := 0
+		w := startGarblingWorker(func(request *http.Request, _ int) string { return done(request.Header.Get(headerRequestID), "s") })
+		dial := client.transport.DialContext
+		client.transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+			if dials++; dials == 1 {
+				return counted, nil
+			}
+			return dial(ctx, network, address)
+		}
+		outcome := send(client, w, "m")
+		Expect(outcome.Kind).To(BeElementOf(carrier.NotSent, carrier.RunUnknown), "it was no resting one")
+		Expect(send(client, w, "m").Kind).To(Equal(carrier.RunSucceeded))
+	})
 })
