Force the late answer that a repeated attempt must not take

Now the worker sends the late answer after it has read the next request; without a connection of the attempt's own the test fails.

--- a/internal/system/node/worker_test.go
+++ b/internal/system/node/worker_test.go
@@ -23,6 +23,7 @@
 	connections int
 	answer      func(request *http.Request, turn int) string // turn counts requests of all connections, from 1
 	turn        int
+	late        string // an answer to an earlier request, sent before that to any but the first on a connection
 }
 
 func startGarblingWorker(answer func(request *http.Request, turn int) string) *garblingWorker {
@@ -48,7 +49,7 @@
 func (w *garblingWorker) serve(connection net.Conn) {
 	defer connection.Close()
 	reader := bufio.NewReader(connection)
-	for {
+	for first := true; ; first = false {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
@@ -60,6 +61,9 @@
 		if answer == "" {
 			return
 		}
+		if !first {
+			answer = w.late + answer
+		}
 		if _, err := connection.Write([]byte(answer)); err != nil {
 			return
 		}
@@ -176,13 +180,14 @@
 	})
 
 	ginkgo.It("takes no late answer to an earlier attempt for that of the next", func() {
+		const failed = "HTTP/1.1 500 Internal Server Error\r\nX-Request-Id: m\r\nContent-Length: 0\r\n\r\n"
 		w := startGarblingWorker(func(request *http.Request, turn int) string {
 			if turn == 1 {
-				failed := "HTTP/1.1 500 Internal Server Error\r\nX-Request-Id: m\r\nContent-Length: 0\r\n\r\n"
-				return failed + failed // the second one comes late
+				return failed
 			}
 			return done("m", "own")
 		})
+		w.late = failed
 		client := newWorkerClient()
 		Expect(send(client, w, "m").Kind).To(Equal(carrier.RunFailed))
 		m := &message.Message{ID: "m", Method: http.MethodPost, Target: "/in/x", Host: "h.example", Body: []byte("body")}
