--- a/internal/system/command/status.go
+++ b/internal/system/command/status.go
@@ -83,8 +83,8 @@
 	fmt.Fprintln(output)
 	table := tabwriter.NewWriter(output, 0, 0, 2, ' ', 0)
 	for _, group := range status.Groups {
-		fmt.Fprintf(table, "group\t%s\tleader %s\tterm %d\tapplied %d\tvoters %d, learners %d\n", group.Name, orNobody(group.Leader),
-			group.Term, group.Applied, len(group.Voters), len(group.Learners))
+		fmt.Fprintf(table, "group\t%s\tleader %s\tterm %d\tapplied %d\tvoters %d, learners %d%s\n", group.Name, orNobody(group.Leader),
+			group.Term, group.Applied, len(group.Voters), len(group.Learners), wholeness(group.Whole))
 	}
 	units := map[string]int{}
 	for _, unit := range status.Units {
@@ -114,6 +114,14 @@
 	return table.Flush()
 }
 
+// wholeness tells what a group's leader says of it.
+func wholeness(whole *bool) string {
+	if whole == nil {
+		return ""
+	}
+	return pick(*whole, ", whole", ", NOT whole: it may not bear the next loss")
+}
+
 func orNobody(name string) string { return pick(name != "", name, "nobody") }
 
 func mark(wanted bool, text string) string { return pick(wanted, text, "") }
--- a/internal/system/role/keeper/status.go
+++ b/internal/system/role/keeper/status.go
@@ -29,6 +29,8 @@
 	Applied  uint64   `json:"applied"`
 	Voters   []string `json:"voters"`
 	Learners []string `json:"learners"`
+	// Whole is told by the leader alone: whether the voters that it hears may lose what is tolerated.
+	Whole *bool `json:"whole,omitempty"`
 }
 
 // MemberStatus is one session.
@@ -86,8 +88,12 @@
 	}
 	for id, g := range c.groups {
 		group := g.node.Group()
-		status.Groups = append(status.Groups, GroupStatus{Name: groupNames[id], Leader: AddressOf(g.node.Leader()),
-			Term: g.node.Term(), Applied: g.node.Applied(), Voters: group.Voters, Learners: group.Learners})
+		told := GroupStatus{Name: groupNames[id], Leader: AddressOf(g.node.Leader()),
+			Term: g.node.Term(), Applied: g.node.Applied(), Voters: group.Voters, Learners: group.Learners}
+		if whole, leads := c.Whole(id); leads {
+			told.Whole = &whole
+		}
+		status.Groups = append(status.Groups, told)
 	}
 	status.Members, status.Disks = c.memberStatus(), c.diskStatus()
 	status.Units, status.Services = c.unitStatus(), c.serviceStatus()
