Have the demo look for ports at all machines and ask every keeper, and print its logs

Cause: TestDemo failed once beside other tests: no configuration was taken within 15 s. Found by reading: ports were tested at the first machine's address only, always from the same number on, while other tests look for ports too; and one keeper alone was asked, where an operator moves on. On a failure the processes' logs are printed now.

--- a/internal/system/demo/demo.go
+++ b/internal/system/demo/demo.go
@@ -103,7 +103,11 @@
 		d.machines = append(d.machines, &machine{name: fmt.Sprintf("%s-%d", name, number),
 			ip: fmt.Sprintf("127.0.0.%d", 11+i), zone: zoneOf(i)})
 	}
-	ports, err := freePorts(d.machines[0].ip, portsOfRange+3)
+	var addresses []string
+	for _, m := range d.machines {
+		addresses = append(addresses, m.ip)
+	}
+	ports, err := freePorts(addresses, portsOfRange+3)
 	if err != nil {
 		return err
 	}
@@ -163,9 +167,11 @@
 }
 
 func (d *demo) configure(ctx context.Context) error {
-	url := fmt.Sprintf("http://%s/-/Config.Replace", d.layout.seeds[0])
 	headers := map[string]string{"X-Base-Version": "0", "Content-Type": "application/json"}
+	tries := 0
 	err := until(ctx, "a configuration that is taken", func() bool {
+		url := fmt.Sprintf("http://%s/-/Config.Replace", d.layout.seeds[tries%len(d.layout.seeds)])
+		tries++
 		status, _ := d.call(http.MethodPost, url, []byte(configuration), headers)
 		return status == http.StatusOK
 	})
--- a/internal/system/demo/demo_suite_test.go
+++ b/internal/system/demo/demo_suite_test.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
+	"net"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -16,6 +19,19 @@
 	RunSpecs(t, "Demo")
 }
 
+var _ = Describe("Ports", func() {
+	It("are free at every machine's address", func() {
+		const taken, other = "127.0.0.14", "127.0.0.11"
+		from, err := freePorts([]string{other, taken}, portsOfRange)
+		Expect(err).NotTo(HaveOccurred())
+		listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", taken, from))
+		Expect(err).NotTo(HaveOccurred())
+		defer listener.Close()
+		Expect(portsFree([]string{other, taken}, from, portsOfRange)).To(BeFalse())
+		Expect(portsFree([]string{other}, from, portsOfRange)).To(BeTrue())
+	})
+})
+
 var _ = Describe("The whole system on loopback", func() {
 	It("takes, delivers and tells of messages, and goes on when a machine is stopped", func(ctx context.Context) {
 		folder := GinkgoT().TempDir()
@@ -23,6 +39,16 @@
 		built, err := exec.CommandContext(ctx, "go", "build", "-o", binary, "granitewing/cmd/granitewing-system").CombinedOutput()
 		Expect(err).NotTo(HaveOccurred(), string(built))
 		var output bytes.Buffer
+		DeferCleanup(func() {
+			if !CurrentSpecReport().Failed() {
+				return
+			}
+			logs, _ := filepath.Glob(filepath.Join(folder, "*", "*.log"))
+			for _, log := range logs {
+				text, _ := os.ReadFile(log)
+				GinkgoWriter.Printf("%s:\n%s\n", log, text)
+			}
+		})
 		Expect(Run(ctx, Options{Binary: binary, Folder: folder, Output: &output})).To(Succeed(), output.String())
 		for _, line := range []string{`message first-\d+ was accepted by edge-1`, "edge-2 tells of it: succeeded", "group +sessions +leader 127",
 			"storage-1 was stopped", `message second-\d+ was accepted by edge-2`, `ran it 1 time\(s\)`} {
--- a/internal/system/demo/processes.go
+++ b/internal/system/demo/processes.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -148,29 +149,36 @@
 	m.processes = nil
 }
 
-// freePorts finds a range of ports that is free at an address now.
-func freePorts(ip string, count int) (int, error) {
-	const first, last, step = 21000, 31000, 64
-	for from := first; from < last; from += step {
-		if portsFree(ip, from, count) {
+// freePorts finds a range of ports that is free at all of some addresses now. The search begins anywhere, since others may
+// look for ports at the same time.
+func freePorts(addresses []string, count int) (int, error) {
+	const first, ranges, step = 21000, 156, 64
+	begin := rand.IntN(ranges)
+	for turn := range ranges {
+		from := first + (begin+turn)%ranges*step
+		if portsFree(addresses, from, count) {
 			return from, nil
 		}
 	}
-	return 0, &NoPortsError{Address: ip}
+	return 0, &NoPortsError{Addresses: addresses}
 }
 
-func portsFree(ip string, from, count int) bool {
-	for port := from; port < from+count; port++ {
-		listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
-		if err != nil {
-			return false
+func portsFree(addresses []string, from, count int) bool {
+	for _, ip := range addresses {
+		for port := from; port < from+count; port++ {
+			listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+			if err != nil {
+				return false
+			}
+			listener.Close()
 		}
-		listener.Close()
 	}
 	return true
 }
 
 // NoPortsError tells that no range of ports is free.
-type NoPortsError struct{ Address string }
+type NoPortsError struct{ Addresses []string }
 
-func (e *NoPortsError) Error() string { return "no range of ports is free at " + e.Address }
+func (e *NoPortsError) Error() string {
+	return "no range of ports is free at " + strings.Join(e.Addresses, ", ")
+}
