--- a/internal/system/simulation/simulation_suite_test.go
+++ b/internal/system/simulation/simulation_suite_test.go
@@ -24,14 +24,13 @@
 	if err != nil || len(files) == 0 {
 		panic("no scenarios")
 	}
-	for _, file := range files {
+	// All are played at once, when the first is asked for.
+	played := sync.OnceValue(func() []scenarioPlay { return playFiles(files) })
+	for i, file := range files {
 		It(filepath.Base(file), func() {
-			text, err := os.ReadFile(file)
-			Expect(err).NotTo(HaveOccurred())
-			scenario, err := Parse(string(text))
-			Expect(err).NotTo(HaveOccurred())
-			result, err := Play(scenario)
-			Expect(err).NotTo(HaveOccurred())
+			play := played()[i]
+			Expect(play.err).NotTo(HaveOccurred())
+			scenario, result := play.scenario, play.result
 			Expect(result.Broken).To(BeEmpty())
 			for share, least := range scenario.Least {
 				Expect(result.Shares[share]).To(BeNumerically(">=", least), "share "+string(share))
@@ -45,6 +44,30 @@
 	}
 })
 
+// scenarioPlay is a scenario of a file, and what its play came to.
+type scenarioPlay struct {
+	scenario *Scenario
+	result   *Result
+	err      error
+}
+
+// playFiles plays the scenarios of files, on all processors.
+func playFiles(files []string) []scenarioPlay {
+	plays := make([]scenarioPlay, len(files))
+	eachSeed(0, uint64(len(files)), func(at uint64) {
+		play := &plays[at]
+		text, err := os.ReadFile(files[at])
+		if err == nil {
+			play.scenario, err = Parse(string(text))
+		}
+		if err == nil {
+			play.result, err = Play(play.scenario)
+		}
+		play.err = err
+	})
+	return plays
+}
+
 // schedules is how many drawn schedules are played; SCHEDULES asks for more, FIRST_SCHEDULE for others.
 func schedules() (first, count uint64) {
 	read := func(name string, otherwise uint64) uint64 {
