--- a/internal/system/node/worker_send.go
+++ b/internal/system/node/worker_send.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"time"
 
 	"granitewing/internal/system/role/carrier"
 )
@@ -16,11 +17,12 @@
 type workerClient struct {
 	transport *http.Transport
 	// single makes a connection for each request and uses it for nothing else.
-	single *http.Transport
+	single  *http.Transport
+	unknown *unknownAttempts
 }
 
 func newWorkerClient() *workerClient {
-	client := &workerClient{transport: newTransport(), single: newTransport()}
+	client := &workerClient{transport: newTransport(), single: newTransport(), unknown: newUnknownAttempts()}
 	client.single.DisableKeepAlives = true
 	for _, transport := range []*http.Transport{client.transport, client.single} {
 		dial := transport.DialContext
@@ -68,6 +70,11 @@
 	var connection *countedConnection
 	var before int64
 	var reused bool
+	began := time.Now()
+	unknown := func(reason unknownReason) carrier.Outcome {
+		w.unknown.note(reason, attempt, time.Since(began))
+		return carrier.Outcome{Kind: carrier.RunUnknown, Silent: reason == answerSilent}
+	}
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if counted, is := info.Conn.(*countedConnection); is {
 			connection, before, reused = counted, counted.written.Load(), info.Reused
@@ -91,16 +98,28 @@
 		case !silent && connection.written.Load() == before:
 			return carrier.Outcome{Kind: carrier.NotSent}, reused
 		}
-		return carrier.Outcome{Kind: carrier.RunUnknown, Silent: silent}, false
+		if silent {
+			return unknown(answerSilent), false
+		}
+		return unknown(answerBroken), false
 	}
 	defer response.Body.Close()
 	if response.Header.Get(headerRequestID) != attempt.Message.ID {
 		// Another's answer, or bytes that are none: what follows on this connection can't be trusted either.
 		connection.Close()
-		return carrier.Outcome{Kind: carrier.RunUnknown}, false
+		return unknown(answerForeign), false
+	}
+	switch err := discard(response.Body); {
+	case errors.Is(err, context.DeadlineExceeded):
+		return unknown(answerSilent), false
+	case err != nil:
+		return unknown(answerCutOff), false
 	}
-	if err := discard(response.Body); err != nil {
-		return carrier.Outcome{Kind: carrier.RunUnknown, Silent: errors.Is(err, context.DeadlineExceeded)}, false
+	outcome = judge(response)
+	if outcome.Kind == carrier.RunUnknown {
+		load := outcome.Load
+		outcome = unknown(answerUndecided)
+		outcome.Load = load
 	}
-	return judge(response), false
+	return outcome, false
 }
