--- a/internal/system/message/message.go
+++ b/internal/system/message/message.go
@@ -1,7 +1,30 @@
 // Package message is what a message is to all roles: its bytes, its place in the fleet and the end it came to.
 package message
 
-import "time"
+import (
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
+)
+
+// Version is the version of a configuration; 0 where it is not known.
+type Version uint64
+
+// DecodeMsgpack reads a version. Earlier builds wrote the route's name in its place, which says nothing of a version.
+func (v *Version) DecodeMsgpack(decoder *msgpack.Decoder) error {
+	code, err := decoder.PeekCode()
+	if err != nil {
+		return err
+	}
+	if msgpcode.IsString(code) {
+		*v = 0
+		return decoder.Skip()
+	}
+	number, err := decoder.DecodeUint64()
+	*v = Version(number)
+	return err
+}
 
 // Header is one header of the client's request that a delivery repeats.
 type Header struct {
@@ -14,7 +37,7 @@
 	_msgpack struct{} `msgpack:",as_array"`
 	ID       string   // X-Request-Id
 	Unit     string   // what orders, paces and delivers it
-	Route    string
+	Version  Version  // of the configuration under which it was accepted
 	Host     string
 	Method   string
 	Target   string // path and query, unchanged
--- a/internal/system/ownership/balance.go
+++ b/internal/system/ownership/balance.go
@@ -53,10 +53,10 @@
 	return best
 }
 
-// groupOf names the units that are spread evenly: the keys of one service, and all units that have a pace.
+// groupOf names the units that are spread evenly: those of keys, and those that have a pace.
 func groupOf(unit string) string {
-	if at := strings.LastIndexByte(unit, '/'); strings.HasPrefix(unit, keyPrefix) {
-		return unit[:at]
+	if strings.HasPrefix(unit, keyPrefix) {
+		return keyPrefix
 	}
 	return pacedPrefix
 }
--- a/internal/system/role/carrier/accept.go
+++ b/internal/system/role/carrier/accept.go
@@ -92,7 +92,7 @@
 	}
 	a := &acceptance{core: c, message: &s.Message, route: route, answer: answer, at: c.env.Now(), left: s.Left}
 	a.until = a.at + holdTime(s.Left, route)
-	a.message.Route = route.Name
+	a.message.Version = message.Version(view.Table.Document.Version)
 	a.message.Retention = route.Retention
 	a.place(view.Table.Service(route))
 }
@@ -135,28 +135,30 @@
 	if !a.route.Ordered {
 		m.Key = ""
 	}
+	// An order belongs to its key and to nothing that a change of the configuration may change: who has given places in it knows all
+	// that waits in it, whichever service that was meant for when it was accepted.
 	switch {
+	case ordered:
+		m.Unit = ownership.KeyUnit(m.Key)
 	case service.Rate > 0 || service.Static != "":
 		m.Unit = ownership.PacedUnit(service.Name)
-	case ordered:
-		m.Unit = ownership.KeyUnit(service.Name, m.Key)
 	default:
 		m.Unit = a.core.own.name
 	}
 	if ordered {
-		a.reserve()
+		a.reserve(service.Name)
 		return
 	}
 	a.store()
 }
 
 // reserve asks the unit's owner for a place in its order. Nothing is stored yet, so that a refusal is a promise kept.
-func (a *acceptance) reserve() {
+func (a *acceptance) reserve(service string) {
 	c := a.core
-	body := wire.ReserveBody{Unit: a.message.Unit, ID: a.message.ID, Retention: a.message.Retention}
+	body := wire.ReserveBody{Unit: a.message.Unit, ID: a.message.ID, Service: service, Retention: a.message.Retention}
 	c.reserve(body, func(place wire.ReserveAnswer, err error) {
 		if err != nil && ownerChanges(err) && c.env.Now()-a.at < placeRetryFor {
-			c.env.After(placeRetry, a.reserve)
+			c.env.After(placeRetry, func() { a.reserve(service) })
 			return
 		}
 		if err != nil {
--- a/internal/system/role/carrier/admission.go
+++ b/internal/system/role/carrier/admission.go
@@ -81,7 +81,7 @@
 	if table == nil {
 		return
 	}
-	if route := c.routeOf(table, it); route != nil {
+	if route := c.routeOf(table, it.message); route != nil {
 		it.counted = &c.queue(route.Service).backlog
 		it.counted.add(c.env.Now())
 	}
@@ -135,9 +135,17 @@
 	return c.retryAfter(service.Name, route.Retention)
 }
 
-// ownerOverloaded tells the same of the messages of a unit that this carrier owns.
-func (c *Core) ownerOverloaded(unit string, retention time.Duration) time.Duration {
-	return c.retryAfter(ownership.ServiceOf(unit), retention)
+// ownerOverloaded tells the same of a message of a unit that this carrier owns.
+func (c *Core) ownerOverloaded(m *message.Message) time.Duration {
+	table := c.session.View().Table
+	if table == nil {
+		return 0
+	}
+	route := c.routeOf(table, m)
+	if route == nil {
+		return 0
+	}
+	return c.retryAfter(route.Service, m.Retention)
 }
 
 // retryAfter is when the backlog of a service will have fallen to half of what a message with some retention bears; 0 where
--- a/internal/system/role/carrier/dispatch.go
+++ b/internal/system/role/carrier/dispatch.go
@@ -48,6 +48,8 @@
 	wakeWhenFull   = 25 * time.Millisecond
 	defaultTimeout = time.Second
 	pacedRefused   = 60 * time.Millisecond
+	// newerTablePause is how often a message is looked at that waits for a newer configuration.
+	newerTablePause = 50 * time.Millisecond
 )
 
 // ready puts a message into its service's queue once it is due.
@@ -68,7 +70,11 @@
 		c.env.After(wakeWhenFull, func() { c.ready(it) })
 		return
 	}
-	route := c.routeOf(table, it)
+	if older(table, it.message) {
+		c.env.After(newerTablePause, func() { c.ready(it) })
+		return
+	}
+	route := c.routeOf(table, it.message)
 	if route == nil {
 		c.end(it, message.DeadLetter, "")
 		return
@@ -86,6 +92,12 @@
 	c.dispatch(q)
 }
 
+// older tells whether a configuration is older than the one under which a message was accepted: it decides nothing about it.
+// A carrier that has just started, and is given a message, may know only such a one yet.
+func older(table *configuration.Table, m *message.Message) bool {
+	return message.Version(table.Document.Version) < m.Version
+}
+
 // leads tells whether it is the message's turn in its key's order.
 func (c *Core) leads(it *item) bool {
 	key := it.message.Key
@@ -93,8 +105,8 @@
 }
 
 // routeOf is the message's route under a configuration, nil where that has dropped it.
-func (c *Core) routeOf(table *configuration.Table, it *item) *configuration.Route {
-	return table.Match(it.message.Host, pathOf(it.message.Target))
+func (c *Core) routeOf(table *configuration.Table, m *message.Message) *configuration.Route {
+	return table.Match(m.Host, pathOf(m.Target))
 }
 
 func pathOf(target string) string {
@@ -114,7 +126,7 @@
 	}
 	now := c.env.Now()
 	aim := func(it *item) time.Duration {
-		if route := c.routeOf(table, it); route != nil {
+		if route := c.routeOf(table, it.message); route != nil {
 			return it.accepted + it.message.Delay + route.TargetStart
 		}
 		return now
@@ -132,7 +144,7 @@
 
 // dispatchOne sends one message; false where the queue has to wait.
 func (c *Core) dispatchOne(now time.Duration, q *queue, table *configuration.Table, it *item, aim time.Duration) bool {
-	route := c.routeOf(table, it)
+	route := c.routeOf(table, it.message)
 	switch {
 	case route == nil || now-it.accepted > it.message.Retention+it.message.Delay:
 		q.take(it)
@@ -147,8 +159,7 @@
 		return true
 	}
 	service := table.Service(route)
-	if service.Rate > 0 && (!c.session.Holds() || now < q.pace.Due()) {
-		c.wake(q, max(q.pace.Due(), now+time.Millisecond))
+	if service.Rate > 0 && !c.hasTurn(now, q) {
 		return false
 	}
 	worker := c.policy.Pick(now, q.service, route.Name, aim-now, it.lastTry)
@@ -160,7 +171,9 @@
 		c.wake(q, next)
 		return false
 	}
-	q.pace.Take(now)
+	if service.Rate > 0 {
+		c.takeTurn(now, q)
+	}
 	q.take(it)
 	c.send(it, route, worker)
 	return true
--- a/internal/system/role/carrier/handle.go
+++ b/internal/system/role/carrier/handle.go
@@ -16,6 +16,17 @@
 			return nil
 		}
 		answerer.Answer(&place)
+	case wire.TakeTurn:
+		var body wire.TakeTurnBody
+		if err := wire.Decode(kind, payload, &body); err != nil {
+			return err
+		}
+		turn, refusal := c.Turn(body)
+		if refusal != nil {
+			answerer.Refuse(*refusal)
+			return nil
+		}
+		answerer.Answer(&turn)
 	case wire.ConfirmMessage, wire.ForwardMessage:
 		var body wire.DeliverBody
 		if err := wire.Decode(kind, payload, &body); err != nil {
@@ -25,8 +36,7 @@
 			answerer.Refuse(*refusal)
 			return nil
 		}
-		m := &body.Message
-		answerer.Answer(&wire.DeliverAnswer{RetryAfter: c.ownerOverloaded(m.Unit, m.Retention)})
+		answerer.Answer(&wire.DeliverAnswer{RetryAfter: c.ownerOverloaded(&body.Message)})
 	default:
 		return &wire.UnknownCallError{Kind: kind}
 	}
--- a/internal/system/role/carrier/owner.go
+++ b/internal/system/role/carrier/owner.go
@@ -44,7 +44,7 @@
 	if !u.active || u.rests() {
 		return wire.ReserveAnswer{}, &wire.RefusalBody{Code: wire.NotReady, Reason: "the unit changes its owner"}
 	}
-	if pause := c.ownerOverloaded(body.Unit, body.Retention); pause > 0 {
+	if pause := c.retryAfter(body.Service, body.Retention); pause > 0 {
 		return wire.ReserveAnswer{RetryAfter: pause}, nil
 	}
 	u.sequence++
--- a/internal/system/role/carrier/queue.go
+++ b/internal/system/role/carrier/queue.go
@@ -23,8 +23,11 @@
 	late    lateHeap
 	aged    fifo // the late ones in the order in which they came to be late
 	pace    delivery.Pace
-	backlog backlog
-	wakeAt  time.Duration // 0 while no wake-up is set
+	turn    turn // of a service that another carrier spaces
+	// urgentUntil is until when messages wait that were not taken over, of a service that this carrier spaces: others have such.
+	urgentUntil time.Duration
+	backlog     backlog
+	wakeAt      time.Duration // 0 while no wake-up is set
 }
 
 // fifo is a queue whose front moves without copying.
--- a/internal/system/role/keeper/core.go
+++ b/internal/system/role/keeper/core.go
@@ -84,6 +84,7 @@
 	owners        [OwnershipShards]*ownership.State
 	assigning     [OwnershipShards]time.Duration // until when a change is under way
 	moves         [OwnershipShards]moves
+	unneeded      [OwnershipShards]unneeded
 	// carriersChanged is when a carrier came or went.
 	carriersChanged time.Duration
 	feed            *feed.Table
--- a/internal/system/role/keeper/owners.go
+++ b/internal/system/role/keeper/owners.go
@@ -1,7 +1,6 @@
 package keeper
 
 import (
-	"sort"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -38,14 +37,19 @@
 	fleet := c.fleet()
 	for shard := range c.owners {
 		g := c.groups[firstOwnershipGroup+shard]
+		if !g.node.Leading() {
+			c.unneeded[shard] = unneeded{}
+		}
 		if !g.node.Leading() || c.now < c.assigning[shard] || len(fleet.Live) == 0 {
 			continue
 		}
 		turn := shard * len(fleet.Live) / OwnershipShards
 		turned := fleet
 		turned.Live = append(append([]string(nil), fleet.Live[turn:]...), fleet.Live[:turn]...)
-		units := c.units(shard)
-		changes := c.owners[shard].Assign(units, turned)
+		units, changes := c.units(shard)
+		if len(changes) == 0 {
+			changes = c.owners[shard].Assign(units, turned)
+		}
 		if len(changes) == 0 {
 			changes = c.move(shard, units, turned)
 		}
@@ -157,42 +161,8 @@
 	return ownership.Owner{}
 }
 
-// shardOf is the shard that a unit's service lies in, -1 where the name is no unit's.
-func (c *Core) shardOf(unit string) int {
-	service := ownership.ServiceOf(unit)
-	if service == "" {
-		return -1
-	}
-	return ownership.Shard(service, OwnershipShards)
-}
-
-// units gives the units of a shard that need an owner under the current configuration.
-func (c *Core) units(shard int) []string {
-	document := c.configuration.Current()
-	if document == nil {
-		return nil
-	}
-	ordered := map[string]bool{}
-	for i := range document.Routes {
-		if document.Routes[i].Ordered {
-			ordered[document.Routes[i].Service] = true
-		}
-	}
-	var units []string
-	for name, service := range document.Services {
-		if ownership.Shard(name, OwnershipShards) != shard {
-			continue
-		}
-		switch {
-		case service.Rate > 0 || service.Static != "":
-			units = append(units, ownership.PacedUnit(name))
-		case ordered[name]:
-			units = append(units, ownership.KeyUnits(name)...)
-		}
-	}
-	sort.Strings(units)
-	return units
-}
+// shardOf is the shard that a unit lies in, -1 where the name is no unit's.
+func (c *Core) shardOf(unit string) int { return ownership.Shard(unit, OwnershipShards) }
 
 func (c *Core) applyOwners(shard int, data []byte) error {
 	var changes []ownership.Change
--- a/internal/system/simulation/events.go
+++ b/internal/system/simulation/events.go
@@ -105,6 +105,7 @@
 	"release":      func(d *day, h *happening) { d.release(h.name) },
 	"configure":    func(d *day, _ *happening) { d.configure(1) },
 	"move":         func(d *day, h *happening) { d.move(h.name, h.to) },
+	"drop":         func(d *day, h *happening) { d.drop(h.name) },
 	"race":         func(d *day, _ *happening) { d.race() },
 }
 
--- a/internal/system/simulation/scenario.go
+++ b/internal/system/simulation/scenario.go
@@ -39,6 +39,7 @@
 //	at 7s release archive              a worker is replaced
 //	at 7s configure                    a change of the configuration
 //	at 7s move alert to archive        a change that gives a kind of traffic to another service
+//	at 7s drop alert                   a change that takes a route away, until it is moved somewhere
 //	at 7s race                         two changes on the same version
 //	at 7s lose acknowledgements for 3s         some answers to the operator are lost
 //	at 7s silence platform for 3s              its list of workers can't be read
--- a/internal/system/wire/messages.go
+++ b/internal/system/wire/messages.go
@@ -49,6 +49,9 @@
 	// To keepers.
 	ReleaseUnit
 	GroupLeft
+
+	// To carriers.
+	TakeTurn
 )
 
 // RefusalBody is the payload of a Refusal.
@@ -288,6 +291,7 @@
 	_msgpack struct{} `msgpack:",as_array"`
 	Unit     string
 	ID       string
+	Service  string // that the message is for
 	// Retention is the message's: how long it may wait.
 	Retention time.Duration
 }
@@ -300,6 +304,20 @@
 	RetryAfter time.Duration
 }
 
+// TakeTurnBody asks who spaces what is sent to a service with a rate for the next turn.
+type TakeTurnBody struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Service  string
+	Urgent   bool // it is for a message that was taken over
+}
+
+// TakeTurnAnswer gives a turn. Wait is the time until it, or, where none is granted, until it makes sense to ask again.
+type TakeTurnAnswer struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Granted  bool
+	Wait     time.Duration
+}
+
 // DeliverAnswer tells that the owner has a message. RetryAfter is for how long it would rather have no more, 0 at most times.
 type DeliverAnswer struct {
 	_msgpack   struct{} `msgpack:",as_array"`
