--- a/internal/system/delivery/delivery_test.go
+++ b/internal/system/delivery/delivery_test.go
@@ -50,6 +50,33 @@
 		Expect(held["i-0"]).To(BeNumerically(">=", 4))
 	})
 
+	ginkgo.It("leaves a single endpoint once the service has listed workers, and the list while it has one", func() {
+		policy.SetService(now, "s", 90, "10.0.0.1:80")
+		Expect(pick().ID).To(Equal("10.0.0.1:80"))
+		policy.SetInstances(now, instances(3, 4))
+		for range 8 {
+			worker := pick()
+			Expect(worker.Static).To(BeTrue())
+			policy.Start(now, worker)
+		}
+		policy.SetService(now, "s", 90, "")
+		Expect(pick()).To(BeNil())
+		policy.SetInstances(now, instances(3, 4))
+		Expect(pick().Static).To(BeFalse())
+	})
+
+	ginkgo.It("forgets services that the configuration has no more, with their endpoints", func() {
+		for i := range 100 {
+			policy.SetService(now, fmt.Sprintf("gone-%d", i), 90, "10.0.0.1:80")
+		}
+		policy.KeepServices(func(service string) bool { return service == "s" })
+		Expect(policy.pools).To(HaveLen(1))
+		Expect(pick()).NotTo(BeNil())
+		policy.KeepServices(func(string) bool { return false })
+		policy.SetInstances(now, nil)
+		Expect(policy.pools).To(BeEmpty())
+	})
+
 	// busy keeps six attempts out; it gives how many each worker got.
 	busy := func(attempts int, fails func(turn int, id string) bool) map[string]int {
 		taken := map[string]int{}
--- a/internal/system/delivery/pool.go
+++ b/internal/system/delivery/pool.go
@@ -33,11 +33,13 @@
 	return found
 }
 
-// SetService tells a service's bound on connections, and its static endpoint where it has one.
+// SetService tells a service's bound on connections, and its static endpoint where it has one. One that it had before and has
+// no more gets nothing.
 func (p *Policy) SetService(now time.Duration, service string, maxConns int, static string) {
 	pool := p.pool(service)
 	pool.maxConns = maxConns
 	if static == "" {
+		pool.leaveStatic()
 		return
 	}
 	if old := pool.workers[static]; old != nil {
@@ -50,6 +52,31 @@
 	p.add(now, pool, &Worker{Static: true, Instance: catalog.Instance{ID: static, Service: service, Address: static}})
 }
 
+func (p *pool) leaveStatic() {
+	for id, worker := range p.workers {
+		if worker.Static {
+			worker.gone = true
+			delete(p.workers, id)
+		}
+	}
+	p.reorder()
+}
+
+// KeepServices forgets the services that the configuration does not have; their listed workers are known until the list
+// loses them.
+func (p *Policy) KeepServices(has func(service string) bool) {
+	for service, pool := range p.pools {
+		if has(service) {
+			continue
+		}
+		pool.maxConns = 0
+		pool.leaveStatic()
+		if len(pool.workers) == 0 {
+			delete(p.pools, service)
+		}
+	}
+}
+
 // SetInstances tells the platform's list of workers.
 func (p *Policy) SetInstances(now time.Duration, instances map[string]catalog.Instance) {
 	for service, pool := range p.pools {
@@ -64,6 +91,9 @@
 	}
 	for id, instance := range instances {
 		pool := p.pool(instance.Service)
+		if pool.isStatic() {
+			continue
+		}
 		if known := pool.workers[id]; known != nil {
 			known.Draining = instance.Draining
 			known.Capacity = instance.Capacity
@@ -79,6 +109,16 @@
 	}
 }
 
+// isStatic tells whether the service has one endpoint, whatever the platform lists.
+func (p *pool) isStatic() bool {
+	for _, worker := range p.workers {
+		if worker.Static {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *Policy) add(_ time.Duration, pool *pool, worker *Worker) {
 	pool.workers[worker.ID] = worker
 	pool.reorder()
--- a/internal/system/member/view.go
+++ b/internal/system/member/view.go
@@ -44,16 +44,23 @@
 // touched tells which tables an update changes, so that only these are copied.
 type touched struct{ members, disks, departed, owners, instances, keepers bool }
 
+// maxOwnersKept bounds the records of units that a view keeps although the feed has them no more.
+const maxOwnersKept = 8192
+
 // next gives the view that follows from an update. A configuration is never left for an older one, nor an owner for an
-// older record of it.
+// older record of it, or for none: a keeper that leads anew may lack a shard for a while, or lag in it, and whoever took such a
+// record for news would begin anew under a token that it, or another since, has used.
 func (v *View) next(update feed.Update) (*View, error) {
 	fresh := *v
 	var copied touched
 	if update.Whole {
 		empty := emptyView()
 		fresh.Members, fresh.Disks, fresh.Departed = empty.Members, empty.Disks, empty.Departed
-		fresh.Owners, fresh.Keepers = empty.Owners, empty.Keepers
-		copied = touched{members: true, disks: true, departed: true, owners: true, keepers: true}
+		fresh.Keepers = empty.Keepers
+		copied = touched{members: true, disks: true, departed: true, keepers: true}
+		if len(v.Owners) > maxOwnersKept {
+			fresh.Owners, copied.owners = empty.Owners, true
+		}
 		if hasKey(update.Changes, keeper.KeyCatalog) {
 			fresh.Instances = empty.Instances
 			copied.instances = true
@@ -96,6 +103,9 @@
 	case keeper.PrefixDeparted:
 		return set(&v.Departed, &copied.departed, name, change.Value)
 	case keeper.PrefixOwner:
+		if change.Value == nil && len(v.Owners) <= maxOwnersKept {
+			return nil
+		}
 		if err := set(&v.Owners, &copied.owners, name, change.Value); err != nil {
 			return err
 		}
--- a/internal/system/role/carrier/core.go
+++ b/internal/system/role/carrier/core.go
@@ -198,10 +198,18 @@
 
 func (c *Core) takeConfiguration(now time.Duration, table *configuration.Table) {
 	clear(c.fullUntil) // it may name services that are no more
-	for name, service := range table.Document.Services {
+	services := table.Document.Services
+	c.policy.KeepServices(func(service string) bool { return services[service] != nil })
+	for name, service := range services {
 		c.policy.SetService(now, name, service.MaxConnections, service.Static)
 		c.queue(name).pace.SetRate(service.Rate)
 	}
+	c.policy.SetInstances(now, c.session.View().Instances) // a service may have lost its one endpoint
+	for name, q := range c.queues {
+		if services[name] == nil && q.empty() && now > q.pace.Due()+drainWindow {
+			delete(c.queues, name)
+		}
+	}
 }
 
 // checkCatalog reads the platform's list itself while no keeper gives a fresh one.
--- a/internal/system/role/carrier/queue.go
+++ b/internal/system/role/carrier/queue.go
@@ -163,6 +163,11 @@
 // len is the number of messages that wait.
 func (q *queue) len() int { return q.taken.len() + q.fresh.len() + q.late.Len() }
 
+// empty tells whether nothing waits, runs or is awaited.
+func (q *queue) empty() bool {
+	return q.len() == 0 && q.backlog.owed == 0 && q.backlog.running == 0 && q.wakeAt == 0 && !q.turn.asking
+}
+
 func (c *Core) queue(service string) *queue {
 	q := c.queues[service]
 	if q == nil {
