--- a/internal/system/role/carrier/recovery.go
+++ b/internal/system/role/carrier/recovery.go
@@ -38,6 +38,7 @@
 	done     bool
 	busy     bool
 	after    uint64
+	epoch    uint64 // of the roster of disks when its last part was asked for
 }
 
 func (c *Core) recover(u *unit) {
@@ -74,6 +75,12 @@
 	}
 }
 
+// told tells whether a store has told everything under the present roster of disks. What it told under an earlier one is worth
+// nothing: a message may have lain on disks that have left since, and been copied to this one after it had told.
+func (r *recovery) told(l *listing) bool {
+	return l != nil && l.done && l.epoch == r.core.session.View().Epoch
+}
+
 // askStores lists at those that are there and have not told everything.
 func (r *recovery) askStores() {
 	if r.finished || r.unit.dropped {
@@ -86,6 +93,9 @@
 			l = &listing{}
 			r.listed[disk] = l
 		}
+		if l.done && !r.told(l) && !r.asking {
+			*l = listing{}
+		}
 		if !l.done && !l.busy && c.stores.isUp(disk) {
 			r.askStore(disk, l)
 		}
@@ -95,6 +105,7 @@
 func (r *recovery) askStore(disk string, l *listing) {
 	c := r.core
 	l.busy = true
+	epoch := c.session.View().Epoch
 	body := wire.ListBody{Unit: r.unit.name, After: l.after}
 	c.env.Call(c.stores.address(disk), wire.ListUnit, wire.Encode(&body), listTimeout, func(payload []byte, err error) {
 		l.busy = false
@@ -116,7 +127,7 @@
 			r.askStore(disk, l)
 			return
 		}
-		l.done = true
+		l.done, l.epoch = true, epoch
 		r.judge()
 	})
 }
@@ -137,10 +148,10 @@
 	for disk, entry := range c.session.View().Counted() {
 		counted = append(counted, entry.Member.Zone)
 		l := r.listed[disk]
-		if l != nil && l.done {
+		if r.told(l) {
 			done++
 		}
-		if l == nil || !l.done || !l.complete {
+		if !r.told(l) || !l.complete {
 			silent = append(silent, entry.Member.Zone)
 		}
 	}
@@ -158,7 +169,7 @@
 	ids := map[string]bool{}
 	var told []string
 	for disk, l := range ordered.Map(r.listed) {
-		if !l.done {
+		if !r.told(l) {
 			continue
 		}
 		told = append(told, disk)
@@ -259,6 +270,9 @@
 func (r *recovery) merge() map[string]*found {
 	ends := map[string]message.End{}
 	for _, l := range ordered.Map(r.listed) {
+		if !r.told(l) {
+			continue // its messages were not asked after at the others
+		}
 		for _, end := range l.ended {
 			if old, known := ends[end.ID]; !known || old.CallbackOwed {
 				ends[end.ID] = end
@@ -267,6 +281,9 @@
 	}
 	messages := map[string]*found{}
 	for disk, l := range ordered.Map(r.listed) {
+		if !r.told(l) {
+			continue
+		}
 		for _, listed := range l.messages {
 			f := messages[listed.Message.ID]
 			if f == nil {
