--- a/internal/system/soak/chaos_test.go
+++ b/internal/system/soak/chaos_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"sync"
 	"syscall"
@@ -21,14 +20,12 @@
 	rig      *rig
 	judge    *judge
 	operator *operator
-	random   *rand.Rand
 	stopped  chan struct{}
 	running  sync.WaitGroup
-	log      []string
 }
 
 func startChaos(r *rig, j *judge, o *operator, seed uint64) *chaos {
-	c := &chaos{rig: r, judge: j, operator: o, random: rand.New(rand.NewPCG(seed, 1<<33)), stopped: make(chan struct{})}
+	c := &chaos{rig: r, judge: j, operator: o, stopped: make(chan struct{})}
 	edges, storage := rand.New(rand.NewPCG(seed, 1<<34)), rand.New(rand.NewPCG(seed, 1<<35))
 	c.running.Go(func() { c.each(changeGap, func() { o.change() }) })
 	c.running.Go(func() { c.each(happeningGap, func() { c.strikeEdges(edges) }) })
@@ -153,5 +150,3 @@
 		}
 	}
 }
-
-func (c *chaos) String() string { return fmt.Sprintf("%d changes taken", c.operator.changes) }
--- a/internal/system/soak/judge_test.go
+++ b/internal/system/soak/judge_test.go
@@ -38,18 +38,20 @@
 	trouble   time.Time            // until when a trouble excuses
 	endpoint  []time.Time          // arrivals at the service with a rate
 	broken    []string
-	began0    time.Time
+	counts    map[string]int // of broken rules, by rule
+	started   time.Time
 	repeated  int
 	allStamps int
 }
 
 func newJudge() *judge {
-	return &judge{records: map[string]*record{}, byKey: map[string][]*record{}, began0: time.Now()}
+	return &judge{records: map[string]*record{}, byKey: map[string][]*record{}, counts: map[string]int{}, started: time.Now()}
 }
 
 func (j *judge) breakRule(rule, what string) {
+	j.counts[rule]++
 	if len(j.broken) < maxBroken {
-		j.broken = append(j.broken, fmt.Sprintf("%.3f s %s: %s", time.Since(j.began0).Seconds(), rule, what))
+		j.broken = append(j.broken, fmt.Sprintf("%.3f s %s: %s", time.Since(j.started).Seconds(), rule, what))
 	}
 }
 
@@ -229,7 +231,7 @@
 	all, open := j.accepted()
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
-	return fmt.Sprintf("%d sent, %d accepted, %d of them open, %d runs repeated", len(j.records), len(all), len(open), j.repeated)
+	return fmt.Sprintf("%d sent, %d accepted, %d of them open, %d runs repeated, broken %v", len(j.records), len(all), len(open), j.repeated, j.counts)
 }
 
 func bodyOf(id string) string { return "body of " + id }
--- a/internal/system/soak/machines_test.go
+++ b/internal/system/soak/machines_test.go
@@ -4,13 +4,13 @@
 	"bytes"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
-	"testing"
 	"text/template"
 	"time"
 
@@ -155,6 +155,17 @@
 	}
 }
 
+// isReady asks a carrier whether it is ready.
+func (m *machine) isReady() bool {
+	call := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := call.Get("http://" + m.ready() + "/-/ready")
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
 // stop ends the machine's processes for good.
 func (m *machine) stop() {
 	m.mutex.Lock()
@@ -172,7 +183,6 @@
 
 // rig is the whole system, with stand-ins for all that is around it.
 type rig struct {
-	t       testing.TB
 	folder  string
 	binary  string
 	ports   int
--- a/internal/system/soak/soak_test.go
+++ b/internal/system/soak/soak_test.go
@@ -92,7 +92,7 @@
 		return []string{err.Error()}, "not started"
 	}
 	defer ws.stop()
-	r := &rig{t: t, folder: folder, binary: binary, cloud: ws.address}
+	r := &rig{folder: folder, binary: binary, cloud: ws.address}
 	if err := r.lay(net, number("SOAK_EDGES", usualEdges), number("SOAK_STORAGE", usualStorage)); err != nil {
 		return []string{err.Error()}, "not started"
 	}
--- a/internal/system/soak/workers_test.go
+++ b/internal/system/soak/workers_test.go
@@ -44,7 +44,6 @@
 
 	mutex sync.Mutex
 	held  int
-	runs  int
 }
 
 func startWorker(id, service, zone string, j *judge) (*worker, error) {
@@ -131,7 +130,6 @@
 		return false
 	}
 	w.held++
-	w.runs++
 	return true
 }
 
