--- a/internal/system/demo/demo.go
+++ b/internal/system/demo/demo.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"os/exec"
 	"time"
+
+	"granitewing/internal/system/loopback"
 )
 
 // Options of a run.
@@ -40,7 +42,7 @@
 // demo is one run.
 type demo struct {
 	options  Options
-	layout   layout
+	layout   *loopback.Layout
 	machines []*machine
 	workers  []*worker
 	platform *platform
@@ -100,20 +102,21 @@
 		if i >= machinesWithDisk {
 			name, number = "edge", i+1-machinesWithDisk
 		}
-		d.machines = append(d.machines, &machine{name: fmt.Sprintf("%s-%d", name, number),
-			ip: fmt.Sprintf("127.0.0.%d", 11+i), zone: zoneOf(i)})
+		d.machines = append(d.machines, &machine{Machine: loopback.Machine{Name: fmt.Sprintf("%s-%d", name, number),
+			IP: fmt.Sprintf("127.0.0.%d", 11+i), Zone: zoneOf(i)}})
 	}
 	var addresses []string
 	for _, m := range d.machines {
-		addresses = append(addresses, m.ip)
+		addresses = append(addresses, m.IP)
 	}
-	ports, err := freePorts(addresses, portsOfRange+3)
+	ports, err := loopback.FreePorts(addresses)
 	if err != nil {
 		return err
 	}
-	d.layout = layout{folder: d.options.Folder, ports: ports, cloud: d.platform.listener.Addr().String()}
+	d.layout = &loopback.Layout{Folder: d.options.Folder, FirstPort: ports, Cloud: d.platform.listener.Addr().String(),
+		MemoryMB: memoryMB, DiskMB: diskMB, Files: files, GraceS: graceS}
 	for _, m := range d.machines[:machinesWithDisk] {
-		d.layout.seeds = append(d.layout.seeds, fmt.Sprintf("%s:%d", m.ip, d.layout.control()))
+		d.layout.Seeds = append(d.layout.Seeds, d.layout.Control(&m.Machine))
 	}
 	for i, m := range d.machines {
 		roles := []string{"keeper", "store"}
@@ -121,7 +124,7 @@
 			roles = []string{"carrier"}
 		}
 		for _, role := range roles {
-			if err := d.layout.start(d.options.Binary, m, role); err != nil {
+			if err := m.start(d.layout, d.options.Binary, role); err != nil {
 				return err
 			}
 		}
@@ -170,7 +173,7 @@
 	headers := map[string]string{"X-Base-Version": "0", "Content-Type": "application/json"}
 	tries := 0
 	err := until(ctx, "a configuration that is taken", func() bool {
-		url := fmt.Sprintf("http://%s/-/Config.Replace", d.layout.seeds[tries%len(d.layout.seeds)])
+		url := fmt.Sprintf("http://%s/-/Config.Replace", d.layout.Seeds[tries%len(d.layout.Seeds)])
 		tries++
 		status, _ := d.call(http.MethodPost, url, []byte(configuration), headers)
 		return status == http.StatusOK
@@ -180,7 +183,7 @@
 	}
 	d.tell("a configuration was taken by a majority of the keepers")
 	for i := range edgeMachines {
-		url := fmt.Sprintf("http://%s:%d/-/ready", d.carrier(i).ip, d.layout.ready())
+		url := fmt.Sprintf("http://%s/-/ready", d.layout.Ready(&d.carrier(i).Machine))
 		err := until(ctx, "a carrier that is ready", func() bool {
 			status, _ := d.call(http.MethodGet, url, nil, nil)
 			return status == http.StatusOK
@@ -196,20 +199,20 @@
 func (d *demo) carrier(i int) *machine { return d.machines[machinesWithDisk+i] }
 
 func (d *demo) url(carrier int, path string) string {
-	return fmt.Sprintf("http://%s:%d%s", d.carrier(carrier).ip, d.layout.front(), path)
+	return fmt.Sprintf("http://%s%s", d.layout.Front(&d.carrier(carrier).Machine), path)
 }
 
 func (d *demo) show(ctx context.Context) error {
 	if err := d.message(ctx, "first", 0, 1); err != nil {
 		return err
 	}
-	status, err := exec.CommandContext(ctx, d.options.Binary, "status", d.layout.seeds[0]).Output()
+	status, err := exec.CommandContext(ctx, d.options.Binary, "status", d.layout.Seeds[0]).Output()
 	if err != nil {
 		return err
 	}
-	d.tell("granitewing status %s:\n%s", d.layout.seeds[0], status)
+	d.tell("granitewing status %s:\n%s", d.layout.Seeds[0], status)
 	d.machines[0].stop()
-	d.tell("%s was stopped", d.machines[0].name)
+	d.tell("%s was stopped", d.machines[0].Name)
 	return d.message(ctx, "second", 1, 0)
 }
 
@@ -233,7 +236,7 @@
 		return err
 	}
 	id := headers["X-Request-Id"]
-	d.tell("message %s was accepted by %s with 202: it lies on two disks", id, d.carrier(to).name)
+	d.tell("message %s was accepted by %s with 202: it lies on two disks", id, d.carrier(to).Name)
 	var state stateForm
 	err = until(ctx, "a message that is delivered", func() bool {
 		status, answer := d.call(http.MethodGet, d.url(at, "/-/message/"+id), nil, map[string]string{"Host": host})
@@ -246,6 +249,6 @@
 	for _, w := range d.workers {
 		runs += w.ran(id)
 	}
-	d.tell("%s tells of it: %s, stamp %s; workers ran it %d time(s)", d.carrier(at).name, state.Phase, state.Stamp, runs)
+	d.tell("%s tells of it: %s, stamp %s; workers ran it %d time(s)", d.carrier(at).Name, state.Phase, state.Stamp, runs)
 	return nil
 }
--- a/internal/system/demo/demo_suite_test.go
+++ b/internal/system/demo/demo_suite_test.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -19,19 +17,6 @@
 	RunSpecs(t, "Demo")
 }
 
-var _ = Describe("Ports", func() {
-	It("are free at every machine's address", func() {
-		const taken, other = "127.0.0.14", "127.0.0.11"
-		from, err := freePorts([]string{other, taken}, portsOfRange)
-		Expect(err).NotTo(HaveOccurred())
-		listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", taken, from))
-		Expect(err).NotTo(HaveOccurred())
-		defer listener.Close()
-		Expect(portsFree([]string{other, taken}, from, portsOfRange)).To(BeFalse())
-		Expect(portsFree([]string{other}, from, portsOfRange)).To(BeTrue())
-	})
-})
-
 var _ = Describe("The whole system on loopback", func() {
 	It("takes, delivers and tells of messages, and goes on when a machine is stopped", func(ctx context.Context) {
 		folder := GinkgoT().TempDir()
--- a/internal/system/demo/processes.go
+++ b/internal/system/demo/processes.go
@@ -1,18 +1,12 @@
 package demo
 
 import (
-	"bytes"
-	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
-	"path/filepath"
-	"strings"
 	"syscall"
-	"text/template"
 	"time"
 
+	"granitewing/internal/system/loopback"
 	"granitewing/internal/system/settings"
 )
 
@@ -20,14 +14,15 @@
 const (
 	machinesWithDisk = 3
 	edgeMachines     = 2
-	portsOfRange     = 16
+	memoryMB         = 256
+	diskMB           = 64
+	files            = 1024
+	graceS           = 6
 )
 
-// machine is one of the system's machines: an address of its own on loopback, and the processes on it.
+// machine is one of the system's machines, and the processes on it.
 type machine struct {
-	name      string
-	ip        string
-	zone      string
+	loopback.Machine
 	processes []*process
 }
 
@@ -38,79 +33,13 @@
 	ended   chan struct{}
 }
 
-var settingsTemplate = template.Must(template.New("settings").Parse(`node-name = "{{.Name}}"
-role = "{{.Role}}"
-ip = "{{.IP}}"
-zone = "{{.Zone}}"
-port-range = [{{.First}}, {{.Last}}]
-seeds = [{{.Seeds}}]
-bootstrap = true
-data-dir = "{{.Data}}"
-
-[listen]
-{{if eq .Role "carrier"}}front = "{{.IP}}:{{.Front}}"
-readiness = "{{.IP}}:{{.Ready}}"
-{{end}}{{if eq .Role "keeper"}}control = "{{.IP}}:{{.Control}}"
-{{end}}
-[limits]
-memory-mb = 256
-max-fds = 1024
-disk-mb = 64
-
-[fault-tolerance]
-machines = 1
-
-[cloud]
-address = "{{.Cloud}}"
-rate-per-s = 20
-`))
-
-// layout is what all settings files share.
-type layout struct {
-	folder string
-	ports  int // first port of the range; the same on all machines
-	cloud  string
-	seeds  []string
-}
-
-type settingsForm struct {
-	Name, Role, IP, Zone, Seeds, Data, Cloud string
-	First, Last, Front, Ready, Control       int
-}
-
-// Ports behind the range.
-func (l *layout) front() int   { return l.ports + portsOfRange }
-func (l *layout) ready() int   { return l.ports + portsOfRange + 1 }
-func (l *layout) control() int { return l.ports + portsOfRange + 2 }
-
-func (l *layout) settings(m *machine, role string) ([]byte, error) {
-	quoted := make([]string, 0, len(l.seeds))
-	for _, seed := range l.seeds {
-		quoted = append(quoted, fmt.Sprintf("%q", seed))
-	}
-	form := settingsForm{Name: m.name, Role: role, IP: m.ip, Zone: m.zone, Seeds: strings.Join(quoted, ", "),
-		Data: filepath.Join(l.folder, m.name, role), Cloud: l.cloud, First: l.ports, Last: l.ports + portsOfRange - 1,
-		Front: l.front(), Ready: l.ready(), Control: l.control()}
-	var text bytes.Buffer
-	err := settingsTemplate.Execute(&text, &form)
-	return text.Bytes(), err
-}
-
 // start runs a role on a machine, with its log in the folder.
-func (l *layout) start(binary string, m *machine, role string) error {
-	text, err := l.settings(m, role)
+func (m *machine) start(layout *loopback.Layout, binary, role string) error {
+	path, err := layout.WriteSettings(&m.Machine, role, true)
 	if err != nil {
 		return err
 	}
-	folder := filepath.Join(l.folder, m.name, role)
-	if err := os.MkdirAll(folder, 0o755); err != nil {
-		return err
-	}
-	path := filepath.Join(l.folder, m.name, role+".toml")
-	if err := os.WriteFile(path, text, 0o600); err != nil {
-		return err
-	}
-	output, err := os.Create(filepath.Join(l.folder, m.name, role+".log"))
+	output, err := os.Create(layout.LogPath(&m.Machine, role))
 	if err != nil {
 		return err
 	}
@@ -148,37 +77,3 @@
 	}
 	m.processes = nil
 }
-
-// freePorts finds a range of ports that is free at all of some addresses now. The search begins anywhere, since others may
-// look for ports at the same time.
-func freePorts(addresses []string, count int) (int, error) {
-	const first, ranges, step = 21000, 156, 64
-	begin := rand.IntN(ranges)
-	for turn := range ranges {
-		from := first + (begin+turn)%ranges*step
-		if portsFree(addresses, from, count) {
-			return from, nil
-		}
-	}
-	return 0, &NoPortsError{Addresses: addresses}
-}
-
-func portsFree(addresses []string, from, count int) bool {
-	for _, ip := range addresses {
-		for port := from; port < from+count; port++ {
-			listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
-			if err != nil {
-				return false
-			}
-			listener.Close()
-		}
-	}
-	return true
-}
-
-// NoPortsError tells that no range of ports is free.
-type NoPortsError struct{ Addresses []string }
-
-func (e *NoPortsError) Error() string {
-	return "no range of ports is free at " + strings.Join(e.Addresses, ", ")
-}
--- a/internal/system/demo/standins.go
+++ b/internal/system/demo/standins.go
@@ -3,13 +3,14 @@
 package demo
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"granitewing/internal/system/loopback"
 )
 
 // worker is a stand-in for one worker of a service.
@@ -64,27 +65,17 @@
 	server   *http.Server
 }
 
-type listedWorker struct {
-	ID       string `json:"id"`
-	Backend  string `json:"backend"`
-	Address  string `json:"address"`
-	Zone     string `json:"zone"`
-	Version  string `json:"resource-version"`
-	Capacity int    `json:"capacity"`
-	Phase    string `json:"phase"`
-}
-
 func startPlatform(service string, workers []*worker) (*platform, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, &StandInError{Name: "list of workers", Err: err}
 	}
-	var listed []listedWorker
+	var listed []loopback.Worker
 	for i, w := range workers {
-		listed = append(listed, listedWorker{ID: w.id, Backend: service, Address: w.listener.Addr().String(),
+		listed = append(listed, loopback.Worker{ID: w.id, Backend: service, Address: w.listener.Addr().String(),
 			Zone: zoneOf(i), Version: "1", Capacity: 4, Phase: "ready"})
 	}
-	body, err := json.Marshal(map[string]any{"instances": listed, "next-page-token": nil})
+	body, err := loopback.ListOfWorkers(listed)
 	if err != nil {
 		return nil, &StandInError{Name: "list of workers", Err: err}
 	}
--- a/internal/system/soak/clients_test.go
+++ b/internal/system/soak/clients_test.go
@@ -56,7 +56,7 @@
 
 func (c *client) connect() bool {
 	edge := c.rig.edges[c.random.IntN(len(c.rig.edges))]
-	connection, err := net.DialTimeout("tcp", edge.front(), 300*time.Millisecond)
+	connection, err := net.DialTimeout("tcp", edge.rig.layout.Front(&edge.Machine), 300*time.Millisecond)
 	if err != nil {
 		return false
 	}
@@ -162,7 +162,7 @@
 	var state stateForm
 	edge := r.edges[turn%len(r.edges)]
 	call := http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := call.Get(fmt.Sprintf("http://%s/-/message/%s", edge.front(), url.PathEscape(id)))
+	response, err := call.Get(fmt.Sprintf("http://%s/-/message/%s", edge.rig.layout.Front(&edge.Machine), url.PathEscape(id)))
 	if err != nil {
 		return state, false
 	}
--- a/internal/system/soak/operator_test.go
+++ b/internal/system/soak/operator_test.go
@@ -84,7 +84,7 @@
 
 func (o *operator) order(raw []byte, base uint64, turn int) int {
 	keeper := o.rig.storage[(turn+o.random.IntN(len(o.rig.storage)))%len(o.rig.storage)]
-	request, err := http.NewRequest(http.MethodPost, "http://"+keeper.control()+"/-/Config.Replace", bytes.NewReader(raw))
+	request, err := http.NewRequest(http.MethodPost, "http://"+o.rig.layout.Control(&keeper.Machine)+"/-/Config.Replace", bytes.NewReader(raw))
 	if err != nil {
 		return 0
 	}
@@ -102,7 +102,7 @@
 func (o *operator) read() (uint64, bool) {
 	for turn := range orderTries {
 		keeper := o.rig.storage[turn%len(o.rig.storage)]
-		response, err := o.client.Get("http://" + keeper.control() + "/-/Config.Get")
+		response, err := o.client.Get("http://" + o.rig.layout.Control(&keeper.Machine) + "/-/Config.Get")
 		if err == nil {
 			raw, failure := io.ReadAll(response.Body)
 			response.Body.Close()
--- a/internal/system/soak/soak_test.go
+++ b/internal/system/soak/soak_test.go
@@ -15,6 +15,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"granitewing/internal/system/loopback"
 )
 
 // Shape of the run in CI.
@@ -92,7 +94,7 @@
 		return []string{err.Error()}, "not started"
 	}
 	defer ws.stop()
-	r := &rig{folder: folder, binary: binary, cloud: ws.address}
+	r := &rig{binary: binary, layout: loopback.Layout{Folder: folder, Cloud: ws.address, MemoryMB: memoryMB, DiskMB: diskMB, Files: files, GraceS: graceS}}
 	if err := r.lay(net, number("SOAK_EDGES", usualEdges), number("SOAK_STORAGE", usualStorage)); err != nil {
 		return []string{err.Error()}, "not started"
 	}
--- a/internal/system/soak/workers_test.go
+++ b/internal/system/soak/workers_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -11,6 +10,7 @@
 	"sync"
 	"time"
 
+	"granitewing/internal/system/loopback"
 	"granitewing/internal/system/wire"
 )
 
@@ -151,16 +151,6 @@
 	address  string
 }
 
-type listedWorker struct {
-	ID       string `json:"id"`
-	Backend  string `json:"backend"`
-	Address  string `json:"address"`
-	Zone     string `json:"zone"`
-	Version  string `json:"resource-version"`
-	Capacity int    `json:"capacity"`
-	Phase    string `json:"phase"`
-}
-
 func startWorkers(each int, j *judge) (*workers, error) {
 	ws := &workers{}
 	for _, service := range []string{serviceOne, serviceTwo} {
@@ -185,12 +175,12 @@
 		return err
 	}
 	ws.address = listener.Addr().String()
-	var listed []listedWorker
+	var listed []loopback.Worker
 	for _, w := range ws.all {
-		listed = append(listed, listedWorker{ID: w.id, Backend: w.service, Address: w.listener.Addr().String(), Zone: w.zone, Version: "1",
+		listed = append(listed, loopback.Worker{ID: w.id, Backend: w.service, Address: w.listener.Addr().String(), Zone: w.zone, Version: "1",
 			Capacity: slots, Phase: "ready"})
 	}
-	body, err := json.Marshal(map[string]any{"instances": listed, "next-page-token": nil})
+	body, err := loopback.ListOfWorkers(listed)
 	if err != nil {
 		return err
 	}
