An owner asks the stores whether a message that it is handed has ended under a former owner

Cause: an owner hears of a message from the stores, when it takes the unit over, and from the carrier that accepted it, which asks until it has an answer. Where the unit changes its owner in between, one owner ended the message and the next took it for new: it knew the ends of its own life alone. Class: two ways of one message to its owner, with nothing durable asked at the second. Change: a message bears the token of its unit's owner that its acceptor knew before any store had it, ordered ones did already. An owner under a later token takes it only once the stores that hold it know of no end; the same where its own memory of ends does not reach back far enough. An owner under an earlier token refuses it. Ends found so are counted and logged.

--- a/internal/system/message/message.go
+++ b/internal/system/message/message.go
@@ -45,7 +45,9 @@
 	Key      string // X-Ordering-Key on ordered routes
 	Callback string
 	Body     []byte
-	// Token and Sequence order the messages of a unit: the owner's fencing token, and its count.
+	// Token is the fencing token of the unit's owner that the carrier that accepted the message knew before any store was given it, 0
+	// where it knew none or the unit has no token: no owner under an earlier token was ever given the message. With Sequence, the count of
+	// the owner that gave the place, it orders the messages of a key.
 	Token    uint64
 	Sequence uint64
 	// Accepted is the wall clock when the request was read, in milliseconds since 1970: for people who read a log. Clocks may
--- a/internal/system/role/carrier/accept.go
+++ b/internal/system/role/carrier/accept.go
@@ -142,6 +142,7 @@
 		m.Unit = ownership.KeyUnit(m.Key)
 	case service.Rate > 0 || service.Static != "":
 		m.Unit = ownership.PacedUnit(service.Name)
+		m.Token = a.core.session.View().Owners[m.Unit].Token
 	default:
 		m.Unit = a.core.own.name
 	}
--- a/internal/system/role/carrier/core.go
+++ b/internal/system/role/carrier/core.go
@@ -63,11 +63,15 @@
 	paused       bool // no new delivery begins
 	relisting    bool
 	figures      Figures
+	// endedBeforeNoted is set for a while after a message had ended before it came here.
+	endedBeforeNoted bool
 }
 
 // Figures counts what happened in a carrier's life.
 type Figures struct {
 	Accepted, Refused, Unclear, Delivered, Failed, Ended, Callbacks uint64
+	// EndedBefore is messages that were handed to the carrier after they had ended under a former owner.
+	EndedBefore uint64
 }
 
 // New makes a carrier.
--- a/internal/system/role/carrier/dispatch.go
+++ b/internal/system/role/carrier/dispatch.go
@@ -287,7 +287,7 @@
 func (c *Core) conclude(it *item, end message.End) {
 	it.ended = true
 	it.queued = false
-	c.recent.add(end)
+	c.recent.add(c.env.Now(), end)
 	c.stores.recordEnd(it.unit, it.holders, end)
 	if end.CallbackOwed && it.message.Callback != "" {
 		c.tell(it.unit, it.message.Callback, end, it.holders)
--- a/internal/system/role/carrier/owner.go
+++ b/internal/system/role/carrier/owner.go
@@ -87,11 +87,11 @@
 	forwardRetry = 100 * time.Millisecond
 )
 
-// Deliver takes a stored message for a unit that this carrier owns. The answer is nil once it is responsible for it; a
-// message that comes twice is taken once.
+// Deliver takes a stored message for a unit that this carrier owns. The answer is nil once it is responsible for it, or it has ended; a
+// message that comes twice is taken once, also where it came to a former owner before.
 func (c *Core) Deliver(body wire.DeliverBody) *wire.RefusalBody {
 	u := c.units[body.Message.Unit]
-	if u == nil || !c.session.Holds() || c.paused {
+	if u == nil || !c.session.Holds() || c.paused || u.token < body.Message.Token {
 		return &wire.RefusalBody{Code: wire.NotOwner, Reason: "not the owner of " + body.Message.Unit}
 	}
 	if !u.active || u.rests() {
@@ -100,6 +100,10 @@
 	if _, ended := c.recent.get(body.Message.ID); ended || u.items[body.Message.ID] != nil {
 		return nil
 	}
+	if c.mayHaveEnded(u, &body) {
+		c.askWhetherEnded(u, &body)
+		return &wire.RefusalBody{Code: wire.NotReady, Reason: "the stores are asked whether the message has ended"}
+	}
 	m := body.Message
 	c.take(u, &m, body.Holders, c.env.Now()-body.Age)
 	return nil
--- a/internal/system/role/carrier/unit.go
+++ b/internal/system/role/carrier/unit.go
@@ -26,10 +26,12 @@
 	unrecorded int       // records of its ends that some store has not taken
 	handover   *handover // nil unless the unit is on its way to another carrier
 	declined   uint64    // latest offer that was not followed
+	// endQueries are of messages that were handed to this carrier and may have ended under a former owner, by message id.
+	endQueries map[string]*endQuery
 }
 
 func newUnit(name string) *unit {
-	return &unit{name: name, items: map[string]*item{}, keys: map[string][]*item{}}
+	return &unit{name: name, items: map[string]*item{}, keys: map[string][]*item{}, endQueries: map[string]*endQuery{}}
 }
 
 // departedPrefix begins the units of carriers that have gone.
