A recovery counts a list only where the ends of what it names were asked for

Cause: a recovery asks the stores for the ends of all that is listed, and put its result together from all lists that were whole when the answers had come. A list that came in between, or anew after a failed call, brought messages of which no store had been asked. Class: a decision on more than was checked. Change: the lists that the question was made from are kept as one round; the decision and the merge take no others. Counted disks that had not told are told the ends of what is found: they may hold it, and would list it as pending to the next owner.

--- a/internal/system/role/carrier/recovery.go
+++ b/internal/system/role/carrier/recovery.go
@@ -25,7 +25,7 @@
 	unit     *unit
 	began    time.Duration
 	listed   map[string]*listing // by disk
-	asking   bool                // for the ends of what is listed
+	round    map[string]*listing // by disk, those that told everything before the ends were asked for; nil while none are asked for
 	againAt  time.Duration       // when incomplete stores are listed anew
 	finished bool
 }
@@ -65,7 +65,7 @@
 // forgetIncomplete has the stores be listed anew whose disks were being filled when they told all: they may hold everything
 // by now, and without their word the messages may never be known whole.
 func (r *recovery) forgetIncomplete() {
-	if r.asking {
+	if r.round != nil {
 		return
 	}
 	for _, l := range r.listed {
@@ -93,7 +93,7 @@
 			l = &listing{}
 			r.listed[disk] = l
 		}
-		if l.done && !r.told(l) && !r.asking {
+		if l.done && !r.told(l) && r.round == nil {
 			*l = listing{}
 		}
 		if !l.done && !l.busy && c.stores.isUp(disk) {
@@ -134,20 +134,20 @@
 
 // judge goes on once enough stores have told everything.
 func (r *recovery) judge() {
-	if r.finished || r.unit.dropped || !r.enough() {
+	if r.finished || r.unit.dropped || !r.enough(r.listed) {
 		return
 	}
 	r.askEnds()
 }
 
-// enough tells whether all stores have told everything, or, after a while, all but those that may be lost.
-func (r *recovery) enough() bool {
+// enough tells whether some listings are those of all stores, or, after a while, of all but those that may be lost.
+func (r *recovery) enough(listed map[string]*listing) bool {
 	c := r.core
 	var counted, silent []string
 	done := 0
 	for disk, entry := range c.session.View().Counted() {
 		counted = append(counted, entry.Member.Zone)
-		l := r.listed[disk]
+		l := listed[disk]
 		if r.told(l) {
 			done++
 		}
@@ -160,19 +160,19 @@
 	return tolerance.Enough(counted) && tolerance.May(silent) && (done == len(counted) || late)
 }
 
-// askEnds asks all that have told everything for the ends of what any of them lists: they may not agree.
+// askEnds asks all that have told everything for the ends of what any of them lists: they may not agree. What another lists while they
+// are asked is no part of it.
 func (r *recovery) askEnds() {
-	if r.asking {
+	if r.round != nil {
 		return
 	}
-	r.asking = true
+	r.round = map[string]*listing{}
 	ids := map[string]bool{}
-	var told []string
-	for disk, l := range ordered.Map(r.listed) {
+	for disk, l := range r.listed {
 		if !r.told(l) {
 			continue
 		}
-		told = append(told, disk)
+		r.round[disk] = l
 		for i := range l.messages {
 			ids[l.messages[i].Message.ID] = true
 		}
@@ -188,8 +188,8 @@
 	}
 	sort.Strings(body.IDs)
 	payload := wire.Encode(&body)
-	open := len(told)
-	for _, disk := range told {
+	open := len(r.round)
+	for disk := range ordered.Map(r.round) {
 		r.askEndsAt(disk, payload, func() {
 			if open--; open == 0 {
 				r.asked()
@@ -200,13 +200,14 @@
 
 func (r *recovery) askEndsAt(disk string, payload []byte, answered func()) {
 	c := r.core
-	l := r.listed[disk]
+	l := r.round[disk]
 	c.env.Call(c.stores.address(disk), wire.FindEnds, payload, listTimeout, func(payload []byte, err error) {
 		var answer wire.EndsBody
 		if err == nil {
 			err = wire.Decode(wire.FindEnds, payload, &answer)
 		}
 		if err != nil {
+			delete(r.round, disk)
 			*l = listing{} // it is listed anew
 		} else {
 			l.ended = answer.Ends
@@ -217,12 +218,12 @@
 
 // asked goes on where all that told everything have told the ends as well, and back to listing where one has not.
 func (r *recovery) asked() {
-	r.asking = false
 	if r.finished || r.unit.dropped {
 		return
 	}
-	if !r.enough() {
-		return // ask comes again
+	if !r.enough(r.round) {
+		r.round = nil // ask comes again
+		return
 	}
 	r.finished = true
 	r.finish()
@@ -268,11 +269,9 @@
 }
 
 func (r *recovery) merge() map[string]*found {
+	c := r.core
 	ends := map[string]message.End{}
-	for _, l := range ordered.Map(r.listed) {
-		if !r.told(l) {
-			continue // its messages were not asked after at the others
-		}
+	for _, l := range ordered.Map(r.round) {
 		for _, end := range l.ended {
 			if old, known := ends[end.ID]; !known || old.CallbackOwed {
 				ends[end.ID] = end
@@ -280,7 +279,7 @@
 		}
 	}
 	messages := map[string]*found{}
-	for disk, l := range ordered.Map(r.listed) {
+	for disk, l := range ordered.Map(r.round) {
 		if !r.told(l) {
 			continue
 		}
@@ -298,6 +297,15 @@
 			}
 		}
 	}
+	for disk := range ordered.Map(c.session.View().Counted()) {
+		if r.told(r.round[disk]) {
+			continue
+		}
+		// It may hold any of them. It has to learn their ends, or it would list them as pending when another disk is silent.
+		for _, f := range messages {
+			f.holders = append(f.holders, disk)
+		}
+	}
 	return messages
 }
 
