A message given to a connection as its rest ends goes on; stores tell of messages that ran twice

Read as a lead, brought about by a spec: the reader is told that a connection has rested for as long as it may, and a message is given to it before the reader has said so; the message, which may have left, was then of unknown outcome and ran again. The reader goes on where a message was given to the connection meanwhile; its deadline is set by then. The spec failed before. Sight: a store that is told of an end by another successful run than the one that it keeps counts that, and logs it twice a second at most, with the latest message.

--- a/internal/system/node/store.go
+++ b/internal/system/node/store.go
@@ -44,6 +44,7 @@
 	waitingParts atomic.Int32 // parts of a filling that don't lie on the disk
 	unwritten    int32        // those of them that the core has taken
 
+	repeats   uint64        // runs after a success that were logged
 	fullUntil time.Duration // no write is tried before
 }
 
@@ -224,6 +225,7 @@
 			do()
 		case <-idle.C:
 			n.catchUp()
+			n.reportRepeats()
 			if err := n.clean(); err != nil {
 				failure <- err
 				return
@@ -258,6 +260,15 @@
 	}
 }
 
+// reportRepeats logs that messages have run again after a success. Each store that holds them logs it.
+func (n *storeNode) reportRepeats() {
+	repeats := n.core.Repeats()
+	if repeats.Count > n.repeats {
+		log.WithFields(log.Fields{"messages": repeats.Count - n.repeats, "latest": repeats.Latest}).Warn("messages ran again after a success")
+	}
+	n.repeats = repeats.Count
+}
+
 // clean has old segments emptied, and removes those that are.
 func (n *storeNode) clean() error {
 	if err := n.core.Clean(n.log.Segments()); err != nil {
--- a/internal/system/role/store/core.go
+++ b/internal/system/role/store/core.go
@@ -51,6 +51,7 @@
 	loader   *loader // nil once the log was read
 	// takenOver are the carriers' units that were listed in this life of the store.
 	takenOver units
+	repeats   Repeats
 	// expireDue is when messages are looked for that nobody ended within their retention.
 	expireDue time.Duration
 }
--- a/internal/system/role/store/ends.go
+++ b/internal/system/role/store/ends.go
@@ -70,6 +70,7 @@
 			e = c.index.add(end.ID, "", c.now)
 		}
 		if e.phase != message.Pending {
+			c.compare(e, end)
 			continue
 		}
 		c.end(e, end, c.now)
@@ -78,6 +79,24 @@
 	c.answers = append(c.answers, done)
 }
 
+// Repeats is the messages that ran again after a success, as far as this store was told of both ends.
+type Repeats struct {
+	Count  uint64
+	Latest string // id of a message
+}
+
+// Repeats gives those that were told of in this life of the store.
+func (c *Core) Repeats() Repeats { return c.repeats }
+
+// compare counts an end that tells of another successful run than the one that is kept.
+func (c *Core) compare(e *entry, end message.End) {
+	if e.phase != message.Succeeded || end.Phase != message.Succeeded || e.stamp == end.Stamp {
+		return
+	}
+	c.repeats.Count++
+	c.repeats.Latest = e.id
+}
+
 func (c *Core) end(e *entry, end message.End, at time.Duration) {
 	if e.phase != message.Pending {
 		return
--- a/internal/system/workers/connection.go
+++ b/internal/system/workers/connection.go
@@ -91,6 +91,9 @@
 func (c *connection) read() {
 	for {
 		answer, err := c.readAnswer()
+		if c.takenMeanwhile(err) {
+			continue
+		}
 		if err != nil {
 			c.fail(err)
 			return
@@ -102,6 +105,25 @@
 	}
 }
 
+// idleError tells that a connection ended before the first byte of an answer.
+type idleError struct{ err error }
+
+func (e *idleError) Error() string { return "no answer began: " + e.err.Error() }
+
+func (e *idleError) Unwrap() error { return e.err }
+
+// takenMeanwhile tells whether a read ended since the connection had rested for as long as it may, just as a message was given to it: that
+// has a deadline of its own, which is set.
+func (c *connection) takenMeanwhile(err error) bool {
+	var idle *idleError
+	if !errors.As(err, &idle) || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.call != nil && time.Now().Before(c.call.deadline)
+}
+
 // answer is one whole answer of a worker.
 type answer struct {
 	id      string
@@ -126,7 +148,7 @@
 func (c *connection) readAnswer() (*answer, error) {
 	c.limit.N = maxAnswer
 	if _, err := c.reader.Peek(1); err != nil {
-		return nil, err
+		return nil, &idleError{err: err}
 	}
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: c.method()})
 	if err != nil {
