--- a/internal/system/member/client_test.go
+++ b/internal/system/member/client_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"granitewing/internal/system/feed"
+	"granitewing/internal/system/loop/simulated"
 	"granitewing/internal/system/ownership"
 	"granitewing/internal/system/role/keeper"
 	"granitewing/internal/system/session"
@@ -26,15 +27,15 @@
 )
 
 var _ = ginkgo.Describe("A client of the keepers", func() {
-	var b *bench
+	var b *simulated.Loop
 	var c *Client
 	var lost int
 	var faults []error
 
 	ginkgo.BeforeEach(func() {
 		lost, faults = 0, nil
-		b = &bench{up: map[string]bool{first: true, second: true}}
-		b.answer = takesAll
+		b = &simulated.Loop{Reachable: map[string]bool{first: true, second: true}}
+		b.Answer = takesAll
 		self := session.Member{Incarnation: "edge-1+a", Node: "edge-1", Role: session.Carrier}
 		c = NewClient(b, b, []string{first, second}, self, Events{
 			Changed: func(_, _ *View) {},
@@ -45,10 +46,10 @@
 
 	ginkgo.It("holds its session as long as heartbeats are answered, and a lease longer at most", func() {
 		c.Start()
-		b.pass(10 * time.Second)
+		b.Pass(10 * time.Second)
 		Expect(c.Holds()).To(BeTrue())
-		b.answer = func(string, wire.Kind, []byte) ([]byte, error) { return nil, nil }
-		b.pass(keeper.MemberLease + heartbeatInterval)
+		b.Answer = func(string, wire.Kind, []byte) ([]byte, error) { return nil, nil }
+		b.Pass(keeper.MemberLease + heartbeatInterval)
 		Expect(c.Holds()).To(BeFalse())
 		Expect(c.Joined()).To(BeTrue())
 		Expect(lost).To(BeZero(), "nobody has said that it is over")
@@ -56,35 +57,35 @@
 
 	ginkgo.It("goes to the keeper that a refusal names, though its settings don't", func() {
 		const third = "10.0.0.3:7000"
-		b.up[third] = true
-		b.answer = func(address string, kind wire.Kind, payload []byte) ([]byte, error) {
+		b.Reachable[third] = true
+		b.Answer = func(address string, kind wire.Kind, payload []byte) ([]byte, error) {
 			if address != third {
 				return nil, &refusal{body: wire.RefusalBody{Code: wire.NotLeader, Leader: third}}
 			}
 			return takesAll(address, kind, payload)
 		}
 		c.Start()
-		b.pass(time.Second)
+		b.Pass(time.Second)
 		Expect(c.Keeper()).To(Equal(third))
 		Expect(c.Holds()).To(BeTrue())
 	})
 
 	ginkgo.It("begins another life that names the one before, where its session is over", func() {
 		c.Start()
-		b.pass(time.Second)
+		b.Pass(time.Second)
 		over := true
-		b.answer = func(address string, kind wire.Kind, payload []byte) ([]byte, error) {
+		b.Answer = func(address string, kind wire.Kind, payload []byte) ([]byte, error) {
 			if over {
 				over = false
 				return nil, &refusal{body: wire.RefusalBody{Code: wire.UnknownSession}}
 			}
 			return takesAll(address, kind, payload)
 		}
-		b.pass(2 * time.Second)
+		b.Pass(2 * time.Second)
 		Expect(lost).To(Equal(1))
 		Expect(c.Incarnation()).NotTo(Equal("edge-1+a"))
 		var opened wire.OpenSessionBody
-		Expect(wire.Decode(wire.OpenSession, b.last(wire.OpenSession).payload, &opened)).To(Succeed())
+		Expect(wire.Decode(wire.OpenSession, b.Last(wire.OpenSession).Payload, &opened)).To(Succeed())
 		Expect(opened.Member.Replaces).To(Equal("edge-1+a"))
 		Expect(opened.Renew).To(BeFalse())
 		Expect(c.Holds()).To(BeTrue())
@@ -103,7 +104,7 @@
 		ginkgo.BeforeEach(func() {
 			table = feed.NewTable("life-1")
 			c.Start()
-			b.pass(100 * time.Millisecond)
+			b.Pass(100 * time.Millisecond)
 		})
 
 		ginkgo.It("bootstraps from the whole table, then follows changes, and tells its position with each heartbeat", func() {
@@ -114,9 +115,9 @@
 			table.Set(keeper.PrefixOwner+"paced/s", owner(4))
 			push(c.position)
 			Expect(c.View().Owners["paced/s"].Token).To(BeEquivalentTo(4))
-			b.pass(time.Second)
+			b.Pass(time.Second)
 			var beat wire.HeartbeatBody
-			Expect(wire.Decode(wire.Heartbeat, b.last(wire.Heartbeat).payload, &beat)).To(Succeed())
+			Expect(wire.Decode(wire.Heartbeat, b.Last(wire.Heartbeat).Payload, &beat)).To(Succeed())
 			Expect(beat.Position).To(Equal(feed.Position{Epoch: "life-1", Offset: table.Offset()}))
 		})
 
