--- a/internal/system/soak/chaos_test.go
+++ b/internal/system/soak/chaos_test.go
@@ -10,7 +10,9 @@
 // Times of what happens to the processes.
 const (
 	catchUp      = 4500 * time.Millisecond // before another machine with a disk may be struck
+	restartGap   = 600 * time.Millisecond  // between two planned restarts of machines with a disk
 	happeningGap = 900 * time.Millisecond
+	plannedGap   = 250 * time.Millisecond // between planned happenings at carriers
 	changeGap    = 250 * time.Millisecond
 )
 
@@ -20,15 +22,20 @@
 	rig      *rig
 	judge    *judge
 	operator *operator
+	planned  bool // restarts, reloads and changes alone, which excuse nothing
 	stopped  chan struct{}
 	running  sync.WaitGroup
 }
 
-func startChaos(r *rig, j *judge, o *operator, seed uint64) *chaos {
-	c := &chaos{rig: r, judge: j, operator: o, stopped: make(chan struct{})}
+func startChaos(r *rig, j *judge, o *operator, seed uint64, planned bool) *chaos {
+	c := &chaos{rig: r, judge: j, operator: o, planned: planned, stopped: make(chan struct{})}
 	edges, storage := rand.New(rand.NewPCG(seed, 1<<34)), rand.New(rand.NewPCG(seed, 1<<35))
 	c.running.Go(func() { c.each(changeGap, func() { o.change() }) })
-	c.running.Go(func() { c.each(happeningGap, func() { c.strikeEdges(edges) }) })
+	gap := happeningGap
+	if planned {
+		gap = plannedGap
+	}
+	c.running.Go(func() { c.each(gap, func() { c.strikeEdges(edges) }) })
 	c.running.Go(func() { c.each(happeningGap, func() { c.strikeStorage(storage) }) })
 	return c
 }
@@ -69,7 +76,12 @@
 
 // strikeEdges does something to a part of the carriers. Stops and reloads are planned work and excuse nothing.
 func (c *chaos) strikeEdges(r *rand.Rand) {
-	switch r.IntN(8) {
+	const plannedKinds, kinds = 5, 8 // the planned ones come first
+	drawn := r.IntN(kinds)
+	if c.planned {
+		drawn %= plannedKinds
+	}
+	switch drawn {
 	case 0, 1, 2:
 		for _, m := range some(r, c.rig.edges, 0.35*r.Float64()) {
 			m.signal("carrier", syscall.SIGTERM)
@@ -115,13 +127,17 @@
 func (c *chaos) strikeStorage(r *rand.Rand) {
 	m := c.rig.storage[r.IntN(len(c.rig.storage))]
 	role := []string{"keeper", "store"}[r.IntN(2)]
-	switch r.IntN(7) {
+	const plannedKinds, kinds = 3, 7
+	drawn := r.IntN(kinds)
+	if c.planned {
+		drawn %= plannedKinds
+	}
+	switch drawn {
 	case 0, 1:
 		m.signal(role, syscall.SIGTERM)
 		c.pause(time.Duration(500+r.IntN(2500)) * time.Millisecond)
 	case 2:
-		c.judge.unplanned(time.Second)
-		m.signal(role, syscall.SIGKILL)
+		m.signal(role, syscall.SIGHUP)
 	case 3:
 		c.judge.unplanned(time.Second)
 		m.signal("keeper", syscall.SIGKILL)
@@ -136,7 +152,12 @@
 			other.signal("keeper", syscall.SIGKILL)
 		}
 	default:
-		m.signal(role, syscall.SIGHUP)
+		c.judge.unplanned(time.Second)
+		m.signal(role, syscall.SIGKILL)
+	}
+	if c.planned {
+		c.pause(restartGap)
+		return
 	}
 	c.pause(catchUp)
 }
--- a/internal/system/soak/soak_test.go
+++ b/internal/system/soak/soak_test.go
@@ -1,7 +1,7 @@
 // Package soak plays the program as it is built, many real processes of it on loopback, with stand-ins for the platform, the workers and
 // the operator, through series of signals, ends and changes that overlap, and judges by what clients, workers and the operator saw.
 //
-// In CI one short run with a seed. By hand SOAK_SEEDS runs follow from SOAK_FIRST, SOAK_BESIDE of them at a time, with SOAK_EDGES carriers,
+// In CI one short run of each kind with a seed: of all that may happen, and of planned work alone. By hand SOAK_SEEDS runs follow from SOAK_FIRST, SOAK_BESIDE of them at a time, with SOAK_EDGES carriers,
 // SOAK_STORAGE machines with a disk, SOAK_CLIENTS clients and SOAK_SECONDS of traffic each.
 package soak
 
@@ -38,8 +38,13 @@
 	return otherwise
 }
 
-// TestSoak plays the runs.
-func TestSoak(t *testing.T) {
+// TestSoak plays runs of all kinds of happenings.
+func TestSoak(t *testing.T) { soakSeeds(t, false) }
+
+// TestSoakPlanned plays runs of planned work alone, where nothing excuses a second run of a message.
+func TestSoakPlanned(t *testing.T) { soakSeeds(t, true) }
+
+func soakSeeds(t *testing.T, planned bool) {
 	binary := builtProgram(t)
 	first, seeds, beside := number("SOAK_FIRST", 1), number("SOAK_SEEDS", 1), number("SOAK_BESIDE", 1)
 	var running sync.WaitGroup
@@ -51,7 +56,7 @@
 		place := <-turns
 		running.Go(func() {
 			defer func() { turns <- place }()
-			soak(t, binary, uint64(seed), firstNet+place)
+			soak(t, binary, uint64(seed), firstNet+place, planned)
 		})
 	}
 	running.Wait()
@@ -71,14 +76,14 @@
 }
 
 // soak plays one run.
-func soak(t *testing.T, binary string, seed uint64, net int) {
+func soak(t *testing.T, binary string, seed uint64, net int, planned bool) {
 	folder, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
 	if err != nil {
 		t.Error(err)
 		return
 	}
 	began := time.Now()
-	broken, summary := play(t, binary, folder, seed, net)
+	broken, summary := play(t, binary, folder, seed, net, planned)
 	t.Logf("seed %d: %s, %s", seed, summary, time.Since(began).Round(time.Second))
 	if len(broken) == 0 {
 		os.RemoveAll(folder)
@@ -87,7 +92,7 @@
 	t.Errorf("seed %d breaks %d rules (logs in %s):\n%s", seed, len(broken), folder, strings.Join(broken[:min(len(broken), 20)], "\n"))
 }
 
-func play(t *testing.T, binary, folder string, seed uint64, net int) (broken []string, summary string) {
+func play(t *testing.T, binary, folder string, seed uint64, net int, planned bool) (broken []string, summary string) {
 	j := newJudge()
 	ws, err := startWorkers(workersEach, j)
 	if err != nil {
@@ -106,7 +111,7 @@
 	if !o.change() || !r.ready(readyWithin) {
 		return []string{"the system was not ready in time"}, "not ready"
 	}
-	traffic(r, j, o, seed)
+	traffic(r, j, o, seed, planned)
 	judgeEnd(r, j, o)
 	j.mutex.Lock()
 	broken = append(broken, j.broken...)
@@ -118,9 +123,9 @@
 }
 
 // traffic has clients send while the chaos goes on; every third seed ends with the end of all processes at once.
-func traffic(r *rig, j *judge, o *operator, seed uint64) {
+func traffic(r *rig, j *judge, o *operator, seed uint64, planned bool) {
 	cs := startClients(r, j, number("SOAK_CLIENTS", usualClients), seed)
-	c := startChaos(r, j, o, seed)
+	c := startChaos(r, j, o, seed, planned)
 	time.Sleep(time.Duration(number("SOAK_SECONDS", usualSeconds)) * time.Second)
 	c.stop()
 	if seed%3 == 0 {
