An end goes to all counted disks where too few are known to hold its message

Cause: an end lay on fewer disks than its message has to, where the owner had found the message on one disk while it was being stored; who hears all disks but such as may be lost may then hear of no end. Class: a quorum of writes too small for the quorum of reads. Change: the recipients of an end are the known holders only where these outlive each tolerated loss. The question whether a handed message has ended goes to all counted disks, with the same bound as a listing (one function for both).

--- a/internal/system/role/carrier/duplicate.go
+++ b/internal/system/role/carrier/duplicate.go
@@ -11,8 +11,8 @@
 // An owner hears of a message in two ways: from the stores, when it takes the unit over, and from the carrier that accepted the
 // message, which asks until it has an answer. The unit may change its owner in between, so that one owner ends a message and the next is
 // handed it. What an owner remembers tells nothing of former owners; the stores do, since a unit is released only once all of its
-// ends lie there. So a message that may be older than the ownership is taken only once the stores that hold it have told that it
-// has not ended.
+// ends lie there, each on as many disks as a message has to. So a message that may be older than the ownership is taken only once the
+// stores, all but such as may be lost, have told that it has not ended.
 
 // Times and bounds of asking whether a message has ended.
 const (
@@ -32,7 +32,7 @@
 	return c.recent.forgotten > 0 && accepted-recentMargin <= c.recent.forgotten
 }
 
-// endQuery asks the stores that hold a message whether it has ended, and takes it where it has not.
+// endQuery asks the stores whether a message has ended, and takes it where it has not.
 type endQuery struct {
 	core     *Core
 	unit     *unit
@@ -77,7 +77,7 @@
 		return
 	}
 	c := q.core
-	for _, disk := range c.stores.recipients(q.holders) {
+	for _, disk := range c.stores.counted() {
 		if !q.told[disk] && !q.asking[disk] && c.stores.isUp(disk) {
 			q.askDisk(disk)
 		}
@@ -122,7 +122,7 @@
 	c.endedBefore()
 }
 
-// judge takes the message once enough stores know of no end: all that hold it, or, after a while, all but such as may be lost.
+// judge takes the message once enough stores know of no end.
 func (q *endQuery) judge() {
 	if q.over || q.unit.dropped || !q.enough() {
 		return
@@ -136,18 +136,13 @@
 }
 
 func (q *endQuery) enough() bool {
-	c := q.core
-	var silent []string
-	for _, disk := range c.stores.recipients(q.holders) {
-		if !q.told[disk] {
-			silent = append(silent, disk)
+	late := q.core.env.Now()-q.began >= listAllWithin
+	return q.core.stores.heardEnough(late, func(disk string) hearing {
+		if q.told[disk] {
+			return heardWhole
 		}
-	}
-	if len(silent) == 0 {
-		return len(q.told) > 0
-	}
-	late := c.env.Now()-q.began >= listAllWithin
-	return late && len(q.told) > 0 && c.settings.Tolerance.May(c.stores.zones(silent))
+		return unheard
+	})
 }
 
 // endedBeforeInterval is how often it is logged at most that messages had ended before they came.
--- a/internal/system/role/carrier/handed_test.go
+++ b/internal/system/role/carrier/handed_test.go
@@ -220,15 +220,13 @@
 		Expect(r.sent).To(Equal([]string{"m1"}))
 	})
 
-	ginkgo.It("asks again where the call fails, and all stores where a holder has left the roster", func() {
-		r.Reachable["10.0.0.2:701"] = false
+	ginkgo.It("asks all stores that count, and again where one was not there", func() {
+		r.store("disk-3").ends["m1"] = succeeded
+		r.Reachable["10.0.0.2:703"] = false
 		r.core.Deliver(handed("m1", pacedUnit, ownToken-1))
 		r.Pass(200 * time.Millisecond)
 		Expect(r.sent).To(BeEmpty())
-		r.store("disk-3").ends["m1"] = succeeded
-		r.table.Delete(keeper.PrefixDisk + "disk-1")
-		r.table.Set(keeper.KeyRoster, wire.Encode(uint64(2)))
-		r.push()
+		r.Reachable["10.0.0.2:703"] = true
 		r.Pass(3 * time.Second)
 		Expect(r.sent).To(BeEmpty())
 		Expect(r.core.Figures().EndedBefore).To(BeEquivalentTo(1))
--- a/internal/system/role/carrier/outbox.go
+++ b/internal/system/role/carrier/outbox.go
@@ -78,15 +78,22 @@
 }
 
 // recipients gives the disks to tell about a message: those that hold it. Where one of these is out of the roster, others
-// were given copies of what lay on it, and all that count are told.
+// were given copies of what lay on it, and all that count are told. So they are where too few are known to hold it: an end has to lie on as
+// many disks as its message, or who hears all but those that may be lost might not hear of it.
 func (s *storage) recipients(holders []string) []string {
 	view := s.core.session.View()
 	counted := s.counted()
+	if len(counted) == 0 {
+		return holders
+	}
 	for _, disk := range holders {
-		if _, there := view.Disks[disk]; !there && len(counted) > 0 {
+		if _, there := view.Disks[disk]; !there {
 			return counted
 		}
 	}
+	if !s.core.enough(holders) {
+		return counted
+	}
 	return holders
 }
 
--- a/internal/system/role/carrier/recovery.go
+++ b/internal/system/role/carrier/recovery.go
@@ -141,22 +141,17 @@
 
 // enough tells whether some listings are those of all stores, or, after a while, of all but those that may be lost.
 func (r *recovery) enough(listed map[string]*listing) bool {
-	c := r.core
-	var counted, silent []string
-	done := 0
-	for disk, entry := range c.session.View().Counted() {
-		counted = append(counted, entry.Member.Zone)
+	late := r.core.env.Now()-r.began >= listAllWithin
+	return r.core.stores.heardEnough(late, func(disk string) hearing {
 		l := listed[disk]
-		if r.told(l) {
-			done++
-		}
-		if !r.told(l) || !l.complete {
-			silent = append(silent, entry.Member.Zone)
+		switch {
+		case !r.told(l):
+			return unheard
+		case !l.complete:
+			return heardInPart
 		}
-	}
-	tolerance := &c.settings.Tolerance
-	late := c.env.Now()-r.began >= listAllWithin
-	return tolerance.Enough(counted) && tolerance.May(silent) && (done == len(counted) || late)
+		return heardWhole
+	})
 }
 
 // askEnds asks all that have told everything for the ends of what any of them lists: they may not agree. What another lists while they
--- a/internal/system/role/carrier/storage.go
+++ b/internal/system/role/carrier/storage.go
@@ -141,6 +141,31 @@
 	return disks
 }
 
+// hearing is what a disk has told of what all were asked for.
+type hearing uint8
+
+const (
+	unheard     hearing = iota
+	heardInPart         // it may lack something, since it is being filled
+	heardWhole
+)
+
+// heardEnough tells whether all disks that count have told, or, once it is late, all but such as may be lost at one time.
+func (s *storage) heardEnough(late bool, heard func(disk string) hearing) bool {
+	var counted, silent []string
+	all := true
+	for disk, entry := range s.core.session.View().Counted() {
+		counted = append(counted, entry.Member.Zone)
+		told := heard(disk)
+		all = all && told != unheard
+		if told != heardWhole {
+			silent = append(silent, entry.Member.Zone)
+		}
+	}
+	tolerance := &s.core.settings.Tolerance
+	return tolerance.Enough(counted) && tolerance.May(silent) && (all || late)
+}
+
 func (s *storage) put(disk string, m *message.Message, done func(err error)) {
 	c := s.core
 	calls := s.putCalls(disk)
