A late message knows in which queue it waits; a queue gives none that has left for another

Cause: a message kept its place in a heap of late ones and not in which heap. Where its unit was offered to another carrier and stayed, and its route had been given to another service meanwhile, it joined that service's queue while its place was one in the former's: the next queue took the place for one of its own. The carrier ended by itself (index out of range, queue.go), and what it had run and not told ran again (TWICE); an overdue message could also be given by its former queue again and again. Change: a message names the heap that it is in and the queue that it waits in; joining another leaves the former.

--- a/internal/system/role/carrier/core.go
+++ b/internal/system/role/carrier/core.go
@@ -284,9 +284,11 @@
 	ended    bool
 	fetching bool
 
-	latePlace int      // in its queue's heap of late messages, from 1; 0 where it isn't there
-	counted   *backlog // that it is in; nil in none
-	head      int64    // bytes of memory that it counts for, without its body
+	waitsIn   *queue    // the latest queue that it joined; it waits there while queued is set
+	lateIn    *lateHeap // heap of late messages that it is in; nil where it is in none
+	latePlace int       // its place there, from 1
+	counted   *backlog  // that it is in; nil in none
+	head      int64     // bytes of memory that it counts for, without its body
 }
 
 // ConfigurationVersion is the version in force at this carrier, 0 before the first.
--- a/internal/system/role/carrier/dispatch.go
+++ b/internal/system/role/carrier/dispatch.go
@@ -79,16 +79,11 @@
 		c.end(it, message.DeadLetter, "")
 		return
 	}
-	it.queued = true
 	if it.tries == 0 {
 		c.policy.Arrive(c.env.Now(), route.Service, route.Name, route.TargetStart)
 	}
 	q := c.queue(route.Service)
-	if it.takenDue && it.tries == 0 {
-		q.taken.push(it)
-	} else {
-		q.fresh.push(it)
-	}
+	q.join(it, it.takenDue && it.tries == 0)
 	c.dispatch(q)
 }
 
--- a/internal/system/role/carrier/queue.go
+++ b/internal/system/role/carrier/queue.go
@@ -53,10 +53,10 @@
 	return it
 }
 
-// live gives the front of what still waits, nil where nothing does.
-func (f *fifo) live() *item {
+// live gives the front of what still waits in a queue, nil where nothing does.
+func (f *fifo) live(q *queue) *item {
 	for f.len() > 0 {
-		if it := f.front(); !it.ended && it.queued {
+		if it := f.front(); q.holds(it) {
 			return it
 		}
 		f.pop()
@@ -88,40 +88,55 @@
 }
 func (h *lateHeap) Push(x any) {
 	h.items = append(h.items, x.(lateItem))
-	x.(lateItem).item.latePlace = len(h.items)
+	it := x.(lateItem).item
+	it.lateIn, it.latePlace = h, len(h.items)
 }
 func (h *lateHeap) Pop() any {
 	last := h.items[len(h.items)-1]
-	last.item.latePlace = 0
+	last.item.lateIn, last.item.latePlace = nil, 0
 	h.items[len(h.items)-1] = lateItem{}
 	h.items = h.items[:len(h.items)-1]
 	return last
 }
 
-// remove takes a message out, wherever it is.
-func (h *lateHeap) remove(it *item) {
-	if it.latePlace > 0 {
-		heap.Remove(h, it.latePlace-1)
+// leaveLate takes a message out of the heap of late ones that it is in; its service may be another now.
+func (it *item) leaveLate() {
+	if it.lateIn != nil {
+		heap.Remove(it.lateIn, it.latePlace-1)
 	}
 }
 
 func (h *lateHeap) add(it *item) {
-	h.remove(it)
+	it.leaveLate()
 	h.order++
 	heap.Push(h, lateItem{item: it, behind: len(it.unit.keys[it.message.Key]), order: h.order})
 }
 
+// holds tells whether a message waits in this queue. One that has left for the queue of another service may still be named here.
+func (q *queue) holds(it *item) bool { return !it.ended && it.queued && it.waitsIn == q }
+
+// join has a message wait; urgent ones were taken over when they were due already.
+func (q *queue) join(it *item, urgent bool) {
+	it.leaveLate()
+	it.queued, it.waitsIn = true, q
+	if urgent {
+		q.taken.push(it)
+		return
+	}
+	q.fresh.push(it)
+}
+
 // next gives the message whose turn it is, without taking it; nil where there is none. aim tells until when a message can
 // start within its aim.
 func (q *queue) next(now time.Duration, aim func(*item) time.Duration) *item {
-	if it := q.taken.live(); it != nil {
+	if it := q.taken.live(q); it != nil {
 		return it
 	}
-	if it := q.aged.live(); it != nil && now-it.due > overdueShare(it.message.Retention) {
+	if it := q.aged.live(q); it != nil && now-it.due > overdueShare(it.message.Retention) {
 		return it
 	}
 	for {
-		it := q.fresh.live()
+		it := q.fresh.live(q)
 		if it == nil {
 			break
 		}
@@ -134,7 +149,7 @@
 	}
 	for q.late.Len() > 0 {
 		it := q.late.items[0].item
-		if it.ended || !it.queued {
+		if !q.holds(it) {
 			heap.Pop(&q.late)
 			continue
 		}
@@ -154,7 +169,7 @@
 		q.fresh.pop()
 		return
 	}
-	q.late.remove(it) // in q.aged it is passed over
+	it.leaveLate() // in q.aged it is passed over
 }
 
 // overdueShare is how long of its retention a message waits before it goes ahead of fresh ones.
--- a/internal/system/role/carrier/queue_test.go
+++ b/internal/system/role/carrier/queue_test.go
@@ -26,11 +26,11 @@
 	ginkgo.BeforeEach(func() { q, u = &queue{service: "s"}, newUnit("u") })
 
 	due := func(id, key string, at time.Duration) *item {
-		it := &item{message: &message.Message{ID: id, Key: key, Retention: retention}, unit: u, due: at, queued: true}
+		it := &item{message: &message.Message{ID: id, Key: key, Retention: retention}, unit: u, due: at}
 		if key != "" {
 			u.keys[key] = append(u.keys[key], it)
 		}
-		q.fresh.push(it)
+		q.join(it, false)
 		return it
 	}
 	order := func(now time.Duration) []string {
@@ -72,7 +72,7 @@
 		it := due("again", "", 0)
 		Expect(q.next(2*time.Second, func(it *item) time.Duration { return it.due + target })).To(Equal(it))
 		it.queued = true
-		q.fresh.push(it)
+		q.join(it, false)
 		Expect(order(6 * time.Second)).To(Equal([]string{"again"}))
 	})
 })
--- a/internal/system/role/carrier/turn.go
+++ b/internal/system/role/carrier/turn.go
@@ -37,7 +37,7 @@
 func (c *Core) hasTurn(now time.Duration, q *queue) bool {
 	if c.paces(q.service) {
 		due := q.pace.Due()
-		if now < q.urgentUntil && q.taken.live() == nil {
+		if now < q.urgentUntil && q.taken.live(q) == nil {
 			due = max(due, q.urgentUntil)
 		}
 		if now < due {
@@ -83,7 +83,7 @@
 		return
 	}
 	q.turn.asking = true
-	body := wire.TakeTurnBody{Service: q.service, Urgent: q.taken.live() != nil}
+	body := wire.TakeTurnBody{Service: q.service, Urgent: q.taken.live(q) != nil}
 	c.env.Call(address, wire.TakeTurn, wire.Encode(&body), turnTimeout, func(payload []byte, err error) {
 		q.turn.asking = false
 		var answer wire.TakeTurnAnswer
@@ -111,7 +111,7 @@
 	q := c.queue(body.Service)
 	if body.Urgent {
 		q.urgentUntil = now + urgentLasts
-	} else if now < q.urgentUntil || q.taken.live() != nil {
+	} else if now < q.urgentUntil || q.taken.live(q) != nil {
 		return wire.TakeTurnAnswer{Wait: turnRetry}, nil
 	}
 	wait := max(0, q.pace.Due()-now)
