--- a/internal/system/role/carrier/moved_queue_test.go
+++ b/internal/system/role/carrier/moved_queue_test.go
@@ -33,6 +33,11 @@
 	}
 	next.take(moved)
 	next.join(moved, false)
+	other := &item{message: &message.Message{Retention: retention}, unit: u}
+	next.join(other, false)
+	if next.next(time.Second, late) != moved || next.late.Len() != 2 {
+		t.Fatal("both are late there")
+	}
 	given := map[*item]bool{}
 	for it := former.next(retention, late); it != nil; it = former.next(retention, late) {
 		if it == moved || given[it] {
@@ -44,4 +49,8 @@
 	if len(given) != len(items)-1 || next.next(retention, late) != moved {
 		t.Fatalf("%d of %d messages came, or the one that moved is gone", len(given), len(items)-1)
 	}
+	next.take(moved)
+	if next.next(retention, late) != other {
+		t.Fatal("another message than the one that moved was taken out")
+	}
 }
