--- a/internal/system/simulation/twice_test.go
+++ b/internal/system/simulation/twice_test.go
@@ -7,7 +7,7 @@
 	"testing"
 )
 
-// What was seen: on days of planned work a message of a service with a rate ran again, up to 2 s after a success that its carrier had read and the
+// What was seen: on days of planned work a message of a service with a rate ran again, up to 2.4 s after a success that its carrier had read and the
 // stores knew.
 // How it came about: the carrier that accepted the message hands it to the owner of the service's unit, and asks again where it has no answer or a
 // refusal. The unit changes its owner meanwhile; an owner that has the message, by that call or from the stores, ends it and hands the unit on.
@@ -24,7 +24,8 @@
 // How it came about: who takes messages over lists them at the stores, and then asks the stores for the ends of all that is listed. A store that
 // was away when the message ended, whose place in the roster another has taken, answers its list between the two.
 // Cause: its list was put together with the others although nobody had been asked for the ends of what it lists. Proven by this scenario
-// with each listing logged, and by 14 of 200 drawn schedules of planned work, which break no rule since such a list is left out.
+// with each listing logged, and by 14 of 200 drawn schedules of planned work (at half of
+// the pace that is drawn now), which broke no rule once such a list was left out.
 func TestListedWhileEndsAreAsked(t *testing.T) {
 	playSeeds(t, filepath.Join("testdata", "twice", "listed-while-ends-are-asked.txt"))
 }
