--- a/internal/system/simulation/judge.go
+++ b/internal/system/simulation/judge.go
@@ -16,6 +16,7 @@
 	d.judgeStates()
 	d.judgeCopies()
 	d.judgeWhole()
+	d.checker.judgeService()
 	d.judgeWaiting()
 	d.judgeConfiguration()
 	if !d.history.linearizable() {
