--- a/cmd/gwlab/gangs_test.go
+++ b/cmd/gwlab/gangs_test.go
@@ -52,8 +52,9 @@
 			t.Parallel()
 			o := muster(t, c.repeat, c.faults)
 			g, train := o.Gangs, o.Rows[1]
-			// The hosts end what has not begun whole a second after it was sent; the last part may be sent some time after the first.
-			if g.LongestHalf > 1.5 || g.Doubled > 0 {
+			// The hosts end what has not begun whole a second after its first part came. How late the emulation of the hosts comes to that is the
+			// machine's pace: it is told beside, and that it ends such a gang at its next look is a test of the model.
+			if g.LongestHalf > 1 || g.Doubled > 0 {
 				t.Errorf("a gang was half there for %.2f s, %d parts were there twice", g.LongestHalf, g.Doubled)
 			}
 			if name == "nothing fails" && g.Half > 4 {
--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -189,6 +189,19 @@
 	l.kills[dispatcher] = append(l.kills[dispatcher], kill{from, to})
 }
 
+// Dead is how many seconds dispatchers were dead, summed over all of them.
+func (l *Log) Dead() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var microseconds int64
+	for _, kills := range l.kills {
+		for _, k := range kills {
+			microseconds += max(k.to-k.from, 0)
+		}
+	}
+	return float64(microseconds) / 1e6
+}
+
 // Fell books a cold host that fell over.
 func (l *Log) Fell(at int64, host string) {
 	l.mu.Lock()
--- a/internal/lab/emulate/gangs.go
+++ b/internal/lab/emulate/gangs.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"net/http"
 	"strconv"
 	"time"
@@ -9,6 +10,9 @@
 	"granitewing/internal/lab/model"
 )
 
+// latestStep is how late the hosts may look at their gangs without a word in the log.
+const latestStep = 250 * time.Millisecond
+
 // part reads what a request says of being one part of several; nil where it says nothing, or the class has none.
 func (e *Emulator) part(req *http.Request, now int64) *model.Part {
 	p := &model.Part{Name: req.Header.Get("X-Txn"), Gang: e.day.GangOf(req.Header.Get("X-Lane"))}
@@ -51,8 +55,12 @@
 		return
 	}
 	e.gangTimer = time.AfterFunc(time.Duration(next-e.now())*time.Microsecond, func() {
+		fired := e.now()
 		e.mu.Lock()
 		defer e.mu.Unlock()
+		if now := e.now(); now-next > latestStep.Microseconds() {
+			slog.Warn("gangs are looked at late", "timer_late_us", fired-next, "lock_waited_us", now-fired)
+		}
 		e.step()
 	})
 }
--- a/internal/lab/experiment/play.go
+++ b/internal/lab/experiment/play.go
@@ -49,8 +49,9 @@
 	Notes      []string           `json:"notes,omitempty"`
 	Resent     int                `json:"resent_by_clients"`
 	CPU        []float64          `json:"dispatcher_cpu_s,omitempty"`
-	Decision   float64            `json:"decision_us,omitempty"` // CPU of the dispatchers for a message, all its events
-	Heap       float64            `json:"heap_bytes,omitempty"`  // of one dispatcher, in virtual time
+	Dead       float64            `json:"dispatchers_dead_s,omitempty"` // summed over dispatchers
+	Decision   float64            `json:"decision_us,omitempty"`        // CPU of the dispatchers for a message, all its events
+	Heap       float64            `json:"heap_bytes,omitempty"`         // of one dispatcher, in virtual time
 	Wall       float64            `json:"wall_s"`
 	Length     float64            `json:"length_s"` // of the day, virtual time included
 	Recorder   *measure.Recorder  `json:"recorder"`
@@ -156,7 +157,7 @@
 		o.CPU = append(o.CPU, c)
 		o.Decision += c * 1e6 / float64(max(messages, 1))
 	}
-	o.Audit = log.Check()
+	o.Audit, o.Dead = log.Check(), log.Dead()
 	if day.Records {
 		list, err := theatre.records()
 		if err != nil {
--- a/internal/lab/model/gang.go
+++ b/internal/lab/model/gang.go
@@ -62,13 +62,14 @@
 type GangReport struct {
 	Whole       int     `json:"whole"` // gangs of which all parts began
 	Broken      int     `json:"broken"`
-	Half        int     `json:"half"`    // of which some parts began, and all never did
-	Doubled     int     `json:"doubled"` // parts begun while the same part of the same gang was out
-	LongestHalf float64 `json:"longest_half_s"`
-	Step        float64 `json:"step_ms"` // mean time of an exchange, over the runs that ended
-	Run         float64 `json:"run_s"`   // mean
-	Crossed     float64 `json:"crossed"` // share of bytes that left a rack
-	Spans       float64 `json:"racks"`   // that a gang is in, in the mean
+	Half        int     `json:"half"`           // of which some parts began, and all never did
+	Doubled     int     `json:"doubled"`        // parts begun while the same part of the same gang was out
+	LongestHalf float64 `json:"longest_half_s"` // until the moment at which the hosts had to end it
+	LatestEnd   float64 `json:"latest_end_s"`   // longest that the hosts came after that moment, as their emulation was held up
+	Step        float64 `json:"step_ms"`        // mean time of an exchange, over the runs that ended
+	Run         float64 `json:"run_s"`          // mean
+	Crossed     float64 `json:"crossed"`        // share of bytes that left a rack
+	Spans       float64 `json:"racks"`          // that a gang is in, in the mean
 }
 
 // Fabric is what all hosts of a deployment exchange over.
@@ -145,11 +146,17 @@
 
 func (f *Fabric) endHalf(e *ensemble) {
 	if e.half != Never {
-		f.report.LongestHalf = max(f.report.LongestHalf, float64(f.now-e.half)/1e6)
+		f.report.noteHalf(e, f.now)
 		e.half = Never
 	}
 }
 
+// noteHalf books how long a gang has stood half begun until the hosts had to end it, and how late they came to that.
+func (r *GangReport) noteHalf(e *ensemble, now int64) {
+	r.LongestHalf = max(r.LongestHalf, float64(min(now, e.by)-e.half)/1e6)
+	r.LatestEnd = max(r.LatestEnd, float64(now-e.by)/1e6)
+}
+
 func (f *Fabric) pass(now int64) {
 	if now <= f.now {
 		return
@@ -286,7 +293,7 @@
 	r := f.report
 	for _, e := range f.gangs {
 		if e.half != Never {
-			r.LongestHalf = max(r.LongestHalf, float64(f.now-e.half)/1e6)
+			r.noteHalf(e, f.now)
 		}
 	}
 	if f.ran > 0 {
