Whether a machine can be spared is decided where its order is applied; what waits, waits

Now the table of sessions knows what may be lost (a command of the leader), and judges each order by the roster that the ones before it have left. An order begins once 2f+1 live disks, at enough places, stay without it; until then it waits, refused only where they would be too few even with what is being filled or gone. One that is under way is taken back, latest first, where the rest is too few to take messages, also in a roster that a former version left behind. An emptying ends only by the roster that there is: two that overlapped counted on each other's copies before. A disk that does not count is let go at once. Retire.Cancel takes an order back.

--- a/internal/system/member/orders.go
+++ b/internal/system/member/orders.go
@@ -16,9 +16,9 @@
 	c.peers.Call(c.keepers[c.current], wire.CountDisk, wire.Encode(&body), openTimeout, func(_ []byte, err error) { done(err) })
 }
 
-// DiskEmptied tells the keepers that all that lies on this store's leaving disk lies on enough others.
-func (c *Client) DiskEmptied(done func(err error)) {
-	body := wire.DiskEmptiedBody{Disk: c.member.Disk}
+// DiskEmptied tells the keepers that all that lies on this store's leaving disk lies on enough others, by the roster of an epoch.
+func (c *Client) DiskEmptied(epoch uint64, done func(err error)) {
+	body := wire.DiskEmptiedBody{Disk: c.member.Disk, Epoch: epoch}
 	c.peers.Call(c.keepers[c.current], wire.DiskEmptied, wire.Encode(&body), openTimeout, func(_ []byte, err error) { done(err) })
 }
 
--- a/internal/system/node/operators.go
+++ b/internal/system/node/operators.go
@@ -14,6 +14,7 @@
 	"granitewing/internal/system/agreement"
 	"granitewing/internal/system/configuration"
 	"granitewing/internal/system/role/keeper"
+	"granitewing/internal/system/session"
 )
 
 // serveOperators serves the operator's API at the control address.
@@ -23,6 +24,7 @@
 	e.GET("/-/Config.Get", n.getConfiguration)
 	e.POST("/-/Retire.Start/:node", n.startRetirement)
 	e.GET("/-/Retire.Get/:node", n.getRetirement)
+	e.POST("/-/Retire.Cancel/:node", n.cancelRetirement)
 	e.GET("/-/ready", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
 	e.GET(StatusPath, n.getStatus)
 	return startServer(n.settings.Listen.Control, e)
@@ -94,12 +96,13 @@
 	var invalid *configuration.InvalidError
 	var conflict *configuration.ConflictError
 	var notLeader *agreement.NotLeaderError
-	var unknown *keeper.UnknownMachineError
-	var tooFew *keeper.TooFewError
+	var unknown *session.UnknownMachineError
+	var tooFew *session.TooFewError
+	var emptied *session.AlreadyEmptiedError
 	switch {
 	case errors.As(result.err, &unknown):
 		return c.JSON(http.StatusNotFound, &problem{Error: result.err.Error()})
-	case errors.As(result.err, &tooFew):
+	case errors.As(result.err, &tooFew), errors.As(result.err, &emptied):
 		return c.JSON(http.StatusConflict, &problem{Error: result.err.Error()})
 	case result.err == nil && result.raw != nil:
 		return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, bytes.Clone(result.raw))
@@ -130,6 +133,18 @@
 	return n.answerOperator(c, result)
 }
 
+// cancelRetirement has a machine stay that is being emptied, or waits for it.
+func (n *keeperNode) cancelRetirement(c echo.Context) error {
+	node := c.Param("node")
+	result := n.ask(func(done func(outcome)) {
+		n.core.CancelRetirement(n.Now(), node, func(err error) { done(outcome{err: err}) })
+	})
+	if result.err == nil {
+		log.WithField("machine", node).Info("a machine is not emptied any more: it stays")
+	}
+	return n.answerOperator(c, result)
+}
+
 type retirementForm struct {
 	Phase string `json:"phase"`
 }
--- a/internal/system/role/keeper/answers_test.go
+++ b/internal/system/role/keeper/answers_test.go
@@ -63,7 +63,8 @@
 	{"CloseSession", func(c *Core, now time.Duration, done func(error)) { c.CloseSession(now, "store+10.0.0.1", done) }},
 	{"SettleDeparted", func(c *Core, now time.Duration, done func(error)) { c.Settle(now, "o", done) }},
 	{"CountDisk", func(c *Core, now time.Duration, done func(error)) { c.CountDisk(now, "disk of 10.0.0.1", done) }},
-	{"DiskEmptied", func(c *Core, now time.Duration, done func(error)) { c.DiskEmptied(now, "disk of 10.0.0.1", done) }},
+	{"DiskEmptied", func(c *Core, now time.Duration, done func(error)) { c.DiskEmptied(now, "disk of 10.0.0.1", 0, done) }},
+	{"Retire.Cancel", func(c *Core, now time.Duration, done func(error)) { c.CancelRetirement(now, "storage-10.0.0.1", done) }},
 	{"GroupLeft", func(c *Core, now time.Duration, done func(error)) { c.GroupLeft(now, "storage-10.0.0.1", 0, done) }},
 	{"ReleaseUnit", func(c *Core, now time.Duration, done func(error)) {
 		c.ReleaseUnit(now, ownership.KeyUnits()[0], 0, 0, done)
--- a/internal/system/role/keeper/core.go
+++ b/internal/system/role/keeper/core.go
@@ -96,6 +96,7 @@
 	catalogKnown    bool
 	catalogDue      time.Duration
 	reconcileDue    time.Duration
+	toleranceTold   time.Duration   // until when the telling of what may be lost is under way
 	keepers         map[string]bool // addresses of the keepers that belong to a group, and this one's
 	known           []string        // addresses of other keepers, the latest heard last
 }
@@ -179,6 +180,7 @@
 		c.reconcileDue = now + reconcileEvery
 		c.reconcile()
 		c.tendGroups()
+		c.tellTolerance()
 	}
 }
 
--- a/internal/system/role/keeper/handle.go
+++ b/internal/system/role/keeper/handle.go
@@ -80,7 +80,7 @@
 		if err := wire.Decode(kind, payload, &body); err != nil {
 			return err
 		}
-		c.DiskEmptied(now, body.Disk, done)
+		c.DiskEmptied(now, body.Disk, body.Epoch, done)
 	case wire.GroupLeft:
 		var body wire.GroupLeftBody
 		if err := wire.Decode(kind, payload, &body); err != nil {
--- a/internal/system/role/keeper/loss_test.go
+++ b/internal/system/role/keeper/loss_test.go
@@ -98,7 +98,7 @@
 		}
 		Expect(retired(t)).To(BeFalse(), "nobody has said that its disk is empty")
 		var failure error
-		t.cores[t.leader(SessionGroup)].DiskEmptied(t.now, "disk of 10.0.0.1", func(err error) { failure = err })
+		t.cores[t.leader(SessionGroup)].DiskEmptied(t.now, "disk of 10.0.0.1", 0, func(err error) { failure = err })
 		t.settleAll()
 		Expect(failure).NotTo(HaveOccurred())
 		Expect(votes(t, leaver)).To(BeZero())
@@ -114,7 +114,7 @@
 		leader.CloseSession(t.now, "store+10.0.0.2", func(error) {})
 		t.settleAll()
 		var failure error
-		leader.DiskEmptied(t.now, "disk of 10.0.0.1", func(err error) { failure = err })
+		leader.DiskEmptied(t.now, "disk of 10.0.0.1", 0, func(err error) { failure = err })
 		t.settleAll()
 		Expect(failure).To(BeAssignableToTypeOf(&MissingDiskError{}))
 		leader.proposeSession(session.Command{Kind: session.DiskEmptied, Disk: "disk of 10.0.0.1"}, func(error) {})
--- a/internal/system/role/keeper/retire.go
+++ b/internal/system/role/keeper/retire.go
@@ -1,8 +1,8 @@
 package keeper
 
 import (
-	"fmt"
 	"net"
+	"reflect"
 	"slices"
 	"time"
 
@@ -11,46 +11,34 @@
 	"granitewing/internal/system/session"
 )
 
-// UnknownMachineError answers an order about a machine that has no disk in the roster.
-type UnknownMachineError struct{ Node string }
-
-func (e *UnknownMachineError) Error() string { return "no store is known at machine " + e.Node }
-
-// TooFewError answers an order to empty a machine that can't be spared.
-type TooFewError struct{ Left, Needed int }
-
-func (e *TooFewError) Error() string {
-	return fmt.Sprintf("%d disks would be left, %d are needed", e.Left, e.Needed)
+// RetireMachine has a machine's disks emptied. A repeat is acknowledged again. The order is judged where it is applied, so that a refusal
+// stands on a majority's word and on all orders before it.
+func (c *Core) RetireMachine(now time.Duration, node string, done func(err error)) {
+	c.now = now
+	c.orderRetirement(session.Command{Kind: session.Retire, Node: node}, done)
 }
 
-// RetireMachine has a machine's disks emptied. A repeat is acknowledged again. A refusal stands on a majority's word, as
-// the state that it speaks of may be old.
-func (c *Core) RetireMachine(now time.Duration, node string, done func(err error)) {
+// CancelRetirement has a machine stay that is being emptied, or waits for it.
+func (c *Core) CancelRetirement(now time.Duration, node string, done func(err error)) {
 	c.now = now
-	c.confirm(SessionGroup, func(err error) {
-		if err != nil {
-			done(err)
-			return
-		}
-		c.beginRetirement(node, done)
-	})
+	c.orderRetirement(session.Command{Kind: session.CancelRetire, Node: node}, done)
 }
 
-func (c *Core) beginRetirement(node string, done func(err error)) {
-	switch c.sessions.Retirement(node) {
-	case session.UnknownMachine:
-		done(&UnknownMachineError{Node: node})
-		return
-	case session.Running, session.Emptied:
-		done(nil)
+func (c *Core) orderRetirement(command session.Command, done func(err error)) {
+	if c.sessions.Tolerance() == nil {
+		done(c.notLeader(SessionGroup)) // how many disks must stay is not known yet
 		return
 	}
-	// As many stay as there are voters: messages then find their copies, and one more may be lost.
-	if left := c.sessions.Staying(node); left < c.options.Tolerance.Voters() {
-		done(&TooFewError{Left: left, Needed: c.options.Tolerance.Voters()})
+	c.proposeSession(command, done)
+}
+
+// tellTolerance has the table of sessions know what may be lost, as this keeper's settings have it.
+func (c *Core) tellTolerance() {
+	if !c.groups[SessionGroup].node.Leading() || c.now < c.toleranceTold || reflect.DeepEqual(c.sessions.Tolerance(), c.options.Tolerance) {
 		return
 	}
-	c.proposeSession(session.Command{Kind: session.Retire, Node: node}, done)
+	c.toleranceTold = c.now + orderWait
+	c.proposeSession(session.Command{Kind: session.Tolerate, Tolerance: c.options.Tolerance}, func(error) { c.toleranceTold = 0 })
 }
 
 // Retired tells whether a machine holds nothing any more: no message that would lie on too few disks without it, and no
@@ -64,7 +52,7 @@
 		}
 		switch c.sessions.Retirement(node) {
 		case session.UnknownMachine, session.Staying:
-			done(false, &UnknownMachineError{Node: node})
+			done(false, &session.UnknownMachineError{Node: node})
 		case session.Running:
 			done(false, nil)
 		default:
@@ -144,12 +132,12 @@
 	return "disk " + e.Disk + " stays while another that counts has no live store"
 }
 
-// DiskEmptied notes that all that lies on a leaving disk lies on enough others.
-func (c *Core) DiskEmptied(now time.Duration, disk string, done func(err error)) {
+// DiskEmptied notes that all that lies on a leaving disk lies on enough others, by the roster of an epoch.
+func (c *Core) DiskEmptied(now time.Duration, disk string, epoch uint64, done func(err error)) {
 	c.now = now
 	if c.sessions.Missing(c.sessions.Disks()[disk].Member.Node) {
 		done(&MissingDiskError{Disk: disk})
 		return
 	}
-	c.proposeSession(session.Command{Kind: session.DiskEmptied, Disk: disk}, done)
+	c.proposeSession(session.Command{Kind: session.DiskEmptied, Disk: disk, Epoch: epoch}, done)
 }
--- a/internal/system/role/keeper/sessions.go
+++ b/internal/system/role/keeper/sessions.go
@@ -143,14 +143,14 @@
 		return &session.MalformedError{Err: err}
 	}
 	before := c.sessions.Members(session.Carrier)
-	c.sessions.Apply(command)
+	refused := c.sessions.Apply(command)
 	if command.Kind == session.Join {
 		c.lastHeard[command.Member.Incarnation] = c.now
 	}
 	if after := c.sessions.Members(session.Carrier); !slices.Equal(before, after) {
 		c.carriersChanged = c.now
 	}
-	return nil
+	return refused
 }
 
 // expireSessions ends the sessions that were not kept.
--- a/internal/system/role/store/empty.go
+++ b/internal/system/role/store/empty.go
@@ -64,7 +64,7 @@
 	}
 	lacking, unlearned := e.lacking(view)
 	if len(lacking) == 0 && len(unlearned) == 0 {
-		e.session.DiskEmptied(func(error) {})
+		e.session.DiskEmptied(view.Epoch, func(error) {})
 		return
 	}
 	e.planned = true
--- a/internal/system/session/retire.go
+++ b/internal/system/session/retire.go
@@ -2,8 +2,6 @@
 
 import (
 	"slices"
-
-	"granitewing/internal/system/ordered"
 )
 
 // Retirement is how far the emptying of a machine is.
@@ -33,21 +31,11 @@
 	return UnknownMachine
 }
 
-// Staying is the number of counted disks that would be left without a machine's.
-func (s *State) Staying(without string) int {
-	count := 0
-	for _, disk := range s.disks {
-		if disk.Counted && !disk.Leaving && disk.Member.Node != without {
-			count++
-		}
-	}
-	return count
-}
-
 // retirement is what is known of a machine that is being emptied, or was.
 type retirement struct {
 	Address string // of its store
 	Left    []int  // control groups that do without it
+	Turn    uint64 // its place among all that were asked for
 }
 
 // LeavingAddresses gives the addresses of the stores whose machines are being emptied, or were.
@@ -92,23 +80,13 @@
 	s.retirements[node] = entry
 }
 
-func (s *State) retire(node string) {
-	for id, disk := range ordered.Map(s.disks) {
-		if disk.Member.Node != node || disk.Leaving {
-			continue
-		}
-		disk.Leaving = true
-		s.disks[id] = disk
-		s.retirements[node] = retirement{Address: disk.Member.Address}
-		s.epoch++
-	}
-}
-
 // emptied takes a leaving disk out of the roster, once all that lies on it lies on enough others. While another disk that
-// counts has no live store, what lies on the leaving one may be a copy that is needed: it stays.
-func (s *State) emptied(id string) {
+// counts has no live store, what lies on the leaving one may be a copy that is needed: it stays. It stays, too, where the roster
+// has changed since its store looked: another of the disks that hold its messages may be leaving now, or it may have taken some itself
+// meanwhile. Epoch 0 is that of commands of earlier versions, which told none.
+func (s *State) emptied(id string, epoch uint64) {
 	disk, known := s.disks[id]
-	if !known || !disk.Leaving || s.Missing(disk.Member.Node) {
+	if !known || !disk.Leaving || s.Missing(disk.Member.Node) || epoch != 0 && epoch != s.epoch {
 		return
 	}
 	s.remove(id)
@@ -116,7 +94,12 @@
 	if !disk.Spare {
 		s.needSpare()
 	}
-	s.retired = append(s.retired, disk.Member.Node)
+	s.noteRetired(disk.Member.Node)
+}
+
+// noteRetired remembers that a machine holds nothing any more.
+func (s *State) noteRetired(node string) {
+	s.retired = append(s.retired, node)
 	for len(s.retired) > maxReplaced {
 		delete(s.retirements, s.retired[0])
 		s.retired = slices.Clone(s.retired[1:])
--- a/internal/system/session/roster.go
+++ b/internal/system/session/roster.go
@@ -47,8 +47,8 @@
 		return
 	}
 	disk.Counted, disk.Spare = true, lost == ""
-	// A machine that lost its disk while it was being emptied is emptied again.
-	disk.Leaving = s.Retirement(disk.Member.Node) == Running
+	// A machine that lost its disk while it was being emptied is emptied again, once it can be spared.
+	disk.Leaving = s.tolerance == nil && s.Retirement(disk.Member.Node) == Running
 	s.disks[id] = disk
 	s.epoch++
 	if lost == "" {
--- a/internal/system/session/snapshot.go
+++ b/internal/system/session/snapshot.go
@@ -4,6 +4,8 @@
 	"fmt"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"granitewing/internal/system/tolerance"
 )
 
 // MalformedError tells of a command or snapshot that can't be read.
@@ -22,12 +24,16 @@
 	Retired  []string
 	// Retirements is not there in snapshots of earlier versions.
 	Retirements map[string]retirement
+	// What follows is not there in snapshots of versions that let each order to empty a machine begin at once.
+	Turns     uint64
+	Tolerance *tolerance.Tolerance
 }
 
 // Snapshot is the whole table in bytes.
 func (s *State) Snapshot() ([]byte, error) {
 	return msgpack.Marshal(&stored{Members: s.members, Departed: s.departed, Disks: s.disks, Epoch: s.epoch,
-		Replaced: s.replaced, Retired: s.retired, Retirements: s.retirements})
+		Replaced: s.replaced, Retired: s.retired, Retirements: s.retirements,
+		Turns: s.turns, Tolerance: s.tolerance})
 }
 
 // Restore replaces the table by a snapshot.
@@ -50,6 +56,7 @@
 		fresh.retirements[node] = entry
 	}
 	fresh.epoch, fresh.replaced, fresh.retired = form.Epoch, form.Replaced, form.Retired
+	fresh.turns, fresh.tolerance = form.Turns, form.Tolerance
 	fresh.knowRetirements()
 	*s = *fresh
 	return nil
--- a/internal/system/session/state.go
+++ b/internal/system/session/state.go
@@ -4,6 +4,8 @@
 
 import (
 	"sort"
+
+	"granitewing/internal/system/tolerance"
 )
 
 // Role of a member.
@@ -41,13 +43,15 @@
 
 // The commands of the table.
 const (
-	Join        CommandKind = iota + 1
-	Leave                   // by itself or by expiry
-	Settled                 // a departed carrier's messages have all ended
-	Count                   // a disk holds copies of all that the others hold, and counts from now on
-	Retire                  // a machine's disks are to be emptied
-	DiskEmptied             // all that lies on a leaving disk lies on enough others
-	GroupLeft               // a control group does without a machine that is being emptied
+	Join         CommandKind = iota + 1
+	Leave                    // by itself or by expiry
+	Settled                  // a departed carrier's messages have all ended
+	Count                    // a disk holds copies of all that the others hold, and counts from now on
+	Retire                   // a machine's disks are to be emptied
+	DiskEmptied              // all that lies on a leaving disk lies on enough others
+	GroupLeft                // a control group does without a machine that is being emptied
+	Tolerate                 // what may be lost at one time, as the keepers' settings have it
+	CancelRetire             // a machine that is being emptied is to stay
 )
 
 // Command changes the table.
@@ -56,8 +60,10 @@
 	Member      Member
 	Incarnation string
 	Disk        string
-	Node        string // of Retire and GroupLeft
+	Node        string // of Retire, CancelRetire and GroupLeft
 	Group       int    // of GroupLeft
+	Epoch       uint64 // of DiskEmptied: of the roster by which the disk is empty
+	Tolerance   *tolerance.Tolerance
 }
 
 // State is the replicated table.
@@ -70,6 +76,9 @@
 	retired  []string // machines whose disks are empty, the latest last
 	// retirements has the machines that are being emptied, or were, by name.
 	retirements map[string]retirement
+	turns       uint64 // retirements that were ever asked for
+	// tolerance says how many disks must stay; nil before the keepers have told it.
+	tolerance *tolerance.Tolerance
 }
 
 // NewState is the empty table.
@@ -120,8 +129,16 @@
 	return found
 }
 
-// Apply carries out a command. The same commands in the same order give the same table everywhere.
-func (s *State) Apply(command Command) {
+// Apply carries out a command. The same commands in the same order give the same table everywhere. An error tells that the command
+// was refused and has changed nothing.
+func (s *State) Apply(command Command) error {
+	err := s.carryOut(command)
+	s.settleRetirements()
+	s.adopt()
+	return err
+}
+
+func (s *State) carryOut(command Command) error {
 	switch command.Kind {
 	case Join:
 		s.join(command.Member)
@@ -132,13 +149,17 @@
 	case Count:
 		s.count(command.Disk)
 	case Retire:
-		s.retire(command.Node)
+		return s.retire(command.Node)
+	case CancelRetire:
+		return s.cancelRetirement(command.Node)
 	case DiskEmptied:
-		s.emptied(command.Disk)
+		s.emptied(command.Disk, command.Epoch)
 	case GroupLeft:
 		s.groupLeft(command.Node, command.Group)
+	case Tolerate:
+		s.tolerance = command.Tolerance
 	}
-	s.adopt()
+	return nil
 }
 
 func (s *State) join(member Member) {
--- a/internal/system/simulation/moves_test.go
+++ b/internal/system/simulation/moves_test.go
@@ -57,6 +57,9 @@
 			found = append(found, fmt.Sprintf("share %s is %.3f, least %.3f", share, result.Shares[share], least))
 		}
 	}
+	if scenario.Retired > 0 && result.Retired != scenario.Retired {
+		found = append(found, fmt.Sprintf("%d machines were emptied, want %d", result.Retired, scenario.Retired))
+	}
 	return found
 }
 
--- a/internal/system/simulation/trouble.go
+++ b/internal/system/simulation/trouble.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"granitewing/internal/system/role/keeper"
+	"granitewing/internal/system/session"
 )
 
 // kill ends a machine's processes; they start again after a while.
@@ -159,8 +160,8 @@
 
 // retirementRefused tells whether a keeper has refused to empty a machine.
 func retirementRefused(err error) bool {
-	var unknown *keeper.UnknownMachineError
-	var tooFew *keeper.TooFewError
+	var unknown *session.UnknownMachineError
+	var tooFew *session.TooFewError
 	return errors.As(err, &unknown) || errors.As(err, &tooFew)
 }
 
--- a/internal/system/tolerance/tolerance.go
+++ b/internal/system/tolerance/tolerance.go
@@ -48,6 +48,12 @@
 	return len(zones) <= t.Machines || t.Zones > 0 && distinct(zones) <= t.Zones || t.Regions > 0 && t.regions(zones) <= t.Regions
 }
 
+// Spread tells whether disks, given by their zones, lie at so many places that enough are left after every loss of zones or
+// regions that is tolerated.
+func (t *Tolerance) Spread(zones []string) bool {
+	return distinct(zones) > 2*t.Zones && t.regions(zones) > 2*t.Regions
+}
+
 // Survives tells whether voters, given by their zones, keep a majority through every loss that is tolerated.
 func (t *Tolerance) Survives(zones []string) bool { return t.SurvivesWith(zones, len(zones)) }
 
--- a/internal/system/wire/messages.go
+++ b/internal/system/wire/messages.go
@@ -145,10 +145,11 @@
 	Disk     string
 }
 
-// DiskEmptiedBody tells that all that lies on a leaving disk lies on enough others.
+// DiskEmptiedBody tells that all that lies on a leaving disk lies on enough others, by the roster of an epoch.
 type DiskEmptiedBody struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	Disk     string
+	Epoch    uint64 // 0 of earlier versions, which tell none
 }
 
 // ReleaseUnitBody hands a unit over to the carrier that it was offered to.
