A leader names its successor by lot, and one whose machine stays before one that leaves

Cause: the first of the voters that lack nothing was named, in a fixed order, so two leaving leaders handed the group to each other for good.

--- a/internal/system/agreement/cluster_test.go
+++ b/internal/system/agreement/cluster_test.go
@@ -233,7 +233,7 @@
 		c := newCluster(8, 3)
 		leader := c.settle()
 		term, began := c.members[leader].node.Term(), c.now
-		Expect(c.members[leader].node.HandOver(c.now)).To(BeTrue())
+		Expect(c.members[leader].node.HandOver(c.now, nobody)).To(BeTrue())
 		c.carryOut(leader, false)
 		for c.now < began+testElection/2 {
 			c.step()
@@ -251,7 +251,7 @@
 		node := c.members[follower].node
 		node.Step(c.now, Message{Kind: StandForElection, From: stranger, To: follower, Term: node.Term()})
 		Expect(node.Role()).To(Equal(Follower))
-		Expect(node.HandOver(c.now)).To(BeFalse())
+		Expect(node.HandOver(c.now, nobody)).To(BeFalse())
 		for _, name := range c.names {
 			c.cut[[2]string{name, leader}] = true
 		}
@@ -264,7 +264,7 @@
 		for began := c.now; c.now < began+2*testElection; {
 			c.step()
 		}
-		Expect(c.members[leader].node.HandOver(c.now)).To(BeFalse())
+		Expect(c.members[leader].node.HandOver(c.now, nobody)).To(BeFalse())
 	})
 
 	ginkgo.It("does not lose its leader to a member that comes back from a cut", func() {
@@ -303,7 +303,7 @@
 		switch c.random.IntN(9) {
 		case 8:
 			if leader != "" {
-				c.members[leader].node.HandOver(c.now)
+				c.members[leader].node.HandOver(c.now, nobody)
 				c.carryOut(leader, false)
 			}
 		case 0:
--- a/internal/system/agreement/election.go
+++ b/internal/system/agreement/election.go
@@ -1,6 +1,9 @@
 package agreement
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // followsLeader tells whether a leader was heard within the least election timeout: no vote is given then.
 func (n *Node) followsLeader() bool {
@@ -129,10 +132,11 @@
 }
 
 // HandOver has another voter that holds the whole log stand for election at once, without waiting for this leader's
-// silence. This one leads on until the other is elected. The answer is false where it does not lead, or where nobody can.
-func (n *Node) HandOver(now time.Duration) bool {
+// silence. This one leads on until the other is elected. One that is avoided is named only where there is no other. The answer is false where it
+// does not lead, or where nobody can.
+func (n *Node) HandOver(now time.Duration, avoided func(id string) bool) bool {
 	n.now = now
-	successor := n.successor()
+	successor := n.successor(avoided)
 	if successor == "" {
 		return false
 	}
@@ -140,22 +144,45 @@
 	return true
 }
 
-// successor is the voter that has answered last of those that lack nothing that is committed, empty where there is none.
-func (n *Node) successor() string {
+// successor is a voter that lacks nothing that is committed and was heard a moment ago: one that is not avoided before one that is, and then
+// one of those that hold most, by lot. With a fixed order two that both want to be rid of a group would name each other for good. Empty where
+// there is none.
+func (n *Node) successor(avoided func(id string) bool) string {
 	if n.role != Leader {
 		return ""
 	}
-	best := ""
+	var best []string
 	for _, id := range without(n.group.Voters, n.options.Self) {
 		follower := n.followers[id]
 		if follower == nil || follower.match < n.log.committed || n.now-follower.heard > n.options.ElectionTimeout {
 			continue
 		}
-		if best == "" || follower.match > n.followers[best].match {
-			best = id
+		switch order := n.compareSuccessors(id, best, avoided); {
+		case order > 0:
+			best = []string{id}
+		case order == 0:
+			best = append(best, id)
 		}
 	}
-	return best
+	if len(best) == 0 {
+		return ""
+	}
+	return best[n.options.Random(int64(len(best)))]
+}
+
+// compareSuccessors is over 0 where a voter succeeds better than those that were found so far, 0 where as well.
+func (n *Node) compareSuccessors(id string, found []string, avoided func(id string) bool) int {
+	if len(found) == 0 {
+		return 1
+	}
+	other := found[0]
+	switch {
+	case avoided(id) && !avoided(other):
+		return -1
+	case !avoided(id) && avoided(other):
+		return 1
+	}
+	return cmp.Compare(n.followers[id].match, n.followers[other].match)
 }
 
 // standForElection follows the leader's word to succeed it.
--- a/internal/system/role/keeper/groups.go
+++ b/internal/system/role/keeper/groups.go
@@ -38,7 +38,7 @@
 
 func (c *Core) tendGroup(id int, node *agreement.Node) {
 	if c.blind() || id == SessionGroup && c.lacking() {
-		node.HandOver(c.now)
+		node.HandOver(c.now, c.leaves)
 		return
 	}
 	group := node.Group()
@@ -84,7 +84,7 @@
 		return
 	}
 	if goes == c.options.IDs[id] {
-		node.HandOver(c.now) // its successor takes it out
+		node.HandOver(c.now, c.leaves) // its successor takes it out
 		return
 	}
 	c.changeGroup(id, group.With(goes, agreement.Out))
@@ -163,7 +163,7 @@
 	for _, g := range c.groups {
 		if g.node.Leading() {
 			yielded = false
-			g.node.HandOver(now)
+			g.node.HandOver(now, c.leaves)
 		}
 	}
 	return yielded
