An end goes to all counted disks where a holder leaves; an empty disk takes none before it goes

The store refuses ends from its last look on until the keepers let the disk go, so that a carrier that knows an older roster tells the others.

--- a/internal/system/node/store_repair.go
+++ b/internal/system/node/store_repair.go
@@ -51,6 +51,14 @@
 	})
 }
 
+// Seal implements store.RepairEnvironment.
+func (n *storeNode) Seal(sealed bool, done func()) {
+	n.askCore(func(core *store.Core) func() {
+		core.Seal(sealed)
+		return done
+	})
+}
+
 // Complete implements store.RepairEnvironment.
 func (n *storeNode) Complete() bool { return n.complete.Load() }
 
--- a/internal/system/role/carrier/outbox.go
+++ b/internal/system/role/carrier/outbox.go
@@ -77,8 +77,8 @@
 	return box
 }
 
-// recipients gives the disks to tell about a message: those that hold it. Where one of these does not count, or is out of the roster, others
-// were given copies of what lay on it, and all that count are told. So they are where too few are known to hold it: an end has to lie on as
+// recipients gives the disks to tell about a message: those that hold it. Where one of these does not count, is leaving or is out of the roster,
+// others were given copies of what lay on it, and all that count are told. So they are where too few are known to hold it: an end has to lie on as
 // many disks as its message, or who hears all but those that may be lost might not hear of it.
 func (s *storage) recipients(holders []string) []string {
 	view := s.core.session.View()
@@ -87,7 +87,7 @@
 		return holders
 	}
 	for _, disk := range holders {
-		if !view.Disks[disk].Counted {
+		if entry := view.Disks[disk]; !entry.Counted || entry.Leaving {
 			return counted
 		}
 	}
--- a/internal/system/role/store/core.go
+++ b/internal/system/role/store/core.go
@@ -41,6 +41,7 @@
 	disk     string
 	started  bool
 	complete bool
+	sealed   bool  // takes no ends: the disk is about to leave the roster
 	bytes    int64 // of all segments
 	cleaned  int64 // what the last cleaning left
 	sizes    map[uint64]int64
--- a/internal/system/role/store/empty.go
+++ b/internal/system/role/store/empty.go
@@ -9,8 +9,12 @@
 	"granitewing/internal/system/wire"
 )
 
-// emptyInterval is the time between two steps of emptying a disk.
-const emptyInterval = 100 * time.Millisecond
+// Times of emptying a disk.
+const (
+	emptyInterval = 100 * time.Millisecond // between two steps
+	// sealedFor is how long a disk that is empty takes no ends while the keepers do not let it go. Who tells of one keeps it that long.
+	sealedFor = time.Second
+)
 
 // Emptier empties a leaving disk: it has other disks take copies of what would lie on too few without it, and tells the
 // keepers once nothing does.
@@ -24,6 +28,9 @@
 	sender    *sender // while the disk is being emptied
 	learning  int     // calls that are out
 	planned   bool    // copies were sent since the lists were read
+	sealed    bool    // the store takes no ends
+	sealing   bool    // the core is being told so, or otherwise
+	sealedAt  time.Duration
 }
 
 // NewEmptier makes an emptier for a disk, which moves so many bytes a second at the most (0: without a bound); Start begins.
@@ -35,8 +42,12 @@
 func (e *Emptier) Start() {
 	e.env.After(emptyInterval, e.Start)
 	view := e.session.View()
-	if !view.Disks[e.disk].Leaving {
+	own, known := view.Disks[e.disk]
+	if !own.Leaving {
 		e.lists, e.sender = nil, nil
+		if known {
+			e.seal(false)
+		}
 		return
 	}
 	if e.lists == nil {
@@ -49,7 +60,7 @@
 }
 
 func (e *Emptier) step(view *member.View) {
-	if e.sender.sending > 0 || e.learning > 0 || !e.throttle.free(e.env.Now()) {
+	if e.sender.sending > 0 || e.learning > 0 || e.sealing || !e.throttle.free(e.env.Now()) {
 		return
 	}
 	if e.planned {
@@ -64,14 +75,42 @@
 	}
 	lacking, unlearned := e.lacking(view)
 	if len(lacking) == 0 && len(unlearned) == 0 {
-		e.session.DiskEmptied(view.Epoch, func(error) {})
+		e.finish(view)
 		return
 	}
+	e.seal(false)
 	e.planned = true
 	e.learn(view, unlearned)
 	e.sender.send(view, lacking)
 }
 
+// finish has the store take no ends any more, looks once more at what it took until then, and tells the keepers that the disk is empty. Whoever is
+// refused tells the end to the others once this disk is out of the roster.
+func (e *Emptier) finish(view *member.View) {
+	switch {
+	case !e.sealed:
+		e.seal(true)
+	case e.env.Now()-e.sealedAt > sealedFor:
+		e.seal(false) // the keepers do not let it go yet
+	default:
+		e.session.DiskEmptied(view.Epoch, func(error) {})
+	}
+}
+
+// seal has the core take no ends, or take them again; this store's list is read on after that.
+func (e *Emptier) seal(sealed bool) {
+	if e.sealed == sealed || e.sealing {
+		return
+	}
+	e.sealing = true
+	e.env.Seal(sealed, func() {
+		e.sealing, e.sealed, e.sealedAt = false, sealed, e.env.Now()
+		if e.lists != nil {
+			e.lists.againOwn()
+		}
+	})
+}
+
 // lacking gives the messages that this disk holds something of and that lie on too few of the others: those that it can hand
 // over, and those of which others know more, as an end that was told while this disk was cut off.
 func (e *Emptier) lacking(view *member.View) (held, unlearned []shortage) {
--- a/internal/system/role/store/empty_test.go
+++ b/internal/system/role/store/empty_test.go
@@ -24,6 +24,7 @@
 func (i *idle) Fill([]wire.CopiedMessage, bool)                      {}
 func (i *idle) Complete() bool                                       { return true }
 func (i *idle) Filling() bool                                        { return false }
+func (i *idle) Seal(bool, func())                                    {}
 func (i *idle) Held(wire.HeldBody, func(wire.HeldAnswer))            {}
 func (i *idle) Copies(_ []string, done func(wire.CopiesBody, error)) { i.copies = done }
 func (i *idle) Report(string, error)                                 {}
--- a/internal/system/role/store/handle.go
+++ b/internal/system/role/store/handle.go
@@ -2,6 +2,13 @@
 
 import "granitewing/internal/system/wire"
 
+// sealedRefusal answers who tells a sealed store of an end.
+var sealedRefusal = wire.RefusalBody{Code: wire.Failed, Reason: "this disk is empty and about to leave the roster"}
+
+// Seal has the store refuse ends and call-backs that it is told of, or take them again: its disk is about to leave the roster, and what it would
+// take now would lie on it alone.
+func (c *Core) Seal(sealed bool) { c.sealed = sealed }
+
 // Handle carries out a call. What it writes is answered once its batch is synced. An error means that nothing was begun.
 func (c *Core) Handle(kind wire.Kind, payload []byte, answerer wire.Answerer) error {
 	taken := func() { answerer.Answer(&struct{}{}) }
@@ -30,12 +37,20 @@
 		if err := wire.Decode(kind, payload, &body); err != nil {
 			return err
 		}
+		if c.sealed {
+			answerer.Refuse(sealedRefusal)
+			return nil
+		}
 		c.Ends(body.Ends, taken)
 	case wire.CallbackDone:
 		var body wire.CallbackDoneBody
 		if err := wire.Decode(kind, payload, &body); err != nil {
 			return err
 		}
+		if c.sealed {
+			answerer.Refuse(sealedRefusal)
+			return nil
+		}
 		c.CallbackDone(body.IDs, taken)
 	case wire.PutCopies:
 		var body wire.CopiesBody
--- a/internal/system/role/store/repair.go
+++ b/internal/system/role/store/repair.go
@@ -25,6 +25,8 @@
 	Held(body wire.HeldBody, done func(answer wire.HeldAnswer))
 	// Copies asks the core for copies of messages.
 	Copies(ids []string, done func(answer wire.CopiesBody, err error))
+	// Seal has the core refuse ends and call-backs that it is told of, or take them again.
+	Seal(sealed bool, done func())
 	// Report logs what an operator should know.
 	Report(event string, err error)
 }
@@ -113,6 +115,9 @@
 	return false
 }
 
+// againOwn has this store's list be read on for what has changed since.
+func (l *lists) againOwn() { l.census.source(l.session.Incarnation()).done = false }
+
 // again has all lists be read on for what has changed since.
 func (l *lists) again() {
 	for _, source := range l.census.sources {
--- a/internal/system/simulation/store_host.go
+++ b/internal/system/simulation/store_host.go
@@ -126,6 +126,14 @@
 // Filling implements store.RepairEnvironment.
 func (h *storeHost) Filling() bool { return h.busy }
 
+// Seal implements store.RepairEnvironment.
+func (h *storeHost) Seal(sealed bool, done func()) {
+	h.After(0, func() {
+		h.core.Seal(sealed)
+		done()
+	})
+}
+
 // Held implements store.RepairEnvironment.
 func (h *storeHost) Held(body wire.HeldBody, done func(wire.HeldAnswer)) {
 	h.After(0, func() {
