A list of what is held names its disk; a store that is not complete answers for no end

Cause: stores are asked by the address of a disk's machine. Class: an answer taken for another's by its address. Lists bear the disk's identity, answers about ends whether the store is complete.

--- a/internal/system/role/carrier/duplicate.go
+++ b/internal/system/role/carrier/duplicate.go
@@ -92,7 +92,7 @@
 	body := wire.FindEndsBody{IDs: []string{q.message.ID}}
 	c.env.Call(c.stores.address(disk), wire.FindEnds, wire.Encode(&body), listTimeout, func(payload []byte, err error) {
 		delete(q.asking, disk)
-		var answer wire.EndsBody
+		var answer wire.FoundEnds
 		if err == nil {
 			err = wire.Decode(wire.FindEnds, payload, &answer)
 		}
@@ -105,8 +105,10 @@
 				return
 			}
 		}
-		q.told[disk] = true
-		q.judge()
+		if answer.Complete {
+			q.told[disk] = true
+			q.judge()
+		}
 	})
 }
 
--- a/internal/system/role/carrier/handed_test.go
+++ b/internal/system/role/carrier/handed_test.go
@@ -149,7 +149,7 @@
 		if err := wire.Decode(kind, payload, &body); err != nil {
 			return nil, err
 		}
-		var answer wire.EndsBody
+		answer := wire.FoundEnds{Complete: true}
 		for _, id := range body.IDs {
 			if end, ended := s.ends[id]; ended {
 				answer.Ends = append(answer.Ends, end)
--- a/internal/system/role/carrier/recovery.go
+++ b/internal/system/role/carrier/recovery.go
@@ -196,11 +196,11 @@
 	c := r.core
 	l := r.round[disk]
 	c.env.Call(c.stores.address(disk), wire.FindEnds, payload, listTimeout, func(payload []byte, err error) {
-		var answer wire.EndsBody
+		var answer wire.FoundEnds
 		if err == nil {
 			err = wire.Decode(wire.FindEnds, payload, &answer)
 		}
-		if err != nil {
+		if err != nil || !answer.Complete {
 			delete(r.round, disk)
 			*l = listing{} // it is listed anew
 		} else {
--- a/internal/system/role/carrier/review.go
+++ b/internal/system/role/carrier/review.go
@@ -46,7 +46,7 @@
 func (c *Core) reviewAt(disk string, ids []string, waiting map[string]*item) {
 	body := wire.FindEndsBody{IDs: ids}
 	c.env.Call(c.stores.address(disk), wire.FindEnds, wire.Encode(&body), listTimeout, func(payload []byte, err error) {
-		var answer wire.EndsBody
+		var answer wire.FoundEnds
 		if err != nil || wire.Decode(wire.FindEnds, payload, &answer) != nil {
 			return // it is asked again
 		}
--- a/internal/system/role/store/census.go
+++ b/internal/system/role/store/census.go
@@ -34,6 +34,7 @@
 	epoch uint64 // as the store told it when it last had no more
 	done  bool   // it had no more
 	busy  bool
+	lost  bool // another disk's store answers at the machine's address
 }
 
 func newCensus(tolerated *tolerance.Tolerance) *census {
--- a/internal/system/role/store/ends.go
+++ b/internal/system/role/store/ends.go
@@ -55,7 +55,7 @@
 
 func (a *EndsAsker) ask(address string, body []byte) {
 	a.env.Call(address, wire.FindEnds, body, askTimeout, func(payload []byte, err error) {
-		var answer wire.EndsBody
+		var answer wire.FoundEnds
 		if err == nil && wire.Decode(wire.FindEnds, payload, &answer) == nil && len(answer.Ends) > 0 {
 			a.ended(answer.Ends)
 		}
--- a/internal/system/role/store/handle.go
+++ b/internal/system/role/store/handle.go
@@ -94,7 +94,7 @@
 		if err := wire.Decode(kind, payload, &body); err != nil {
 			return err
 		}
-		return reply(answerer, &wire.EndsBody{Ends: c.FindEnds(body.IDs)}, nil)
+		return reply(answerer, &wire.FoundEnds{Ends: c.FindEnds(body.IDs), Complete: c.complete}, nil)
 	case wire.ListHeld:
 		var body wire.HeldBody
 		if err := wire.Decode(kind, payload, &body); err != nil {
--- a/internal/system/role/store/held.go
+++ b/internal/system/role/store/held.go
@@ -10,7 +10,7 @@
 
 // Held lists a part of what the store holds, in the order of the latest changes.
 func (c *Core) Held(body wire.HeldBody) wire.HeldAnswer {
-	answer := wire.HeldAnswer{Next: body.After, Epoch: c.settled}
+	answer := wire.HeldAnswer{Next: body.After, Epoch: c.settled, Disk: c.disk}
 	changed := c.index.changedSince(body.After, heldRecords)
 	answer.More = len(changed) == heldRecords
 	for _, e := range changed {
--- a/internal/system/role/store/repair.go
+++ b/internal/system/role/store/repair.go
@@ -64,7 +64,7 @@
 			continue
 		}
 		silent = append(silent, other.Member.Zone)
-		if l.env.Up(other.Member.Address) {
+		if !source.lost && l.env.Up(other.Member.Address) {
 			asked++
 			l.ask(id, other, source)
 		}
@@ -87,6 +87,10 @@
 		if err != nil {
 			return // it is asked again
 		}
+		if answer.Disk != id {
+			source.lost = true
+			return
+		}
 		l.census.take(id, source, &answer)
 		if answer.More {
 			l.ask(id, other, source)
--- a/internal/system/wire/messages.go
+++ b/internal/system/wire/messages.go
@@ -185,6 +185,13 @@
 	Ends     []message.End
 }
 
+// FoundEnds tells the ends of messages that were asked for.
+type FoundEnds struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Ends     []message.End
+	Complete bool // the store holds all that a counted one has to: it knows no end of the others
+}
+
 // CallbackDoneBody records that the ends of messages were told.
 type CallbackDoneBody struct {
 	_msgpack struct{} `msgpack:",as_array"`
@@ -262,6 +269,8 @@
 	Next     uint64      // for the next call
 	More     bool
 	Epoch    uint64 // of a roster: all that was taken for an older one is told, and nothing more is taken for one
+	// Disk is the identity of the disk whose store answers. Another than the one that was meant may answer at its machine's address.
+	Disk string
 }
 
 // FetchBody asks for copies of some messages.
