Status and inspect tell which machines are being emptied, since when, and what each waits for

status gives a line for each with its age as this keeper knows it; inspect roster reads the same from a keeper's folder of the sessions' group.

--- a/internal/system/command/people.go
+++ b/internal/system/command/people.go
@@ -88,7 +88,15 @@
 			return inspectControl(command, arguments[0])
 		},
 	}
-	return group("inspect", "Tell what lies on a disk", "  granitewing inspect messages /data/store/messages", messages, control)
+	roster := &cobra.Command{
+		Use: "roster FOLDER", Short: "Tell which disks and emptyings a keeper's sessions have", Args: exactly(1),
+		Long:    "Tell which disks and emptyings the sessions' group has in a keeper's folder. Entries that may not be committed are among them.",
+		Example: "  granitewing inspect roster /data/keeper/control-1",
+		RunE: func(command *cobra.Command, arguments []string) error {
+			return inspectRoster(command.OutOrStdout(), arguments[0])
+		},
+	}
+	return group("inspect", "Tell what lies on a disk", "  granitewing inspect messages /data/store/messages", messages, control, roster)
 }
 
 // readOnly is a folder that nothing is written to: what a log would create is thrown away.
--- a/internal/system/command/status.go
+++ b/internal/system/command/status.go
@@ -102,6 +102,9 @@
 		fmt.Fprintf(table, "disk\t%s\tof %s\t%s%s%s\n", disk.Disk, disk.Node, pick(disk.Live, "live", "gone"),
 			pick(disk.Counted, ", counts", ", being filled"), mark(disk.Leaving, ", being emptied"))
 	}
+	for _, emptying := range status.Emptyings {
+		fmt.Fprintf(table, "emptying\t%s\tfor %s or more\t%s\twaits for %s\n", emptying.Node, emptying.Age, pick(emptying.Begun, "takes no messages", "not begun"), emptying.Waits)
+	}
 	if status.CatalogAge == "" {
 		status.Services = nil // only the leader of the sessions reads the list of workers
 	}
--- a/internal/system/role/keeper/core.go
+++ b/internal/system/role/keeper/core.go
@@ -96,9 +96,10 @@
 	catalogKnown    bool
 	catalogDue      time.Duration
 	reconcileDue    time.Duration
-	toleranceTold   time.Duration   // until when the telling of what may be lost is under way
-	keepers         map[string]bool // addresses of the keepers that belong to a group, and this one's
-	known           []string        // addresses of other keepers, the latest heard last
+	retiringSince   map[string]time.Duration // machines that are being emptied
+	toleranceTold   time.Duration            // until when the telling of what may be lost is under way
+	keepers         map[string]bool          // addresses of the keepers that belong to a group, and this one's
+	known           []string                 // addresses of other keepers, the latest heard last
 }
 
 // LostError tells a waiter that its order may or may not be taken.
--- a/internal/system/role/keeper/sessions.go
+++ b/internal/system/role/keeper/sessions.go
@@ -150,6 +150,7 @@
 	if after := c.sessions.Members(session.Carrier); !slices.Equal(before, after) {
 		c.carriersChanged = c.now
 	}
+	c.noteRetiring()
 	return refused
 }
 
--- a/internal/system/role/keeper/status.go
+++ b/internal/system/role/keeper/status.go
@@ -16,6 +16,7 @@
 	Groups        []GroupStatus    `json:"groups"`
 	Members       []MemberStatus   `json:"members"`
 	Disks         []DiskStatus     `json:"disks"`
+	Emptyings     []EmptyingStatus `json:"emptyings,omitempty"`
 	Units         []UnitStatus     `json:"units"`
 	Services      []ServiceStatus  `json:"services"`
 	Departed      []DepartedStatus `json:"departed"`
@@ -52,6 +53,14 @@
 	Leaving bool   `json:"leaving"`
 }
 
+// EmptyingStatus is one machine that is to be emptied.
+type EmptyingStatus struct {
+	Node  string `json:"node"`
+	Age   string `json:"age"`   // since this keeper learned of the order, in this life
+	Begun bool   `json:"begun"` // its disks take no messages any more
+	Waits string `json:"waits_for"`
+}
+
 // UnitStatus is who owns a unit.
 type UnitStatus struct {
 	Unit  string `json:"unit"`
@@ -96,6 +105,7 @@
 		status.Groups = append(status.Groups, told)
 	}
 	status.Members, status.Disks = c.memberStatus(), c.diskStatus()
+	status.Emptyings = c.emptyingStatus()
 	status.Units, status.Services = c.unitStatus(), c.serviceStatus()
 	for _, gone := range c.sessions.Departed() {
 		status.Departed = append(status.Departed, DepartedStatus{Incarnation: gone.Incarnation, Adopter: gone.Adopter})
@@ -129,6 +139,28 @@
 	return disks
 }
 
+func (c *Core) emptyingStatus() []EmptyingStatus {
+	var emptyings []EmptyingStatus
+	for _, e := range c.sessions.Emptyings(Groups) {
+		age := (c.now - c.retiringSince[e.Node]).Round(time.Millisecond)
+		emptyings = append(emptyings, EmptyingStatus{Node: e.Node, Age: age.String(), Begun: e.Begun, Waits: e.Waits})
+	}
+	return emptyings
+}
+
+// noteRetiring remembers since when machines are known to be emptied.
+func (c *Core) noteRetiring() {
+	since := map[string]time.Duration{}
+	for _, e := range c.sessions.Emptyings(Groups) {
+		began, known := c.retiringSince[e.Node]
+		if !known {
+			began = c.now
+		}
+		since[e.Node] = began
+	}
+	c.retiringSince = since
+}
+
 func (c *Core) unitStatus() []UnitStatus {
 	var units []UnitStatus
 	for _, shard := range c.owners {
--- a/internal/system/session/retire.go
+++ b/internal/system/session/retire.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+
+	"granitewing/internal/system/ordered"
 )
 
 // Retirement is how far the emptying of a machine is.
@@ -107,13 +109,16 @@
 }
 
 // Missing tells whether a disk that counts and stays, of another machine than one, has no live store.
-func (s *State) Missing(besides string) bool {
-	for id, disk := range s.disks {
+func (s *State) Missing(besides string) bool { return s.missingNode(besides) != "" }
+
+// missingNode is the machine of such a disk, empty where there is none.
+func (s *State) missingNode(besides string) string {
+	for id, disk := range ordered.Map(s.disks) {
 		if disk.Counted && !disk.Leaving && !s.live(id) && disk.Member.Node != besides {
-			return true
+			return disk.Member.Node
 		}
 	}
-	return false
+	return ""
 }
 
 // returned forgets that a machine was emptied: another of its name has come, at another address.
--- a/internal/system/session/spare_test.go
+++ b/internal/system/session/spare_test.go
@@ -185,3 +185,30 @@
 		Expect(retire(again, 1)).To(BeAssignableToTypeOf(&TooFewError{}))
 	})
 })
+
+var _ = ginkgo.Describe("What an emptying waits for", func() {
+	ginkgo.It("is told at each stage", func() {
+		state := fleetOfStores(4, &tolerance.Tolerance{Machines: 1})
+		state.Apply(leaveOf(3))
+		state.Apply(Command{Kind: Retire, Node: nodeOf(0)})
+		waits := func() Emptying {
+			emptyings := state.Emptyings(2)
+			Expect(emptyings).To(HaveLen(1))
+			return emptyings[0]
+		}
+		Expect(waits()).To(Equal(Emptying{Node: nodeOf(0), Waits: "3 live disks to stay without it, in enough zones; there are 2"}))
+		state.Apply(joinOf(3, true))
+		Expect(waits()).To(Equal(Emptying{Node: nodeOf(0), Begun: true, Waits: "its disk to hand over what lies on too few others"}))
+		state.Apply(leaveOf(2))
+		Expect(waits().Waits).To(Equal("the store of storage-2, which is gone: what lies here may be the last copy"))
+		state.Apply(joinOf(2, true))
+		state.Apply(leaveOf(0))
+		Expect(waits().Waits).To(Equal("its store, which is gone"))
+		state.Apply(joinOf(0, true))
+		state.Apply(Command{Kind: DiskEmptied, Disk: diskOf(0), Epoch: state.Epoch()})
+		Expect(waits().Waits).To(Equal("2 control groups to do without it"))
+		state.Apply(Command{Kind: GroupLeft, Node: nodeOf(0), Group: 0})
+		state.Apply(Command{Kind: GroupLeft, Node: nodeOf(0), Group: 1})
+		Expect(state.Emptyings(2)).To(BeEmpty())
+	})
+})
