--- a/internal/system/command/people.go
+++ b/internal/system/command/people.go
@@ -153,11 +153,7 @@
 }
 
 func inspectControl(command *cobra.Command, path string) error {
-	files, err := openReadOnly(path)
-	if err != nil {
-		return err
-	}
-	member, err := disk.Open(files, disk.Identity{ID: "(empty disk)"})
+	member, err := openMember(path)
 	if err != nil {
 		return err
 	}
@@ -166,3 +162,12 @@
 		stored.HardState.Term, stored.HardState.Vote, stored.Snapshot.Index, len(stored.Entries), stored.Snapshot.Members.Voters)
 	return nil
 }
+
+// openMember reads what a folder has of a group's member, without changing it.
+func openMember(path string) (*disk.Member, error) {
+	files, err := openReadOnly(path)
+	if err != nil {
+		return nil, err
+	}
+	return disk.Open(files, disk.Identity{ID: "(empty disk)"})
+}
--- a/internal/system/command/roster.go
+++ b/internal/system/command/roster.go
@@ -15,11 +15,7 @@
 
 // inspectRoster prints what a folder of the sessions' group knows of disks and of machines that are being emptied.
 func inspectRoster(output io.Writer, path string) error {
-	files, err := openReadOnly(path)
-	if err != nil {
-		return err
-	}
-	member, err := disk.Open(files, disk.Identity{ID: "(empty disk)"})
+	member, err := openMember(path)
 	if err != nil {
 		return err
 	}
--- a/internal/system/simulation/draw_planned.go
+++ b/internal/system/simulation/draw_planned.go
@@ -95,7 +95,7 @@
 		return nil
 	}
 	p.storage = at + storageRestart
-	return []string{fmt.Sprintf("term storage-%d", 1+p.random.IntN(storageCount+p.added))}
+	return []string{"term " + storageName(1+p.random.IntN(storageCount+p.added), storageCount)}
 }
 
 func (p *plannedWork) retire() []string {
@@ -103,5 +103,5 @@
 		return nil
 	}
 	p.spare--
-	return []string{fmt.Sprintf("retire storage-%d", 1+p.random.IntN(storageCount+p.added))}
+	return []string{"retire " + storageName(1+p.random.IntN(storageCount+p.added), storageCount)}
 }
--- a/internal/system/simulation/draw_retirements.go
+++ b/internal/system/simulation/draw_retirements.go
@@ -54,9 +54,14 @@
 
 // storage names one of the machines with a disk; it may be gone already.
 func (d *retirementDraw) storage() string {
-	number := 1 + d.random.IntN(d.machines)
-	if number > d.scenario.Storage {
-		number += carrierCount // added machines are numbered after all others
+	return storageName(1+d.random.IntN(d.machines), d.scenario.Storage)
+}
+
+// storageName names the machine with a disk that came as the so manyth, where so many were there at the start: those that are added are numbered
+// after all other machines.
+func storageName(number, atStart int) string {
+	if number > atStart {
+		number += carrierCount
 	}
 	return fmt.Sprintf("storage-%d", number)
 }
