Interim answers of a worker are nobody's: the final one behind them is taken

Cause: any head that bore the message's id ended its attempt as 'tells neither success nor failure', a 1xx too; a success behind it was passed over, and the message sent again.

--- a/internal/system/workers/connection.go
+++ b/internal/system/workers/connection.go
@@ -150,7 +150,7 @@
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, &idleError{err: err}
 	}
-	response, err := http.ReadResponse(c.reader, &http.Request{Method: c.method()})
+	response, err := c.readFinal()
 	if err != nil {
 		return nil, err
 	}
@@ -165,6 +165,20 @@
 		rests: restsFor(response.Header.Get(wire.HeaderKeepAlive))}, nil
 }
 
+// readFinal reads the head of the next answer that is final. Interim ones (1xx) that come before it are nobody's answer, whatever id they bear; they
+// count for its bound of bytes. A change of the protocol is final.
+func (c *connection) readFinal() (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: c.method()})
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+			return response, nil
+		}
+	}
+}
+
 // method is that of the message that is out, which tells whether its answer has a body.
 func (c *connection) method() string {
 	c.mutex.Lock()
