--- a/internal/system/simulation/retire_test.go
+++ b/internal/system/simulation/retire_test.go
@@ -19,7 +19,14 @@
 // moment for good. Its voters were on leaving machines, all let go by another group that they needed: of the keepers that had no table of
 // sessions none could tell who leaves, and of those that led the sessions and lacked another group none tended it. Each handed over to the next.
 func TestVotersThatLeaveTogether(t *testing.T) {
-	playSeeds(t, filepath.Join("testdata", "retirements", "all-voters-leave.txt"))
+	for _, file := range []string{"all-voters-leave.txt", "group-that-nobody-tends.txt"} {
+		t.Run(file, func(t *testing.T) { playSeeds(t, filepath.Join("testdata", "retirements", file)) })
+	}
+}
+
+// What was seen and why: TestEndOfAMessageWhoseHolderLeaves in role/carrier. This is what is left of the drawn schedule that broke.
+func TestEndThatLeftWithItsDisk(t *testing.T) {
+	playSeeds(t, filepath.Join("testdata", "retirements", "end-that-left-with-its-disk.txt"))
 }
 
 // TestDrawnRetirements plays drawn schedules in which several machines are ordered to be emptied at about the same time.
