Failing tests: an owed call-back that no store lists; sight of call-backs that are given up

Carriers log call-backs that are given up, and how many owed ones they take over. No decision is changed.

--- a/internal/system/role/carrier/callback.go
+++ b/internal/system/role/carrier/callback.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/url"
 	"time"
 
@@ -38,6 +39,20 @@
 	waking   bool
 }
 
+// GivenUpError tells of a call-back that no receiver took.
+type GivenUpError struct {
+	ID     string // of the message
+	Tries  int
+	Status int   // of the latest answer; 0 where there was none
+	Err    error // of the latest try
+}
+
+func (e *GivenUpError) Error() string {
+	return fmt.Sprintf("message %s: %d tries, latest status %d, %v", e.ID, e.Tries, e.Status, e.Err)
+}
+
+func (e *GivenUpError) Unwrap() error { return e.Err }
+
 type callbackForm struct {
 	ID    string        `json:"id"`
 	Phase message.Phase `json:"phase"`
@@ -132,7 +147,12 @@
 	if status == malformed {
 		call.refusals++
 	}
-	if err == nil && status == taken || call.refusals >= maxRefusals || call.tries >= maxCallbackTries {
+	done := err == nil && status == taken
+	if !done && (call.refusals >= maxRefusals || call.tries >= maxCallbackTries) {
+		done = true
+		c.env.Report("a call-back is given up", &GivenUpError{ID: call.end.ID, Tries: call.tries, Status: status, Err: err})
+	}
+	if done {
 		r.failures = 0
 		c.figures.Callbacks++
 		call.unit.unrecorded--
--- a/internal/system/role/carrier/recovery_merge.go
+++ b/internal/system/role/carrier/recovery_merge.go
@@ -39,11 +39,15 @@
 		return a.ID < b.ID
 	})
 	u.active = true
+	owed := 0
 	for _, id := range ids {
-		r.adopt(messages[id])
+		if r.adopt(messages[id]) {
+			owed++
+		}
 	}
-	if len(u.items) > 0 {
-		c.env.Inform(fmt.Sprintf("unit %s is taken over with %d messages, after %s", u.name, len(u.items), c.env.Now()-r.began))
+	if len(u.items)+owed > 0 {
+		c.env.Inform(fmt.Sprintf("unit %s is taken over with %d messages and %d owed call-backs, after %s", u.name, len(u.items), owed,
+			c.env.Now()-r.began))
 	}
 	c.settleDeparted()
 }
@@ -89,8 +93,8 @@
 	return messages
 }
 
-// adopt takes a message that the stores hold.
-func (r *recovery) adopt(f *found) {
+// adopt takes a message that the stores hold; true where it has ended and its call-back is owed.
+func (r *recovery) adopt(f *found) (owed bool) {
 	c, u := r.core, r.unit
 	m := f.listed.Message
 	if f.end == nil {
@@ -100,13 +104,14 @@
 	}
 	if f.end != nil {
 		c.stores.recordEnd(u, f.holders, *f.end)
-		if f.end.CallbackOwed && m.Callback != "" {
+		owed = f.end.CallbackOwed && m.Callback != ""
+		if owed {
 			c.tell(u, m.Callback, *f.end, f.holders)
 		}
-		return
+		return owed
 	}
-	if u.items[m.ID] != nil {
-		return
+	if u.items[m.ID] == nil {
+		c.takeBack(u, &m, f.holders, c.env.Now()-f.listed.Age)
 	}
-	c.takeBack(u, &m, f.holders, c.env.Now()-f.listed.Age)
+	return false
 }
--- a/internal/system/role/store/store_test.go
+++ b/internal/system/role/store/store_test.go
@@ -20,6 +20,8 @@
 	log  *segment.Log
 	now  time.Duration
 	full bool // the disk takes no more bytes
+	// unsynced leaves syncs out, for plays of many steps in which no power is lost.
+	unsynced bool
 }
 
 func (b *bench) open(bootstrap bool) {
@@ -44,7 +46,9 @@
 		var err error
 		positions, err = b.log.Append(batch.Payloads...)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(b.log.Sync()).To(Succeed())
+		if !b.unsynced {
+			Expect(b.log.Sync()).To(Succeed())
+		}
 	}
 	b.core.Synced(b.now, batch, positions)
 }
--- a/internal/system/simulation/judge.go
+++ b/internal/system/simulation/judge.go
@@ -15,6 +15,7 @@
 	d.world.runUntil(d.world.now + settleTime)
 	d.judgeStates()
 	d.judgeCopies()
+	d.judgeCallbacks()
 	d.judgeWhole()
 	d.checker.judgeService()
 	d.judgeWaiting()
