--- a/internal/system/role/store/copy.go
+++ b/internal/system/role/store/copy.go
@@ -36,6 +36,7 @@
 	if e == nil {
 		e = c.index.add(m.ID, m.Unit, c.now-copied.Age)
 	}
+	c.index.join(e, m.Unit)
 	if m.Method == "" {
 		return // only its end is known
 	}
--- a/internal/system/role/store/core.go
+++ b/internal/system/role/store/core.go
@@ -164,10 +164,8 @@
 	}
 	if e == nil {
 		e = c.index.add(m.ID, m.Unit, c.now)
-	} else if e.unit == "" {
-		e.unit = m.Unit
-		c.index.join(e)
 	}
+	c.index.join(e, m.Unit)
 	e.retention, e.putting = m.Retention, true
 	r := record{Kind: recordMessage, Message: m}
 	c.batch = append(c.batch, pendingRecord{payload: c.encode(r), synced: func(position segment.Position) {
--- a/internal/system/role/store/index.go
+++ b/internal/system/role/store/index.go
@@ -15,7 +15,7 @@
 type entry struct {
 	id           string
 	unit         string
-	place        uint64 // in the order of arrival at this store
+	place        uint64 // in its unit's list, in the order of joining; 0 while no unit is known
 	changed      uint64 // in the order of changes
 	older, newer *entry // those that changed just before and just after
 	position     segment.Position
@@ -42,7 +42,7 @@
 // needsBytes tells whether the message's record has to stay.
 func (e *entry) needsBytes() bool { return e.listed() || e.held && e.phase == message.DeadLetter }
 
-// unitIndex is the messages of a unit in their order of arrival.
+// unitIndex is the messages of a unit in the order in which they joined it.
 type unitIndex struct {
 	entries []*entry // ascending by place
 	gone    int      // of them, those that the index has forgotten
@@ -101,24 +101,27 @@
 
 func (x *index) get(id string) *entry { return x.entries[id] }
 
-// add makes an entry for an id that is not known.
+// add makes an entry for an id that is not known; its unit may be empty.
 func (x *index) add(id, unit string, arrived time.Duration) *entry {
-	x.place++
-	e := &entry{id: id, unit: unit, place: x.place, arrived: arrived, phase: message.Pending}
+	e := &entry{id: id, arrived: arrived, phase: message.Pending}
 	x.entries[id] = e
 	x.touch(e)
-	if unit != "" {
-		x.join(e)
-	}
+	x.join(e, unit)
 	return e
 }
 
-func (x *index) join(e *entry) {
-	unit := x.units[e.unit]
+// join puts an entry at the end of its unit's list once the unit is known. An end may come before its message, and names no unit.
+func (x *index) join(e *entry, name string) {
+	if name == "" || e.unit != "" {
+		return
+	}
+	unit := x.units[name]
 	if unit == nil {
 		unit = &unitIndex{}
-		x.units[e.unit] = unit
+		x.units[name] = unit
 	}
+	x.place++
+	e.unit, e.place = name, x.place
 	unit.entries = append(unit.entries, e)
 }
 
--- a/internal/system/role/store/load.go
+++ b/internal/system/role/store/load.go
@@ -209,10 +209,7 @@
 
 func (c *Core) loadMessage(position segment.Position, size uint32, r *loadedRecord) {
 	e := c.loadedEntry(r)
-	if e.unit == "" {
-		e.unit = r.Unit
-		c.index.join(e)
-	}
+	c.index.join(e, r.Unit)
 	e.held, e.position, e.size, e.retention = true, position, size, r.Retention
 	e.shared = true
 }
