--- a/internal/system/role/carrier/duplicate.go
+++ b/internal/system/role/carrier/duplicate.go
@@ -112,7 +112,8 @@
 	})
 }
 
-// ended keeps an end that a store told. Disks that lack it are told; the call-back, where one is owed, was taken over with the unit.
+// ended keeps an end that a store told. Disks that lack it are told. A call-back that is owed is made here, perhaps once more: when the unit was taken
+// over, the message may have lain on disks that were not heard.
 func (q *endQuery) ended(end message.End) {
 	c := q.core
 	q.finish()
@@ -121,6 +122,9 @@
 	}
 	c.recent.add(c.env.Now(), end)
 	c.stores.recordEnd(q.unit, q.holders, end)
+	if end.CallbackOwed && q.message.Callback != "" {
+		c.tell(q.unit, q.message.Callback, end, q.holders)
+	}
 	c.endedBefore()
 }
 
--- a/internal/system/role/carrier/handed_test.go
+++ b/internal/system/role/carrier/handed_test.go
@@ -1,6 +1,8 @@
 package carrier
 
 import (
+	"encoding/json"
+	"net/http"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -25,6 +27,7 @@
 	pacedUnit     = "paced/partner"
 	keyUnit       = "key/3"
 	ownToken      = 5
+	receiverTime  = 5 * time.Millisecond
 )
 
 // rig is one carrier on simulated time, a keeper that takes everything, and stores that hold what a test says.
@@ -36,6 +39,10 @@
 	sent    []string              // ids of messages that workers got
 	finish  func(Outcome)         // of the latest of them
 	informs []string
+	reports []error
+	// receive answers a call-back of a message; nil where none is answered.
+	receive func(id string) (status int)
+	told    []string // ids of messages whose call-back was taken
 }
 
 // heldStore is what a store tells.
@@ -50,10 +57,24 @@
 	r.sent = append(r.sent, attempt.Message.ID)
 	r.finish = done
 }
-func (r *rig) Post(string, []byte, bool, time.Duration, func(int, error)) {
+func (r *rig) Post(_ string, body []byte, _ bool, _ time.Duration, done func(int, error)) {
+	if r.receive == nil {
+		return
+	}
+	var form callbackForm
+	if err := json.Unmarshal(body, &form); err != nil {
+		panic(err) // a form of ours
+	}
+	r.After(receiverTime, func() {
+		status := r.receive(form.ID)
+		if status == http.StatusOK {
+			r.told = append(r.told, form.ID)
+		}
+		done(status, nil)
+	})
 }
 func (r *rig) ReadCatalog(func(map[string]catalog.Instance, error)) {}
-func (r *rig) Report(string, error)                                 {}
+func (r *rig) Report(_ string, err error)                           { r.reports = append(r.reports, err) }
 func (r *rig) Inform(event string)                                  { r.informs = append(r.informs, event) }
 
 const document = `{"resource-version":3,"routes":[{"name":"r","host":"h","path-prefix":"/","kind":"async","timeout-ms":500,` +
@@ -65,7 +86,7 @@
 	r := &rig{stores: map[string]*heldStore{}, table: feed.NewTable("life-1")}
 	r.Loop = &simulated.Loop{Reachable: map[string]bool{keeperAddress: true}, Answer: r.answer}
 	r.core = New(r, &settings.Settings{NodeName: "edge-1", IP: "10.0.1.1", Zone: "a", FirstPort: 7000, LastPort: 7015, Seeds: []string{keeperAddress},
-		Tolerance: tolerance.Tolerance{Machines: 1}, Limits: settings.Limits{MemoryMB: 284}, Bounds: settings.Bounds{Grace: 6 * time.Second}})
+		Tolerance: tolerance.Tolerance{Machines: 1}, Limits: settings.Limits{MemoryMB: 284}, Bounds: settings.Bounds{Grace: 6 * time.Second, Status: 120 * time.Second}})
 	r.core.Start()
 	r.Pass(100 * time.Millisecond)
 	r.table.Set(keeper.KeyConfiguration, []byte(document))
