--- a/internal/system/message/message.go
+++ b/internal/system/message/message.go
@@ -67,6 +67,10 @@
 	DeadLetter Phase = "dead_letter"
 )
 
+// OwedTimes is for how many times the time for which states are asked a store keeps an end whose call-back is owed, and a carrier tries to
+// make that call-back.
+const OwedTimes = 2
+
 // End is the end of a message.
 type End struct {
 	_msgpack struct{} `msgpack:",as_array"`
--- a/internal/system/role/carrier/callback.go
+++ b/internal/system/role/carrier/callback.go
@@ -15,8 +15,7 @@
 	callbackPause       = 150 * time.Millisecond
 	callbackPauseMost   = 2 * time.Second
 	receiverConnections = 40 // of the fleet, to one receiver
-	maxCallbackTries    = 200
-	maxRefusals         = 3 // answers 400 that end a call-back
+	maxRefusals         = 3  // answers 400 that end a call-back
 	maxReceivers        = 1024
 )
 
@@ -26,6 +25,7 @@
 	url      string
 	end      message.End
 	holders  []string
+	since    time.Duration // when it came to be owed here
 	tries    int
 	refusals int
 }
@@ -33,12 +33,16 @@
 // receiver is the queue of one receiver, by its host.
 type receiver struct {
 	waiting  []*callback
+	later    int // call-backs that failed and pause before they wait again
 	open     int
-	failures int
+	failures int // in a row
 	pausedTo time.Duration
 	waking   bool
 }
 
+// idle tells whether nothing is owed to the receiver.
+func (r *receiver) idle() bool { return r.open == 0 && r.later == 0 && len(r.waiting) == 0 }
+
 // GivenUpError tells of a call-back that no receiver took.
 type GivenUpError struct {
 	ID     string // of the message
@@ -75,13 +79,13 @@
 		c.receivers[parsed.Host] = r
 	}
 	u.unrecorded++
-	r.waiting = append(r.waiting, &callback{unit: u, url: address, end: end, holders: holders})
+	r.waiting = append(r.waiting, &callback{unit: u, url: address, end: end, holders: holders, since: c.env.Now()})
 	c.callOut(r)
 }
 
 func (c *Core) forgetReceivers() {
 	for host, r := range c.receivers {
-		if r.open == 0 && len(r.waiting) == 0 {
+		if r.idle() {
 			delete(c.receivers, host)
 		}
 	}
@@ -89,7 +93,7 @@
 
 func (c *Core) callbacksWait() bool {
 	for _, r := range c.receivers {
-		if r.open > 0 || len(r.waiting) > 0 {
+		if !r.idle() {
 			return true
 		}
 	}
@@ -142,25 +146,48 @@
 	})
 }
 
+// posted takes an answer of a receiver. What it did not take pauses by itself, so that it holds up no other.
 func (c *Core) posted(r *receiver, call *callback, status int, err error) {
 	const taken, malformed = 200, 400
 	if status == malformed {
 		call.refusals++
 	}
-	done := err == nil && status == taken
-	if !done && (call.refusals >= maxRefusals || call.tries >= maxCallbackTries) {
-		done = true
-		c.env.Report("a call-back is given up", &GivenUpError{ID: call.end.ID, Tries: call.tries, Status: status, Err: err})
-	}
-	if done {
+	switch {
+	case err == nil && status == taken:
 		r.failures = 0
 		c.figures.Callbacks++
-		call.unit.unrecorded--
-		c.stores.recordCallback(call.unit, call.holders, call.end.ID)
-		return
+		c.callbackOver(call)
+	case call.refusals >= maxRefusals || c.env.Now()-call.since > message.OwedTimes*c.settings.Bounds.Status:
+		r.failures = 0
+		c.env.Report("a call-back is given up", &GivenUpError{ID: call.end.ID, Tries: call.tries, Status: status, Err: err})
+		c.callbackOver(call)
+	default:
+		r.failures++
+		if r.failures > 1 {
+			r.pausedTo = c.env.Now() + c.callbackPause(r.failures-1)
+		}
+		c.callLater(r, call)
 	}
-	r.failures++
-	pause := min(callbackPause<<min(r.failures-1, 5), callbackPauseMost)
-	r.pausedTo = c.env.Now() + pause/2 + time.Duration(c.env.Random(int64(pause)))
-	r.waiting = append([]*callback{call}, r.waiting...)
+}
+
+// callbackOver has the stores record that nothing is owed any more.
+func (c *Core) callbackOver(call *callback) {
+	call.unit.unrecorded--
+	c.stores.recordCallback(call.unit, call.holders, call.end.ID)
+}
+
+// callbackPause is a pause after so many failures, by lot.
+func (c *Core) callbackPause(failures int) time.Duration {
+	pause := min(callbackPause<<min(failures-1, 5), callbackPauseMost)
+	return pause/2 + time.Duration(c.env.Random(int64(pause)))
+}
+
+// callLater has a call-back that failed wait again after a pause.
+func (c *Core) callLater(r *receiver, call *callback) {
+	r.later++
+	c.env.After(c.callbackPause(call.tries), func() {
+		r.later--
+		r.waiting = append(r.waiting, call)
+		c.callOut(r)
+	})
 }
--- a/internal/system/role/carrier/callback_test.go
+++ b/internal/system/role/carrier/callback_test.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"testing"
@@ -17,6 +18,18 @@
 	return body
 }
 
+// runs has the carrier take and run messages, each to its success, one after the other.
+func (r *rig) runs(t *testing.T, ids ...string) {
+	t.Helper()
+	for _, id := range ids {
+		if refusal := r.core.Deliver(handedWithCallback(id, ownToken)); refusal != nil {
+			t.Fatal(refusal.Reason)
+		}
+		r.Pass(100 * time.Millisecond)
+		r.finish(Outcome{Kind: RunSucceeded, Stamp: "s"})
+	}
+}
+
 // Guards against a call-back that nobody makes: an owner that is handed a message that had ended under a former owner, and that took the unit over while
 // no store listed the message.
 func TestMessageThatHadEndedBeforeItWasHandedOver(t *testing.T) {
@@ -29,3 +42,54 @@
 		t.Errorf("told were %v, sent were %v", r.told, r.sent)
 	}
 }
+
+// Guards against one call-back that is never taken and holds up all others of its receiver.
+func TestCallbackThatIsNotTakenHoldsUpNoOther(t *testing.T) {
+	r := newRig()
+	r.receive = func(id string) int {
+		if id == "m0" {
+			return http.StatusServiceUnavailable
+		}
+		return http.StatusOK
+	}
+	var others []string
+	for number := 1; number <= 20; number++ {
+		others = append(others, fmt.Sprintf("m%d", number))
+	}
+	r.runs(t, append([]string{"m0"}, others...)...)
+	r.Pass(5 * time.Second)
+	slices.Sort(r.told)
+	slices.Sort(others)
+	if !slices.Equal(r.told, others) {
+		t.Errorf("told were %v", r.told)
+	}
+}
+
+// Guards against a call-back that counts as told after a number of tries, while the stores still keep its end.
+func TestCallbackIsTriedForAsLongAsItsEndIsKept(t *testing.T) {
+	r := newRig()
+	begin := r.Now()
+	r.receive = func(string) int {
+		if r.Now()-begin < r.core.settings.Bounds.Status {
+			return http.StatusServiceUnavailable
+		}
+		return http.StatusOK
+	}
+	r.runs(t, "m1", "m2", "m3")
+	r.Pass(r.core.settings.Bounds.Status + 10*time.Second)
+	slices.Sort(r.told)
+	if !slices.Equal(r.told, []string{"m1", "m2", "m3"}) {
+		t.Errorf("told were %v, reported %v", r.told, r.reports)
+	}
+}
+
+// Guards against an endless series of tries: a call-back that nobody takes is given up, and said to be, once the stores no longer keep its end.
+func TestCallbackIsGivenUp(t *testing.T) {
+	r := newRig()
+	r.receive = func(string) int { return http.StatusServiceUnavailable }
+	r.runs(t, "m1")
+	r.Pass(3 * r.core.settings.Bounds.Status)
+	if r.core.callbacksWait() || len(r.reports) != 1 {
+		t.Errorf("reported %v, call-backs wait: %t", r.reports, r.core.callbacksWait())
+	}
+}
--- a/internal/system/role/store/index.go
+++ b/internal/system/role/store/index.go
@@ -136,7 +136,7 @@
 func (x *index) forget(now, status time.Duration) {
 	count := 0
 	for count < len(x.expiry) && now-x.expiry[count].endedAt > status {
-		if e := x.expiry[count]; e.callbackOwed && now-e.endedAt < 2*status {
+		if e := x.expiry[count]; e.callbackOwed && now-e.endedAt < message.OwedTimes*status {
 			break // its call-back is still tried
 		}
 		x.drop(x.expiry[count])
