A stopping carrier makes the call-backs that it owes while its grace lasts (66)

A stop waited for attempts and for ends to be recorded, not for call-backs: each roll left the owed ones to whoever took the unit over. Now a stop goes on for them until 0.85 of the grace, as for attempts. The test failed before (told were [] when the carrier had stopped).

--- a/internal/system/role/carrier/callback_test.go
+++ b/internal/system/role/carrier/callback_test.go
@@ -93,3 +93,24 @@
 		t.Errorf("reported %v, call-backs wait: %t", r.reports, r.core.callbacksWait())
 	}
 }
+
+// Guards against a carrier that stops and leaves call-backs to whoever takes its messages over, though its receivers take them in time.
+func TestStoppingCarrierMakesItsCallbacks(t *testing.T) {
+	r := newRig()
+	failUntil := r.Now() + 3*time.Second
+	r.receive = func(string) int {
+		if r.Now() < failUntil {
+			return http.StatusServiceUnavailable
+		}
+		return http.StatusOK
+	}
+	r.runs(t, "m1", "m2", "m3", "m4")
+	stopped := false
+	r.core.Drain(r.Now(), func() { stopped = true })
+	for !stopped {
+		r.Pass(50 * time.Millisecond)
+	}
+	if len(r.told) != 4 {
+		t.Errorf("told were %v when the carrier had stopped", r.told)
+	}
+}
--- a/internal/system/role/carrier/drain.go
+++ b/internal/system/role/carrier/drain.go
@@ -6,7 +6,7 @@
 const (
 	drainPollInterval = 50 * time.Millisecond
 	pauseAtPart       = 0.50 // of the grace: no delivery begins after it
-	closeAtPart       = 0.85 // attempts that are out by then are left
+	closeAtPart       = 0.85 // attempts that are out and call-backs that are owed by then are left
 	flushAtPart       = 0.92 // the session is given up by then
 )
 
@@ -17,7 +17,7 @@
 }
 
 // Drain ends the carrier's work in order: it serves on for a part of the grace, begins no more deliveries, lets those
-// that are out end, has all ends recorded, and gives up its session so that another carries on. What it owns for
+// that are out end, makes the call-backs that it owes, has all ends recorded, and gives up its session so that another carries on. What it owns for
 // the fleet is handed over meanwhile. done is called at its end.
 // began is when the stop was asked for.
 func (c *Core) Drain(began time.Duration, done func()) {
@@ -30,7 +30,7 @@
 		return
 	}
 	c.paused = true
-	busy := len(c.inFlight) > 0 && now < part(closeAtPart)
+	busy := (len(c.inFlight) > 0 || c.callbacksWait()) && now < part(closeAtPart)
 	unwritten := c.stores.unwritten() > 0 && now < part(flushAtPart)
 	if busy || unwritten {
 		c.env.After(drainPollInterval, func() { c.Drain(began, done) })
