--- a/internal/system/role/carrier/callback.go
+++ b/internal/system/role/carrier/callback.go
@@ -30,6 +30,12 @@
 	refusals int
 }
 
+// bytes is the memory that a call-back takes, as what waits is counted.
+func (c *callback) bytes() int64 {
+	const bookkeeping = 256
+	return int64(bookkeeping + len(c.url) + len(c.end.ID) + len(c.end.Stamp))
+}
+
 // receiver is the queue of one receiver, by its host.
 type receiver struct {
 	waiting  []*callback
@@ -79,7 +85,9 @@
 		c.receivers[parsed.Host] = r
 	}
 	u.unrecorded++
-	r.waiting = append(r.waiting, &callback{unit: u, url: address, end: end, holders: holders, since: c.env.Now()})
+	call := &callback{unit: u, url: address, end: end, holders: holders, since: c.env.Now()}
+	c.waitingBytes += call.bytes()
+	r.waiting = append(r.waiting, call)
 	c.callOut(r)
 }
 
@@ -173,6 +181,7 @@
 // callbackOver has the stores record that nothing is owed any more.
 func (c *Core) callbackOver(call *callback) {
 	call.unit.unrecorded--
+	c.waitingBytes -= call.bytes()
 	c.stores.recordCallback(call.unit, call.holders, call.end.ID)
 }
 
--- a/internal/system/role/carrier/callback_test.go
+++ b/internal/system/role/carrier/callback_test.go
@@ -114,3 +114,24 @@
 		t.Errorf("told were %v when the carrier had stopped", r.told)
 	}
 }
+
+// Guards against a list of owed call-backs without a bound: they count for the memory that what waits may take.
+func TestOwedCallbacksCountForMemory(t *testing.T) {
+	r := newRig()
+	failUntil := r.Now() + 10*time.Second
+	r.receive = func(string) int {
+		if r.Now() < failUntil {
+			return http.StatusServiceUnavailable
+		}
+		return http.StatusOK
+	}
+	before := r.core.waitingBytes
+	r.runs(t, "m1", "m2", "m3")
+	if owed := r.core.waitingBytes - before; owed < 3*256 {
+		t.Errorf("three owed call-backs count as %d bytes", owed)
+	}
+	r.Pass(30 * time.Second)
+	if r.core.waitingBytes != before {
+		t.Errorf("%d bytes are left of call-backs that were made", r.core.waitingBytes-before)
+	}
+}
