--- a/internal/system/role/store/copy.go
+++ b/internal/system/role/store/copy.go
@@ -40,7 +40,7 @@
 	if m.Method == "" {
 		return // only its end is known
 	}
-	e.retention = m.Retention
+	e.retention, e.callback = m.Retention, m.Callback != ""
 	c.append(record{Kind: recordMessage, Message: m, At: e.arrived}, func(position segment.Position) {
 		e.held, e.shared, e.position = true, true, position
 		c.index.touch(e)
--- a/internal/system/role/store/core.go
+++ b/internal/system/role/store/core.go
@@ -166,7 +166,7 @@
 		e = c.index.add(m.ID, m.Unit, c.now)
 	}
 	c.index.join(e, m.Unit)
-	e.retention, e.putting = m.Retention, true
+	e.retention, e.callback, e.putting = m.Retention, m.Callback != "", true
 	r := record{Kind: recordMessage, Message: m}
 	c.batch = append(c.batch, pendingRecord{payload: c.encode(r), synced: func(position segment.Position) {
 		e.held, e.putting, e.position = true, false, position
--- a/internal/system/role/store/ends.go
+++ b/internal/system/role/store/ends.go
@@ -138,7 +138,7 @@
 			if count++; count > mostAtOnce {
 				return
 			}
-			end := message.End{ID: e.id, Phase: message.DeadLetter}
+			end := message.End{ID: e.id, Phase: message.DeadLetter, CallbackOwed: e.callback}
 			c.end(e, end, c.now)
 			c.append(record{Kind: recordEnd, ID: e.id, Unit: e.unit, End: &end}, nil)
 		}
--- a/internal/system/role/store/index.go
+++ b/internal/system/role/store/index.go
@@ -26,7 +26,8 @@
 	shared       bool // another process was told of it, or may have been in an earlier life: it can't be made void
 	phase        message.Phase
 	stamp        string
-	callbackOwed bool
+	callback     bool          // its end is owed to a receiver
+	callbackOwed bool          // the end is known and was not told
 	arrived      time.Duration // on the log's clock, as endedAt
 	retention    time.Duration
 	endedAt      time.Duration
--- a/internal/system/role/store/load.go
+++ b/internal/system/role/store/load.go
@@ -21,6 +21,7 @@
 	Disk       string
 	ID         string // of the message, whichever kind of record it is
 	Unit       string
+	Callback   bool // the message has a call-back URL
 	Retention  time.Duration
 	End        message.End
 	At         time.Duration // on the log's clock
@@ -28,9 +29,10 @@
 
 // Numbers of fields: the records are arrays, in the order of the fields of record and of message.Message.
 const (
-	recordFields        = 9
-	messageFields       = 15
-	passedMessageFields = messageFields - 3 // between the unit and the retention
+	recordFields         = 9
+	messageFields        = 15
+	fieldsBeforeCallback = 6 // behind the unit
+	fieldsBehindCallback = 5 // before the retention
 )
 
 // FieldsError tells of a record with other fields than this program's.
@@ -111,17 +113,33 @@
 	if err := l.arrayOf(messageFields); err != nil {
 		return err
 	}
-	err := inOrder(func() error { return l.readName(&r.ID) }, func() error { return l.readUnit(r) })
-	for range passedMessageFields {
-		if err != nil {
+	return inOrder(
+		func() error { return l.readName(&r.ID) },
+		func() error { return l.readUnit(r) },
+		func() error { return l.pass(fieldsBeforeCallback) },
+		func() error { return l.readCallback(r) },
+		func() error { return l.pass(fieldsBehindCallback) },
+		func() error { return l.readTime(&r.Retention) },
+	)
+}
+
+// pass passes over so many fields.
+func (l *loader) pass(fields int) error {
+	for range fields {
+		if err := l.decoder.Skip(); err != nil {
 			return err
 		}
-		err = l.decoder.Skip()
 	}
+	return nil
+}
+
+func (l *loader) readCallback(r *loadedRecord) error {
+	length, err := l.decoder.DecodeBytesLen()
 	if err != nil {
 		return err
 	}
-	return l.readTime(&r.Retention)
+	r.Callback = length > 0
+	return l.decoder.ReadFull(make([]byte, max(0, length)))
 }
 
 func (l *loader) nothing() (bool, error) {
@@ -210,6 +228,6 @@
 func (c *Core) loadMessage(position segment.Position, size uint32, r *loadedRecord) {
 	e := c.loadedEntry(r)
 	c.index.join(e, r.Unit)
-	e.held, e.position, e.size, e.retention = true, position, size, r.Retention
+	e.held, e.position, e.size, e.retention, e.callback = true, position, size, r.Retention, r.Callback
 	e.shared = true
 }
