--- a/internal/system/role/carrier/outbox.go
+++ b/internal/system/role/carrier/outbox.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"fmt"
 	"time"
 
 	"granitewing/internal/system/message"
@@ -27,14 +28,26 @@
 	out     int // number of the first ones, with the call that is out
 }
 
-func (o *owedRecords) add(record owedRecord) {
+// add gives how many of the oldest were dropped for lack of room. The disk learns their ends from the others that hold the messages, and call-backs
+// that it takes for owed are made again by who lists them there.
+func (o *owedRecords) add(record owedRecord) (dropped int) {
 	if len(o.records) >= maxOutbox {
-		o.forget(maxOutbox / 2)
+		dropped = maxOutbox / 2
+		o.forget(dropped)
 	}
 	record.unit.unrecorded++
 	o.records = append(o.records, record)
+	return dropped
 }
 
+// DroppedError tells of records that a disk was owed for so long that there is no room for them.
+type DroppedError struct {
+	Disk  string
+	Count int
+}
+
+func (e *DroppedError) Error() string { return fmt.Sprintf("disk %s: %d records", e.Disk, e.Count) }
+
 // begin gives the first ones, and counts them as being out.
 func (o *owedRecords) begin() []owedRecord {
 	o.out = min(len(o.records), endsAtOnce)
@@ -131,16 +144,22 @@
 // recordEnd tells the holders about an end of a unit.
 func (s *storage) recordEnd(u *unit, holders []string, end message.End) {
 	for _, disk := range s.recipients(holders) {
-		s.box(disk).ends.add(owedRecord{unit: u, end: end})
-		s.flush(disk)
+		s.owe(disk, &s.box(disk).ends, owedRecord{unit: u, end: end})
 	}
 }
 
+// owe has a disk be told of a record.
+func (s *storage) owe(disk string, records *owedRecords, record owedRecord) {
+	if dropped := records.add(record); dropped > 0 {
+		s.core.env.Report("records that a disk is owed are dropped", &DroppedError{Disk: disk, Count: dropped})
+	}
+	s.flush(disk)
+}
+
 // recordCallback tells the holders that an end of a unit was told.
 func (s *storage) recordCallback(u *unit, holders []string, id string) {
 	for _, disk := range s.recipients(holders) {
-		s.box(disk).callbacks.add(owedRecord{unit: u, end: message.End{ID: id}})
-		s.flush(disk)
+		s.owe(disk, &s.box(disk).callbacks, owedRecord{unit: u, end: message.End{ID: id}})
 	}
 }
 
--- /dev/null
+++ b/internal/system/role/carrier/outbox_test.go
@@ -0,0 +1,25 @@
+package carrier
+
+import (
+	"errors"
+	"testing"
+
+	"granitewing/internal/system/message"
+)
+
+// Guards against records that are dropped without a word: a disk that takes nothing for long is owed more than there is room for.
+func TestRecordsThatAreDroppedAreReported(t *testing.T) {
+	r := newRig()
+	r.store("disk-1").silent = true
+	u := r.core.own
+	for range maxOutbox + 1 {
+		r.core.stores.recordEnd(u, []string{"disk-1", "disk-2"}, message.End{ID: "m", Phase: message.Succeeded})
+	}
+	var dropped *DroppedError
+	for _, err := range r.reports {
+		if errors.As(err, &dropped) && dropped.Disk == "disk-1" && dropped.Count == maxOutbox/2 {
+			return
+		}
+	}
+	t.Errorf("reported %v", r.reports)
+}
