--- a/internal/system/simulation/twice_test.go
+++ b/internal/system/simulation/twice_test.go
@@ -14,7 +14,7 @@
 // Cause: the next owner takes what it is handed for new, since it remembers no more than the ends of its own life. Proven by these scenarios, which lose answers between
 // carriers, or what the keepers tell one of them, in otherwise planned work.
 func TestForwardedAfterItsEnd(t *testing.T) {
-	for _, file := range []string{"answer-lost-at-a-handover.txt", "owner-changes-unnoticed.txt"} {
+	for _, file := range []string{"answer-lost-at-a-handover.txt", "owner-changes-unnoticed.txt", "stopping-acceptor.txt"} {
 		t.Run(file, func(t *testing.T) { playSeeds(t, filepath.Join("testdata", "twice", file)) })
 	}
 }
