--- a/internal/system/agreement/election.go
+++ b/internal/system/agreement/election.go
@@ -72,9 +72,11 @@
 		request = Message{Kind: Vote, Term: n.term, Handover: n.named}
 	}
 	request.Index, request.LogTerm = n.log.lastIndex(), n.log.lastTerm()
-	for _, peer := range without(n.group.Voters, n.options.Self) {
-		request.To = peer
-		n.sendWithTerm(request)
+	for _, peer := range n.others() {
+		if n.hasVote(peer) {
+			request.To = peer
+			n.sendWithTerm(request)
+		}
 	}
 	n.tally()
 }
@@ -90,8 +92,16 @@
 }
 
 func (n *Node) tally() {
-	if len(n.votes) < n.quorum() {
-		return
+	for _, voters := range n.group.electorates() {
+		given := 0
+		for _, id := range voters {
+			if n.votes[id] {
+				given++
+			}
+		}
+		if given < majority(voters) {
+			return
+		}
 	}
 	switch n.role {
 	case PreCandidate:
--- a/internal/system/agreement/model_search_test.go
+++ b/internal/system/agreement/model_search_test.go
@@ -71,6 +71,10 @@
 		return bounds{members: 5, founders: 0b01111, terms: 3, entries: 4, changes: 2}
 	case "snapshot-keeps":
 		return bounds{members: 3, founders: 0b111, terms: 3, entries: 3, installs: 1}
+	case "both-electorates":
+		return bounds{members: 4, founders: 0b0111, terms: 2, entries: 3, changes: 2, joint: true}
+	case "joint-committed":
+		return bounds{members: 4, founders: 0b0111, terms: 3, entries: 4, changes: 3, joint: true}
 	case "own-term-commits", "previous-entry-fits":
 		return bounds{members: 3, founders: 0b111, terms: 4, entries: 3}
 	case "synced-counts", "one-vote-in-term", "logs-compared":
@@ -93,6 +97,7 @@
 		ginkgo.Entry("three members and a newcomer", bounds{members: 4, founders: 0b0111, terms: 2, entries: 3, changes: 1, crashes: 1}),
 		ginkgo.Entry("two members and two newcomers", bounds{members: 4, founders: 0b0011, terms: 2, entries: 3, changes: 1, crashes: 1}),
 		ginkgo.Entry("five members", bounds{members: 5, founders: 0b11111, terms: 2, entries: 2}),
+		ginkgo.Entry("three members, one of which a newcomer replaces", bounds{members: 4, founders: 0b0111, terms: 2, entries: 3, changes: 2, joint: true}),
 	)
 
 	ginkgo.DescribeTable("finds nothing within wider bounds, asked for by WIDE_SEARCH=1", func(b bounds) {
@@ -103,6 +108,7 @@
 	},
 		ginkgo.Entry("three members, three terms", bounds{members: 3, founders: 0b111, terms: 3, entries: 4, changes: 2, crashes: 1}),
 		ginkgo.Entry("three members and a newcomer, three terms", bounds{members: 4, founders: 0b0111, terms: 3, entries: 3, changes: 1}),
+		ginkgo.Entry("three members, one of which a newcomer replaces, three terms", bounds{members: 4, founders: 0b0111, terms: 3, entries: 3, changes: 2, joint: true}),
 		ginkgo.Entry("five members, one of which may be let go", bounds{members: 5, founders: 0b11111, terms: 2, entries: 3, changes: 1}),
 	)
 
--- a/internal/system/agreement/model_test.go
+++ b/internal/system/agreement/model_test.go
@@ -18,7 +18,9 @@
 	syncedCounts      bool // a leader counts its own entries once they are synced
 	changeWaits       bool // no change of the group before the last one is committed
 	leaderOpensTerm   bool // no change of the group before an entry of the leader's term is committed
-	oneMemberAtATime  bool // a change moves one member
+	oneMemberAtATime  bool // a change moves one member, or is joint
+	bothElectorates   bool // while a joint change is under way, majorities of the voters before and after it are needed
+	jointCommitted    bool // a joint change ends only once it is committed
 	diskIsIdentity    bool // a member that lost its disk is another member
 	previousEntryFits bool // a follower takes an entry only behind the one that the leader has before it
 	snapshotKeeps     bool // a snapshot that the log agrees with leaves what is behind it
@@ -26,7 +28,7 @@
 
 func allRules() rules {
 	return rules{oneVoteInTerm: true, logsCompared: true, ownTermCommits: true, syncedCounts: true,
-		changeWaits: true, leaderOpensTerm: true, oneMemberAtATime: true, diskIsIdentity: true, previousEntryFits: true, snapshotKeeps: true}
+		changeWaits: true, leaderOpensTerm: true, oneMemberAtATime: true, bothElectorates: true, jointCommitted: true, diskIsIdentity: true, previousEntryFits: true, snapshotKeeps: true}
 }
 
 // mutants gives each set of rules that lacks one, by the name of what it lacks.
@@ -44,6 +46,8 @@
 	add("change-waits", func(r *rules) { r.changeWaits = false })
 	add("leader-opens-term", func(r *rules) { r.leaderOpensTerm = false })
 	add("one-member-at-a-time", func(r *rules) { r.oneMemberAtATime = false })
+	add("both-electorates", func(r *rules) { r.bothElectorates = false })
+	add("joint-committed", func(r *rules) { r.jointCommitted = false })
 	add("disk-is-identity", func(r *rules) { r.diskIsIdentity = false })
 	add("previous-entry-fits", func(r *rules) { r.previousEntryFits = false })
 	add("snapshot-keeps", func(r *rules) { r.snapshotKeeps = false })
@@ -56,23 +60,33 @@
 	founders uint8
 	terms    uint8
 	entries  int
-	changes  int // of the group, altogether
-	crashes  int // and losses of a disk
-	installs int // of snapshots
+	changes  int  // of the group, altogether; the end of a joint one counts
+	joint    bool // changes may be joint: one member replaces another
+	crashes  int  // and losses of a disk
+	installs int  // of snapshots
 }
 
 // modelEntry is one record: an empty or ordinary one, or a group of voters.
 type modelEntry struct {
-	term  uint8
-	group uint8 // set of voters, 0 for an ordinary entry
+	term uint8
+	modelGroup
 }
 
+// modelGroup is sets of voters.
+type modelGroup struct {
+	voters   uint8 // 0 for an ordinary entry
+	outgoing uint8 // those before a joint change, 0 where none is under way
+}
+
+// entryBytes is the size of an entry in a log.
+const entryBytes = 3
+
 type modelMember struct {
 	term    uint8
 	vote    int8 // -1 for none
 	leads   bool
 	synced  uint8
-	log     string // entries, two bytes each
+	log     string // entries, entryBytes each
 	commits uint8  // as a leader
 }
 
@@ -85,27 +99,30 @@
 	broken    bool
 }
 
-func (m *modelMember) entries() int { return len(m.log) / 2 }
+func (m *modelMember) entries() int { return len(m.log) / entryBytes }
 func (m *modelMember) entry(i int) modelEntry {
-	return modelEntry{term: m.log[2*i], group: m.log[2*i+1]}
+	at := m.log[entryBytes*i:]
+	return modelEntry{term: at[0], modelGroup: modelGroup{voters: at[1], outgoing: at[2]}}
+}
+func (m *modelMember) append(entry modelEntry) {
+	m.log += string([]byte{entry.term, entry.voters, entry.outgoing})
 }
-func (m *modelMember) append(entry modelEntry) { m.log += string([]byte{entry.term, entry.group}) }
 
 func (m *modelMember) lastTerm() uint8 {
 	if len(m.log) == 0 {
 		return 0
 	}
-	return m.log[len(m.log)-2]
+	return m.log[len(m.log)-entryBytes]
 }
 
-// group gives the voters of the latest group within the first entries.
-func (m *modelMember) group(within int, founders uint8) (voters uint8, at int) {
+// group gives the latest group within the first entries.
+func (m *modelMember) group(within int, founders uint8) (group modelGroup, at int) {
 	for i := min(within, m.entries()) - 1; i >= 0; i-- {
-		if group := m.entry(i).group; group != 0 {
+		if group := m.entry(i).modelGroup; group.voters != 0 {
 			return group, i + 1
 		}
 	}
-	return founders, 0
+	return modelGroup{voters: founders}, 0
 }
 
 // model is what is searched.
@@ -114,12 +131,16 @@
 	bounds bounds
 }
 
-func (m *model) groupOf(member *modelMember) uint8 {
-	voters, _ := member.group(member.entries(), m.bounds.founders)
-	return voters
+func (m *model) groupOf(member *modelMember) modelGroup {
+	group, _ := member.group(member.entries(), m.bounds.founders)
+	return group
 }
 
-func majority(of, have uint8) bool { return 2*bits.OnesCount8(of&have) > bits.OnesCount8(of) }
+// agree tells whether some members are a majority of a group's voters, and of those before where a joint change is under way.
+func (m *model) agree(group modelGroup, have uint8) bool {
+	enough := func(of uint8) bool { return 2*bits.OnesCount8(of&have) > bits.OnesCount8(of) }
+	return enough(group.voters) && (group.outgoing == 0 || !m.rules.bothElectorates || enough(group.outgoing))
+}
 
 // moves calls visit with every state that follows from one, and what leads there.
 func (m *model) moves(s *modelState, visit func(name string, next modelState)) {
@@ -137,7 +158,7 @@
 func (m *model) elections(s *modelState, candidate int, visit func(string, modelState)) {
 	c := &s.members[candidate]
 	group := m.groupOf(c)
-	if c.term >= m.bounds.terms || group&(1<<candidate) == 0 {
+	if c.term >= m.bounds.terms || (group.voters|group.outgoing)&(1<<candidate) == 0 {
 		return
 	}
 	for term := c.term + 1; term <= m.bounds.terms; term++ {
@@ -148,7 +169,7 @@
 			}
 		}
 		for voters := willing; voters > 0; voters = (voters - 1) & willing {
-			if voters&(1<<candidate) == 0 || !majority(group, voters) || m.superfluous(group, voters, candidate) {
+			if voters&(1<<candidate) == 0 || !m.agree(group, voters) || m.superfluous(group, voters, candidate) {
 				continue
 			}
 			next := *s
@@ -167,10 +188,10 @@
 }
 
 // superfluous tells whether fewer voters would do: only the least majorities are tried.
-func (m *model) superfluous(group, voters uint8, candidate int) bool {
+func (m *model) superfluous(group modelGroup, voters uint8, candidate int) bool {
 	for other := range m.bounds.members {
 		rest := voters &^ (1 << other)
-		if other != candidate && rest != voters && majority(group, rest) {
+		if other != candidate && rest != voters && m.agree(group, rest) {
 			return true
 		}
 	}
@@ -210,12 +231,13 @@
 		return
 	}
 	common := 0
-	for common < len(leader.log) && common < len(follower.log) && leader.log[common:common+2] == follower.log[common:common+2] {
-		common += 2
+	for common < len(leader.log) && common < len(follower.log) &&
+		leader.log[common:common+entryBytes] == follower.log[common:common+entryBytes] {
+		common += entryBytes
 	}
 	first := common
 	if !m.rules.previousEntryFits {
-		first = max(common, min(len(follower.log), len(leader.log)-2))
+		first = max(common, min(len(follower.log), len(leader.log)-entryBytes))
 	}
 	if first >= len(leader.log) && follower.term == leader.term {
 		return
@@ -226,7 +248,7 @@
 		f.term, f.vote, f.leads = leader.term, -1, false
 	}
 	if first < len(leader.log) {
-		f.log = f.log[:first] + leader.log[first:first+2]
+		f.log = f.log[:first] + leader.log[first:first+entryBytes]
 		f.synced = uint8(f.entries())
 	}
 	f.commits = min(f.commits, uint8(f.entries()))
@@ -240,7 +262,7 @@
 		return
 	}
 	for count := 1; count <= int(leader.commits); count++ {
-		prefix := leader.log[:2*count]
+		prefix := leader.log[:entryBytes*count]
 		agrees := strings.HasPrefix(follower.log, prefix)
 		if agrees && m.rules.snapshotKeeps {
 			continue
@@ -268,7 +290,7 @@
 		var have uint8
 		for other := range m.bounds.members {
 			f := &s.members[other]
-			holds := len(f.log) >= 2*count && (f.log[:2*count] == leader.log[:2*count] || !m.rules.previousEntryFits)
+			holds := len(f.log) >= entryBytes*count && (f.log[:entryBytes*count] == leader.log[:entryBytes*count] || !m.rules.previousEntryFits)
 			if other == i {
 				holds = !m.rules.syncedCounts || int(leader.synced) >= count
 			}
@@ -276,12 +298,12 @@
 				have |= 1 << other
 			}
 		}
-		if !majority(group, have) {
+		if !m.agree(group, have) {
 			continue
 		}
 		next := *s
 		next.members[i].commits = uint8(count)
-		log := leader.log[:2*count]
+		log := leader.log[:entryBytes*count]
 		switch {
 		case strings.HasPrefix(log, s.committed):
 			next.committed = log
@@ -298,21 +320,36 @@
 		return
 	}
 	group, at := leader.group(leader.entries(), m.bounds.founders)
-	if m.rules.changeWaits && at > int(leader.commits) {
+	waits := m.rules.changeWaits
+	if group.outgoing != 0 {
+		waits = m.rules.jointCommitted
+	}
+	if waits && at > int(leader.commits) {
 		return
 	}
 	if m.rules.leaderOpensTerm && (leader.commits == 0 || leader.entry(int(leader.commits)-1).term != leader.term) {
 		return
 	}
+	propose := func(name string, wanted modelGroup) {
+		next := *s
+		next.changes++
+		next.members[i].append(modelEntry{term: leader.term, modelGroup: wanted})
+		visit(fmt.Sprintf("%s %05b at %d", name, wanted.voters, i), next)
+	}
+	if group.outgoing != 0 {
+		propose("end joint change to", modelGroup{voters: group.voters})
+		propose("end joint change to", modelGroup{voters: group.outgoing})
+		return
+	}
 	for wanted := uint8(1); wanted < 1<<m.bounds.members; wanted++ {
-		moved := bits.OnesCount8(wanted ^ group)
+		moved := bits.OnesCount8(wanted ^ group.voters)
+		if moved == 2 && m.bounds.joint && bits.OnesCount8(wanted) == bits.OnesCount8(group.voters) {
+			propose("joint change to", modelGroup{voters: wanted, outgoing: group.voters})
+		}
 		if moved == 0 || m.rules.oneMemberAtATime && moved > 1 {
 			continue
 		}
-		next := *s
-		next.changes++
-		next.members[i].append(modelEntry{term: leader.term, group: wanted})
-		visit(fmt.Sprintf("change to %05b at %d", wanted, i), next)
+		propose("change to", modelGroup{voters: wanted})
 	}
 }
 
@@ -322,7 +359,7 @@
 	if int(member.synced) < member.entries() {
 		next := *s
 		f := &next.members[i]
-		f.log, f.leads, f.commits = f.log[:2*int(f.synced)], false, min(f.commits, f.synced)
+		f.log, f.leads, f.commits = f.log[:entryBytes*int(f.synced)], false, min(f.commits, f.synced)
 		next.crashes++
 		visit(fmt.Sprintf("crash %d", i), next)
 	}
@@ -347,7 +384,7 @@
 				return true
 			}
 		}
-		if len(s.committed) > 0 && s.committed[len(s.committed)-2] < leader.term && !strings.HasPrefix(leader.log, s.committed) {
+		if len(s.committed) > 0 && s.committed[len(s.committed)-entryBytes] < leader.term && !strings.HasPrefix(leader.log, s.committed) {
 			return true
 		}
 	}
--- a/internal/system/agreement/node.go
+++ b/internal/system/agreement/node.go
@@ -1,9 +1,6 @@
 package agreement
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Role of a member.
 type Role uint8
@@ -164,20 +161,15 @@
 
 // quorumHeard is the latest time at which a majority is known to have followed.
 func (n *Node) quorumHeard() time.Duration {
-	times := make([]time.Duration, 0, len(n.group.Voters))
-	for _, id := range n.group.Voters {
-		switch {
-		case id == n.options.Self:
-			times = append(times, n.now)
-		case n.followers[id] != nil:
-			times = append(times, n.followers[id].heard)
+	return agreed(n, func(id string) (time.Duration, bool) {
+		if id == n.options.Self {
+			return n.now, true
 		}
-	}
-	if len(times) < n.quorum() {
-		return 0
-	}
-	slices.Sort(times)
-	return times[len(times)-n.quorum()]
+		if follower := n.followers[id]; follower != nil {
+			return follower.heard, true
+		}
+		return 0, false
+	})
 }
 
 // Followed tells whether a leader is known to have been followed by a majority within a while.
--- a/internal/system/agreement/replicate.go
+++ b/internal/system/agreement/replicate.go
@@ -1,7 +1,5 @@
 package agreement
 
-import "slices"
-
 func (n *Node) send(message Message) {
 	message.Term = n.term
 	n.sendWithTerm(message)
@@ -134,27 +132,22 @@
 	}
 	follower.next = max(follower.next, follower.match+1)
 	n.advanceCommit()
-	if follower.next <= n.log.lastIndex() {
+	if n.role == Leader && follower.next <= n.log.lastIndex() {
 		n.sendAppend(message.From)
 	}
 }
 
 // advanceCommit commits what a majority has synced, in this term only.
 func (n *Node) advanceCommit() {
-	matches := make([]uint64, 0, len(n.group.Voters))
-	for _, id := range n.group.Voters {
-		switch {
-		case id == n.options.Self:
-			matches = append(matches, n.persisted)
-		case n.followers[id] != nil:
-			matches = append(matches, n.followers[id].match)
+	index := agreed(n, func(id string) (uint64, bool) {
+		if id == n.options.Self {
+			return n.persisted, true
 		}
-	}
-	if len(matches) < n.quorum() {
-		return
-	}
-	slices.Sort(matches)
-	index := matches[len(matches)-n.quorum()]
+		if follower := n.followers[id]; follower != nil {
+			return follower.match, true
+		}
+		return 0, false
+	})
 	if term, held := n.log.term(index); held && term == n.term && index > n.log.committed {
 		n.log.committed = index
 		n.spreadCommit()
--- a/internal/system/agreement/types.go
+++ b/internal/system/agreement/types.go
@@ -13,6 +13,20 @@
 type Membership struct {
 	Voters   []string
 	Learners []string
+	// Outgoing are the voters of the group before, while a change of two members is under way (joint consensus, Raft thesis 4.3): every decision
+	// needs a majority of them beside one of Voters. Empty at other times.
+	Outgoing []string `msgpack:",omitempty"`
+}
+
+// Joint tells whether a change of two members is under way.
+func (m Membership) Joint() bool { return len(m.Outgoing) > 0 }
+
+// electorates gives the sets of voters that have to agree, each by a majority.
+func (m Membership) electorates() [][]string {
+	if !m.Joint() {
+		return [][]string{m.Voters}
+	}
+	return [][]string{m.Voters, m.Outgoing}
 }
 
 // Empty tells whether nobody is named.
@@ -20,7 +34,35 @@
 
 // Has tells whether a member belongs to the group, with a vote or without.
 func (m Membership) Has(id string) bool {
-	return slices.Contains(m.Voters, id) || slices.Contains(m.Learners, id)
+	return m.HasVote(id) || slices.Contains(m.Learners, id)
+}
+
+// HasVote tells whether a member has a vote, be it that of the group before a change that is under way.
+func (m Membership) HasVote(id string) bool {
+	return slices.Contains(m.Voters, id) || slices.Contains(m.Outgoing, id)
+}
+
+// Replace gives the joint membership in which a learner takes a voter's vote, and the voter moves to a place without one.
+func (m Membership) Replace(voter, learner string, place Place) Membership {
+	next := m.With(learner, AsVoter).With(voter, place)
+	next.Outgoing = slices.Clone(m.Voters)
+	return next
+}
+
+// after is the membership at the end of a replacement.
+func (m Membership) after() Membership { return Membership{Voters: m.Voters, Learners: m.Learners} }
+
+// before is the membership at the end of a replacement that is called off: the learner follows on.
+func (m Membership) before() Membership {
+	learners := slices.DeleteFunc(m.members(), func(id string) bool { return slices.Contains(m.Outgoing, id) })
+	return Membership{Voters: m.Outgoing, Learners: learners}
+}
+
+// members gives all that belong to the group, each once, sorted.
+func (m Membership) members() []string {
+	all := slices.Concat(m.Voters, m.Outgoing, m.Learners)
+	slices.Sort(all)
+	return slices.Compact(all)
 }
 
 // With gives a membership in which a member has moved to a place.
--- a/internal/system/role/keeper/groups.go
+++ b/internal/system/role/keeper/groups.go
@@ -16,8 +16,8 @@
 	goneForGood      = time.Hour              // the silence of a voter whose disk is known to be lost
 )
 
-// tendGroups changes the groups that this keeper leads, one member at a time: a newcomer that has caught up gets a vote
-// when a voter is missing, and a voter that is gone loses its place once there are enough without it.
+// tendGroups changes the groups that this keeper leads: a newcomer that has caught up gets a vote where there are too few, or takes the place of a
+// voter that is gone, that leaves, or whose zone has too many.
 func (c *Core) tendGroups() {
 	for id, g := range c.groups {
 		if g.node.Leading() {
@@ -43,6 +43,10 @@
 		node.HandOver(c.now, c.leaves)
 		return
 	}
+	if node.Group().Joint() {
+		c.endReplacement(id, node)
+		return
+	}
 	if node.GroupSettled() && c.changeMembers(id, node) {
 		return
 	}
@@ -63,12 +67,12 @@
 	if len(group.Voters) > c.options.Tolerance.Voters() {
 		return c.letGo(id, node, gone, leaving)
 	}
-	goes := gone
-	if goes == "" {
-		goes = leaving
-	}
-	if learner := c.nextVoter(node, group, goes); learner != "" {
-		return c.changeGroup(id, group.With(learner, agreement.AsVoter))
+	if len(group.Voters) < c.options.Tolerance.Voters() {
+		if learner := c.anotherVoter(node, group); learner != "" {
+			return c.changeGroup(id, group.With(learner, agreement.AsVoter))
+		}
+	} else if voter, learner := c.replacement(node, group, gone, leaving); learner != "" {
+		return c.replaceVoter(id, voter, learner, gone)
 	}
 	for _, learner := range group.Learners {
 		if quiet, _ := node.Silence(learner); quiet > learnerGone || c.leaves(learner) && !c.leavesLater(id, learner) {
@@ -115,11 +119,42 @@
 	if goes == c.options.IDs[id] {
 		return node.HandOver(c.now, c.leaves) // its successor takes it out
 	}
-	place := agreement.Out
-	if goes != gone && c.leavesLater(id, goes) {
-		place = agreement.AsLearner
+	return c.changeGroup(id, group.With(goes, c.placeAfter(id, goes, gone)))
+}
+
+// replaceVoter has a learner take the place of a voter in one joint change. With one change after the other the group has two members where the tolerated
+// loss may strike both.
+func (c *Core) replaceVoter(id int, replaced, learner, gone string) bool {
+	node := c.groups[id].node
+	if replaced == c.options.IDs[id] {
+		return node.HandOver(c.now, c.leaves) // its successor replaces it
+	}
+	return c.changeGroup(id, node.Group().Replace(replaced, learner, c.placeAfter(id, replaced, gone)))
+}
+
+// endReplacement ends the replacement of a voter once the voters with the learner are live, or the one that is replaced is not; it calls it off
+// where one of the others has gone meanwhile.
+func (c *Core) endReplacement(id int, node *agreement.Node) {
+	group := node.Group()
+	if !slices.Contains(group.Voters, c.options.IDs[id]) && node.HandOver(c.now, c.leaves) {
+		return
+	}
+	replaced := slices.DeleteFunc(slices.Clone(group.Outgoing), func(id string) bool { return slices.Contains(group.Voters, id) })
+	_, silence := longestSilence(node, group)
+	switch {
+	case len(live(node, replaced)) == 0 || c.safeWith(node, group.Voters):
+		_ = node.EndReplacement(c.now, false) // one that is refused is tried again at the next look
+	case silence > silentForRemoval:
+		_ = node.EndReplacement(c.now, true)
+	}
+}
+
+// placeAfter is where a voter goes that loses its vote.
+func (c *Core) placeAfter(id int, voter, gone string) agreement.Place {
+	if voter != gone && c.leavesLater(id, voter) {
+		return agreement.AsLearner
 	}
-	return c.changeGroup(id, group.With(goes, place))
+	return agreement.Out
 }
 
 // crowding is a voter without whom the others keep a majority through every tolerated loss; empty where there is none.
@@ -142,40 +177,54 @@
 	return zones
 }
 
-// nextVoter is a learner that has caught up and should have a vote: since the group has too few, or instead of a voter that
-// goes, or instead of one of a zone that has too many. Empty where there is none, or none with whom the voters would keep
-// a majority through every tolerated loss; but a group that has too few takes whom it gets.
-func (c *Core) nextVoter(node *agreement.Node, group agreement.Membership, goes string) string {
-	tolerance := c.options.Tolerance
-	lacking := len(group.Voters) < tolerance.Voters()
-	survives := tolerance.Survives(c.zonesOf(group.Voters, ""))
-	if !lacking && goes == "" && survives {
-		return ""
-	}
+// anotherVoter is a learner that has caught up and that a group with too few voters gives a vote: one with whom the voters keep a majority through
+// every tolerated loss, or else any. Empty where there is none.
+func (c *Core) anotherVoter(node *agreement.Node, group agreement.Membership) string {
 	any := ""
-	for _, learner := range group.Learners {
-		quiet, caughtUp := node.Silence(learner)
-		if !caughtUp || quiet >= memberHeard || c.leaves(learner) {
-			continue
-		}
+	for _, learner := range c.candidates(node, group) {
 		with := append(slices.Clone(group.Voters), learner)
 		if 2*len(live(node, with)) <= len(with) {
 			continue // the group could commit nothing with one voter more, the change itself among it
 		}
-		any = learner
-		switch {
-		case lacking && tolerance.Survives(c.zonesOf(with, "")):
-			return learner
-		case goes != "" && tolerance.Survives(c.zonesOf(with, goes)):
-			return learner
-		case goes == "" && !survives && c.crowding(with) != "":
+		if c.options.Tolerance.Survives(c.zonesOf(with, "")) {
 			return learner
 		}
+		any = learner
+	}
+	return any
+}
+
+// replacement is a voter that a group should rather do without, and a learner that has caught up and with whom in its place the voters keep a majority
+// through every tolerated loss. A live voter is replaced only while the others are live. The learner is empty where there is none.
+func (c *Core) replacement(node *agreement.Node, group agreement.Membership, gone, leaving string) (voter, learner string) {
+	for _, voter := range c.replaceable(group, gone, leaving) {
+		for _, learner := range c.candidates(node, group) {
+			after := group.Replace(voter, learner, agreement.Out).Voters
+			fits := 2*len(live(node, after)) > len(after) && c.options.Tolerance.Survives(c.zonesOf(after, ""))
+			if fits && (voter == gone || c.safeWith(node, after)) {
+				return voter, learner
+			}
+		}
 	}
-	if lacking {
-		return any
+	return "", ""
+}
+
+// replaceable gives the voters that a group should rather do without: one that is gone, else one that leaves, else any where a zone has too many.
+func (c *Core) replaceable(group agreement.Membership, gone, leaving string) []string {
+	switch {
+	case gone != "":
+		return []string{gone}
+	case leaving != "":
+		return []string{leaving}
+	case !c.options.Tolerance.Survives(c.zonesOf(group.Voters, "")):
+		return group.Voters
 	}
-	return ""
+	return nil
+}
+
+// candidates gives the learners that may get a vote: they hold all that is committed, were heard a moment ago and stay.
+func (c *Core) candidates(node *agreement.Node, group agreement.Membership) []string {
+	return slices.DeleteFunc(live(node, group.Learners), c.leaves)
 }
 
 // zoneOf is the zone of a member's machine, which its store tells; empty where that is not known.
--- a/internal/system/role/keeper/whole.go
+++ b/internal/system/role/keeper/whole.go
@@ -31,7 +31,11 @@
 // safeWithout tells whether a live member may leave a group: the voters that stay keep a live majority through every
 // loss that is tolerated, or all of them are live, as many as there should be, where they lie too near each other for that.
 func (c *Core) safeWithout(node *agreement.Node, member string) bool {
-	staying := slices.DeleteFunc(slices.Clone(node.Group().Voters), func(id string) bool { return id == member })
+	return c.safeWith(node, slices.DeleteFunc(slices.Clone(node.Group().Voters), func(id string) bool { return id == member }))
+}
+
+// safeWith tells whether a group may do with some voters, as safeWithout says.
+func (c *Core) safeWith(node *agreement.Node, staying []string) bool {
 	if c.whole(node, staying) {
 		return true
 	}
--- a/internal/system/simulation/judge_control.go
+++ b/internal/system/simulation/judge_control.go
@@ -17,12 +17,10 @@
 		if leader == nil {
 			continue
 		}
-		voters := leader.core.Members(group).Voters
-		held := d.identitiesOn(group, voters)
-		if 2*len(held) <= len(voters) && !d.checker.doomed[group] {
-			d.checker.doomed[group] = true
-			d.checker.breakRule(d.world.now, "CONTROL", fmt.Sprintf("of the voters %v of %s only %v have their disks", voters, groupNames[group], held))
-		}
+		members := leader.core.Members(group)
+		d.judgeMajority(group, members.Outgoing)
+		voters := members.Voters
+		held := d.judgeMajority(group, voters)
 		whole, leads := leader.core.Whole(group)
 		if leads && whole && d.checker.quiet(d.world.now) && !d.tolerance.SurvivesWith(d.zonesOf(d.live(held)), len(voters)) {
 			d.checker.breakRule(d.world.now, "CONTROL", fmt.Sprintf("%s says that it is whole, with voters %v of which %v are live", groupNames[group], voters, d.live(held)))
@@ -30,6 +28,17 @@
 	}
 }
 
+// judgeMajority sees that a majority of a group's voters have their disks, and gives those that have. While a joint change is under way it holds of the
+// voters before it too, of whom there are none at other times.
+func (d *day) judgeMajority(group int, voters []string) []string {
+	held := d.identitiesOn(group, voters)
+	if len(voters) > 0 && 2*len(held) <= len(voters) && !d.checker.doomed[group] {
+		d.checker.doomed[group] = true
+		d.checker.breakRule(d.world.now, "CONTROL", fmt.Sprintf("of the voters %v of %s only %v have their disks", voters, groupNames[group], held))
+	}
+	return held
+}
+
 // noticeTime is how long after a machine was struck a leader may still think that all is well.
 const noticeTime = time.Second
 
