Simulation: a stop ends only processes that it asked to stop

Traced: SIGTERM came to a machine between the end of its process and the start of the next; the stop then waited for the new process, which was never asked, and killed it after the grace, with ends in its outbox whose two holders were away, and without counting as unplanned.

--- a/internal/system/simulation/trouble.go
+++ b/internal/system/simulation/trouble.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"granitewing/internal/system/role/keeper"
@@ -71,12 +72,13 @@
 // term stops a machine's processes in order; they start again.
 func (d *day) term(m *machine) {
 	d.watchDrain(m)
-	d.stop(m, func() { d.kill(m, restartPause) })
+	d.stop(m, func() { d.world.after(restartPause, func() { d.boot(m, false) }) })
 }
 
-// stop asks a machine's processes to stop, and ends those that have not within the grace.
+// stop asks a machine's processes to stop, and ends those of them that have not within the grace. Others that start meanwhile were not asked, and go on.
 func (d *day) stop(m *machine, stopped func()) {
-	for _, p := range append([]*process(nil), m.processes...) {
+	stopping := slices.Clone(m.processes)
+	for _, p := range stopping {
 		if p.stop != nil {
 			p.run(p.stop)
 		} else {
@@ -86,7 +88,11 @@
 	stopBy := d.world.now + grace
 	var look func()
 	look = func() {
-		if len(m.processes) == 0 || d.world.now >= stopBy {
+		stopping = slices.DeleteFunc(stopping, func(p *process) bool { return !p.alive })
+		if len(stopping) == 0 || d.world.now >= stopBy {
+			for _, p := range stopping {
+				p.end()
+			}
 			stopped()
 			return
 		}
