--- a/internal/system/role/carrier/drain.go
+++ b/internal/system/role/carrier/drain.go
@@ -6,7 +6,7 @@
 const (
 	drainPollInterval = 50 * time.Millisecond
 	pauseAtPart       = 0.50 // of the grace: no delivery begins after it
-	closeAtPart       = 0.85 // attempts that are out and call-backs that are owed by then are left
+	closeAtPart       = 0.85 // attempts that are out and call-backs that are owed by then are left; ends that some disk lacks go to all
 	flushAtPart       = 0.92 // the session is given up by then
 )
 
@@ -31,6 +31,9 @@
 	}
 	c.paused = true
 	busy := (len(c.inFlight) > 0 || c.callbacksWait()) && now < part(closeAtPart)
+	if now >= part(closeAtPart) {
+		c.stores.spreadEnds()
+	}
 	unwritten := c.stores.unwritten() > 0 && now < part(flushAtPart)
 	if busy || unwritten {
 		c.env.After(drainPollInterval, func() { c.Drain(began, done) })
--- a/internal/system/role/carrier/ends_test.go
+++ b/internal/system/role/carrier/ends_test.go
@@ -80,3 +80,25 @@
 		}
 	}
 }
+
+// Guards against an end that is lost with a carrier that stops: all disks that hold its message are away until it has to go. Who takes the message over
+// would run it again.
+func TestStoppingCarrierTellsOtherDisksOfItsEnds(t *testing.T) {
+	r := newRig()
+	if refusal := r.core.Deliver(handed("m1", pacedUnit, ownToken)); refusal != nil {
+		t.Fatal(refusal.Reason)
+	}
+	r.Pass(100 * time.Millisecond)
+	for _, disk := range []string{"disk-1", "disk-2"} {
+		delete(r.Reachable, diskAddress(disk))
+	}
+	r.finish(Outcome{Kind: RunSucceeded, Stamp: "s"})
+	stopped := false
+	r.core.Drain(r.Now(), func() { stopped = true })
+	for !stopped {
+		r.Pass(50 * time.Millisecond)
+	}
+	if told := r.toldEnds(); !told[diskAddress("disk-3")] {
+		t.Errorf("the end was told to %v when the carrier had stopped", told)
+	}
+}
--- a/internal/system/role/carrier/outbox.go
+++ b/internal/system/role/carrier/outbox.go
@@ -156,6 +156,26 @@
 	s.flush(disk)
 }
 
+// spreadEnds tells all disks that count the ends that some disk has not taken: it may not come back in time. A disk that knows one already passes it
+// over.
+func (s *storage) spreadEnds() {
+	if s.spread {
+		return
+	}
+	s.spread = true
+	lacking := map[string]owedRecord{}
+	for _, box := range s.boxes {
+		for _, record := range box.ends.records {
+			lacking[record.end.ID] = record
+		}
+	}
+	for _, record := range ordered.Map(lacking) {
+		for _, disk := range s.counted() {
+			s.owe(disk, &s.box(disk).ends, record)
+		}
+	}
+}
+
 // recordCallback tells the holders that an end of a unit was told.
 func (s *storage) recordCallback(u *unit, holders []string, id string) {
 	for _, disk := range s.recipients(holders) {
--- a/internal/system/role/carrier/storage.go
+++ b/internal/system/role/carrier/storage.go
@@ -23,6 +23,8 @@
 	core  *Core
 	boxes map[string]*outbox   // by disk
 	calls map[string]*putCalls // by disk
+	// spread is set once a stopping carrier has told all disks what some had not taken.
+	spread bool
 }
 
 // putCalls is how a store has answered lately.
