--- a/internal/system/role/carrier/dispatch.go
+++ b/internal/system/role/carrier/dispatch.go
@@ -52,29 +52,32 @@
 	newerTablePause = 50 * time.Millisecond
 )
 
-// ready puts a message into its service's queue once it is due.
+// ready puts a message that may be sent into its service's queue, and looks again where a wait has an end of its own. What is held otherwise comes here
+// again with what holds it: the outcome of an attempt, the end of the one ahead of it, the end of a handover, or its bytes.
 func (c *Core) ready(it *item) {
-	if it.ended || it.queued || it.flying || it.unit.dropped || it.waits() {
+	if it.queued {
 		return
 	}
-	if wait := it.due - c.env.Now(); wait > 0 {
-		c.env.After(wait, func() { c.ready(it) })
-		return
-	}
-	c.count(it)
-	if !c.leads(it) {
-		return
-	}
-	table := c.session.View().Table
-	if table == nil {
-		c.env.After(wakeWhenFull, func() { c.ready(it) })
-		return
+	hold := c.holdOf(it)
+	if hold.due() {
+		c.count(it)
 	}
-	if older(table, it.message) {
-		c.env.After(newerTablePause, func() { c.ready(it) })
-		return
+	again := func(wait time.Duration) { c.env.After(wait, func() { c.ready(it) }) }
+	switch hold {
+	case mayBeSent:
+		c.enqueue(it)
+	case heldNotDue:
+		again(it.due - c.env.Now())
+	case heldNoTable:
+		again(wakeWhenFull)
+	case heldOlderTable:
+		again(newerTablePause)
 	}
-	route := c.routeOf(table, it.message)
+}
+
+// enqueue puts a message into its service's queue; one whose route is gone ends.
+func (c *Core) enqueue(it *item) {
+	route := c.routeOf(c.session.View().Table, it.message)
 	if route == nil {
 		c.end(it, message.DeadLetter, "")
 		return
@@ -87,12 +90,6 @@
 	c.dispatch(q)
 }
 
-// older tells whether a configuration is older than the one under which a message was accepted: it decides nothing about it.
-// A carrier that has just started, and is given a message, may know only such a one yet.
-func older(table *configuration.Table, m *message.Message) bool {
-	return message.Version(table.Document.Version) < m.Version
-}
-
 // leads tells whether it is the message's turn in its key's order.
 func (c *Core) leads(it *item) bool {
 	key := it.message.Key
@@ -149,8 +146,9 @@
 		q.take(it)
 		c.ready(it)
 		return true
-	case it.message.Body == nil && it.fetching:
+	case c.holdOf(it) != mayBeSent:
 		q.take(it)
+		c.ready(it)
 		return true
 	}
 	service := table.Service(route)
@@ -188,10 +186,8 @@
 	})
 }
 
+// send gives a message to a worker. Nothing else does, and only what may be sent comes here.
 func (c *Core) send(it *item, route *configuration.Route, worker *delivery.Worker) {
-	if it.message.Body == nil && it.fetching {
-		return
-	}
 	now := c.env.Now()
 	it.flying = true
 	it.tries++
