--- a/internal/system/role/carrier/ends_test.go
+++ b/internal/system/role/carrier/ends_test.go
@@ -38,22 +38,11 @@
 // Cause: only a holder that was not in the roster at all had all disks be told that count. Proven by the drawn schedule 82 with each
 // call logged, and by this test.
 func TestEndOfAMessageWhoseHolderDoesNotCount(t *testing.T) {
-	r := newRig()
-	if refusal := r.core.Deliver(handed("m1", pacedUnit, ownToken)); refusal != nil {
-		t.Fatal(refusal.Reason)
-	}
-	r.Pass(time.Second)
+	r := newRigWithOneOut(t)
 	r.setDisk("disk-2", false)
 	r.table.Set(keeper.KeyRoster, wire.Encode(uint64(2)))
 	r.push()
-	r.finish(Outcome{Kind: RunSucceeded, Stamp: "s"})
-	r.Pass(time.Second)
-	told := r.toldEnds()
-	for _, disk := range []string{"disk-1", "disk-3"} {
-		if !told[diskAddress(disk)] {
-			t.Errorf("%s counts and was not told of the end; told were %v", disk, told)
-		}
-	}
+	r.expectEndAt(t, "disk-1", "disk-3")
 }
 
 // What was seen: on a drawn day on which several machines were emptied a message ran again 1.7 s after its end, at the next owner of its unit.
@@ -62,33 +51,18 @@
 // Cause: a disk that leaves was taken for one that keeps what it is told. Proven by the drawn schedule 39 of machines that are emptied together, with
 // what every disk holds of the message, and by this test.
 func TestEndOfAMessageWhoseHolderLeaves(t *testing.T) {
-	r := newRig()
-	if refusal := r.core.Deliver(handed("m1", pacedUnit, ownToken)); refusal != nil {
-		t.Fatal(refusal.Reason)
-	}
-	r.Pass(time.Second)
+	r := newRigWithOneOut(t)
 	leaving := session.Disk{Counted: true, Leaving: true, Member: session.Member{Address: diskAddress("disk-2"), Disk: "disk-2", Zone: "a"}}
 	r.table.Set(keeper.PrefixDisk+"disk-2", wire.Encode(&leaving))
 	r.table.Set(keeper.KeyRoster, wire.Encode(uint64(2)))
 	r.push()
-	r.finish(Outcome{Kind: RunSucceeded, Stamp: "s"})
-	r.Pass(time.Second)
-	told := r.toldEnds()
-	for _, disk := range []string{"disk-1", "disk-3"} {
-		if !told[diskAddress(disk)] {
-			t.Errorf("%s stays and was not told of the end; told were %v", disk, told)
-		}
-	}
+	r.expectEndAt(t, "disk-1", "disk-3")
 }
 
 // Guards against an end that is lost with a carrier that stops: all disks that hold its message are away until it has to go. Who takes the message over
 // would run it again.
 func TestStoppingCarrierTellsOtherDisksOfItsEnds(t *testing.T) {
-	r := newRig()
-	if refusal := r.core.Deliver(handed("m1", pacedUnit, ownToken)); refusal != nil {
-		t.Fatal(refusal.Reason)
-	}
-	r.Pass(100 * time.Millisecond)
+	r := newRigWithOneOut(t)
 	for _, disk := range []string{"disk-1", "disk-2"} {
 		delete(r.Reachable, diskAddress(disk))
 	}
@@ -102,3 +76,27 @@
 		t.Errorf("the end was told to %v when the carrier had stopped", told)
 	}
 }
+
+// newRigWithOneOut gives a carrier with an attempt of a message out that two disks hold.
+func newRigWithOneOut(t *testing.T) *rig {
+	t.Helper()
+	r := newRig()
+	if refusal := r.core.Deliver(handed("m1", pacedUnit, ownToken)); refusal != nil {
+		t.Fatal(refusal.Reason)
+	}
+	r.Pass(time.Second)
+	return r
+}
+
+// expectEndAt has the attempt succeed, and sees that disks are told the end.
+func (r *rig) expectEndAt(t *testing.T, disks ...string) {
+	t.Helper()
+	r.finish(Outcome{Kind: RunSucceeded, Stamp: "s"})
+	r.Pass(time.Second)
+	told := r.toldEnds()
+	for _, disk := range disks {
+		if !told[diskAddress(disk)] {
+			t.Errorf("%s was not told of the end; told were %v", disk, told)
+		}
+	}
+}
