--- a/internal/system/role/store/clean.go
+++ b/internal/system/role/store/clean.go
@@ -29,6 +29,9 @@
 			return err
 		}
 	}
+	for _, unit := range c.takenOver.order {
+		c.append(record{Kind: recordFenced, Unit: unit}, nil)
+	}
 	// Records are synced in their order, so this one is the last.
 	c.append(c.startedRecord(), func(segment.Position) {
 		c.cleaning.running, c.cleaning.emptied = false, oldest
--- a/internal/system/role/store/core.go
+++ b/internal/system/role/store/core.go
@@ -50,7 +50,7 @@
 	settled  uint64 // of a roster: all that was taken for an older one is synced
 	founder  bool
 	loader   *loader // nil once the log was read
-	// takenOver are the carriers' units that were listed in this life of the store.
+	// takenOver are the carriers' units that were listed by who takes them over.
 	takenOver units
 	repeats   Repeats
 	// expireDue is when messages are looked for that nobody ended within their retention.
@@ -145,7 +145,7 @@
 		done(&wire.RefusalBody{Code: wire.StaleRoster, Reason: "the roster of disks has changed"})
 		return
 	}
-	if c.takenOver.known[m.Unit] {
+	if c.takenOver.has(m.Unit) {
 		done(&wire.RefusalBody{Code: wire.NotOwner, Reason: "the carrier's messages were taken over"})
 		return
 	}
--- a/internal/system/role/store/load.go
+++ b/internal/system/role/store/load.go
@@ -209,6 +209,9 @@
 		c.void(c.loadedEntry(&r), r.At)
 	case recordEnd:
 		c.end(c.loadedEntry(&r), r.End, r.At)
+	case recordFenced:
+		c.takenOver.add(r.Unit)
+		c.takenOver.synced(r.Unit)
 	case recordCallbackDone:
 		if e := c.index.get(r.ID); e != nil {
 			e.callbackOwed = false
--- a/internal/system/role/store/record.go
+++ b/internal/system/role/store/record.go
@@ -22,7 +22,8 @@
 	recordVoid
 	recordEnd
 	recordCallbackDone
-	recordClock // nothing but its time: the log's clock goes on while nothing else is written
+	recordClock  // nothing but its time: the log's clock goes on while nothing else is written
+	recordFenced // a carrier's unit was taken over: nothing more is taken for it
 )
 
 // record is one record of the log.
--- a/internal/system/role/store/takeover_test.go
+++ b/internal/system/role/store/takeover_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"testing"
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"granitewing/internal/system/message"
 	"granitewing/internal/system/wire"
 )
 
@@ -51,3 +53,31 @@
 		Expect(b.core.takenOver.order).To(HaveLen(maxTakenOver))
 	})
 })
+
+// Guards against a message that is accepted for nobody: its carrier's unit was taken over and settled, and the stores that had fenced the unit have
+// started anew, or cleaned their logs, since.
+func TestFencedUnitsSurviveARestart(t *testing.T) {
+	b := newListedBench(t)
+	listed := 0
+	b.core.takeOver(carrierUnits+"a", func() { listed++ })
+	Expect(listed).To(BeZero(), "the answer waits for the sync of the fence")
+	b.flush()
+	Expect(listed).To(Equal(1))
+	late := newMessage("late")
+	late.Unit = carrierUnits + "a"
+	refusal := func() *wire.RefusalBody {
+		var refusal *wire.RefusalBody
+		b.core.Put(late, 0, func(r *wire.RefusalBody) { refusal = r })
+		b.flush()
+		return refusal
+	}
+	b.open(false)
+	Expect(refusal()).NotTo(BeNil())
+	for i := 0; b.clean() == 0; i++ {
+		id := fmt.Sprint("m", i)
+		Expect(b.put(id)).To(BeNil())
+		b.end(id, message.Succeeded)
+	}
+	b.open(false)
+	Expect(refusal()).NotTo(BeNil())
+}
