Soak: call-backs to a receiver that fails for spans; each must come

At the end every accepted message that has ended must have been told (LOST), with a stamp of a run (MIXED).

--- a/internal/system/soak/clients_test.go
+++ b/internal/system/soak/clients_test.go
@@ -25,6 +25,7 @@
 	orderedHost   = "ordered.example"
 	freeHost      = "free.example"
 	pacedHost     = "paced.example"
+	calledHost    = "called.example" // its messages' ends are owed to the receiver
 )
 
 // client sends messages over one connection for as long as that lasts, whatever its carrier is told to do, and then goes to another.
@@ -33,6 +34,7 @@
 	judge      *judge
 	random     *rand.Rand
 	name       string
+	receiver   string // URL of call-backs
 	connection net.Conn
 	reader     *bufio.Reader
 	sent       int
@@ -83,9 +85,13 @@
 	if key != "" {
 		fmt.Fprintf(&text, "%s: %s\r\n", wire.HeaderOrderingKey, key)
 	}
+	called := host == calledHost
+	if called {
+		fmt.Fprintf(&text, "%s: %s\r\n", wire.HeaderCallback, c.receiver)
+	}
 	text.WriteString("\r\n" + body)
 	calmBefore := c.judge.inCalm()
-	c.judge.sent(id, key)
+	c.judge.sent(id, key, called)
 	_ = c.connection.SetDeadline(time.Now().Add(clientWait))
 	if _, err := c.connection.Write([]byte(text.String())); err != nil {
 		c.leave()
@@ -124,7 +130,7 @@
 	case 0, 1:
 		return orderedHost, fmt.Sprintf("key-%d", c.random.IntN(keysOfOrdered))
 	case 2:
-		return freeHost, ""
+		return calledHost, ""
 	}
 	if c.random.IntN(3) > 0 {
 		return freeHost, ""
@@ -138,10 +144,10 @@
 	running sync.WaitGroup
 }
 
-func startClients(r *rig, j *judge, count int, seed uint64) *clients {
+func startClients(r *rig, j *judge, receiver string, count int, seed uint64) *clients {
 	cs := &clients{stopped: make(chan struct{})}
 	for i := range count {
-		c := &client{rig: r, judge: j, random: rand.New(rand.NewPCG(seed, uint64(i))), name: fmt.Sprintf("c%d", i)}
+		c := &client{rig: r, judge: j, random: rand.New(rand.NewPCG(seed, uint64(i))), name: fmt.Sprintf("c%d", i), receiver: receiver}
 		cs.running.Go(func() { c.run(cs.stopped) })
 	}
 	return cs
--- a/internal/system/soak/judge_test.go
+++ b/internal/system/soak/judge_test.go
@@ -28,6 +28,8 @@
 	failures int
 	ended    time.Time
 	stamps   map[string]bool
+	callback bool // its end is owed to the receiver
+	told     int  // call-backs that the receiver took
 }
 
 // judge keeps what clients, workers and the operator saw, and says which rules that breaks.
@@ -80,10 +82,10 @@
 	return j.calm()
 }
 
-func (j *judge) sent(id, key string) {
+func (j *judge) sent(id, key string, callback bool) {
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
-	r := &record{id: id, key: key, sent: time.Now(), stamps: map[string]bool{}}
+	r := &record{id: id, key: key, callback: callback, sent: time.Now(), stamps: map[string]bool{}}
 	j.records[id] = r
 	if key != "" {
 		j.byKey[key] = append(j.byKey[key], r)
@@ -210,6 +212,45 @@
 	}
 }
 
+// calledBack judges a call-back.
+func (j *judge) calledBack(form callbackForm) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	r := j.records[form.ID]
+	switch {
+	case r == nil || !r.callback:
+		j.breakRule("MIXED", form.ID+" is called back and asked for none")
+		return
+	case form.Phase == "succeeded" && !r.stamps[form.Stamp]:
+		j.breakRule("MIXED", form.ID+" is called back with a stamp of no run")
+	case form.Phase != "succeeded" && r.ended.IsZero():
+		j.breakRule("MIXED", form.ID+" is called back as "+form.Phase+" and has not ended")
+	}
+	r.told++
+}
+
+// untold gives the ids of what was accepted and has ended, and whose call-back the receiver has not got.
+func (j *judge) untold() []string {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	var found []string
+	for id, r := range j.records {
+		if r.callback && !r.accepted.IsZero() && !r.ended.IsZero() && r.told == 0 {
+			found = append(found, id)
+		}
+	}
+	return found
+}
+
+// calls counts the call-backs that came, and those that were not the first of their message.
+func (j *judge) calls() (came, again int) {
+	for _, r := range j.records {
+		came += r.told
+		again += max(0, r.told-1)
+	}
+	return came, again
+}
+
 // accepted gives the ids of what was accepted, and of these the ones that have not ended.
 func (j *judge) accepted() (all, open []string) {
 	j.mutex.Lock()
@@ -231,7 +272,9 @@
 	all, open := j.accepted()
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
-	return fmt.Sprintf("%d sent, %d accepted, %d of them open, %d runs repeated, broken %v", len(j.records), len(all), len(open), j.repeated, j.counts)
+	came, again := j.calls()
+	return fmt.Sprintf("%d sent, %d accepted, %d of them open, %d runs repeated, %d call-backs and %d of them again, broken %v", len(j.records), len(all),
+		len(open), j.repeated, came, again, j.counts)
 }
 
 func bodyOf(id string) string { return "body of " + id }
--- a/internal/system/soak/operator_test.go
+++ b/internal/system/soak/operator_test.go
@@ -40,18 +40,19 @@
 // document is a configuration; ordered and free name the services of these routes.
 func (o *operator) document(version uint64, ordered, free, paced string, timeout int) []byte {
 	route := func(host, service string, inOrder bool) string {
+		called := host == calledHost
 		return fmt.Sprintf(`{"name":"%s","host":"%s","path-prefix":"/in/","kind":"async","timeout-ms":%d,"target-latency-ms":200,"priority":1,`+
-			`"backend":"%s","retries":%d,"ordered":%t,"retention-s":90,"callback-url":false,"target-start-ms":1000}`,
-			host, host, timeout, service, failuresMost, inOrder)
+			`"backend":"%s","retries":%d,"ordered":%t,"retention-s":90,"callback-url":%t,"target-start-ms":1000}`,
+			host, host, timeout, service, failuresMost, inOrder, called)
 	}
 	idle := ""
 	for i := range version % 4 {
 		idle += "," + route(fmt.Sprintf("idle-%d-%d.example", version, i), serviceOne, false)
 	}
-	return []byte(fmt.Sprintf(`{"resource-version":%d,"routes":[%s,%s,%s%s],"services":[`+
+	return []byte(fmt.Sprintf(`{"resource-version":%d,"routes":[%s,%s,%s,%s%s],"services":[`+
 		`{"name":"one","max-connections":200,"rate-per-s":0,"static":null},{"name":"two","max-connections":200,"rate-per-s":0,"static":null},`+
 		`{"name":"endpoint","max-connections":60,"rate-per-s":%d,"static":"%s"}],"limits":{}}`,
-		version, route(orderedHost, ordered, true), route(freeHost, free, false), route(pacedHost, paced, false), idle, endpointRate, o.static))
+		version, route(orderedHost, ordered, true), route(freeHost, free, false), route(calledHost, free, false), route(pacedHost, paced, false), idle, endpointRate, o.static))
 }
 
 func (o *operator) next() []byte {
--- a/internal/system/soak/soak_test.go
+++ b/internal/system/soak/soak_test.go
@@ -99,6 +99,11 @@
 		return []string{err.Error()}, "not started"
 	}
 	defer ws.stop()
+	receiver, err := startReceiver(j, seed)
+	if err != nil {
+		return []string{err.Error()}, "not started"
+	}
+	defer receiver.stop()
 	r := &rig{binary: binary, layout: loopback.Layout{Folder: folder, Cloud: ws.address, MemoryMB: memoryMB, DiskMB: diskMB, Files: files, GraceS: graceS}}
 	if err := r.lay(net, number("SOAK_EDGES", usualEdges), number("SOAK_STORAGE", usualStorage)); err != nil {
 		return []string{err.Error()}, "not started"
@@ -111,7 +116,7 @@
 	if !o.change() || !r.ready(readyWithin) {
 		return []string{"the system was not ready in time"}, "not ready"
 	}
-	traffic(r, j, o, seed, planned)
+	traffic(r, j, o, receiver, seed, planned)
 	judgeEnd(r, j, o)
 	j.mutex.Lock()
 	broken = append(broken, j.broken...)
@@ -123,8 +128,8 @@
 }
 
 // traffic has clients send while the chaos goes on; every third seed ends with the end of all processes at once.
-func traffic(r *rig, j *judge, o *operator, seed uint64, planned bool) {
-	cs := startClients(r, j, number("SOAK_CLIENTS", usualClients), seed)
+func traffic(r *rig, j *judge, o *operator, receiver *receiver, seed uint64, planned bool) {
+	cs := startClients(r, j, receiver.url(), number("SOAK_CLIENTS", usualClients), seed)
 	c := startChaos(r, j, o, seed, planned)
 	time.Sleep(time.Duration(number("SOAK_SECONDS", usualSeconds)) * time.Second)
 	c.stop()
@@ -133,6 +138,7 @@
 		time.Sleep(contact)
 	}
 	cs.stop()
+	receiver.hear()
 }
 
 // ready waits until most carriers are ready.
@@ -151,13 +157,16 @@
 	return false
 }
 
-// judgeEnd waits until all that was accepted has ended, and reads states and the configuration back.
+// judgeEnd waits until all that was accepted has ended and every call-back was made, and reads states and the configuration back.
 func judgeEnd(r *rig, j *judge, o *operator) {
 	for end := time.Now().Add(endedWithin); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
-		if _, open := j.accepted(); len(open) == 0 {
+		if _, open := j.accepted(); len(open) == 0 && len(j.untold()) == 0 {
 			break
 		}
 	}
+	for _, id := range j.untold() {
+		j.breaks("LOST", id+" has ended, and its call-back never came")
+	}
 	all, open := j.accepted()
 	for _, id := range open {
 		j.breaks("LOST", id+" was accepted and has not ended")
