A call-back that waits is not queued again as its unit is listed again

Each listing of a unit queued the call-backs that it owes once more: the same receiver was told as often as the unit was listed while it failed, and the queue grew. It is the unit's that was listed last now. The test failed before (told five times).

--- a/internal/system/role/carrier/callback.go
+++ b/internal/system/role/carrier/callback.go
@@ -69,8 +69,14 @@
 	Stamp string        `json:"stamp"`
 }
 
-// tell queues an end for its call-back URL.
+// tell queues an end for its call-back URL. One that waits already, as its unit is listed again, is the unit's from now on.
 func (c *Core) tell(u *unit, address string, end message.End, holders []string) {
+	if waiting := c.owed[end.ID]; waiting != nil {
+		waiting.unit.unrecorded--
+		u.unrecorded++
+		waiting.unit, waiting.holders = u, holders
+		return
+	}
 	parsed, err := url.Parse(address)
 	if err != nil || parsed.Host == "" {
 		c.stores.recordCallback(u, holders, end.ID)
@@ -86,6 +92,7 @@
 	}
 	u.unrecorded++
 	call := &callback{unit: u, url: address, end: end, holders: holders, since: c.env.Now()}
+	c.owed[end.ID] = call
 	c.waitingBytes += call.bytes()
 	r.waiting = append(r.waiting, call)
 	c.callOut(r)
@@ -180,6 +187,7 @@
 
 // callbackOver has the stores record that nothing is owed any more.
 func (c *Core) callbackOver(call *callback) {
+	delete(c.owed, call.end.ID)
 	call.unit.unrecorded--
 	c.waitingBytes -= call.bytes()
 	c.stores.recordCallback(call.unit, call.holders, call.end.ID)
--- a/internal/system/role/carrier/callback_test.go
+++ b/internal/system/role/carrier/callback_test.go
@@ -135,3 +135,31 @@
 		t.Errorf("%d bytes are left of call-backs that were made", r.core.waitingBytes-before)
 	}
 }
+
+// Guards against a queue that grows with each listing of a unit: a call-back that waits already is not queued again, and belongs to the unit that was
+// listed last.
+func TestCallbackThatWaitsIsNotQueuedAgain(t *testing.T) {
+	r := newRig()
+	failing := true
+	r.receive = func(string) int {
+		if failing {
+			return http.StatusServiceUnavailable
+		}
+		return http.StatusOK
+	}
+	end := message.End{ID: "m1", Phase: message.Succeeded, Stamp: "s", CallbackOwed: true}
+	listed := wire.ListedMessage{Message: handedWithCallback("m1", 1).Message, Phase: end.Phase, Stamp: end.Stamp}
+	r.store("disk-1").listed, r.store("disk-1").ends["m1"] = []wire.ListedMessage{listed}, end
+	for turn := range uint64(5) {
+		r.own(ownToken + 1 + turn)
+		r.Pass(time.Second)
+	}
+	if u := r.core.units[pacedUnit]; u.unrecorded != 1 {
+		t.Errorf("the unit counts %d records", u.unrecorded)
+	}
+	failing = false
+	r.Pass(5 * time.Second)
+	if !slices.Equal(r.told, []string{"m1"}) || r.core.callbacksWait() || r.core.units[pacedUnit].unrecorded != 0 {
+		t.Errorf("told were %v, call-backs wait: %t, records: %d", r.told, r.core.callbacksWait(), r.core.units[pacedUnit].unrecorded)
+	}
+}
--- a/internal/system/role/carrier/core.go
+++ b/internal/system/role/carrier/core.go
@@ -52,6 +52,7 @@
 	recent    *recentEnds
 	stores    *storage
 	receivers map[string]*receiver
+	owed      map[string]*callback // by message id: call-backs that were not made yet
 
 	bodyBytes    int64                    // of the messages that this carrier is responsible for and has in memory
 	waitingBytes int64                    // memory of their other parts, and of messages on their way to their owner
@@ -78,7 +79,7 @@
 func New(env Environment, s *settings.Settings) *Core {
 	c := &Core{env: env, settings: s, policy: delivery.NewPolicy(s.Zone), units: map[string]*unit{},
 		queues: map[string]*queue{}, inFlight: map[string]*item{}, recent: newRecentEnds(),
-		receivers: map[string]*receiver{}, fullUntil: map[string]time.Duration{}}
+		receivers: map[string]*receiver{}, owed: map[string]*callback{}, fullUntil: map[string]time.Duration{}}
 	c.stores = newStorage(c)
 	self := session.Member{Incarnation: member.NewIncarnation(env, s.NodeName), Node: s.NodeName, Role: session.Carrier,
 		Zone: s.Zone, Address: s.CarrierAddress()}
