--- a/internal/system/role/carrier/sendable.go
+++ b/internal/system/role/carrier/sendable.go
@@ -16,7 +16,7 @@
 	heldOut                 // an attempt is out: its outcome decides
 	heldNotOurs             // its unit went to another carrier, whose recovery finds the message
 	heldHandover            // its unit is on its way to another carrier: what was not begun is left to it
-	heldNotDue              // its delay, or a pause after an attempt, has not passed
+	heldNotDue              // its delay has not passed; pauses after an attempt come before it is asked for
 	heldBehind              // another of its ordering key is ahead of it
 	heldNoTable             // no configuration is known
 	heldOlderTable          // the configuration that is known is older than the one that accepted it
