Failing tests of messages left lying: ages after store losses, listings not repeated

Sight first: the simulation takes longest delays from a scenario and checks at the end that each accepted message that has not completed waits at exactly one live carrier, which takes it to be due at most 1 s late (and the time in which no store ran).

--- a/internal/system/role/carrier/core.go
+++ b/internal/system/role/carrier/core.go
@@ -312,3 +312,15 @@
 	}
 	return 0
 }
+
+// Waiting returns the messages that this carrier is responsible for and that are not completed, by ID, with the time
+// until each is due; negative if it is due.
+func (c *Core) Waiting() map[string]time.Duration {
+	waiting := map[string]time.Duration{}
+	for _, u := range c.units {
+		for id, it := range u.items {
+			waiting[id] = it.due - c.env.Now()
+		}
+	}
+	return waiting
+}
--- a/internal/system/simulation/check_final.go
+++ b/internal/system/simulation/check_final.go
@@ -19,6 +19,7 @@
 	sim.checkGroupsAtEnd()
 	sim.checker.checkAvailability()
 	sim.checkStuckMessages()
+	sim.checkWaitingMessages()
 	sim.checkFinalConfiguration()
 	if !sim.history.linearizable() {
 		sim.checker.reportViolation(sim.world.now, "CONFIG", "the operator's calls and their answers are not linearizable")
--- a/internal/system/simulation/clients.go
+++ b/internal/system/simulation/clients.go
@@ -17,7 +17,8 @@
 	// failedProbesToRemove is the number of failed readiness probes in a row after which the load balancer removes a
 	// carrier.
 	failedProbesToRemove = 2
-	maxDelay             = 14 * time.Second
+	// defaultMaxDelay is the longest delay of a delayed message if a scenario gives none.
+	defaultMaxDelay = 14 * time.Second
 )
 
 // traffic describes the messages that clients send to one route.
@@ -57,7 +58,7 @@
 		m.Key = r.key
 	}
 	if t.delayedOneIn > 0 && w.random.IntN(t.delayedOneIn) == 0 {
-		r.delay = time.Duration(w.random.Int64N(int64(maxDelay)))
+		r.delay = time.Duration(w.random.Int64N(int64(sim.maxDelay)))
 		m.Delay = r.delay
 	}
 	if t.callback {
--- a/internal/system/simulation/draw.go
+++ b/internal/system/simulation/draw.go
@@ -30,7 +30,7 @@
 		return drawControl(seed)
 	}
 	r := rand.New(rand.NewPCG(seed, 2))
-	s := &Scenario{Seed: seed, Traffic: time.Duration(8+r.IntN(6)) * time.Second, StorageMachines: defaultStorageMachines,
+	s := &Scenario{Seed: seed, Traffic: time.Duration(8+r.IntN(6)) * time.Second, StorageMachines: defaultStorageMachines, MaxDelay: defaultMaxDelay,
 		Tolerance: tolerance.Tolerance{Machines: 1}}
 	s.DiskKB, s.Retention = defaultDisk, defaultRetention
 	if seed%smallDiskSeedModulus == 0 {
--- a/internal/system/simulation/draw_control.go
+++ b/internal/system/simulation/draw_control.go
@@ -30,7 +30,7 @@
 // at a time than the system tolerates. A disk counts as lost until recoveryTime after all other faults have healed.
 func drawControl(seed uint64) *Scenario {
 	r := rand.New(rand.NewPCG(seed, 5))
-	s := &Scenario{Seed: seed, StorageMachines: defaultStorageMachines, Tolerance: tolerance.Tolerance{Machines: 1}, DiskKB: defaultDisk, Retention: defaultRetention}
+	s := &Scenario{Seed: seed, StorageMachines: defaultStorageMachines, MaxDelay: defaultMaxDelay, Tolerance: tolerance.Tolerance{Machines: 1}, DiskKB: defaultDisk, Retention: defaultRetention}
 	at := time.Duration(300+r.IntN(1500)) * time.Millisecond
 	added := 0
 	for range r.IntN(3) {
--- a/internal/system/simulation/draw_planned.go
+++ b/internal/system/simulation/draw_planned.go
@@ -21,7 +21,7 @@
 // a time, and at least one carrier stays up.
 func DrawPlannedOperations(seed uint64) *Scenario {
 	r := rand.New(rand.NewPCG(seed, 11))
-	s := &Scenario{Seed: seed, Traffic: time.Duration(10+r.IntN(10)) * time.Second, StorageMachines: defaultStorageMachines, DiskKB: defaultDisk, Retention: defaultRetention,
+	s := &Scenario{Seed: seed, Traffic: time.Duration(10+r.IntN(10)) * time.Second, StorageMachines: defaultStorageMachines, MaxDelay: defaultMaxDelay, DiskKB: defaultDisk, Retention: defaultRetention,
 		Tolerance: tolerance.Tolerance{Machines: 1}}
 	p := &plannedWork{random: r, carriersAwayUntil: map[string]time.Duration{}}
 	for at := time.Duration(0); ; {
--- a/internal/system/simulation/draw_retirements.go
+++ b/internal/system/simulation/draw_retirements.go
@@ -21,7 +21,7 @@
 // the same time, together with restarts. In half of the scenarios one machine at a time is lost as well.
 func DrawRetirements(seed uint64) *Scenario {
 	r := rand.New(rand.NewPCG(seed, 13))
-	s := &Scenario{Seed: seed, Traffic: time.Duration(20+r.IntN(14)) * time.Second, StorageMachines: defaultStorageMachines, DiskKB: defaultDisk, Retention: defaultRetention,
+	s := &Scenario{Seed: seed, Traffic: time.Duration(20+r.IntN(14)) * time.Second, StorageMachines: defaultStorageMachines, MaxDelay: defaultMaxDelay, DiskKB: defaultDisk, Retention: defaultRetention,
 		Tolerance: tolerance.Tolerance{Machines: 1}}
 	if seed%zonalSeedModulus == 0 {
 		s.StorageMachines, s.Tolerance.Zones = zonalStorageMachines, 1
--- a/internal/system/simulation/scenario.go
+++ b/internal/system/simulation/scenario.go
@@ -20,6 +20,7 @@
 //	storage 6                          storage machines at the start; 3 if missing
 //	disk 300                           kilobytes of disk of each storage machine; 400 megabytes if missing
 //	retention 8s                       of the messages; 90s if missing
+//	delays 60s                         longest delay of a delayed message; 14s if missing
 //	tolerate zones 1                   loss that is tolerated, of 'machines' or 'zones'; 'machines 1' if missing
 //	at 2s kill storage-1 for 1s        processes are killed, and start again after this time
 //	at 3s power storage-2 for 2s       power is lost; 'storage', 'edge', 'zone-a' and 'all' name several machines
@@ -83,6 +84,7 @@
 	StorageMachines int           // storage machines at the start
 	DiskKB          int64         // kilobytes, of each storage machine
 	Retention       time.Duration
+	MaxDelay        time.Duration // longest delay of a delayed message
 	Tolerance       tolerance.Tolerance
 	Events          []Event
 	MinShares       map[ShareName]float64 // minimum of each share; missing for none
@@ -108,7 +110,7 @@
 // Parse parses a scenario. It returns a ParseError with the number of the line if one is invalid. Events are checked
 // only when Run runs the scenario.
 func Parse(text string) (*Scenario, error) {
-	s := &Scenario{Seed: 1, Traffic: 10 * time.Second, StorageMachines: defaultStorageMachines, DiskKB: defaultDisk, Retention: defaultRetention, MinShares: map[ShareName]float64{},
+	s := &Scenario{Seed: 1, Traffic: 10 * time.Second, StorageMachines: defaultStorageMachines, DiskKB: defaultDisk, Retention: defaultRetention, MaxDelay: defaultMaxDelay, MinShares: map[ShareName]float64{},
 		Tolerance: tolerance.Tolerance{Machines: 1}}
 	for i, line := range strings.Split(text, "\n") {
 		line, _, _ = strings.Cut(line, "#")
@@ -147,6 +149,10 @@
 		if err = wants(2); err == nil {
 			s.Retention, err = time.ParseDuration(words[1])
 		}
+	case "delays":
+		if err = wants(2); err == nil {
+			s.MaxDelay, err = time.ParseDuration(words[1])
+		}
 	case "disk":
 		if err = wants(2); err == nil {
 			s.DiskKB, err = strconv.ParseInt(words[1], 10, 64)
@@ -201,7 +207,7 @@
 // String returns the scenario as a text that Parse reads. Expectations other than minimum shares are left out.
 func (s *Scenario) String() string {
 	var text strings.Builder
-	fmt.Fprintf(&text, "seed %d\ntraffic %s\nstorage %d\ndisk %d\nretention %s\ntolerate machines %d\ntolerate zones %d\n", s.Seed, s.Traffic, s.StorageMachines, s.DiskKB, s.Retention,
+	fmt.Fprintf(&text, "seed %d\ntraffic %s\nstorage %d\ndisk %d\nretention %s\ndelays %s\ntolerate machines %d\ntolerate zones %d\n", s.Seed, s.Traffic, s.StorageMachines, s.DiskKB, s.Retention, s.MaxDelay,
 		s.Tolerance.Machines, s.Tolerance.Zones)
 	for _, event := range s.Events {
 		fmt.Fprintf(&text, "at %s %s\n", event.At, event.What)
--- a/internal/system/simulation/simulation.go
+++ b/internal/system/simulation/simulation.go
@@ -63,6 +63,8 @@
 	loseAcks        bool
 	expiredMessages int // accepted messages that completed because their retention passed
 	retention       time.Duration
+	maxDelay        time.Duration  // of delayed messages
+	allStoresDown   time.Duration  // for how long no store has run, in sum
 	burstFactors    map[string]int // by service: factor by which more messages are sent; missing for none
 	failure         error
 	tolerance       tolerance.Tolerance
@@ -77,7 +79,7 @@
 
 func newSimulation(s *Scenario) *simulation {
 	w := newWorld(s.Seed)
-	sim := &simulation{world: w, tolerance: s.Tolerance, diskBytes: s.DiskKB << 10, checker: newChecker(maxFailures, s.Retention), retention: s.Retention, burstFactors: map[string]int{}, keepers: map[string]*keeperHost{}, stores: map[string]*storeHost{},
+	sim := &simulation{world: w, tolerance: s.Tolerance, diskBytes: s.DiskKB << 10, checker: newChecker(maxFailures, s.Retention), retention: s.Retention, maxDelay: s.MaxDelay, burstFactors: map[string]int{}, keepers: map[string]*keeperHost{}, stores: map[string]*storeHost{},
 		carriers: map[string]*carrierHost{}, failedProbes: map[string]int{}, seenVersions: map[*carrierHost]uint64{}, history: newConfigurationHistory(), backends: newBackends()}
 	sim.platform = newPlatform(w, sim.checker)
 	sim.addServices()
