List the units of services with a rate again after every departure of an acceptor

Callers saw: a message of such a service was accepted (202) and never delivered.

Cause: an owner lists such a unit again when a carrier departs, for what that carrier stored and did not pass on.

Change: a listing that is wanted while one is under way follows it.

--- a/internal/system/member/view.go
+++ b/internal/system/member/view.go
@@ -32,6 +32,7 @@
 	Instances    map[string]catalog.Instance // workers, by instance ID
 	Keepers      map[string]bool             // set of addresses
 	CatalogKnown bool                        // the list of workers was read at least once
+	Snapshots    uint64                      // how many updates replaced everything; what happened before them was not seen
 }
 
 func emptyView() *View {
@@ -65,6 +66,7 @@
 	updated := *v
 	var copied copiedTables
 	if update.Snapshot {
+		updated.Snapshots++
 		empty := emptyView()
 		updated.Members, updated.Disks, updated.Departed = empty.Members, empty.Disks, empty.Departed
 		updated.Keepers = empty.Keepers
--- a/internal/system/role/carrier/fixture_test.go
+++ b/internal/system/role/carrier/fixture_test.go
@@ -32,6 +32,7 @@
 	*simulated.Loop
 	core    *Core
 	table   *feed.Table
+	pushed  feed.Position         // of the latest update that was pushed
 	stores  map[string]*storeStub // by address
 	sent    []string              // IDs of messages that were sent to workers
 	finish  func(AttemptOutcome)  // finishes the latest attempt
@@ -94,7 +95,7 @@
 		r.setDisk(disk, true)
 	}
 	r.own(ownedToken)
-	r.Advance(100 * time.Millisecond)
+	r.Advance(relistDelay + 100*time.Millisecond) // the first view has the units listed once more
 	return r
 }
 
@@ -106,8 +107,10 @@
 	r.push()
 }
 
+// push sends the carrier what has changed since the last push, as a keeper does; the first time everything.
 func (r *fixture) push() {
-	update := r.table.UpdateSince(feed.Position{})
+	update := r.table.UpdateSince(r.pushed)
+	r.pushed = update.Position
 	r.core.FeedUpdate(keeperAddress, wire.EncodeUpdate(&update))
 }
 
--- a/internal/system/role/carrier/unit.go
+++ b/internal/system/role/carrier/unit.go
@@ -8,6 +8,7 @@
 	"granitewing/internal/system/message"
 	"granitewing/internal/system/ordered"
 	"granitewing/internal/system/ownership"
+	"granitewing/internal/system/session"
 )
 
 // unit is a set of messages that one carrier is responsible for.
@@ -17,6 +18,7 @@
 	active        bool   // all messages of former owners are known
 	recovering    bool
 	recovery      *recovery // the latest one
+	relistWanted  bool      // the unit is to be listed once more after the recovery under way
 	dropped       bool      // another carrier is responsible now
 	sequence      uint64
 	items         map[string]*item
@@ -66,9 +68,9 @@
 		if departed.Adopter != self && c.units[name] != nil && name != c.own.name {
 			c.drop(c.units[name])
 		}
-		if _, known := before.Departed[incarnation]; !known {
-			c.relistPacedUnits()
-		}
+	}
+	if acceptorMayBeGone(before, after) {
+		c.relistPacedUnits()
 	}
 	for name, u := range ordered.Map(c.units) {
 		incarnation, adopted := strings.CutPrefix(name, carrierUnitPrefix)
@@ -231,6 +233,30 @@
 	return &stripped
 }
 
+// acceptorMayBeGone reports whether a process that accepted messages may have ended between two views. A carrier whose
+// session had ended before may have accepted messages until the next process of its machine joined.
+func acceptorMayBeGone(before, after *member.View) bool {
+	if after.Snapshots != before.Snapshots {
+		return true
+	}
+	for incarnation := range after.Departed {
+		if _, known := before.Departed[incarnation]; !known {
+			return true
+		}
+	}
+	return lacksCarrier(before, after) || lacksCarrier(after, before)
+}
+
+// lacksCarrier reports whether a carrier that is a member in view is none in other.
+func lacksCarrier(view, other *member.View) bool {
+	for incarnation, known := range view.Members {
+		if _, live := other.Members[incarnation]; !live && known.Role == session.Carrier {
+			return true
+		}
+	}
+	return false
+}
+
 // relistPacedUnits looks for messages that a departed carrier stored for the owner of a paced unit but did not
 // pass on.
 func (c *Core) relistPacedUnits() {
@@ -241,13 +267,22 @@
 	c.env.After(relistDelay, func() {
 		c.relistScheduled = false
 		for name, u := range ordered.Map(c.units) {
-			if strings.HasPrefix(name, ownership.ServiceUnit("")) && u.active && !u.recovering {
-				c.recover(u)
+			if strings.HasPrefix(name, ownership.ServiceUnit("")) {
+				c.relist(u)
 			}
 		}
 	})
 }
 
+// relist lists a unit once more: at once, or after the listing under way, which may have read the stores already.
+func (c *Core) relist(u *unit) {
+	if u.recovering {
+		u.relistWanted = true
+		return
+	}
+	c.recover(u)
+}
+
 // settleDeparted reports departed carriers whose messages have all completed to the keepers.
 func (c *Core) settleDeparted() {
 	for name, u := range ordered.Map(c.units) {
