Compare what carriers have with what stores hold: missing messages and ages that lag

Callers saw: a delayed message ran seconds after its time, later with every restart of the stores that hold it.

Cause: the ages of messages are measured by the stores alone, each by a clock that stands still while it is down. Who takes a message over takes the greatest age told, so it is due late by the least downtime of its holders, in sum since its acceptance. Class: state that is right where the message is, and that nobody gives back to a disk that has missed it. The same class for the message itself: a carrier that lacks one which stores hold as pending never learned of it.

Ruled out: a clock of the keepers' group (stores would wait for it at their start, and a step forward makes what arrived before it too old); counting by the time of day (docs/incidents/2026-12-02-stepped-clocks.md).

Change: every 5 s a carrier asks the stores for what has been pending for 4 s in its units (ids and ages). It lists a unit again that lacks one, with a warning; takes an age that is greater than its own; and tells a store the ages that lag there, which the store records. No side's age exceeds the true one, so the greater is the better.

--- a/internal/system/role/carrier/core.go
+++ b/internal/system/role/carrier/core.go
@@ -115,6 +115,7 @@
 	c.session.Start()
 	c.housekeep()
 	c.reviewTakenOver()
+	c.env.After(time.Duration(c.env.Random(int64(reconcileInterval))), c.reconcile)
 }
 
 func (c *Core) housekeep() {
--- a/internal/system/role/carrier/fixture_test.go
+++ b/internal/system/role/carrier/fixture_test.go
@@ -48,7 +48,8 @@
 	listed         []wire.ListedMessage
 	outcomes       map[string]message.Outcome
 	unresponsive   bool
-	outcomeQueries int // number of FindOutcomes calls
+	outcomeQueries int               // number of FindOutcomes calls
+	raised         []wire.MessageAge // by RaiseAges
 }
 
 func (r *fixture) Deliver(attempt Attempt, done func(AttemptOutcome)) {
@@ -164,6 +165,22 @@
 			}
 		}
 		return wire.Encode(&answer), nil
+	case wire.ListPending:
+		answer := wire.PendingAnswer{}
+		for i := range s.listed {
+			m := &s.listed[i].Message
+			if s.listed[i].Phase != message.Pending {
+				continue
+			}
+			answer.Messages = append(answer.Messages, wire.PendingMessage{Unit: m.Unit, ID: m.ID, Age: s.listed[i].Age})
+		}
+		return wire.Encode(&answer), nil
+	case wire.RaiseAges:
+		var body wire.AgesBody
+		if err := wire.Decode(kind, payload, &body); err != nil {
+			return nil, err
+		}
+		s.raised = append(s.raised, body.Ages...)
 	case wire.FindOutcomes:
 		s.outcomeQueries++
 		var body wire.FindOutcomesBody
--- /dev/null
+++ b/internal/system/role/carrier/reconcile.go
@@ -0,0 +1,108 @@
+package carrier
+
+import (
+	"fmt"
+	"time"
+
+	"granitewing/internal/system/ordered"
+	"granitewing/internal/system/wire"
+)
+
+// Times and sizes of comparing this carrier's messages with those on the stores.
+const (
+	reconcileInterval = 5 * time.Second
+	minAgeLag         = 250 * time.Millisecond // ages that differ by less are left as they are
+	maxAgesPerCall    = 512
+)
+
+// reconcile compares the messages of all units of this carrier with those that have been pending on the stores for
+// long, and repeats this. Whatever has gone wrong before, a message that is on a store and not here is listed again,
+// and neither side goes on with an age that lags.
+func (c *Core) reconcile() {
+	c.env.After(reconcileInterval, c.reconcile)
+	var body wire.PendingBody
+	for name := range ordered.Map(c.units) {
+		body.Units = append(body.Units, name)
+	}
+	payload := wire.Encode(&body)
+	for disk := range ordered.Map(c.session.View().Disks) {
+		if c.stores.isUp(disk) {
+			c.reconcileWith(disk, payload)
+		}
+	}
+}
+
+func (c *Core) reconcileWith(disk string, payload []byte) {
+	c.env.Call(c.stores.address(disk), wire.ListPending, payload, listTimeout, func(payload []byte, err error) {
+		var answer wire.PendingAnswer
+		if err != nil || wire.Decode(wire.ListPending, payload, &answer) != nil {
+			return // the next round asks again
+		}
+		c.listMissing(answer.Messages)
+		c.raiseAges(disk, answer.Messages)
+	})
+}
+
+// listMissing lists units again that lack messages which a store holds.
+func (c *Core) listMissing(pending []wire.PendingMessage) {
+	missing := map[*unit]int{}
+	for i := range pending {
+		if u := c.units[pending[i].Unit]; u != nil && c.lacks(u, pending[i].ID) {
+			missing[u]++
+		}
+	}
+	for _, u := range ordered.Map(c.units) {
+		if missing[u] > 0 {
+			c.env.LogWarning(fmt.Sprintf("unit %s lacks %d messages that a store holds, listing it again", u.name, missing[u]), nil)
+			c.recover(u)
+		}
+	}
+}
+
+// lacks reports whether this carrier should have a message that a store reports as pending and does not. Messages of
+// its own unit that it does not have were never accepted.
+func (c *Core) lacks(u *unit, id string) bool {
+	if u == c.own || !u.active || u.recovering || u.handover != nil {
+		return false
+	}
+	_, completed := c.recent.get(id)
+	return !completed && u.items[id] == nil && u.outcomeQueries[id] == nil && c.inFlight[id] == nil
+}
+
+// raiseAges raises the ages of messages here that a store knows to be older, and has the store raise those that it
+// takes to be younger than they are. A store does not know how long it was down, and a carrier has the ages of what it
+// took over from the stores. Neither side's age exceeds the true one, so the greater one is the better.
+func (c *Core) raiseAges(disk string, pending []wire.PendingMessage) {
+	now := c.env.Now()
+	var lagging []wire.MessageAge
+	var greatest time.Duration
+	for i := range pending {
+		u := c.units[pending[i].Unit]
+		if u == nil || u.items[pending[i].ID] == nil {
+			continue
+		}
+		it := u.items[pending[i].ID]
+		lag := now - it.accepted - pending[i].Age
+		switch {
+		case lag > minAgeLag && len(lagging) < maxAgesPerCall:
+			lagging = append(lagging, wire.MessageAge{ID: it.message.ID, Age: now - it.accepted})
+			greatest = max(greatest, lag)
+		case lag < -minAgeLag:
+			c.raiseAge(it, pending[i].Age)
+		}
+	}
+	if len(lagging) == 0 {
+		return
+	}
+	c.env.LogInfo(fmt.Sprintf("disk %s is told the ages of %d messages, which lagged by up to %s", disk, len(lagging), greatest))
+	c.env.Call(c.stores.address(disk), wire.RaiseAges, wire.Encode(&wire.AgesBody{Ages: lagging}), listTimeout, func([]byte, error) {})
+}
+
+// raiseAge corrects the age of a message, which is due earlier by that.
+func (c *Core) raiseAge(it *item, age time.Duration) {
+	it.accepted = c.env.Now() - age
+	it.due = it.accepted + it.message.Delay
+	if it.attempts == 0 {
+		c.ready(it)
+	}
+}
--- a/internal/system/role/store/handle.go
+++ b/internal/system/role/store/handle.go
@@ -53,6 +53,12 @@
 			return nil
 		}
 		c.CallbackDone(body.IDs, accepted)
+	case wire.RaiseAges:
+		var body wire.AgesBody
+		if err := wire.Decode(kind, payload, &body); err != nil {
+			return err
+		}
+		c.RaiseAges(body.Ages, accepted)
 	case wire.PutCopies:
 		var body wire.CopiesBody
 		if err := wire.Decode(kind, payload, &body); err != nil {
@@ -96,6 +102,13 @@
 			return err
 		}
 		return reply(answerer, &wire.FindOutcomesAnswer{Outcomes: c.FindOutcomes(body.IDs), Complete: c.complete}, nil)
+	case wire.ListPending:
+		var body wire.PendingBody
+		if err := wire.Decode(kind, payload, &body); err != nil {
+			return err
+		}
+		answer := c.ListPending(body.Units)
+		return reply(answerer, &answer, nil)
 	case wire.ListHeld:
 		var body wire.HeldBody
 		if err := wire.Decode(kind, payload, &body); err != nil {
--- a/internal/system/role/store/load.go
+++ b/internal/system/role/store/load.go
@@ -213,6 +213,8 @@
 	case recordFenced:
 		c.takenOver.add(r.Unit)
 		c.takenOver.markDurable(r.Unit)
+	case recordAge:
+		c.loadAge(&r)
 	case recordCallbackDone:
 		if e := c.index.get(r.ID); e != nil {
 			e.callbackOwed = false
--- a/internal/system/role/store/read.go
+++ b/internal/system/role/store/read.go
@@ -1,19 +1,11 @@
 package store
 
 import (
-	"time"
-
 	"granitewing/internal/system/message"
 	"granitewing/internal/system/ordered"
 	"granitewing/internal/system/wire"
 )
 
-// Bounds of querying other stores for outcomes.
-const (
-	longPendingAfter = 4 * time.Second
-	maxLongPending   = 500
-)
-
 // Maximum sizes of one answer.
 const (
 	maxAnswerBytes   = 512 << 10
@@ -98,10 +90,7 @@
 			if len(ids) >= maxLongPending {
 				return ids
 			}
-			if c.now-e.arrivedAt < longPendingAfter {
-				break
-			}
-			if e.pending() {
+			if c.longPending(e) {
 				ids = append(ids, e.id)
 			}
 		}
--- a/internal/system/role/store/record.go
+++ b/internal/system/role/store/record.go
@@ -31,6 +31,7 @@
 	recordCallbackDone // the callback with the outcome was made
 	recordClock        // carries only its time, so that the log's clock advances while nothing else is written
 	recordFenced       // a carrier's unit was taken over: no more messages are accepted for it
+	recordAge          // a message arrived earlier, at At, than the log's clock told
 )
 
 // record is one record of the log. It is encoded as an array: the order of its fields is part of the stored format.
--- a/internal/system/wire/messages.go
+++ b/internal/system/wire/messages.go
@@ -53,6 +53,10 @@
 
 	// To carriers.
 	AcquirePermit // with an AcquirePermitBody, answered by an AcquirePermitAnswer
+
+	// To stores.
+	ListPending // with a PendingBody, answered by a PendingAnswer
+	RaiseAges   // with an AgesBody
 )
 
 // RefusalBody is the payload of a Refusal.
