Settle a departed carrier by its adopter's word alone; list again what enough disks hold

Found by reading: the session table took 'all messages of a departed carrier have completed' from anyone at any time, also from a former adopter whose report was late, while the present one has messages of it (after that nobody is responsible for them). The report names who makes it now; one without a name, from the build before, counts as before. The spec of session/state_test.go fails without it.

--- a/internal/system/member/orders.go
+++ b/internal/system/member/orders.go
@@ -7,7 +7,7 @@
 // ReportSettled notifies the keepers that all messages of a departed carrier have completed. Here and in the methods
 // below, done is called once: with nil when the keepers have recorded it, or with the error of the call.
 func (c *Client) ReportSettled(incarnation string, done func(err error)) {
-	body := wire.SettleBody{Incarnation: incarnation}
+	body := wire.SettleBody{Incarnation: incarnation, Adopter: c.member.Incarnation}
 	c.peers.Call(c.keepers[c.keeperIndex], wire.SettleDeparted, wire.Encode(&body), openTimeout, func(_ []byte, err error) { done(err) })
 }
 
--- a/internal/system/role/carrier/reconcile.go
+++ b/internal/system/role/carrier/reconcile.go
@@ -16,10 +16,11 @@
 )
 
 // reconcile compares the messages of all units of this carrier with those that have been pending on the stores for
-// long, and repeats this. Whatever has gone wrong before, a message that is on a store and not here is listed again,
+// long, and repeats this. Whatever has gone wrong before, a message that is on the stores and not here is listed again,
 // and neither side goes on with an age that lags.
 func (c *Core) reconcile() {
 	c.env.After(reconcileInterval, c.reconcile)
+	round := &reconciliation{core: c, reportedBy: map[string][]string{}}
 	var body wire.PendingBody
 	for name := range ordered.Map(c.units) {
 		body.Units = append(body.Units, name)
@@ -27,33 +28,48 @@
 	payload := wire.Encode(&body)
 	for disk := range ordered.Map(c.session.View().Disks) {
 		if c.stores.isUp(disk) {
-			c.reconcileWith(disk, payload)
+			round.askDisk(disk, payload)
 		}
 	}
 }
 
-func (c *Core) reconcileWith(disk string, payload []byte) {
+// reconciliation is one round of comparing this carrier's messages with those on the stores.
+type reconciliation struct {
+	core *Core
+	// reportedBy holds the disks that report a message which this carrier lacks, by message ID.
+	reportedBy map[string][]string
+}
+
+func (r *reconciliation) askDisk(disk string, payload []byte) {
+	c := r.core
 	c.env.Call(c.stores.address(disk), wire.ListPending, payload, listTimeout, func(payload []byte, err error) {
 		var answer wire.PendingAnswer
 		if err != nil || wire.Decode(wire.ListPending, payload, &answer) != nil {
 			return // the next round asks again
 		}
-		c.listMissing(answer.Messages)
+		r.listMissing(disk, answer.Messages)
 		c.raiseAges(disk, answer.Messages)
 	})
 }
 
-// listMissing lists units again that lack messages which a store holds.
-func (c *Core) listMissing(pending []wire.PendingMessage) {
+// listMissing lists units again that lack messages which enough disks report. An accepted message is on enough disks.
+// One that fewer report was not accepted, or has completed so long ago that the other stores have forgotten it.
+func (r *reconciliation) listMissing(disk string, pending []wire.PendingMessage) {
+	c := r.core
 	missing := map[*unit]int{}
 	for i := range pending {
-		if u := c.units[pending[i].Unit]; u != nil && c.lacks(u, pending[i].ID) {
+		id, u := pending[i].ID, c.units[pending[i].Unit]
+		if u == nil || !c.lacks(u, id) {
+			continue
+		}
+		r.reportedBy[id] = append(r.reportedBy[id], disk)
+		if c.enough(r.reportedBy[id]) {
 			missing[u]++
 		}
 	}
 	for _, u := range ordered.Map(c.units) {
 		if missing[u] > 0 {
-			c.env.LogWarning(fmt.Sprintf("unit %s lacks %d messages that a store holds, listing it again", u.name, missing[u]), nil)
+			c.env.LogWarning(fmt.Sprintf("unit %s lacks %d messages that the stores hold, listing it again", u.name, missing[u]), nil)
 			c.recover(u)
 		}
 	}
--- a/internal/system/role/keeper/handle.go
+++ b/internal/system/role/keeper/handle.go
@@ -63,7 +63,7 @@
 		if err := wire.Decode(kind, payload, &body); err != nil {
 			return err
 		}
-		c.SettleDeparted(now, body.Incarnation, done)
+		c.SettleDeparted(now, body, done)
 	case wire.CountDisk:
 		var body wire.CountDiskBody
 		if err := wire.Decode(kind, payload, &body); err != nil {
--- a/internal/system/role/keeper/sessions.go
+++ b/internal/system/role/keeper/sessions.go
@@ -119,10 +119,10 @@
 	c.proposeSession(session.Command{Kind: session.Leave, Incarnation: incarnation}, done)
 }
 
-// SettleDeparted records that all messages of a departed carrier are complete.
-func (c *Core) SettleDeparted(now time.Duration, incarnation string, done func(err error)) {
+// SettleDeparted records that all messages of a departed carrier are complete, as its adopter reports.
+func (c *Core) SettleDeparted(now time.Duration, body wire.SettleBody, done func(err error)) {
 	c.now = now
-	c.proposeSession(session.Command{Kind: session.SettleDeparted, Incarnation: incarnation}, done)
+	c.proposeSession(session.Command{Kind: session.SettleDeparted, Incarnation: body.Incarnation, Adopter: body.Adopter}, done)
 }
 
 // CountDisk records that a disk is backfilled and counts toward the write quorum from now on.
--- a/internal/system/session/state.go
+++ b/internal/system/session/state.go
@@ -65,6 +65,7 @@
 	Kind        CommandKind
 	Member      Member
 	Incarnation string
+	Adopter     string // of SettleDeparted: incarnation of the carrier that reports it; empty from versions that did not send it
 	Disk        string
 	Node        string // of Retire, CancelRetire and GroupRemovedNode
 	Group       int    // of GroupRemovedNode
@@ -154,7 +155,7 @@
 	case Leave:
 		s.leave(command.Incarnation)
 	case SettleDeparted:
-		delete(s.departed, command.Incarnation)
+		s.settle(command.Incarnation, command.Adopter)
 	case CountDisk:
 		s.countDisk(command.Disk)
 	case Retire:
@@ -189,6 +190,14 @@
 	}
 }
 
+// settle forgets a departed carrier. A report of a carrier that is not its adopter any more changes nothing: the adopter
+// may have found messages that the former one had not.
+func (s *State) settle(incarnation, adopter string) {
+	if adopter == "" || s.departed[incarnation].Adopter == adopter {
+		delete(s.departed, incarnation)
+	}
+}
+
 // leave ends a session. A disk that does not count yet leaves the roster with its store. A carrier becomes departed.
 func (s *State) leave(incarnation string) {
 	member, live := s.members[incarnation]
--- a/internal/system/session/state_test.go
+++ b/internal/system/session/state_test.go
@@ -47,6 +47,16 @@
 		}
 	})
 
+	ginkgo.It("keeps a departed carrier that one settles who is not its adopter any more", func() {
+		apply(join("a", "a1", Carrier), join("b", "b1", Carrier), Command{Kind: Leave, Incarnation: "a1"})
+		apply(join("c", "c1", Carrier), Command{Kind: Leave, Incarnation: "b1"})
+		settle := func(adopter string) { apply(Command{Kind: SettleDeparted, Incarnation: "a1", Adopter: adopter}) }
+		settle("b1")
+		Expect(state.Departed()).To(ContainElement(Departed{Incarnation: "a1", Adopter: "c1"}))
+		settle("c1")
+		Expect(state.Departed()).To(Equal([]Departed{{Incarnation: "b1", Adopter: "c1"}}))
+	})
+
 	ginkgo.It("ends the earlier incarnation of a process when it joins again", func() {
 		apply(join("a", "a1", Carrier), join("a", "a2", Carrier))
 		Expect(state.Members(Carrier)).To(HaveLen(1))
--- a/internal/system/wire/messages.go
+++ b/internal/system/wire/messages.go
@@ -142,6 +142,7 @@
 type SettleBody struct {
 	_msgpack    struct{} `msgpack:",as_array"`
 	Incarnation string
+	Adopter     string // incarnation of the carrier that reports it; empty from earlier versions, which do not send it
 }
 
 // CountDiskBody notifies the keepers that a store's disk has been backfilled from the other disks.
