An outcome goes to every disk on which its message was found while it was in flight

Found by reading: a message whose unit left a carrier and came back while its attempt was in flight kept the holders that were known at first, so a disk that listed it at the second taking over got no outcome and held it as pending. The holders are joined now.

--- a/internal/system/role/carrier/fixture_test.go
+++ b/internal/system/role/carrier/fixture_test.go
@@ -50,6 +50,7 @@
 	unresponsive   bool
 	outcomeQueries int               // number of FindOutcomes calls
 	raised         []wire.MessageAge // by RaiseAges
+	body           []byte            // of all messages; nil if the store has none
 }
 
 func (r *fixture) Deliver(attempt Attempt, done func(AttemptOutcome)) {
@@ -165,6 +166,8 @@
 			}
 		}
 		return wire.Encode(&answer), nil
+	case wire.FindMessage:
+		return wire.Encode(&wire.FindAnswer{Known: true, Phase: message.Pending, Body: s.body, HasBody: s.body != nil, Complete: true}), nil
 	case wire.ListPending:
 		answer := wire.PendingAnswer{}
 		for i := range s.listed {
--- a/internal/system/role/carrier/unit.go
+++ b/internal/system/role/carrier/unit.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -138,6 +139,7 @@
 	if old := c.inFlight[m.ID]; old != nil && old.unit.dropped {
 		// The message came back while an attempt of this carrier is still in flight: that attempt counts.
 		old.unit = u
+		old.holders = union(old.holders, it.holders)
 		u.items[m.ID] = old
 		c.insertByKey(old)
 		c.count(old)
@@ -157,6 +159,17 @@
 	}
 }
 
+// union returns the elements of both lists.
+func union(first, second []string) []string {
+	all := append([]string(nil), first...)
+	for _, element := range second {
+		if !slices.Contains(all, element) {
+			all = append(all, element)
+		}
+	}
+	return all
+}
+
 // insertByKey inserts a message at its position in the order of its key.
 func (c *Core) insertByKey(it *item) {
 	key := it.message.Key
--- a/internal/system/role/keeper/answers_test.go
+++ b/internal/system/role/keeper/answers_test.go
@@ -61,7 +61,9 @@
 		c.Heartbeat(now, 7, wire.HeartbeatBody{Incarnation: "o"}, func(_ time.Duration, err error) { done(err) })
 	}},
 	{"CloseSession", func(c *Core, now time.Duration, done func(error)) { c.CloseSession(now, "store+10.0.0.1", done) }},
-	{"SettleDeparted", func(c *Core, now time.Duration, done func(error)) { c.SettleDeparted(now, wire.SettleBody{Incarnation: "o"}, done) }},
+	{"SettleDeparted", func(c *Core, now time.Duration, done func(error)) {
+		c.SettleDeparted(now, wire.SettleBody{Incarnation: "o"}, done)
+	}},
 	{"CountDisk", func(c *Core, now time.Duration, done func(error)) { c.CountDisk(now, "disk of 10.0.0.1", done) }},
 	{"DiskDrained", func(c *Core, now time.Duration, done func(error)) { c.DiskDrained(now, "disk of 10.0.0.1", 0, done) }},
 	{"Retire.Cancel", func(c *Core, now time.Duration, done func(error)) { c.CancelRetirement(now, "storage-10.0.0.1", done) }},
