A body that is read back for a message that has moved is not counted

Found by reading: a body that a store returned after its message had completed or moved to another carrier was added to the memory of waiting bodies and never taken off; a carrier that leaks 0.30 of its limit accepts nothing more, and one that leaks 0.15 reads no body back, so that its messages wait for ever. A body that no disk returns for some 5 s is logged now.

--- a/internal/system/role/carrier/body.go
+++ b/internal/system/role/carrier/body.go
@@ -17,13 +17,24 @@
 	c.env.After(max(0, it.due-c.env.Now()), func() { c.fetchBody(it, 0) })
 }
 
-const fetchRetry = 200 * time.Millisecond
+const (
+	fetchRetry        = 200 * time.Millisecond
+	fetchWarnAttempts = 25 // attempts between two warnings about a body that no disk returns
+)
+
+// BodyNotReadError reports a message that waits because no disk returns its body.
+type BodyNotReadError struct{ ID string }
+
+func (e *BodyNotReadError) Error() string { return "message " + e.ID }
 
 // fetchBody reads a message's body back from one of the disks that hold it.
 func (c *Core) fetchBody(it *item, attempt int) {
 	if it.completed || it.unit.dropped {
 		return
 	}
+	if attempt%fetchWarnAttempts == fetchWarnAttempts-1 {
+		c.env.LogWarning("cannot read a message's body back", &BodyNotReadError{ID: it.message.ID})
+	}
 	holders := c.stores.recipients(it.holders)
 	retry := func() { c.env.After(fetchRetry, func() { c.fetchBody(it, attempt+1) }) }
 	if len(holders) == 0 {
@@ -37,6 +48,9 @@
 	}
 	body := wire.FindBody{ID: it.message.ID, WithBody: true}
 	c.env.Call(c.stores.address(disk), wire.FindMessage, wire.Encode(&body), listTimeout, func(payload []byte, err error) {
+		if it.completed || it.unit.dropped {
+			return // its memory is not counted any more
+		}
 		var answer wire.FindAnswer
 		if err == nil {
 			err = wire.Decode(wire.FindMessage, payload, &answer)
