Queue messages that may be sent and wait in no queue, with a warning

A message that may be sent and has been in no queue for 5 s (over every pause between attempts) is queued, and a warning names it. TestMessageInNoQueueIsQueued fails without it (its timer is an hour away).

--- a/internal/system/role/carrier/core.go
+++ b/internal/system/role/carrier/core.go
@@ -298,6 +298,7 @@
 	inFlight     bool
 	completed    bool
 	fetchingBody bool
+	idleSince    time.Duration // when it was added or, if later, its latest attempt ended
 
 	queue     *queue    // the queue that it joined last; it waits there while queued is set
 	lateHeap  *lateHeap // heap of late messages that contains it, or nil
--- a/internal/system/role/carrier/dispatch.go
+++ b/internal/system/role/carrier/dispatch.go
@@ -228,7 +228,7 @@
 
 func (c *Core) attemptFinished(it *item, route *configuration.Route, worker *delivery.Worker, outcome AttemptOutcome) {
 	now := c.env.Now()
-	it.inFlight = false
+	it.inFlight, it.idleSince = false, now
 	delete(c.inFlight, it.message.ID)
 	c.policy.RecordResult(now, worker, resultOf(outcome), outcome.Duration, outcome.Load)
 	q := c.queue(route.Service)
--- a/internal/system/role/carrier/reconcile.go
+++ b/internal/system/role/carrier/reconcile.go
@@ -13,6 +13,8 @@
 	reconcileInterval = 5 * time.Second
 	minAgeLag         = 250 * time.Millisecond // ages that differ by less are left as they are
 	maxAgesPerCall    = 512
+	// maxIdle is how long a message that may be sent can be in no queue. It has to exceed every pause between attempts.
+	maxIdle = 5 * time.Second
 )
 
 // reconcile compares the messages of all units of this carrier with those that have been pending on the stores for
@@ -20,6 +22,7 @@
 // and neither side goes on with an age that lags.
 func (c *Core) reconcile() {
 	c.env.After(reconcileInterval, c.reconcile)
+	c.queueForgotten()
 	round := &reconciliation{core: c, reportedBy: map[string][]string{}}
 	var body wire.PendingBody
 	for name := range ordered.Map(c.units) {
@@ -75,6 +78,39 @@
 	}
 }
 
+// ForgottenError reports messages that might have been sent and that waited in no queue: an event that should have
+// queued them did not.
+type ForgottenError struct {
+	Count  int
+	Latest string // ID of one of them
+}
+
+func (e *ForgottenError) Error() string {
+	return fmt.Sprintf("%d messages, such as %s", e.Count, e.Latest)
+}
+
+// queueForgotten queues messages that may be sent and for which nothing else would do so.
+func (c *Core) queueForgotten() {
+	forgotten := map[string]*item{}
+	for _, u := range c.units {
+		for id, it := range u.items {
+			idleFor := c.env.Now() - max(it.due, it.idleSince)
+			if !it.queued && idleFor >= maxIdle && c.blockOf(it) == mayBeSent {
+				forgotten[id] = it
+			}
+		}
+	}
+	if len(forgotten) == 0 {
+		return
+	}
+	fault := &ForgottenError{Count: len(forgotten)}
+	for id, it := range ordered.Map(forgotten) {
+		fault.Latest = id
+		c.ready(it)
+	}
+	c.env.LogWarning("messages waited in no queue", fault)
+}
+
 // lacks reports whether this carrier should have a message that a store reports as pending and does not. Messages of
 // its own unit that it does not have were never accepted.
 func (c *Core) lacks(u *unit, id string) bool {
--- a/internal/system/role/carrier/reconcile_test.go
+++ b/internal/system/role/carrier/reconcile_test.go
@@ -79,3 +79,17 @@
 	r.Advance(2 * reconcileInterval)
 	Expect(r.sent).To(Equal([]string{"m1"}))
 }
+
+// Guards against an accepted message left lying at the carrier that has it: it may be sent, is in no queue, and no timer
+// or event would put it there.
+func TestMessageInNoQueueIsQueued(t *testing.T) {
+	RegisterTestingT(t)
+	r := newFixture()
+	body := deliverBody("m1", pacedUnit, ownedToken)
+	body.Message.Delay = time.Hour
+	Expect(r.core.TakeMessage(body)).To(BeNil())
+	r.core.units[pacedUnit].items["m1"].due = r.Now() // its timer is an hour away
+	r.Advance(reconcileInterval + maxIdle)
+	Expect(r.sent).To(Equal([]string{"m1"}))
+	Expect(r.reports).To(ContainElement(&ForgottenError{Count: 1, Latest: "m1"}))
+}
--- a/internal/system/role/carrier/unit.go
+++ b/internal/system/role/carrier/unit.go
@@ -131,7 +131,7 @@
 }
 
 func (c *Core) newItem(u *unit, m *message.Message, holders []string, accepted time.Duration) *item {
-	return &item{message: m, unit: u, holders: append([]string(nil), holders...), accepted: accepted, due: accepted + m.Delay}
+	return &item{message: m, unit: u, holders: append([]string(nil), holders...), accepted: accepted, due: accepted + m.Delay, idleSince: c.env.Now()}
 }
 
 func (c *Core) addItem(it *item) {
