--- a/internal/system/node/store.go
+++ b/internal/system/node/store.go
@@ -157,9 +157,11 @@
 		outcomeRequester := store.NewOutcomeFetcher(n, n.session, n.core.DiskID(), n.longPending, func(ends []message.Outcome) {
 			go func() { n.coreTasks <- func() { n.core.PutOutcomes(ends, func() {}) } }()
 		})
+		orphanReporter := store.NewOrphanReporter(n, n.session, n.longPendingUnits)
 		n.Connect(s.SeedKeepers())
 		n.session.Start()
 		drainer.Start()
+		orphanReporter.Start()
 		outcomeRequester.Start()
 	})
 }
--- a/internal/system/node/store_repair.go
+++ b/internal/system/node/store_repair.go
@@ -38,6 +38,14 @@
 	})
 }
 
+// longPendingUnits passes the units of carriers with messages that have been pending for long to done.
+func (n *storeNode) longPendingUnits(done func(units []string)) {
+	n.queryCore(func(core *store.Core) func() {
+		units := core.LongPendingCarrierUnits()
+		return func() { done(units) }
+	})
+}
+
 // ListHeld implements store.RepairEnvironment.
 func (n *storeNode) ListHeld(body wire.HeldBody, done func(wire.HeldAnswer)) {
 	n.queryCore(func(core *store.Core) func() {
--- a/internal/system/simulation/store_host.go
+++ b/internal/system/simulation/store_host.go
@@ -63,6 +63,7 @@
 		h.core.PutOutcomes(ends, func() {})
 		h.flush()
 	}).Start()
+	store.NewOrphanReporter(h, h.session, func(done func([]string)) { done(h.core.LongPendingCarrierUnits()) }).Start()
 	h.runMaintenance()
 	h.shutDown = func() {
 		h.session.Close(func(error) {})
