--- a/internal/system/role/carrier/core.go
+++ b/internal/system/role/carrier/core.go
@@ -72,7 +72,9 @@
 	draining           bool
 	paused             bool // no new delivery starts
 	relistScheduled    bool
-	figures            Counters
+	// comparisonScheduled is set while a comparison of ages is about to begin.
+	comparisonScheduled bool
+	figures             Counters
 	// completedBeforeLogged is set while a log line about messages that completed before they arrived here is pending.
 	completedBeforeLogged bool
 }
@@ -165,6 +167,7 @@
 func (c *Core) PeerUp(address string) {
 	c.session.Up(address)
 	c.stores.peerUp(address)
+	c.storeIsBack(address)
 	for _, u := range ordered.Map(c.units) {
 		if u.recovering {
 			u.recovery.listStores()
--- a/internal/system/role/carrier/reconcile.go
+++ b/internal/system/role/carrier/reconcile.go
@@ -11,8 +11,11 @@
 // Times and sizes of comparing this carrier's messages with those on the stores.
 const (
 	reconcileInterval = 5 * time.Second
-	minAgeLag         = 250 * time.Millisecond // ages that differ by less are left as they are
-	maxAgesPerCall    = 512
+	// missingAfter is for how long a message has to be on a store before this carrier should have it.
+	missingAfter    = 4 * time.Second
+	comparisonDelay = 200 * time.Millisecond // from a taking over until the ages are compared
+	minAgeLag       = 250 * time.Millisecond // ages that differ by less are left as they are
+	maxAgesPerCall  = 512
 	// maxIdle is how long a message that may be sent can be in no queue. It has to exceed every pause between attempts.
 	maxIdle = 5 * time.Second
 )
@@ -24,14 +27,37 @@
 	c.env.After(reconcileInterval, c.reconcile)
 	c.queueForgotten()
 	round := &reconciliation{core: c, reportedBy: map[string][]string{}}
-	var body wire.PendingBody
-	for name := range ordered.Map(c.units) {
-		body.Units = append(body.Units, name)
-	}
-	payload := wire.Encode(&body)
 	for disk := range ordered.Map(c.session.View().Disks) {
-		if c.stores.isUp(disk) {
-			round.askDisk(disk, payload)
+		round.askDisk(disk, missingAfter)
+	}
+}
+
+// compareAgesSoon compares the ages of all messages with all stores. It is called for each unit that was taken over, of
+// which there may be many at a time.
+func (c *Core) compareAgesSoon() {
+	if c.comparisonScheduled {
+		return
+	}
+	c.comparisonScheduled = true
+	c.env.After(comparisonDelay, func() {
+		c.comparisonScheduled = false
+		for disk := range ordered.Map(c.session.View().Disks) {
+			c.compareAgesWith(disk)
+		}
+	})
+}
+
+func (c *Core) compareAgesWith(disk string) {
+	round := &reconciliation{core: c, reportedBy: map[string][]string{}}
+	round.askDisk(disk, 0)
+}
+
+// storeIsBack compares the ages of all messages with a store to which a connection was established: it may have been
+// down, and the other disks that hold the messages may be lost next.
+func (c *Core) storeIsBack(address string) {
+	for id, disk := range ordered.Map(c.session.View().Disks) {
+		if disk.Member.Address == address {
+			c.compareAgesWith(id)
 		}
 	}
 }
@@ -43,8 +69,17 @@
 	reportedBy map[string][]string
 }
 
-func (r *reconciliation) askDisk(disk string, payload []byte) {
+// askDisk compares the messages that have been on a disk for a time.
+func (r *reconciliation) askDisk(disk string, minAge time.Duration) {
 	c := r.core
+	if !c.stores.isUp(disk) {
+		return
+	}
+	body := wire.PendingBody{MinAge: minAge}
+	for name := range ordered.Map(c.units) {
+		body.Units = append(body.Units, name)
+	}
+	payload := wire.Encode(&body)
 	c.env.Call(c.stores.address(disk), wire.ListPending, payload, listTimeout, func(payload []byte, err error) {
 		var answer wire.PendingAnswer
 		if err != nil || wire.Decode(wire.ListPending, payload, &answer) != nil {
@@ -62,7 +97,7 @@
 	missing := map[*unit]int{}
 	for i := range pending {
 		id, u := pending[i].ID, c.units[pending[i].Unit]
-		if u == nil || !c.lacks(u, id) {
+		if u == nil || pending[i].Age < missingAfter || !c.lacks(u, id) {
 			continue
 		}
 		r.reportedBy[id] = append(r.reportedBy[id], disk)
--- a/internal/system/role/carrier/recovery_merge.go
+++ b/internal/system/role/carrier/recovery_merge.go
@@ -49,6 +49,9 @@
 		c.env.LogInfo(fmt.Sprintf("took over unit %s with %d messages and %d pending call-backs in %s", u.name, len(u.items), pendingCallbacks,
 			c.env.Now()-r.began))
 	}
+	if len(u.items) > 0 {
+		c.compareAgesSoon()
+	}
 	if u.relistWanted {
 		u.relistWanted = false
 		c.recover(u)
--- a/internal/system/role/store/handle.go
+++ b/internal/system/role/store/handle.go
@@ -107,7 +107,7 @@
 		if err := wire.Decode(kind, payload, &body); err != nil {
 			return err
 		}
-		answer := c.ListPending(body.Units)
+		answer := c.ListPending(body)
 		return reply(answerer, &answer, nil)
 	case wire.ListHeld:
 		var body wire.HeldBody
--- a/internal/system/role/store/pending.go
+++ b/internal/system/role/store/pending.go
@@ -18,17 +18,17 @@
 	return e.pending() && c.now-e.arrivedAt >= longPendingAfter
 }
 
-// ListPending returns the messages of some units that have been pending for long. The carrier that is responsible for
+// ListPending returns the messages of some units that have been pending for a time. The carrier that is responsible for
 // a unit compares them with those that it has.
-func (c *Core) ListPending(units []string) wire.PendingAnswer {
+func (c *Core) ListPending(body wire.PendingBody) wire.PendingAnswer {
 	var answer wire.PendingAnswer
-	for _, unit := range units {
+	for _, unit := range body.Units {
 		count := 0
 		for _, e := range c.index.entriesAfter(unit, 0) {
 			if count >= maxPendingPerUnit {
 				break
 			}
-			if !c.longPending(e) {
+			if !e.pending() || c.now-e.arrivedAt < body.MinAge {
 				continue
 			}
 			count++
--- a/internal/system/wire/pending.go
+++ b/internal/system/wire/pending.go
@@ -2,10 +2,11 @@
 
 import "time"
 
-// PendingBody asks for the messages of some units that have been pending for long.
+// PendingBody asks for the messages of some units that have been pending for a time.
 type PendingBody struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	Units    []string
+	MinAge   time.Duration
 }
 
 // PendingMessage is a message that a store holds and that has not completed.
@@ -16,7 +17,7 @@
 	Age      time.Duration // as in ListedMessage
 }
 
-// PendingAnswer contains the messages that have been pending for long, of each unit the first that it got.
+// PendingAnswer contains the messages that have been pending for the time, of each unit the first that it got.
 type PendingAnswer struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	Messages []PendingMessage
