One function queries a disk for outcomes

The call, its encoding and decoding stood three times (recovery, messages passed on, review). No change of behaviour; tests of the carrier pass.

--- a/internal/system/role/carrier/duplicate.go
+++ b/internal/system/role/carrier/duplicate.go
@@ -91,13 +91,8 @@
 func (q *outcomeQuery) askDisk(disk string) {
 	c := q.core
 	q.pending[disk] = true
-	body := wire.FindOutcomesBody{IDs: []string{q.message.ID}}
-	c.env.Call(c.stores.address(disk), wire.FindOutcomes, wire.Encode(&body), listTimeout, func(payload []byte, err error) {
+	c.stores.findOutcomes(disk, []string{q.message.ID}, func(answer wire.FindOutcomesAnswer, err error) {
 		delete(q.pending, disk)
-		var answer wire.FindOutcomesAnswer
-		if err == nil {
-			err = wire.Decode(wire.FindOutcomes, payload, &answer)
-		}
 		if q.finished || err != nil {
 			return
 		}
--- a/internal/system/role/carrier/recovery.go
+++ b/internal/system/role/carrier/recovery.go
@@ -1,7 +1,8 @@
 package carrier
 
 import (
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"granitewing/internal/system/message"
@@ -179,15 +180,10 @@
 		r.finish()
 		return
 	}
-	body := wire.FindOutcomesBody{}
-	for id := range ids {
-		body.IDs = append(body.IDs, id)
-	}
-	sort.Strings(body.IDs)
-	payload := wire.Encode(&body)
+	sorted := slices.Sorted(maps.Keys(ids))
 	pending := len(r.outcomeRound)
 	for disk := range ordered.Map(r.outcomeRound) {
-		r.queryOutcomesAt(disk, payload, func() {
+		r.queryOutcomesAt(disk, sorted, func() {
 			if pending--; pending == 0 {
 				r.outcomesAnswered()
 			}
@@ -195,14 +191,9 @@
 	}
 }
 
-func (r *recovery) queryOutcomesAt(disk string, payload []byte, answered func()) {
-	c := r.core
+func (r *recovery) queryOutcomesAt(disk string, ids []string, answered func()) {
 	l := r.outcomeRound[disk]
-	c.env.Call(c.stores.address(disk), wire.FindOutcomes, payload, listTimeout, func(payload []byte, err error) {
-		var answer wire.FindOutcomesAnswer
-		if err == nil {
-			err = wire.Decode(wire.FindOutcomes, payload, &answer)
-		}
+	r.core.stores.findOutcomes(disk, ids, func(answer wire.FindOutcomesAnswer, err error) {
 		if err != nil || !answer.Complete {
 			delete(r.outcomeRound, disk)
 			*l = listing{} // listed again from the start
--- a/internal/system/role/carrier/review.go
+++ b/internal/system/role/carrier/review.go
@@ -44,10 +44,8 @@
 }
 
 func (c *Core) reviewAt(disk string, ids []string, waiting map[string]*item) {
-	body := wire.FindOutcomesBody{IDs: ids}
-	c.env.Call(c.stores.address(disk), wire.FindOutcomes, wire.Encode(&body), listTimeout, func(payload []byte, err error) {
-		var answer wire.FindOutcomesAnswer
-		if err != nil || wire.Decode(wire.FindOutcomes, payload, &answer) != nil {
+	c.stores.findOutcomes(disk, ids, func(answer wire.FindOutcomesAnswer, err error) {
+		if err != nil {
 			return // the next review queries again
 		}
 		for _, outcome := range answer.Outcomes {
--- a/internal/system/role/carrier/storage.go
+++ b/internal/system/role/carrier/storage.go
@@ -198,6 +198,18 @@
 	}
 }
 
+// findOutcomes queries a disk for the outcomes of messages. Its answer says whether the disk holds all that it must.
+func (s *storage) findOutcomes(disk string, ids []string, done func(answer wire.FindOutcomesAnswer, err error)) {
+	payload := wire.Encode(&wire.FindOutcomesBody{IDs: ids})
+	s.core.env.Call(s.address(disk), wire.FindOutcomes, payload, listTimeout, func(payload []byte, err error) {
+		var answer wire.FindOutcomesAnswer
+		if err == nil {
+			err = wire.Decode(wire.FindOutcomes, payload, &answer)
+		}
+		done(answer, err)
+	})
+}
+
 func (s *storage) cancel(disk, id string, timeout time.Duration, done func(err error)) {
 	body := wire.CancelBody{ID: id}
 	s.core.env.Call(s.address(disk), wire.CancelMessage, wire.Encode(&body), timeout, func(_ []byte, err error) {
