Of messages without order that are taken over the older one is sent first

Token and sequence number order messages of a key; without a key the age decides now, so what may have run goes first, while a second run is excused.

--- a/internal/system/role/carrier/recovery_merge.go
+++ b/internal/system/role/carrier/recovery_merge.go
@@ -16,6 +16,22 @@
 	outcome *message.Outcome
 }
 
+// goesBefore reports whether a message is sent before another one of its unit. Without an ordering key the older one
+// is, whatever owner its acceptor knew: it may have run just before its carrier was lost.
+func (f *recoveredMessage) goesBefore(other *recoveredMessage) bool {
+	a, b := &f.listed.Message, &other.listed.Message
+	ordered := a.Key != "" || b.Key != ""
+	switch {
+	case ordered && a.Token != b.Token:
+		return a.Token < b.Token
+	case ordered && a.Sequence != b.Sequence:
+		return a.Sequence < b.Sequence
+	case f.listed.Age != other.listed.Age:
+		return f.listed.Age > other.listed.Age
+	}
+	return a.ID < b.ID
+}
+
 func (r *recovery) finish() {
 	c, u := r.core, r.unit
 	u.recovering = false
@@ -24,20 +40,7 @@
 	for id := range messages {
 		ids = append(ids, id)
 	}
-	sort.Slice(ids, func(i, j int) bool {
-		first, second := &messages[ids[i]].listed, &messages[ids[j]].listed
-		a, b := &first.Message, &second.Message
-		if a.Token != b.Token {
-			return a.Token < b.Token
-		}
-		if a.Sequence != b.Sequence {
-			return a.Sequence < b.Sequence
-		}
-		if first.Age != second.Age {
-			return first.Age > second.Age
-		}
-		return a.ID < b.ID
-	})
+	sort.Slice(ids, func(i, j int) bool { return messages[ids[i]].goesBefore(messages[ids[j]]) })
 	u.active = true
 	pendingCallbacks := 0
 	for _, id := range ids {
