--- a/internal/system/simulation/checker.go
+++ b/internal/system/simulation/checker.go
@@ -107,6 +107,16 @@
 	return true
 }
 
+// inDisruption reports whether an unplanned disruption is in progress.
+func (c *checker) inDisruption(now time.Duration) bool {
+	for _, t := range c.disruptions {
+		if now >= t.from && now < t.until {
+			return true
+		}
+	}
+	return false
+}
+
 // acknowledgement is when a version was acknowledged, or a higher one was before it.
 type acknowledgement struct {
 	at      time.Duration
--- a/internal/system/simulation/operators.go
+++ b/internal/system/simulation/operators.go
@@ -134,7 +134,7 @@
 		sim.seenVersions[host] = version
 	}
 	sim.checkControlGroups()
-	sim.measureStoreOutage()
+	sim.measureUnknownAges()
 	sim.world.after(checkInterval, sim.checkPeriodically)
 }
 
