--- a/review/harness/backlog.go
+++ b/review/harness/backlog.go
@@ -17,10 +17,11 @@
 	backlogMessages = 6000
 	backlogBody     = 30000 // bytes; the configuration allows 262144
 	backlogRate     = 200   // messages per second
-	backlogMinDelay = 38 * time.Second
-	backlogMaxDelay = 46 * time.Second
-	backlogSenders  = 12
-	backlogEnd      = 87 * time.Second // after the start: no message is older than its retention of 90 s
+	backlogMinDelay = 50 * time.Second
+	backlogMaxDelay = 58 * time.Second
+	backlogSenders  = 48
+	backlogSendTime = 48 * time.Second // longer sending leaves no time for the rest: the case cannot run
+	backlogEnd      = 88 * time.Second // after the start: no message is older than its retention of 90 s
 	backlogOverdue  = 10 * time.Second
 )
 
@@ -58,7 +59,7 @@
 		})
 	}
 	ticker := time.NewTicker(time.Second / backlogRate)
-	for range backlogMessages {
+	for n := 0; n < backlogMessages && time.Since(s.record.began) < backlogSendTime; n++ {
 		<-ticker.C
 		work <- struct{}{}
 	}
@@ -85,7 +86,8 @@
 	}
 	accepted := sendDelayed(s, s.edges[0])
 	record.say("%d messages accepted; edge-1 has used up to %d MB", len(accepted), s.edges[0].peakMB)
-	if len(accepted) < backlogMessages*9/10 {
+	if len(accepted) < backlogMessages*9/10 || time.Since(record.began) > backlogSendTime {
+		record.say("the messages could not be sent in time")
 		return 2
 	}
 	time.Sleep(time.Second)
--- a/review/harness/outage.go
+++ b/review/harness/outage.go
@@ -14,7 +14,7 @@
 	outageEdges   = 3
 	outageBody    = 30000 // bytes; the configuration allows 262144
 	outageRate    = 190   // messages per second
-	outageSenders = 24
+	outageSenders = 64
 	outageFrom    = 5 * time.Second  // after the start: all workers end
 	outageTraffic = 66 * time.Second // messages are sent until then
 	outageUntil   = 68 * time.Second // new workers are there
--- a/review/harness/turnover.go
+++ b/review/harness/turnover.go
@@ -20,12 +20,14 @@
 	turnoverMessages = 8000
 	turnoverBody     = 30000 // bytes; the configuration allows 262144
 	turnoverRate     = 300   // messages per second
-	turnoverMinDelay = 40 * time.Second
-	turnoverMaxDelay = 50 * time.Second
-	turnoverSenders  = 24
+	turnoverMinDelay = 52 * time.Second
+	turnoverMaxDelay = 58 * time.Second
+	turnoverSenders  = 64
+	turnoverSendTime = 45 * time.Second        // longer sending leaves no time for the rest: the case cannot run
 	turnoverDown     = 2 * time.Second         // a machine that loses its disk is down for so long
 	turnoverCatchUp  = 5500 * time.Millisecond // catch-up-s is 4.5 s; one second more is left
-	turnoverEnd      = 84 * time.Second        // after the start: no message is older than its retention of 90 s
+	turnoverOverdue  = 5 * time.Second
+	turnoverEnd      = 88 * time.Second // after the start: no message is older than its retention of 90 s
 )
 
 // loseDisk ends the processes of a storage machine, removes its disk's content and starts them again after a time.
@@ -96,14 +98,15 @@
 		})
 	}
 	ticker := time.NewTicker(time.Second / turnoverRate)
-	for n := range turnoverMessages {
+	for n := 0; n < turnoverMessages && time.Since(record.began) < turnoverSendTime; n++ {
 		<-ticker.C
 		work <- n
 	}
 	close(work)
 	senders.Wait()
 	record.say("%d messages accepted", len(accepted))
-	if len(accepted) < turnoverMessages*9/10 {
+	if len(accepted) < turnoverMessages*9/10 || time.Since(record.began) > turnoverSendTime {
+		record.say("the messages could not be sent in time")
 		return 2
 	}
 	time.Sleep(time.Second)
@@ -112,9 +115,9 @@
 		time.Sleep(turnoverCatchUp)
 		s.loseDisk(1, turnoverDown)
 	}
-	notRun := func() (waiting []delayedMessage) {
+	notRun := func(dueBefore time.Time) (waiting []delayedMessage) {
 		for _, m := range accepted {
-			if w.runCount(m.id) == 0 {
+			if m.due.Before(dueBefore) && w.runCount(m.id) == 0 {
 				waiting = append(waiting, m)
 			}
 		}
@@ -122,11 +125,11 @@
 	}
 	defer s.reportMemory()
 	end := record.began.Add(turnoverEnd)
-	for time.Now().Before(end) && len(notRun()) > 0 {
+	for time.Now().Before(end) && len(notRun(end)) > 0 {
 		time.Sleep(time.Second)
 	}
-	lost := notRun()
-	record.say("the check ends: %d messages have not been at a worker", len(lost))
+	lost := notRun(time.Now().Add(-turnoverOverdue))
+	record.say("the check ends: %d messages are due for over %s and have not been at a worker", len(lost), turnoverOverdue)
 	answers := map[string]int{}
 	for i, m := range lost {
 		if i >= 200 || time.Since(record.began) > turnoverEnd+5*time.Second {
