Review: loss of one service's workers stalls the messages of all services

Cause: bodies that wait for the lost service fill what a carrier keeps of all bodies; it then reads back none of any service until they end. Done: a script. Nothing is mended.

--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -26,6 +26,7 @@
 	"adoption": adoption,
 	"key":      orderingKey,
 	"cleaning": cleaning,
+	"stall":    stall,
 }
 
 // trial is one run of a case.
--- a/review/harness-2/standins.go
+++ b/review/harness-2/standins.go
@@ -61,10 +61,11 @@
 	lastDone time.Time
 	lastRun  time.Time
 	runs     int
+	gone     map[string]bool // services whose workers are not listed any more
 }
 
 func newFleet(r *record) *fleet {
-	return &fleet{record: r, arrivals: map[string][]arrival{}, begun: map[string]int{}, done: map[string]string{}}
+	return &fleet{record: r, arrivals: map[string][]arrival{}, begun: map[string]int{}, done: map[string]string{}, gone: map[string]bool{}}
 }
 
 // worker is a sound worker of a service: it queues a few more messages than it runs at once, refuses what is over, keeps
@@ -100,6 +101,22 @@
 	}
 }
 
+// crash ends all workers of a service for good: what they run is cut off, and their ports are closed.
+func (f *fleet) crash(service string) {
+	for _, w := range f.workers {
+		if w.service == service {
+			w.server.Close()
+		}
+	}
+}
+
+// unlist takes the workers of a service from the platform's list.
+func (f *fleet) unlist(service string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.gone[service] = true
+}
+
 func (w *worker) ServeHTTP(response http.ResponseWriter, request *http.Request) {
 	id := request.Header.Get("X-Request-Id")
 	body, err := io.ReadAll(request.Body)
@@ -227,7 +244,12 @@
 			ID       string  `json:"id"`
 		}
 		list := []instance{}
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
 		for _, w := range f.workers {
+			if f.gone[w.service] {
+				continue
+			}
 			list = append(list, instance{Backend: w.service, Address: w.address, Zone: w.zone, Version: "v1", Capacity: w.slots, Phase: "ready", ID: w.id})
 		}
 		response.Header().Set("Content-Type", "application/json")
