--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -22,11 +22,9 @@
 type caseFunc func(t *trial) (outcome, error)
 
 var cases = map[string]caseFunc{
-	"disks":    twoDisks,
-	"adoption": adoption,
-	"key":      orderingKey,
-	"cleaning": cleaning,
-	"stall":    stall,
+	"key":   orderingKey,
+	"ages":  ages,
+	"stall": stall,
 }
 
 // trial is one run of a case.
--- a/review/harness-2/standins.go
+++ b/review/harness-2/standins.go
@@ -59,8 +59,6 @@
 	done     map[string]string    // stamp of the latest successful run
 	running  int
 	lastDone time.Time
-	lastRun  time.Time
-	runs     int
 	gone     map[string]bool // services whose workers are not listed any more
 }
 
@@ -181,7 +179,7 @@
 	w.ran++
 	number := w.ran
 	w.mutex.Unlock()
-	w.fleet.runBegan(id, 1)
+	w.fleet.runBegan(id)
 	status := http.StatusOK
 	select {
 	case <-time.After(w.work):
@@ -201,13 +199,11 @@
 	return answer(status, true)
 }
 
-func (f *fleet) runBegan(id string, change int) {
+func (f *fleet) runBegan(id string) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.begun[id]++
-	f.running += change
-	f.runs++
-	f.lastRun = time.Now()
+	f.running++
 }
 
 func (f *fleet) runEnded(id, stamp string) {
@@ -317,7 +313,6 @@
 	id, host, target, key string
 	body                  []byte
 	delay                 time.Duration
-	deadline              time.Duration // 0: the client states none
 }
 
 var clients = &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
@@ -336,9 +331,6 @@
 	if message.delay > 0 {
 		request.Header.Set("X-Delay-Ms", strconv.FormatInt(message.delay.Milliseconds(), 10))
 	}
-	if message.deadline > 0 {
-		request.Header.Set("X-Deadline-Ms", strconv.FormatInt(message.deadline.Milliseconds(), 10))
-	}
 	response, err := clients.Do(request)
 	if err != nil {
 		return 0
--- a/review/harness-2/system.go
+++ b/review/harness-2/system.go
@@ -36,7 +36,6 @@
 	wanted  bool // start it again when it ends
 	// ownEnds counts the ends that no signal of the test asked for; ends over the memory limit are among them.
 	ownEnds, memoryEnds int
-	memoryEndTimes      []time.Time
 	peak                int64 // largest resident size, in bytes
 }
 
@@ -272,7 +271,6 @@
 		over := resident > p.memoryLimit()
 		if over {
 			p.memoryEnds++
-			p.memoryEndTimes = append(p.memoryEndTimes, time.Now())
 		}
 		p.mutex.Unlock()
 		if over {
@@ -330,16 +328,6 @@
 	ending.Wait()
 }
 
-// wipe empties the disk of a machine whose processes have ended.
-func (s *system) wipe(m *machine) error {
-	for _, p := range m.processes {
-		if err := os.RemoveAll(s.dataFolder(m, p.role)); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // restart starts the processes of a machine again; bootstrap is false, as at every start after the first.
 func (m *machine) restart() error {
 	for _, p := range m.processes {
