--- a/review/harness-2/load.go
+++ b/review/harness-2/load.go
@@ -83,6 +83,7 @@
 // load sends messages at an even pace, each from a client of its own; clients are spread over the edge machines.
 type load struct {
 	trial   *trial
+	edgeOf  func(i int) int // number of the edge machine that a message's client reaches; nil: each in turn
 	mutex   sync.Mutex
 	sent    []*sent
 	pending sync.WaitGroup
@@ -94,7 +95,11 @@
 	began := time.Now()
 	for i := range count {
 		time.Sleep(time.Until(began.Add(time.Duration(i) * interval)))
-		message := &sent{send: make(i), at: time.Now(), edge: edges[i%len(edges)]}
+		edge := i % len(edges)
+		if l.edgeOf != nil {
+			edge = l.edgeOf(i)
+		}
+		message := &sent{send: make(i), at: time.Now(), edge: edges[edge]}
 		l.mutex.Lock()
 		l.sent = append(l.sent, message)
 		l.mutex.Unlock()
--- a/review/harness-2/stall.go
+++ b/review/harness-2/stall.go
@@ -4,20 +4,21 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
 
 // Figures of the case of the stall.
 const (
-	stallReadings  = 190    // buoy readings a second
-	stallWarnings  = 95     // swell warnings a second
-	stallBody      = 30_000 // the site's largest buoy reading
-	stallSeconds   = 26
-	stallCrash     = 3 * time.Second // from the start of the traffic
-	stallListLag   = 3 * time.Second // a crashed worker remains on the list for some seconds
-	stallCalm      = 12 * time.Second
-	stallSettled   = 6 * time.Second // from the crash to the first message that is judged
+	stallReadings  = 190 // buoy readings a second
+	stallWarnings  = 95  // swell warnings a second
+	stallSeconds   = 72
+	stallCrash     = 3 * time.Second  // from the start of the traffic
+	stallListLag   = 3 * time.Second  // a crashed worker remains on the list for some seconds
+	stallCalm      = 10 * time.Second // the first readings reach their retention of 90 s after that
+	stallSettled   = 6 * time.Second  // from the crash to the first message that is judged
 	stallAskedMost = 300
 )
 
@@ -32,6 +33,13 @@
 			{Name: "alerte", HealthPath: "/healthz", MaxConnections: 96, Protocol: "h1", Idempotent: true}})
 }
 
+// readingSize draws the size of a buoy reading as the site does: a mean of 5,000 bytes, a spread of 0.9, at most 30,000.
+func readingSize(r *rand.Rand) int {
+	const mean, spread, most = 5000.0, 0.9, 30000.0
+	sigma := math.Sqrt(math.Log(1 + spread*spread))
+	return int(min(most, mean*math.Exp(sigma*r.NormFloat64()-sigma*sigma/2)))
+}
+
 // stall: all workers of one service are lost for good. The messages of the other service must run.
 func stall(t *trial) (outcome, error) {
 	if err := t.addWorkers(36); err != nil {
@@ -46,14 +54,22 @@
 		return nil, err
 	}
 	began := time.Now()
-	readings, warnings := &load{trial: t}, &load{trial: t}
+	// Four fifths of the clients reach the first machine ("chosen by a hash of the client; shares are therefore uneven").
+	uneven := func(i int) int {
+		if i%5 < 4 {
+			return 0
+		}
+		return 1
+	}
+	readings, warnings := &load{trial: t, edgeOf: uneven}, &load{trial: t, edgeOf: uneven}
+	sizes := rand.New(rand.NewPCG(4, 4))
 	var sending sync.WaitGroup
 	sending.Add(2)
 	go func() {
 		defer sending.Done()
 		readings.run(stallSeconds*stallReadings, time.Second/stallReadings, func(i int) send {
 			id := fmt.Sprintf("r%06d", i)
-			return send{id: id, host: host, target: "/readings/" + id, body: content(id, stallBody)}
+			return send{id: id, host: host, target: "/readings/" + id, body: content(id, readingSize(sizes))}
 		})
 	}()
 	go func() {
