Carriers count accepted messages that have a key while their route has no order

Nothing that the system logged could tell a key that is lost at acceptance from one lost on the way or at delivery.

The carrier counts such messages and logs the count at most once a second, by the function that the count of messages that completed before they arrived now uses too.

--- a/internal/system/role/carrier/accept.go
+++ b/internal/system/role/carrier/accept.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"fmt"
 	"strings"
 	"time"
 
@@ -58,12 +59,14 @@
 	answer        func(Answer)
 	received      time.Duration
 	clientTimeout time.Duration // as stated by the client, or 0
-	deadline      time.Duration
-	attempted     []string // disks that may hold the message
-	holders       []string // disks that hold the message synced
-	pendingPuts   int      // puts that have not been answered
-	stored        bool
-	done          bool
+	// keyedUnordered is set if the client gave an ordering key and the route is not ordered.
+	keyedUnordered bool
+	deadline       time.Duration
+	attempted      []string // disks that may hold the message
+	holders        []string // disks that hold the message synced
+	pendingPuts    int      // puts that have not been answered
+	stored         bool
+	done           bool
 }
 
 // Submit accepts a message for delivery. It calls answer once, possibly later and possibly before it returns.
@@ -133,7 +136,8 @@
 		m.Callback = ""
 	}
 	ordered := a.route.Ordered && m.Key != ""
-	if !a.route.Ordered {
+	a.keyedUnordered = !a.route.Ordered && m.Key != ""
+	if a.keyedUnordered {
 		m.Key = ""
 	}
 	// The unit of an ordered message depends on its key alone, never on anything that a configuration change may
@@ -206,9 +210,21 @@
 func (a *acceptance) accept() {
 	a.done = true
 	a.core.figures.Accepted++
+	if a.keyedUnordered {
+		a.core.countKeyedUnordered()
+	}
 	a.answer(Answer{Verdict: Accepted})
 }
 
+// countKeyedUnordered counts an accepted message with an ordering key whose route is not ordered. It may come from a
+// client that does not know of a configuration change yet.
+func (c *Core) countKeyedUnordered() {
+	c.figures.KeyedUnordered++
+	c.logCountSoon(&c.keyedUnorderedLogged, func() string {
+		return fmt.Sprintf("accepted %d messages with an ordering key on routes that are not ordered", c.figures.KeyedUnordered)
+	})
+}
+
 // MaxBody returns the configured limit on a message body in bytes, or otherwise while no configuration is known.
 func (c *Core) MaxBody(otherwise int64) int64 {
 	if table := c.session.View().Table; table != nil {
--- a/internal/system/role/carrier/core.go
+++ b/internal/system/role/carrier/core.go
@@ -77,6 +77,8 @@
 	figures             Counters
 	// completedBeforeLogged is set while a log line about messages that completed before they arrived here is pending.
 	completedBeforeLogged bool
+	// keyedUnorderedLogged is set while a log line about keyed messages of routes without order is pending.
+	keyedUnorderedLogged bool
 }
 
 // Counters holds the counts of events since the carrier started.
@@ -86,6 +88,8 @@
 	Accepted, Refused, Indeterminate, Delivered, Failed, Completed, Callbacks uint64
 	// CompletedBefore counts messages that were passed to this carrier after they had completed under a former owner.
 	CompletedBefore uint64
+	// KeyedUnordered counts accepted messages with an ordering key whose route is not ordered.
+	KeyedUnordered uint64
 }
 
 // New returns a carrier. Start starts it.
--- a/internal/system/role/carrier/duplicate.go
+++ b/internal/system/role/carrier/duplicate.go
@@ -149,19 +149,10 @@
 	})
 }
 
-// completedBeforeLogInterval is the minimum time between log lines about messages that completed before they
-// arrived.
-const completedBeforeLogInterval = time.Second
-
 // countCompletedBefore counts a message that was passed to this carrier after it had completed.
 func (c *Core) countCompletedBefore() {
 	c.figures.CompletedBefore++
-	if c.completedBeforeLogged {
-		return
-	}
-	c.completedBeforeLogged = true
-	c.env.After(completedBeforeLogInterval, func() {
-		c.completedBeforeLogged = false
-		c.env.LogInfo(fmt.Sprintf("%d messages had completed under a former owner before they were passed to this carrier", c.figures.CompletedBefore))
+	c.logCountSoon(&c.completedBeforeLogged, func() string {
+		return fmt.Sprintf("%d messages had completed under a former owner before they were passed to this carrier", c.figures.CompletedBefore)
 	})
 }
