Simulation: workers read the bytes of a delivery; prefixes that nest; keys on every route

'nest alert to archive' adds a shorter prefix without order and call-backs, which takes the traffic while its own route is dropped; 'keys everywhere' gives clients of all routes keys.

--- a/internal/system/simulation/document.go
+++ b/internal/system/simulation/document.go
@@ -7,11 +7,23 @@
 	"time"
 )
 
-// routeForms are the routes by kind of traffic, as formats of a timeout, service, number of retries and retention.
+// Fallbacks are routes that have the host of a kind of traffic and a shorter prefix, without order and call-backs. They
+// take the messages of its clients while its own route is missing. A system starts without any.
+const (
+	alertFallback   = "alert-fallback"
+	archiveFallback = "archive-fallback"
+)
+
+// fallbacks maps kinds of traffic to their fallbacks.
+var fallbacks = map[string]string{alert: alertFallback, archive: archiveFallback}
+
+// routeForms are the routes by kind of traffic or fallback, as formats of a timeout, service, number of retries and retention.
 var routeForms = []struct{ traffic, form string }{
 	{archive, `{"name":"r1","host":"archive.example","path-prefix":"/in/","kind":"async","timeout-ms":%d,"target-latency-ms":120,"priority":2,"backend":"%s","retries":%d,"ordered":false,"retention-s":%.1f,"callback-url":true,"target-start-ms":1000}`},
 	{alert, `{"name":"r2","host":"alert.example","path-prefix":"/in/","kind":"async","timeout-ms":%d,"target-latency-ms":120,"priority":1,"backend":"%s","retries":%d,"ordered":true,"retention-s":%.1f,"callback-url":false,"target-start-ms":1000}`},
 	{partner, `{"name":"r3","host":"partner.example","path-prefix":"/in/","kind":"async","timeout-ms":%d,"target-latency-ms":120,"priority":2,"backend":"%s","retries":%d,"ordered":false,"retention-s":%.1f,"callback-url":false,"target-start-ms":1000}`},
+	{alertFallback, `{"name":"r4","host":"alert.example","path-prefix":"/","kind":"async","timeout-ms":%d,"target-latency-ms":120,"priority":2,"backend":"%s","retries":%d,"ordered":false,"retention-s":%.1f,"callback-url":false,"target-start-ms":1000}`},
+	{archiveFallback, `{"name":"r5","host":"archive.example","path-prefix":"/","kind":"async","timeout-ms":%d,"target-latency-ms":120,"priority":2,"backend":"%s","retries":%d,"ordered":false,"retention-s":%.1f,"callback-url":false,"target-start-ms":1000}`},
 }
 
 // serviceForms are the services. A service without a route is left out of the document.
@@ -21,8 +33,9 @@
 	{partner, `{"name":"partner","max-connections":40,"rate-per-s":20,"static":"10.7.0.1:9000"}`},
 }
 
-// timeouts are those of one delivery by kind of traffic. A variant of a document changes the first.
-var timeouts = map[string]time.Duration{archive: 1500 * time.Millisecond, alert: 500 * time.Millisecond, partner: 700 * time.Millisecond}
+// timeouts are those of one delivery by kind of traffic or fallback. A variant of a document changes the first.
+var timeouts = map[string]time.Duration{archive: 1500 * time.Millisecond, alert: 500 * time.Millisecond, partner: 700 * time.Millisecond,
+	alertFallback: 1500 * time.Millisecond, archiveFallback: 1500 * time.Millisecond}
 
 // document returns the configuration of a version. Different variants are different documents of the same version.
 func (sim *simulation) document(version uint64, variant int) []byte {
--- a/internal/system/simulation/events.go
+++ b/internal/system/simulation/events.go
@@ -120,6 +120,8 @@
 	"configure":    func(sim *simulation, _ *eventArguments) { sim.sendNewConfiguration(1) },
 	"move":         func(sim *simulation, args *eventArguments) { sim.moveRoute(args.name, args.to) },
 	"drop":         func(sim *simulation, args *eventArguments) { sim.dropRoute(args.name) },
+	"nest":         func(sim *simulation, args *eventArguments) { sim.addFallback(args.name, args.to) },
+	"unnest":       func(sim *simulation, args *eventArguments) { sim.dropFallback(args.name) },
 	"race":         func(sim *simulation, _ *eventArguments) { sim.sendConflictingChanges() },
 }
 
--- a/internal/system/simulation/run.go
+++ b/internal/system/simulation/run.go
@@ -32,9 +32,9 @@
 	sim.world.runUntil(startupTime)
 	begin := sim.world.now
 	for _, t := range []traffic{
-		{host: "archive.example", service: archive, interval: 40 * time.Millisecond, delayedOneIn: 4, callback: true},
-		{host: "alert.example", service: alert, interval: 50 * time.Millisecond, keys: orderedKeys},
-		{host: "partner.example", service: partner, interval: 90 * time.Millisecond},
+		{host: "archive.example", service: archive, interval: 40 * time.Millisecond, delayedOneIn: 4, callback: true, keyed: s.KeysEverywhere},
+		{host: "alert.example", service: alert, interval: 50 * time.Millisecond, ordered: true},
+		{host: "partner.example", service: partner, interval: 90 * time.Millisecond, keyed: s.KeysEverywhere},
 	} {
 		sim.startTraffic(t, begin+s.Traffic)
 	}
--- a/internal/system/simulation/scenario.go
+++ b/internal/system/simulation/scenario.go
@@ -21,6 +21,7 @@
 //	disk 300                           kilobytes of disk of each storage machine; 400 megabytes if missing
 //	retention 8s                       of the messages; 90s if missing
 //	delays 60s                         longest delay of a delayed message; 14s if missing
+//	keys everywhere                    clients of routes without order send ordering keys, too
 //	tolerate zones 1                   loss that is tolerated, of 'machines' or 'zones'; 'machines 1' if missing
 //	at 2s kill storage-1 for 1s        processes are killed, and start again after this time
 //	at 3s power storage-2 for 2s       power is lost; 'storage', 'edge', 'zone-a' and 'all' name several machines
@@ -44,6 +45,9 @@
 //	at 7s configure                    a change of the configuration
 //	at 7s move alert to archive        a change that routes a kind of traffic to another service
 //	at 7s drop alert                   a change that removes a route, until it is moved to a service
+//	at 7s nest alert to archive        a change that adds a shorter prefix without order, routed to a service; it takes
+//	                                   the messages of alert's clients while their own route is dropped
+//	at 7s unnest alert                 a change that removes it
 //	at 7s race                         two changes based on the same version
 //	at 7s lose acknowledgements for 3s         some answers to the operator are lost
 //	at 7s silence platform for 3s              the platform's inventory can't be read
@@ -85,6 +89,7 @@
 	DiskKB          int64         // kilobytes, of each storage machine
 	Retention       time.Duration
 	MaxDelay        time.Duration // longest delay of a delayed message
+	KeysEverywhere  bool          // clients of routes without order send ordering keys, too
 	Tolerance       tolerance.Tolerance
 	Events          []Event
 	MinShares       map[ShareName]float64 // minimum of each share; missing for none
@@ -157,6 +162,11 @@
 		if err = wants(2); err == nil {
 			s.DiskKB, err = strconv.ParseInt(words[1], 10, 64)
 		}
+	case "keys":
+		if err = wants(2); err == nil && words[1] != "everywhere" {
+			return &ParseError{Reason: "unknown word " + words[1]}
+		}
+		s.KeysEverywhere = true
 	case "tolerate":
 		if err = wants(3); err != nil {
 			return err
@@ -209,6 +219,9 @@
 	var text strings.Builder
 	fmt.Fprintf(&text, "seed %d\ntraffic %s\nstorage %d\ndisk %d\nretention %s\ndelays %s\ntolerate machines %d\ntolerate zones %d\n", s.Seed, s.Traffic, s.StorageMachines, s.DiskKB, s.Retention, s.MaxDelay,
 		s.Tolerance.Machines, s.Tolerance.Zones)
+	if s.KeysEverywhere {
+		text.WriteString("keys everywhere\n")
+	}
 	for _, event := range s.Events {
 		fmt.Fprintf(&text, "at %s %s\n", event.At, event.What)
 	}
--- a/internal/system/workers/client.go
+++ b/internal/system/workers/client.go
@@ -67,7 +67,7 @@
 // byte was sent carrier.NotSent.
 func (c *Client) Send(attempt carrier.Attempt) carrier.AttemptOutcome {
 	deadline := time.Now().Add(attempt.Deadline + answerMargin)
-	request, err := encodeRequest(attempt)
+	request, err := EncodeRequest(attempt)
 	if err != nil {
 		return carrier.AttemptOutcome{Kind: carrier.RunRejected}
 	}
@@ -148,8 +148,8 @@
 	return attempt.Repeat || attempt.Message.Method == http.MethodHead
 }
 
-// encodeRequest returns the bytes of a message's HTTP request.
-func encodeRequest(attempt carrier.Attempt) ([]byte, error) {
+// EncodeRequest returns the bytes of the HTTP request that delivers a message.
+func EncodeRequest(attempt carrier.Attempt) ([]byte, error) {
 	m := attempt.Message
 	request, err := http.NewRequest(m.Method, "http://"+attempt.Address+"/", bytes.NewReader(m.Body))
 	if err != nil {
