Simulation: two operators' changes with the same bytes are one change

Trace: 'race' at 3.773 s while the archive route is removed; two variants differ only in that route's time-out, so both operators sent the same bytes, and the system acknowledged one change twice, as PROTOCOL asks.

A variant now changes the first route that a document has, so that the two stay different changes; documents without routes have no variants, and the same bytes are recognised by comparing them. The rule is unchanged for different bytes.

--- a/internal/system/simulation/document.go
+++ b/internal/system/simulation/document.go
@@ -33,7 +33,8 @@
 	{partner, `{"name":"partner","max-connections":40,"rate-per-s":20,"static":"10.7.0.1:9000"}`},
 }
 
-// timeouts are those of one delivery by kind of traffic or fallback. A variant of a document changes the first.
+// timeouts are those of one delivery by kind of traffic or fallback. A variant of a document changes that of its first
+// route.
 var timeouts = map[string]time.Duration{archive: 1500 * time.Millisecond, alert: 500 * time.Millisecond, partner: 700 * time.Millisecond,
 	alertFallback: 1500 * time.Millisecond, archiveFallback: 1500 * time.Millisecond}
 
@@ -47,7 +48,7 @@
 			continue
 		}
 		timeout := timeouts[route.traffic].Milliseconds()
-		if route.traffic == archive {
+		if len(routes) == 0 {
 			timeout += int64(variant)
 		}
 		routes = append(routes, fmt.Sprintf(route.form, timeout, service, maxFailures, sim.retention.Seconds()))
--- a/internal/system/simulation/operators.go
+++ b/internal/system/simulation/operators.go
@@ -30,6 +30,7 @@
 	acknowledged := 0
 	sim.conflictCount++
 	sim.lastSentVersion++
+	var first []byte
 	for variant := range 2 {
 		version := sim.lastSentVersion
 		switch sim.conflictCount % 4 {
@@ -37,9 +38,13 @@
 			sim.lastSentVersion++ // two version numbers
 		case 1:
 			variant = 0 // the same bytes from two operators
-			acknowledged = -1
 		}
-		change := &configurationChange{Order: configuration.Order{Base: base, Raw: sim.document(version, variant)}, version: version}
+		raw := sim.document(version, variant)
+		if bytes.Equal(raw, first) {
+			acknowledged = -1 // both may be acknowledged, since they are one change; a document without routes has no variants
+		}
+		first = raw
+		change := &configurationChange{Order: configuration.Order{Base: base, Raw: raw}, version: version}
 		change.done = func(accepted bool) {
 			if !accepted {
 				return
