A message keeps its sender's ordering key when its route is not ordered

Keys on a route that never was ordered were lost as well.

Cause: one field told two facts. An empty message.Message.Key means 'not in order', so acceptance took the key out of the message when its route had no order; workers are sent what the field holds.

Change: the key of a message that is not in order stays a header of its request. Key means what it did, to everything that orders by it. Weighed: a new field (earlier builds, which skip it, would drop the key again) and 'in order' read from the unit's name with Key always set (earlier builds would order such messages, and sort by a sequence that they don't have). Headers are sent by every build, so records and frames mean the same to both.

Why it works: nothing that a route decides reaches what a worker is sent; the key is in the message from its acceptance on.

--- a/internal/system/message/message.go
+++ b/internal/system/message/message.go
@@ -43,10 +43,10 @@
 	Version  Version  // of the configuration under which the message was accepted
 	Host     string
 	Method   string
-	Target   string // path and query, unchanged
-	Headers  []Header
-	Key      string // ordering key, from X-Ordering-Key on ordered routes
-	Callback string // URL that is notified of the outcome, from X-Callback-Url; empty if no callback is wanted
+	Target   string   // path and query, unchanged
+	Headers  []Header // of the client's request, sent unchanged; also X-Ordering-Key if the message is not in order
+	Key      string   // ordering key by which the message is in order, from X-Ordering-Key; empty if its route is not ordered
+	Callback string   // URL that is notified of the outcome, from X-Callback-Url; empty if no callback is wanted
 	Body     []byte
 	// Token guarantees that no owner of the unit with an earlier fencing token was ever given the message. It is the
 	// token of the owner that the accepting carrier knew before it sent the message to any store, or 0 if the carrier
--- a/internal/system/message/message_test.go
+++ b/internal/system/message/message_test.go
@@ -48,3 +48,36 @@
 		t.Errorf("version %d, %v", again.Version, err)
 	}
 }
+
+// Guards against a stored or forwarded message that means something else to an earlier build: the key of a message that is not
+// in order is a header there, which workers receive, and does not order the message.
+func TestEarlierBuildsReadMessagesThatAreNotInOrder(t *testing.T) {
+	header := Header{Name: "X-Ordering-Key", Value: "k"}
+	encoded, err := msgpack.Marshal(&Message{ID: "m", Unit: "paced/s", Headers: []Header{header}, Body: []byte("body"), Retention: time.Minute})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var earlier struct {
+		_msgpack  struct{} `msgpack:",as_array"`
+		ID, Unit  string
+		Version   uint64
+		Host      string
+		Method    string
+		Target    string
+		Headers   []Header
+		Key       string
+		Callback  string
+		Body      []byte
+		Token     uint64
+		Sequence  uint64
+		Accepted  int64
+		Delay     time.Duration
+		Retention time.Duration
+	}
+	if err := msgpack.Unmarshal(encoded, &earlier); err != nil {
+		t.Fatal(err)
+	}
+	if len(earlier.Headers) != 1 || earlier.Headers[0] != header || earlier.Key != "" || earlier.Retention != time.Minute {
+		t.Errorf("an earlier build reads %+v", earlier)
+	}
+}
--- a/internal/system/role/carrier/accept.go
+++ b/internal/system/role/carrier/accept.go
@@ -97,6 +97,7 @@
 	a.deadline = a.received + holdDuration(s.ClientTimeout, route)
 	a.message.Version = message.Version(view.Table.Document.Version)
 	a.message.Retention = route.Retention
+	a.applyRoute()
 	a.assignUnit(view.Table.Service(route))
 }
 
@@ -128,18 +129,31 @@
 	answer(Answer{Verdict: Refused, RetryAfter: pause, Reason: reason})
 }
 
-// assignUnit determines the message's unit. A message of an ordered route first needs a sequence number from the
-// owner of its unit; any other message is stored at once.
-func (a *acceptance) assignUnit(service *configuration.Service) {
+// applyRoute applies what the route decides about the message: whether it is in order, and whether a call-back is owed.
+// What the worker receives does not depend on it.
+func (a *acceptance) applyRoute() {
 	m := a.message
 	if !a.route.Callback {
 		m.Callback = ""
 	}
-	ordered := a.route.Ordered && m.Key != ""
 	a.keyedUnordered = !a.route.Ordered && m.Key != ""
 	if a.keyedUnordered {
-		m.Key = ""
+		leaveUnordered(m)
 	}
+}
+
+// leaveUnordered takes a message out of the order of its key. The key stays a header of the request, which workers
+// receive unchanged. Earlier builds send such headers, too.
+func leaveUnordered(m *message.Message) {
+	m.Headers = append(m.Headers, message.Header{Name: wire.HeaderOrderingKey, Value: m.Key})
+	m.Key = ""
+}
+
+// assignUnit determines the message's unit. A message in order first needs a sequence number from the owner of its
+// unit; any other message is stored at once.
+func (a *acceptance) assignUnit(service *configuration.Service) {
+	m := a.message
+	ordered := m.Key != ""
 	// The unit of an ordered message depends on its key alone, never on anything that a configuration change may
 	// alter. The carrier that assigns sequence numbers for the key therefore knows every message that waits for it,
 	// whichever service the message was for when it was accepted.
--- a/internal/system/role/carrier/fixture_test.go
+++ b/internal/system/role/carrier/fixture_test.go
@@ -35,6 +35,7 @@
 	pushed  feed.Position         // of the latest update that was pushed
 	stores  map[string]*storeStub // by address
 	sent    []string              // IDs of messages that were sent to workers
+	latest  map[string]Attempt    // by message ID
 	finish  func(AttemptOutcome)  // finishes the latest attempt
 	logged  []string
 	reports []error
@@ -55,6 +56,7 @@
 
 func (r *fixture) Deliver(attempt Attempt, done func(AttemptOutcome)) {
 	r.sent = append(r.sent, attempt.Message.ID)
+	r.latest[attempt.Message.ID] = attempt
 	r.finish = done
 }
 func (r *fixture) Post(_ string, body []byte, _ bool, _ time.Duration, done func(int, error)) {
@@ -83,7 +85,7 @@
 
 // newFixture returns a carrier that owns a paced unit and a key unit, with nothing on the stores.
 func newFixture() *fixture {
-	r := &fixture{stores: map[string]*storeStub{}, table: feed.NewTable("life-1")}
+	r := &fixture{stores: map[string]*storeStub{}, latest: map[string]Attempt{}, table: feed.NewTable("life-1")}
 	r.Loop = &simulated.Loop{Reachable: map[string]bool{keeperAddress: true}, Answer: r.answer}
 	r.core = New(r, &settings.Settings{NodeName: "edge-1", IP: "10.0.1.1", Zone: "a", FirstPort: 7000, LastPort: 7015, Seeds: []string{keeperAddress},
 		Tolerance: tolerance.Tolerance{Machines: 1}, Limits: settings.Limits{MemoryMB: 284}, Bounds: settings.Bounds{Grace: 6 * time.Second, Status: 120 * time.Second}})
--- a/internal/system/workers/client_test.go
+++ b/internal/system/workers/client_test.go
@@ -251,6 +251,21 @@
 		Expect(w.connectionCount()).To(Equal(1))
 	})
 
+	ginkgo.DescribeTable("sends the ordering key that the client gave", func(m message.Message) {
+		var keys []string
+		w := startScriptedServer(func(request *http.Request, _ int) string {
+			keys = append(keys, request.Header.Values(wire.HeaderOrderingKey)...)
+			return successResponse(request.Header.Get(wire.HeaderRequestID), "s")
+		})
+		m.ID, m.Method, m.Target, m.Host = "m", http.MethodPost, "/in/x", "h.example"
+		outcome := NewClient().Send(carrier.Attempt{Message: &m, Address: w.listener.Addr().String(), Deadline: 300 * time.Millisecond})
+		Expect(outcome.Kind).To(Equal(carrier.RunSucceeded))
+		Expect(keys).To(Equal([]string{"k"}))
+	},
+		ginkgo.Entry("of a message in order", message.Message{Key: "k"}),
+		ginkgo.Entry("of a message that is not in order", message.Message{Headers: []message.Header{{Name: wire.HeaderOrderingKey, Value: "k"}}}),
+	)
+
 	ginkgo.It("reuses a connection whose response is read before the write returns", func() {
 		w := startScriptedServer(func(request *http.Request, _ int) string {
 			return successResponse(request.Header.Get(wire.HeaderRequestID), "own")
