Soak: keys on routes without order, and an ordered route that is removed above a shorter prefix

Every other message of a route without order now has one of the same keys, and every other configuration lacks an ordered route whose host has a shorter prefix. Order is checked as before, for the route that is always there.

--- a/internal/system/soak/checker_test.go
+++ b/internal/system/soak/checker_test.go
@@ -21,6 +21,7 @@
 type record struct {
 	id            string
 	key           string
+	ordered       bool // its route is in order throughout
 	sent          time.Time
 	accepted      time.Time // when the client had read the 202 response; zero before
 	refused       bool
@@ -48,7 +49,7 @@
 type checker struct {
 	mutex            sync.Mutex
 	records          map[string]*record
-	openByKey        map[string][]*record // messages that were sent and have neither completed nor been refused
+	openByKey        map[string][]*record // ordered messages that were sent and have neither completed nor been refused
 	excusedUntil     time.Time            // end of the window in which unplanned faults excuse violations
 	endpointArrivals []time.Time          // recent arrivals at the rate-limited service
 	violations       []string
@@ -97,12 +98,12 @@
 }
 
 // sent records a message before its client sends it.
-func (c *checker) sent(id, key string, callback bool) {
+func (c *checker) sent(id, key string, ordered, callback bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	r := &record{id: id, key: key, wantsCallback: callback, sent: time.Now(), stamps: map[string]bool{}}
+	r := &record{id: id, key: key, ordered: ordered, wantsCallback: callback, sent: time.Now(), stamps: map[string]bool{}}
 	c.records[id] = r
-	if key != "" {
+	if ordered {
 		c.openByKey[key] = append(c.openByKey[key], r)
 	}
 }
@@ -154,7 +155,7 @@
 
 // checkOrder checks that all messages of the same key that were accepted before this one was sent have completed.
 func (c *checker) checkOrder(r *record) {
-	if r.key == "" || !r.completed.IsZero() {
+	if !r.ordered || !r.completed.IsZero() {
 		return
 	}
 	for _, other := range c.openByKey[r.key] {
--- a/internal/system/soak/clients_test.go
+++ b/internal/system/soak/clients_test.go
@@ -26,6 +26,8 @@
 	freeHost         = "free.example"
 	pacedHost        = "paced.example"
 	callbackHost     = "called.example" // its messages require a callback to the receiver
+	// removableHost has an ordered route that is in every other configuration, and a shorter prefix without order in all.
+	removableHost = "removable.example"
 )
 
 // client sends messages over one connection, whatever happens to its carrier, until the connection fails or the carrier
@@ -93,7 +95,7 @@
 	}
 	text.WriteString("\r\n" + body)
 	strictBefore := c.checker.isStrict()
-	c.checker.sent(id, key, wantsCallback)
+	c.checker.sent(id, key, host == orderedHost, wantsCallback)
 	_ = c.connection.SetDeadline(time.Now().Add(responseTimeout))
 	if _, err := c.connection.Write([]byte(text.String())); err != nil {
 		c.disconnect()
@@ -127,18 +129,22 @@
 	return strings.Contains(text, "EOF") || strings.Contains(text, "reset")
 }
 
-// chooseRoute draws a route by its host, with an ordering key for the ordered route.
+// chooseRoute draws a route by its host, and an ordering key. Every other message of a route without order has a key, too,
+// one of those that the ordered route's messages have.
 func (c *client) chooseRoute() (host, key string) {
+	if c.sent%2 == 0 {
+		key = fmt.Sprintf("key-%d", c.sent%orderingKeys)
+	}
 	switch c.random.IntN(4) {
 	case 0, 1:
 		return orderedHost, fmt.Sprintf("key-%d", c.random.IntN(orderingKeys))
 	case 2:
-		return callbackHost, ""
+		return callbackHost, key
 	}
 	if c.random.IntN(3) > 0 {
-		return freeHost, ""
+		return []string{freeHost, removableHost}[c.sent%2], fmt.Sprintf("key-%d", c.sent%orderingKeys)
 	}
-	return pacedHost, ""
+	return pacedHost, key
 }
 
 // clients runs all clients, each on its own goroutine.
--- a/internal/system/soak/operator_test.go
+++ b/internal/system/soak/operator_test.go
@@ -38,22 +38,28 @@
 }
 
 // document returns a configuration. ordered, free and paced name the services of the routes of these names; the callback
-// route uses that of free. The version determines how many unused routes it also has.
+// route uses that of free, those of removableHost use that of ordered. The version determines how many unused routes it
+// also has, and whether removableHost has its ordered route.
 func (o *operator) document(version uint64, ordered, free, paced string, timeout int) []byte {
-	route := func(host, service string, inOrder bool) string {
+	prefixRoute := func(host, prefix, service string, inOrder bool) string {
 		wantsCallback := host == callbackHost
-		return fmt.Sprintf(`{"name":"%s","host":"%s","path-prefix":"/in/","kind":"async","timeout-ms":%d,"target-latency-ms":200,"priority":1,`+
+		return fmt.Sprintf(`{"name":"%s%s","host":"%s","path-prefix":"%s","kind":"async","timeout-ms":%d,"target-latency-ms":200,"priority":1,`+
 			`"backend":"%s","retries":%d,"ordered":%t,"retention-s":90,"callback-url":%t,"target-start-ms":1000}`,
-			host, host, timeout, service, maxFailures, inOrder, wantsCallback)
+			host, prefix, host, prefix, timeout, service, maxFailures, inOrder, wantsCallback)
 	}
+	route := func(host, service string, inOrder bool) string { return prefixRoute(host, "/in/", service, inOrder) }
 	idle := ""
 	for i := range version % 4 {
 		idle += "," + route(fmt.Sprintf("idle-%d-%d.example", version, i), serviceOne, false)
 	}
-	return []byte(fmt.Sprintf(`{"resource-version":%d,"routes":[%s,%s,%s,%s%s],"services":[`+
+	removable := "," + prefixRoute(removableHost, "/", ordered, false)
+	if version%2 == 0 {
+		removable += "," + route(removableHost, ordered, true)
+	}
+	return []byte(fmt.Sprintf(`{"resource-version":%d,"routes":[%s,%s,%s,%s%s%s],"services":[`+
 		`{"name":"one","max-connections":200,"rate-per-s":0,"static":null},{"name":"two","max-connections":200,"rate-per-s":0,"static":null},`+
 		`{"name":"endpoint","max-connections":60,"rate-per-s":%d,"static":"%s"}],"limits":{}}`,
-		version, route(orderedHost, ordered, true), route(freeHost, free, false), route(callbackHost, free, false), route(pacedHost, paced, false), idle, endpointRate, o.endpointAddress))
+		version, route(orderedHost, ordered, true), route(freeHost, free, false), route(callbackHost, free, false), route(pacedHost, paced, false), removable, idle, endpointRate, o.endpointAddress))
 }
 
 // next returns a random configuration with a version above the last one.
