The backlog is checked for messages without a key on an ordered route

PROTOCOL: on ordered routes messages concerning a thing carry a key, 'the rest carry none'.

What callers would see: such a message has no owner of a key that checks its service's backlog, and the accepting carrier passed the check over because of its route. It is answered 202 however long the backlog is, and ends as a dead letter when its retention is over, instead of a 503 with Retry-After.

Change: the check asks whether the message itself is in order.

TestBacklogIsCheckedForMessagesWithoutAKeyOnAnOrderedRoute failed before (accepted behind 1,000 messages at one a second with 60 s of retention) and passes now.

--- a/internal/system/role/carrier/accept.go
+++ b/internal/system/role/carrier/accept.go
@@ -85,7 +85,8 @@
 		c.refuseBusy(answer, 0, "too much is waiting")
 		return
 	}
-	if pause := c.serviceRetryAfter(view.Table.Service(route), route); pause > 0 {
+	inOrder := route.Ordered && s.Message.Key != ""
+	if pause := c.serviceRetryAfter(view.Table.Service(route), route, inOrder); pause > 0 {
 		c.refuseBusy(answer, pause, "what waits for the service takes too long")
 		return
 	}
--- a/internal/system/role/carrier/admission.go
+++ b/internal/system/role/carrier/admission.go
@@ -126,13 +126,13 @@
 
 // serviceRetryAfter returns when a message of a route may be submitted again if the backlog of its service is too
 // long; 0 if the message is accepted. It considers the backlog of this carrier and the latest report of the owner
-// of the service's paced unit. Owners of ordered units report theirs when a sequence number is requested.
-func (c *Core) serviceRetryAfter(service *configuration.Service, route *configuration.Route) time.Duration {
+// of the service's paced unit. The owners of messages in order report theirs when a sequence number is requested.
+func (c *Core) serviceRetryAfter(service *configuration.Service, route *configuration.Route, inOrder bool) time.Duration {
 	now := c.env.Now()
 	if until := c.ownerBusyUntil[ownership.ServiceUnit(service.Name)]; until > now {
 		return until - now
 	}
-	if route.Ordered || service.Rate > 0 || service.Static != "" {
+	if inOrder || service.Rate > 0 || service.Static != "" {
 		return 0
 	}
 	return c.retryAfter(service.Name, route.Retention)
