--- a/internal/system/message/message_test.go
+++ b/internal/system/message/message_test.go
@@ -7,11 +7,12 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// earlierMessage is a message as earlier builds wrote it, with the name of its route in the position of the version.
-type earlierMessage struct {
+// earlierMessage is a message as earlier builds wrote or read it. The first ones had the name of its route in the position
+// of the version.
+type earlierMessage[V string | uint64] struct {
 	_msgpack  struct{} `msgpack:",as_array"`
 	ID, Unit  string
-	Route     string
+	Version   V
 	Host      string
 	Method    string
 	Target    string
@@ -27,7 +28,7 @@
 }
 
 func TestDecodesMessagesOfEarlierBuilds(t *testing.T) {
-	encoded, err := msgpack.Marshal(&earlierMessage{ID: "m", Unit: "key/s/3", Route: "r", Host: "h", Body: []byte("body"), Token: 4, Retention: time.Minute})
+	encoded, err := msgpack.Marshal(&earlierMessage[string]{ID: "m", Unit: "key/s/3", Version: "r", Host: "h", Body: []byte("body"), Token: 4, Retention: time.Minute})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -57,23 +58,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var earlier struct {
-		_msgpack  struct{} `msgpack:",as_array"`
-		ID, Unit  string
-		Version   uint64
-		Host      string
-		Method    string
-		Target    string
-		Headers   []Header
-		Key       string
-		Callback  string
-		Body      []byte
-		Token     uint64
-		Sequence  uint64
-		Accepted  int64
-		Delay     time.Duration
-		Retention time.Duration
-	}
+	var earlier earlierMessage[uint64]
 	if err := msgpack.Unmarshal(encoded, &earlier); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/system/role/carrier/core.go
+++ b/internal/system/role/carrier/core.go
@@ -15,15 +15,12 @@
 package carrier
 
 import (
-	"fmt"
 	"time"
 
 	"granitewing/internal/system/catalog"
-	"granitewing/internal/system/configuration"
 	"granitewing/internal/system/delivery"
 	"granitewing/internal/system/loop"
 	"granitewing/internal/system/member"
-	"granitewing/internal/system/message"
 	"granitewing/internal/system/ordered"
 	"granitewing/internal/system/ownership"
 	"granitewing/internal/system/session"
@@ -81,17 +78,6 @@
 	keyedUnorderedLogged bool
 }
 
-// Counters holds the counts of events since the carrier started.
-type Counters struct {
-	// Delivered counts the attempts that were sent to workers, and Failed those that ended as RunFailed. Completed counts
-	// the messages with an outcome, also dead letters.
-	Accepted, Refused, Indeterminate, Delivered, Failed, Completed, Callbacks uint64
-	// CompletedBefore counts messages that were passed to this carrier after they had completed under a former owner.
-	CompletedBefore uint64
-	// KeyedUnordered counts accepted messages with an ordering key whose route is not ordered.
-	KeyedUnordered uint64
-}
-
 // New returns a carrier. Start starts it.
 func New(env Environment, s *settings.Settings) *Core {
 	c := &Core{env: env, settings: s, policy: delivery.NewPolicy(s.Zone), units: map[string]*unit{},
@@ -111,7 +97,6 @@
 // Durations of the carrier's periodic work.
 const (
 	housekeepingInterval = 150 * time.Millisecond
-	maxCatalogAge        = 1600 * time.Millisecond
 	storesLackingGrace   = 1500 * time.Millisecond
 )
 
@@ -185,83 +170,6 @@
 // FeedUpdate applies a feed update that a keeper pushed.
 func (c *Core) FeedUpdate(address string, payload []byte) { c.session.Push(address, payload) }
 
-func (c *Core) viewChanged(before, after *member.View) {
-	now := c.env.Now()
-	if !sameMap(before.Members, after.Members) || !sameMap(before.Disks, after.Disks) || !sameMap(before.Keepers, after.Keepers) {
-		c.connect()
-		c.stores.followRoster()
-		c.policy.SetCarriers(after.Carriers())
-	}
-	if before.Table != after.Table {
-		c.applyConfiguration(now, after.Table)
-		c.env.LogInfo(fmt.Sprintf("configuration %d is in force", after.Table.Document.Version))
-	}
-	if before.Epoch != after.Epoch {
-		c.env.LogInfo(fmt.Sprintf("%d disks count toward the write quorum, disk roster %d", len(after.QuorumDisks()), after.Epoch))
-	}
-	if !sameMap(before.Instances, after.Instances) {
-		c.policy.SetInstances(now, after.Instances)
-	}
-	c.applyOwnership(before, after)
-	for _, q := range ordered.Map(c.queues) {
-		c.dispatch(q)
-	}
-}
-
-func sameMap[V comparable](a, b map[string]V) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for key, value := range a {
-		if other, ok := b[key]; !ok || other != value {
-			return false
-		}
-	}
-	return true
-}
-
-func (c *Core) applyConfiguration(now time.Duration, table *configuration.Table) {
-	clear(c.ownerBusyUntil) // it may name services that no longer exist
-	services := table.Document.Services
-	c.policy.RemoveServicesExcept(func(service string) bool { return services[service] != nil })
-	for name, service := range services {
-		c.policy.SetService(now, name, service.MaxConnections, service.Static)
-		c.queue(name).pace.SetRate(service.Rate)
-	}
-	c.policy.SetInstances(now, c.session.View().Instances) // a service may have lost its static endpoint
-	for name, q := range c.queues {
-		if services[name] == nil && q.empty() && now > q.pace.NextAllowed()+rateWindow {
-			delete(c.queues, name)
-		}
-	}
-}
-
-// checkCatalog reads the platform's list of workers directly while the keepers provide no fresh one.
-func (c *Core) checkCatalog() {
-	if c.catalogBusy || c.session.CatalogAge() < maxCatalogAge {
-		return
-	}
-	if c.session.View().Table == nil {
-		return
-	}
-	c.catalogBusy = true
-	begun := c.env.Now()
-	pause := time.Duration(c.env.Random(int64(maxCatalogAge / 4)))
-	c.env.After(pause, func() {
-		c.env.ReadCatalog(func(instances map[string]catalog.Instance, err error) {
-			c.catalogBusy = false
-			if err != nil {
-				c.env.LogWarning("cannot read the platform's list of workers", err)
-				return
-			}
-			c.session.SetInstances(begun, func(view *member.View) {
-				view.Instances = catalog.Merge(view.Instances, instances)
-				view.CatalogKnown = true
-			})
-		})
-	})
-}
-
 // Ready reports whether the platform should send clients to this carrier. It needs a configuration, an open
 // session and connections to enough stores; a brief lack of stores is ignored.
 func (c *Core) Ready() bool {
@@ -286,42 +194,6 @@
 // Incarnation returns the incarnation of this carrier's session.
 func (c *Core) Incarnation() string { return c.session.Incarnation() }
 
-// Counters returns the current counts.
-func (c *Core) Counters() Counters { return c.figures }
-
-// item is a message that this carrier is responsible for.
-type item struct {
-	message      *message.Message
-	unit         *unit
-	holders      []string // disks that hold it, or may hold it
-	accepted     time.Duration
-	due          time.Duration
-	failures     int // attempts that a worker answered as failed
-	attempts     int
-	lastWorker   string // worker of the latest attempt
-	takenOver    bool   // taken over from another carrier
-	takenOverDue bool   // it was due when it was taken over
-	queued       bool
-	inFlight     bool
-	completed    bool
-	fetchingBody bool
-	idleSince    time.Duration // when it was added or, if later, its latest attempt ended
-
-	queue     *queue    // the queue that it joined last; it waits there while queued is set
-	lateHeap  *lateHeap // heap of late messages that contains it, or nil
-	lateIndex int       // position in that heap, counted from 1
-	backlog   *backlog  // backlog in which it is counted, or nil
-	headBytes int64     // memory for which it counts, without its body
-}
-
-// ConfigurationVersion returns the version of the configuration in force at this carrier, or 0 before the first.
-func (c *Core) ConfigurationVersion() uint64 {
-	if table := c.session.View().Table; table != nil {
-		return table.Document.Version
-	}
-	return 0
-}
-
 // Waiting returns the messages that this carrier is responsible for and that are not completed, by ID, with the time
 // until each is due; negative if it is due.
 func (c *Core) Waiting() map[string]time.Duration {
--- a/internal/system/role/carrier/dispatch.go
+++ b/internal/system/role/carrier/dispatch.go
@@ -46,7 +46,6 @@
 	backoffUnknown       = 60 * time.Millisecond
 	maxBackoff           = 1500 * time.Millisecond
 	retryWhenFull        = 25 * time.Millisecond
-	defaultTimeout       = time.Second
 	rateHoldAfterRefusal = 60 * time.Millisecond
 	// newerConfigurationRetry is how often a message that waits for a newer configuration is checked.
 	newerConfigurationRetry = 50 * time.Millisecond
--- a/internal/system/role/carrier/unit.go
+++ b/internal/system/role/carrier/unit.go
@@ -24,7 +24,6 @@
 	sequence      uint64
 	items         map[string]*item
 	keys          map[string][]*item // by ordering key, in order; the first is due or being delivered
-	settled       bool
 	settling      bool
 	unrecorded    int       // records that some store has not acknowledged, and pending call-backs
 	handover      *handover // nil unless the unit is being handed over
--- a/internal/system/role/keeper/owners.go
+++ b/internal/system/role/keeper/owners.go
@@ -16,7 +16,6 @@
 	pauseAfterWithdrawal  = 2500 * time.Millisecond // no offers for this long after one was withdrawn
 	maxOffers             = 4                       // open offers per shard
 	maxOffersWhenStopping = 64                      // while a carrier stops, which hands all its units over at once
-	offerRetryInterval    = 200 * time.Millisecond
 )
 
 // handoverState is what the leader of a shard remembers of the open offers. A new leader starts with an empty one.
--- a/internal/system/role/store/index.go
+++ b/internal/system/role/store/index.go
@@ -19,7 +19,6 @@
 	changeNumber uint64 // position in the order of changes
 	older, newer *entry // neighbours in the order of changes
 	position     segment.Position
-	size         uint32
 	held         bool // the message's record is on disk at position
 	writing      bool // the message's record is waiting to be synced
 	void         bool // the message was cancelled
@@ -52,9 +51,6 @@
 	dropped int      // how many of the entries the index has dropped
 }
 
-// segmentUse counts the records and bytes of a segment that are still needed. It is not used at present.
-type segmentUse struct{ records, bytes int }
-
 // index is everything that a store knows of its messages, in memory.
 type index struct {
 	entries      map[string]*entry
--- a/internal/system/role/store/load.go
+++ b/internal/system/role/store/load.go
@@ -207,7 +207,7 @@
 	case recordComplete:
 		c.complete = true
 	case recordMessage:
-		c.loadMessage(position, uint32(len(payload)), &r)
+		c.loadMessage(position, &r)
 	case recordVoid:
 		c.markVoid(c.entryFor(&r), r.At)
 	case recordEnd:
@@ -233,9 +233,9 @@
 	return c.index.add(r.ID, r.Unit, r.At)
 }
 
-func (c *Core) loadMessage(position segment.Position, size uint32, r *loadedRecord) {
+func (c *Core) loadMessage(position segment.Position, r *loadedRecord) {
 	e := c.entryFor(r)
 	c.index.joinUnit(e, r.Unit)
-	e.held, e.position, e.size, e.lifetime, e.hasCallback = true, position, size, r.Delay+r.Retention, r.Callback
+	e.held, e.position, e.lifetime, e.hasCallback = true, position, r.Delay+r.Retention, r.Callback
 	e.shared = true
 }
--- a/internal/system/simulation/platform.go
+++ b/internal/system/simulation/platform.go
@@ -151,14 +151,14 @@
 			p.checker.localRuns.count(target.zone == from.machine.zone)
 		}
 		if !target.silent {
-			target.handleAttempt(p, from, attempt, finish)
+			target.handleAttempt(p, attempt, finish)
 		}
 	})
 }
 
 // handleAttempt handles a message at the worker: it rejects it, returns the stored result of an idempotent service,
 // or runs it.
-func (w *worker) handleAttempt(p *platform, from *process, attempt carrier.Attempt, finish func(carrier.AttemptOutcome)) {
+func (w *worker) handleAttempt(p *platform, attempt carrier.Attempt, finish func(carrier.AttemptOutcome)) {
 	const queuePerSlot = 4
 	model, id := w.service, attempt.Message.ID
 	model.arrivals = append(model.arrivals, p.world.now)
@@ -192,7 +192,6 @@
 			p.completeRun(w, attempt.Message, work+wait > attempt.Deadline, load, finish)
 		})
 	})
-	_ = from
 }
 
 // completeRun ends a run and answers the carrier, as the worker's fault and a random failure decide.
