--- a/internal/driver/connection_race_test.go
+++ b/internal/driver/connection_race_test.go
@@ -102,6 +102,25 @@
 
 func (x *harness) runUntil(done func() bool) { x.t.Helper(); runOwner(x.t, x.d, done) }
 
+// receiveWhileRunning runs the owner's work until a value comes, and returns it. It fails the test as runOwner does if
+// none comes.
+func receiveWhileRunning[T any](x *harness, values <-chan T) T {
+	x.t.Helper()
+	var value T
+	x.runUntil(func() bool {
+		select {
+		case value = <-values:
+			return true
+		default:
+		}
+		if len(x.d.events) == 0 {
+			time.AfterFunc(time.Millisecond, func() { x.d.post(func() {}) }) // check again
+		}
+		return false
+	})
+	return value
+}
+
 // acceptAttempt accepts the next attempt at a server and returns its connection and its request's head.
 func (x *harness) acceptAttempt(name string) (net.Conn, string) {
 	x.t.Helper()
@@ -127,19 +146,7 @@
 		}
 		came <- attempt{c, head, err}
 	}()
-	var a attempt
-	got := false
-	x.runUntil(func() bool {
-		select {
-		case a = <-came:
-			got = true
-		default:
-			if len(x.d.events) == 0 {
-				time.AfterFunc(time.Millisecond, func() { x.d.post(func() {}) }) // check again
-			}
-		}
-		return got
-	})
+	a := receiveWhileRunning(x, came)
 	if a.err != nil {
 		x.t.Fatalf("%s: %v after %q", name, a.err, a.head)
 	}
@@ -181,19 +188,7 @@
 		io.Copy(io.Discard, answer.Body)
 		got <- answer.Proto + " " + answer.Status
 	}()
-	result := ""
-	x.runUntil(func() bool {
-		select {
-		case result = <-got:
-			return true
-		default:
-			if len(x.d.events) == 0 {
-				time.AfterFunc(time.Millisecond, func() { x.d.post(func() {}) })
-			}
-			return false
-		}
-	})
-	return result
+	return receiveWhileRunning(x, got)
 }
 
 // A request that was read while its connection is being closed as idle is answered, whatever the cause of the close.
@@ -281,10 +276,12 @@
 }
 
 // nextAttempt reads the next attempt's request. It comes on the connection of the previous one, or on a new one if the
-// attempt began before that connection was free and the draining driver closed it.
+// attempt began before that connection was free; the driver, which drains, closes the previous one as it runs on.
 func (x *harness) nextAttempt(server net.Conn, name string) net.Conn {
 	x.t.Helper()
-	if err := readRequest(server); err == nil {
+	read := make(chan error, 1)
+	go func() { read <- readRequest(server) }()
+	if err := receiveWhileRunning(x, read); err == nil {
 		return server
 	} else if !errors.Is(err, io.EOF) {
 		x.t.Fatal(err)
